--- /dev/null
+++ b/coordinator/messages.go
@@ -0,0 +1,206 @@
+package coordinator
+
+import (
+	"github.com/chestnuthollow/chestnuthollow/document"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// CallID names one pending request of a caller; its Reply effect carries the
+// same id.
+type CallID uint64
+
+// Event is an input of the state machine.
+type Event interface{ isEvent() }
+
+// Events.
+type (
+	// ReserveCalled asks for Count job identifiers.
+	ReserveCalled struct {
+		Call  CallID
+		Count int
+	}
+	// SubmitCalled submits a job under a reserved identifier, or under a new
+	// one if ID is zero. The reply comes at once if Wait is false, otherwise
+	// when the job is final.
+	SubmitCalled struct {
+		Call CallID
+		ID   structs.JobID
+		Spec structs.JobSpec
+		Wait bool
+	}
+	// GetCalled asks for a job's answer, as it is or, with Wait, when final.
+	GetCalled struct {
+		Call CallID
+		ID   structs.JobID
+		Wait bool
+	}
+	// CancelCalled cancels a job and waits for its final answer.
+	CancelCalled struct {
+		Call CallID
+		ID   structs.JobID
+	}
+	// CallGone says that the caller has gone or asks for the answer as it is:
+	// with Answer set, a Reply with the present answer follows.
+	CallGone struct {
+		Call   CallID
+		Answer bool
+	}
+	// AgentAnnounced says that an agent run exists at an address.
+	AgentAnnounced struct{ Info structs.AgentInfo }
+	// AgentObserved takes in a state that came outside of a task's reply.
+	AgentObserved struct {
+		Agent structs.Incarnation
+		State structs.AgentState
+	}
+	// RunReplied is the reply to a Run or Await effect.
+	RunReplied struct {
+		Agent structs.Incarnation
+		Task  structs.TaskID
+		Reply structs.RunReply
+	}
+	// RunNotSent says that a Run effect certainly never left this process.
+	RunNotSent struct {
+		Agent structs.Incarnation
+		Task  structs.TaskID
+	}
+	// RunBroken says that the connection broke with the reply to a Run or Await
+	// effect outstanding: the agent may or may not have the task.
+	RunBroken struct {
+		Agent structs.Incarnation
+		Task  structs.TaskID
+	}
+	// SettleReplied is the reply to a Settle effect.
+	SettleReplied struct {
+		Agent structs.Incarnation
+		Reply structs.SettleReply
+	}
+	// SettleFailed says that a Settle effect got no reply.
+	SettleFailed struct {
+		Agent structs.Incarnation
+		Tasks []structs.TaskID
+	}
+	// HeartbeatFailed says that an agent did not answer a heartbeat in time.
+	HeartbeatFailed struct{ Agent structs.Incarnation }
+	// DocumentChanged puts a newer revision of a service's document in force.
+	DocumentChanged struct {
+		Record   structs.DocumentRecord
+		Document *document.Document
+	}
+	// PeersChanged replaces what is known of the other entries.
+	PeersChanged struct{ Entries []structs.EntryInfo }
+	// LeaveRequested starts a graceful stop.
+	LeaveRequested struct{}
+	// Ticked lets time pass.
+	Ticked struct{}
+)
+
+// Effect is an output of the state machine.
+type Effect interface{ isEffect() }
+
+// Effects.
+type (
+	// ReplyIDs answers ReserveCalled.
+	ReplyIDs struct {
+		Call  CallID
+		IDs   []structs.JobID
+		Error *structs.Error
+	}
+	// Reply answers a caller; exactly one of Answer and Error is set.
+	Reply struct {
+		Call   CallID
+		Answer *structs.JobAnswer
+		Error  *structs.Error
+	}
+	// Forward hands a caller's request to the job's home, a live peer. The
+	// caller's reply is the peer's.
+	Forward struct {
+		Call CallID
+		Home structs.EntryInfo
+		Op   structs.JobOp
+		ID   structs.JobID
+		Spec *structs.JobSpec
+	}
+	// Run sends a task to an agent (Agent.Run). RunReplied, RunNotSent or
+	// RunBroken follows.
+	Run struct {
+		Agent   structs.Incarnation
+		Request structs.RunRequest
+	}
+	// Await asks for the outcome of a task that the agent is known to hold
+	// (Agent.Await). The same events follow as for Run, but for RunNotSent.
+	Await struct {
+		Agent structs.Incarnation
+		Task  structs.TaskID
+	}
+	// Settle asks an agent about tasks (Agent.Settle). SettleReplied or
+	// SettleFailed follows.
+	Settle struct {
+		Agent   structs.Incarnation
+		Request structs.SettleRequest
+	}
+	// Heartbeat probes an agent (Agent.Heartbeat). AgentObserved or
+	// HeartbeatFailed follows.
+	Heartbeat struct {
+		Agent     structs.Incarnation
+		Watermark uint64
+		Revision  uint64
+	}
+	// ConnectAgent opens the connection to an agent run.
+	ConnectAgent struct{ Info structs.AgentInfo }
+	// DropAgent closes it for good.
+	DropAgent struct{ Agent structs.Incarnation }
+	// PushDocument sends an agent a revision it lacks (Agent.PutDocument).
+	PushDocument struct {
+		Agent  structs.Incarnation
+		Record structs.DocumentRecord
+	}
+	// FetchDocument gets a newer revision from an agent that has it
+	// (Agent.GetDocument).
+	FetchDocument struct {
+		Agent   structs.Incarnation
+		Service string
+	}
+	// Drained says that a graceful stop is complete: no job is open.
+	Drained struct{}
+	// LogEvent is one line for the log.
+	LogEvent struct {
+		Event   string
+		Job     structs.JobID       // zero if none
+		Task    int                 // -1 if none
+		Agent   structs.Incarnation // zero if none
+		Verdict *structs.Verdict
+		Detail  string
+	}
+)
+
+func (ReserveCalled) isEvent()   {}
+func (SubmitCalled) isEvent()    {}
+func (GetCalled) isEvent()       {}
+func (CancelCalled) isEvent()    {}
+func (CallGone) isEvent()        {}
+func (AgentAnnounced) isEvent()  {}
+func (AgentObserved) isEvent()   {}
+func (RunReplied) isEvent()      {}
+func (RunNotSent) isEvent()      {}
+func (RunBroken) isEvent()       {}
+func (SettleReplied) isEvent()   {}
+func (SettleFailed) isEvent()    {}
+func (HeartbeatFailed) isEvent() {}
+func (DocumentChanged) isEvent() {}
+func (PeersChanged) isEvent()    {}
+func (LeaveRequested) isEvent()  {}
+func (Ticked) isEvent()          {}
+
+func (ReplyIDs) isEffect()      {}
+func (Reply) isEffect()         {}
+func (Forward) isEffect()       {}
+func (Run) isEffect()           {}
+func (Await) isEffect()         {}
+func (Settle) isEffect()        {}
+func (Heartbeat) isEffect()     {}
+func (ConnectAgent) isEffect()  {}
+func (DropAgent) isEffect()     {}
+func (PushDocument) isEffect()  {}
+func (FetchDocument) isEffect() {}
+func (Drained) isEffect()       {}
+func (LogEvent) isEffect()      {}
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,17 @@
+// Package logging makes the key=value loggers of the programs.
+package logging
+
+import (
+	"io"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// New returns a logger that writes one key=value line per event to w. Name
+// names the process; lowest is "debug", "info", "warn" or "error".
+func New(w io.Writer, name, lowest string) log.Logger {
+	l := log.NewLogfmtLogger(log.NewSyncWriter(w))
+	l = level.NewFilter(l, level.Allow(level.ParseDefault(lowest, level.InfoValue())))
+	return log.With(l, "ts", log.DefaultTimestampUTC, "process", name)
+}
--- /dev/null
+++ b/internal/settings/reason.go
@@ -0,0 +1,35 @@
+package settings
+
+import (
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+)
+
+// tomlName returns the key of a field in the settings file.
+func tomlName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("toml"), ",")
+	return name
+}
+
+// reason says in words what a failed validation asks for.
+func reason(f validator.FieldError) string {
+	switch f.Tag() {
+	case "required":
+		return "missing"
+	case "name":
+		return "want 1 to 63 of a-z, 0-9, '.', '_', '-'"
+	case "ipport":
+		return "want an IP address and a port"
+	case "min", "gte":
+		return "want at least " + f.Param()
+	case "max", "lte":
+		return "want at most " + f.Param()
+	case "oneof":
+		return "want one of " + f.Param()
+	case "url", "http_url":
+		return "want an http URL"
+	}
+	return "fails the check " + f.Tag() + " " + f.Param()
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,110 @@
+// Package settings loads a process's TOML settings file and checks it whole, so
+// that every mistake is named in one error.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"github.com/go-playground/validator/v10"
+)
+
+// Duration is a time.Duration in TOML's text form, such as "250ms".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// D returns d as a time.Duration.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+// ValidName reports whether s is a name of a process, service, team or
+// availability zone: 1 to 63 of a-z, 0-9, '.', '_' and '-'.
+func ValidName(s string) bool { return namePattern.MatchString(s) }
+
+// Load reads the TOML file at path into dst, a pointer to a struct that holds
+// the defaults. Fields carry validator tags; besides the library's own there
+// are "name" (see ValidName) and "ipport" (an IP address and a port). The error
+// names each unknown key, wrong value and missing setting.
+func Load(path string, dst any) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	return Parse(path, string(text), dst)
+}
+
+// Parse is Load for text already read; path only names it in errors.
+func Parse(path, text string, dst any) error {
+	meta, err := toml.Decode(text, dst)
+	if err != nil {
+		return fmt.Errorf("settings %s: %w", path, err)
+	}
+	var problems []error
+	for _, key := range meta.Undecoded() {
+		problems = append(problems, fmt.Errorf("settings %s: unknown key %s", path, key))
+	}
+	for _, p := range check(dst) {
+		problems = append(problems, fmt.Errorf("settings %s: %w", path, p))
+	}
+	return errors.Join(problems...)
+}
+
+func check(v any) []error {
+	err := newValidator().Struct(v)
+	var fields validator.ValidationErrors
+	if !errors.As(err, &fields) {
+		if err != nil {
+			return []error{err}
+		}
+		return nil
+	}
+	problems := make([]error, 0, len(fields))
+	for _, f := range fields {
+		_, key, _ := strings.Cut(f.Namespace(), ".")
+		problems = append(problems, fmt.Errorf("%s = %v: %s", key, f.Value(), reason(f)))
+	}
+	return problems
+}
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(tomlName)
+	must(v.RegisterValidation("name", func(f validator.FieldLevel) bool {
+		return ValidName(f.Field().String())
+	}))
+	must(v.RegisterValidation("ipport", func(f validator.FieldLevel) bool {
+		return validIPPort(f.Field().String())
+	}))
+	return v
+}
+
+func validIPPort(s string) bool {
+	host, port, err := net.SplitHostPort(s)
+	if err != nil || net.ParseIP(host) == nil {
+		return false
+	}
+	_, err = net.LookupPort("tcp", port)
+	return err == nil
+}
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,32 @@
+package settings_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/internal/settings"
+)
+
+type sample struct {
+	Name string `toml:"name" validate:"required,name"`
+	Addr string `toml:"addr" validate:"required,ipport"`
+	Rate int    `toml:"rate" validate:"min=1,max=10"`
+}
+
+func TestParseNamesEveryProblem(t *testing.T) {
+	g := NewWithT(t)
+	s := sample{Rate: 5}
+	err := settings.Parse("x.toml", "addr = 'localhost'\nrate = 11\ncolour = 'red'\n", &s)
+	g.Expect(err).To(HaveOccurred())
+	for _, want := range []string{"unknown key colour", "name = : missing", "addr = localhost: want an IP", "rate = 11: want at most 10"} {
+		g.Expect(err.Error()).To(ContainSubstring(want))
+	}
+}
+
+func TestParseKeepsDefaults(t *testing.T) {
+	g := NewWithT(t)
+	s := sample{Rate: 5}
+	g.Expect(settings.Parse("x.toml", "name = 'a'\naddr = '127.0.0.1:80'\n", &s)).To(Succeed())
+	g.Expect(s.Rate).To(Equal(5))
+}
