Number the attempts to place a task

A refusal or fence holds for one attempt: otherwise a task refused once by each agent of a small service could never be placed again. A task moves only after evidence that the attempt before has not started.

--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -55,19 +55,19 @@
 	// RunReplied is the reply to a Run or Await effect.
 	RunReplied struct {
 		Agent structs.Incarnation
-		Task  structs.TaskID
+		Ref   structs.TaskRef
 		Reply structs.RunReply
 	}
 	// RunNotSent says that a Run effect certainly never left this process.
 	RunNotSent struct {
 		Agent structs.Incarnation
-		Task  structs.TaskID
+		Ref   structs.TaskRef
 	}
 	// RunBroken says that the connection broke with the reply to a Run or Await
 	// effect outstanding: the agent may or may not have the task.
 	RunBroken struct {
 		Agent structs.Incarnation
-		Task  structs.TaskID
+		Ref   structs.TaskRef
 	}
 	// SettleReplied is the reply to a Settle effect.
 	SettleReplied struct {
@@ -77,7 +77,7 @@
 	// SettleFailed says that a Settle effect got no reply.
 	SettleFailed struct {
 		Agent structs.Incarnation
-		Tasks []structs.TaskID
+		Tasks []structs.TaskRef
 	}
 	// HeartbeatFailed says that an agent did not answer a heartbeat in time.
 	HeartbeatFailed struct{ Agent structs.Incarnation }
@@ -130,7 +130,7 @@
 	// (Agent.Await). The same events follow as for Run, but for RunNotSent.
 	Await struct {
 		Agent structs.Incarnation
-		Task  structs.TaskID
+		Ref   structs.TaskRef
 	}
 	// Settle asks an agent about tasks (Agent.Settle). SettleReplied or
 	// SettleFailed follows.
--- a/executor/doc.go
+++ b/executor/doc.go
@@ -7,8 +7,8 @@
 //
 // Invariants:
 //   - A TaskID gets at most one StartBackend effect in the life of an Executor.
-//   - A task for which NotRun was ever answered gets no StartBackend effect,
-//     before or after.
+//   - An attempt (structs.TaskRef) for which NotRun was ever answered gets no
+//     StartBackend effect, before or after. A later attempt may.
 //   - Each RPC event gets exactly one Reply effect, unless it is a repetition
 //     by the same call id.
 package executor
--- a/structs/rpc.go
+++ b/structs/rpc.go
@@ -8,12 +8,23 @@
 	EntryService = "Entry"
 )
 
+// TaskRef names one attempt to place a task. The home places a task again, under
+// the next attempt number, only after evidence that the attempt before it has
+// not started and never will. Attempts count from 1.
+type TaskRef struct {
+	Task    TaskID
+	Attempt uint32
+}
+
 // RunRequest asks an agent to run one task (Agent.Run). The reply comes when
 // the task has finished or was refused. An agent starts a TaskID at most once,
-// however often it is asked.
+// however often it is asked. A refusal or fence holds for the attempt and all
+// before it: an agent accepts a later attempt of a task that it refused, and
+// refuses as not run an attempt below the newest it knows.
 type RunRequest struct {
 	Agent    Incarnation // the agent run it is meant for
 	Task     TaskID      // Task.Job.Home is the sender
+	Attempt  uint32
 	Spec     TaskSpec
 	Service  string
 	Team     string
@@ -53,7 +64,7 @@
 	Agent Incarnation
 	Home  Incarnation
 	Mode  SettleMode
-	Tasks []TaskID
+	Tasks []TaskRef
 }
 
 // TaskPhase is where a task stands at an agent.
@@ -83,6 +94,7 @@
 // TaskStatus is the state of one task at an agent.
 type TaskStatus struct {
 	Task        TaskID
+	Attempt     uint32 // the newest attempt the agent knows, as asked if fenced
 	Phase       TaskPhase
 	Result      TaskResult // set if Phase is TaskDone
 	ServiceTime time.Duration
@@ -98,8 +110,9 @@
 // AwaitRequest asks for the outcome of a task that the agent has accepted
 // (Agent.Await); the reply is a RunReply. An unknown task is fenced.
 type AwaitRequest struct {
-	Agent Incarnation
-	Task  TaskID
+	Agent   Incarnation
+	Task    TaskID
+	Attempt uint32
 }
 
 // FenceRequest closes a home at an agent (Agent.Fence): nothing of that home
