--- /dev/null
+++ b/coordinator/admission.go
@@ -0,0 +1,113 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/document"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// admit decides whether a job may start, and binds it to its service. Every
+// refusal is NotRun.
+func (c *Coordinator) admit(j *job, spec *structs.JobSpec) *structs.Error {
+	if err := c.checkSpec(spec); err != nil {
+		return err
+	}
+	if c.leaving {
+		return c.leavingError()
+	}
+	svc := c.services[spec.Service]
+	if svc == nil || svc.doc == nil {
+		return structs.Errorf(structs.CodeNotFound, structs.NotRun, "service %q has no document", spec.Service)
+	}
+	if err := checkAccept(svc.doc, spec); err != nil {
+		return err
+	}
+	if err := c.checkCapacity(svc, spec); err != nil {
+		return err
+	}
+	j.service = svc
+	return nil
+}
+
+// checkSpec applies the limits that hold for every service.
+func (c *Coordinator) checkSpec(spec *structs.JobSpec) *structs.Error {
+	refuse := func(code structs.ErrorCode, format string, args ...any) *structs.Error {
+		return structs.Errorf(code, structs.NotRun, format, args...)
+	}
+	n := len(spec.Tasks)
+	switch {
+	case spec.Service == "":
+		return refuse(structs.CodeInvalid, "service is missing")
+	case spec.Team == "":
+		return refuse(structs.CodeInvalid, "team is missing")
+	case n == 0:
+		return refuse(structs.CodeInvalid, "a job needs at least one task")
+	case n > structs.MaxTasksPerJob:
+		return refuse(structs.CodeTooLarge, "%d tasks: at most %d", n, structs.MaxTasksPerJob)
+	case spec.Timeout < 0 || spec.Timeout > c.cfg.MaxTimeout:
+		return refuse(structs.CodeInvalid, "timeout %s: want 0 to %s", spec.Timeout, c.cfg.MaxTimeout)
+	case spec.PayloadBytes() > structs.MaxJobBytes:
+		return refuse(structs.CodeTooLarge, "payloads of %d bytes: at most %d", spec.PayloadBytes(), structs.MaxJobBytes)
+	}
+	for i := range spec.Tasks {
+		if size := len(spec.Tasks[i].Payload); size > structs.MaxPayloadBytes {
+			return refuse(structs.CodeTooLarge, "task %d: payload of %d bytes: at most %d", i, size, structs.MaxPayloadBytes)
+		}
+		if spec.Tasks[i].Declared < 0 {
+			return refuse(structs.CodeInvalid, "task %d: declared time is negative", i)
+		}
+	}
+	return nil
+}
+
+// checkAccept refuses a job that the service's document never takes.
+func checkAccept(doc *document.Document, spec *structs.JobSpec) *structs.Error {
+	refuse := func(format string, args ...any) *structs.Error {
+		return structs.Errorf(structs.CodeRejected, structs.NotRun, format, args...)
+	}
+	a := &doc.Accept
+	if a.MaxTasksPerJob > 0 && len(spec.Tasks) > a.MaxTasksPerJob {
+		return refuse("%d tasks: the service takes at most %d per job", len(spec.Tasks), a.MaxTasksPerJob)
+	}
+	if limit := time.Duration(a.MaxTimeout); limit > 0 && spec.Timeout > limit {
+		return refuse("timeout %s: the service takes at most %s", spec.Timeout, limit)
+	}
+	for i := range spec.Tasks {
+		t := &spec.Tasks[i]
+		if len(a.Kinds) > 0 && !slices.Contains(a.Kinds, t.Kind) {
+			return refuse("task %d: the service takes no kind %q", i, t.Kind)
+		}
+		if len(a.ContentTypes) > 0 && !slices.Contains(a.ContentTypes, t.ContentType) {
+			return refuse("task %d: the service takes no content type %q", i, t.ContentType)
+		}
+		if a.MaxPayloadBytes > 0 && len(t.Payload) > a.MaxPayloadBytes {
+			return refuse("task %d: payload of %d bytes: the service takes at most %d", i, len(t.Payload), a.MaxPayloadBytes)
+		}
+		if limit := time.Duration(a.MaxDeclared); limit > 0 && t.Declared > limit {
+			return refuse("task %d: declared time %s: the service takes at most %s", i, t.Declared, limit)
+		}
+	}
+	return nil
+}
+
+// checkCapacity refuses a job that cannot be carried now.
+func (c *Coordinator) checkCapacity(svc *service, spec *structs.JobSpec) *structs.Error {
+	if svc.leaving(c.now) {
+		return structs.Errorf(structs.CodeLeaving, structs.NotRun, "service %s is leaving", svc.name).
+			WithRetryAfter(retryAfterUnavailable)
+	}
+	if !svc.available() {
+		return structs.Errorf(structs.CodeUnavailable, structs.NotRun, "service %s has no backend server now", svc.name).
+			WithRetryAfter(retryAfterUnavailable)
+	}
+	over := c.openJobs >= c.cfg.MaxOpenJobs ||
+		c.openTasks+len(spec.Tasks) > c.cfg.MaxOpenTasks ||
+		c.heldBytes+spec.PayloadBytes() > c.cfg.MaxHeldBytes
+	if over {
+		return structs.Errorf(structs.CodeOverloaded, structs.NotRun, "this entry holds all the work it can").
+			WithRetryAfter(retryAfterOverload)
+	}
+	return nil
+}
--- /dev/null
+++ b/coordinator/coordinator.go
@@ -0,0 +1,122 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// Coordinator is the state of one entry. It is not safe for concurrent use.
+type Coordinator struct {
+	cfg Config
+
+	ids      ids
+	jobs     map[uint64]*job // home here, by sequence
+	open     []*job          // admitted jobs, final ones dropped at each tick
+	finals   []uint64        // sequences of final jobs, oldest first
+	calls    map[CallID]*job // callers that wait
+	services map[string]*service
+	agents   map[structs.Incarnation]*agent
+	order    []*agent // agents in the order of their arrival
+	peers    map[structs.Incarnation]structs.EntryInfo
+
+	openJobs  int
+	openTasks int
+	heldBytes int
+	leaving   bool
+	drained   bool
+
+	now time.Time
+	out []Effect
+}
+
+// New returns a Coordinator that knows no job, agent, peer or document.
+func New(cfg Config) *Coordinator {
+	return &Coordinator{
+		cfg:      cfg.withDefaults(),
+		ids:      newIDs(),
+		jobs:     make(map[uint64]*job),
+		calls:    make(map[CallID]*job),
+		services: make(map[string]*service),
+		agents:   make(map[structs.Incarnation]*agent),
+		peers:    make(map[structs.Incarnation]structs.EntryInfo),
+	}
+}
+
+// Step takes in one event and returns the effects to carry out, in order.
+func (c *Coordinator) Step(now time.Time, ev Event) []Effect {
+	c.now = now
+	c.out = nil
+	switch e := ev.(type) {
+	case ReserveCalled:
+		c.reserve(e)
+	case SubmitCalled:
+		c.submit(e)
+	case GetCalled:
+		c.get(e)
+	case CancelCalled:
+		c.cancel(e)
+	case CallGone:
+		c.callGone(e)
+	case AgentAnnounced:
+		c.announced(e.Info)
+	case AgentObserved:
+		c.observed(e.Agent, e.State)
+	case RunReplied:
+		c.runReplied(e)
+	case RunNotSent:
+		c.runNotSent(e)
+	case RunBroken:
+		c.runBroken(e)
+	case SettleReplied:
+		c.settleReplied(e)
+	case SettleFailed:
+		c.settleFailed(e)
+	case HeartbeatFailed:
+		c.heartbeatFailed(e.Agent)
+	case DocumentChanged:
+		c.documentChanged(e)
+	case PeersChanged:
+		c.peersChanged(e.Entries)
+	case LeaveRequested:
+		c.leave()
+	case Ticked:
+		c.tick()
+	}
+	c.placeAll()
+	c.sendSettles()
+	c.checkDrained()
+	return c.out
+}
+
+func (c *Coordinator) emit(e Effect) { c.out = append(c.out, e) }
+
+func (c *Coordinator) replyError(call CallID, err *structs.Error) {
+	c.emit(Reply{Call: call, Error: err})
+}
+
+func (c *Coordinator) leave() {
+	if c.leaving {
+		return
+	}
+	c.leaving = true
+	c.emit(LogEvent{Event: "leave_started", Task: noTask})
+}
+
+func (c *Coordinator) checkDrained() {
+	if !c.leaving || c.drained || c.openJobs > 0 {
+		return
+	}
+	c.drained = true
+	c.emit(Drained{})
+}
+
+// peersChanged replaces the known entries. The own announcement is no peer.
+func (c *Coordinator) peersChanged(entries []structs.EntryInfo) {
+	clear(c.peers)
+	for _, e := range entries {
+		if e.Incarnation != c.cfg.Self.Incarnation {
+			c.peers[e.Incarnation] = e
+		}
+	}
+}
--- /dev/null
+++ b/coordinator/job.go
@@ -0,0 +1,119 @@
+package coordinator
+
+import (
+	"hash/fnv"
+	"strconv"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// noTask is LogEvent.Task of an event that concerns no single task.
+const noTask = -1
+
+// phase is where the home has a task.
+type phase uint8
+
+const (
+	// waiting: in the service's queue.
+	waiting phase = iota
+	// placed: a Run or Await is outstanding at the agent.
+	placed
+	// unsettled: the call broke; the agent may or may not have the task.
+	unsettled
+	// done: the outcome is final.
+	done
+)
+
+type task struct {
+	phase   phase
+	attempt uint32
+	agent   structs.Incarnation // while placed or unsettled
+	result  structs.TaskResult  // once done
+}
+
+// job is a job whose home is here.
+type job struct {
+	id          structs.JobID
+	service     *service
+	team        string
+	specs       []structs.TaskSpec // nil once final
+	fingerprint [16]byte
+	deadline    time.Time
+
+	tasks []task
+	left  int // tasks not done
+	// failure is set as soon as the job cannot complete.
+	failure *structs.Error
+	// failBy is when a failing job stops waiting for verdicts.
+	failBy  time.Time
+	state   structs.JobState
+	finalAt time.Time
+	bytes   int
+	waiters []CallID
+}
+
+func (j *job) ref(index int) structs.TaskRef {
+	return structs.TaskRef{
+		Task:    structs.TaskID{Job: j.id, Index: index},
+		Attempt: j.tasks[index].attempt,
+	}
+}
+
+// settled reports whether no agent may ever be asked about the job again.
+func (j *job) settled() bool { return j.state.Final() }
+
+// answer returns the job's answer as it stands.
+func (j *job) answer() *structs.JobAnswer {
+	a := &structs.JobAnswer{
+		ID:    j.id,
+		State: j.state,
+		Error: j.failure,
+		Done:  len(j.tasks) - j.left,
+		Total: len(j.tasks),
+	}
+	if j.service != nil {
+		a.Service = j.service.name
+	}
+	if !j.state.Final() {
+		a.Error = nil
+		return a
+	}
+	a.Results = make([]structs.TaskResult, len(j.tasks))
+	for i := range j.tasks {
+		a.Results[i] = j.tasks[i].result
+	}
+	return a
+}
+
+// verdict combines the verdicts of all tasks.
+func (j *job) verdict() structs.Verdict {
+	v := structs.NotRun
+	for i := range j.tasks {
+		v = v.Combine(j.tasks[i].result.Verdict)
+	}
+	return v
+}
+
+// fingerprint identifies the content of a submission.
+func fingerprint(s *structs.JobSpec) [16]byte {
+	h := fnv.New128a()
+	field := func(b []byte) {
+		h.Write(strconv.AppendInt(nil, int64(len(b)), 10))
+		h.Write([]byte{':'})
+		h.Write(b)
+	}
+	field([]byte(s.Service))
+	field([]byte(s.Team))
+	field(strconv.AppendInt(nil, int64(s.Timeout), 10))
+	for i := range s.Tasks {
+		t := &s.Tasks[i]
+		field([]byte(t.Kind))
+		field([]byte(t.ContentType))
+		field(t.Payload)
+		field(strconv.AppendInt(nil, int64(t.Declared), 10))
+	}
+	var sum [16]byte
+	h.Sum(sum[:0])
+	return sum
+}
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -72,6 +72,7 @@
 	// SettleReplied is the reply to a Settle effect.
 	SettleReplied struct {
 		Agent structs.Incarnation
+		Tasks []structs.TaskRef // as asked
 		Reply structs.SettleReply
 	}
 	// SettleFailed says that a Settle effect got no reply.
--- /dev/null
+++ b/coordinator/place.go
@@ -0,0 +1,205 @@
+package coordinator
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/chestnuthollow/chestnuthollow/placement"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// placeAll sends waiting tasks to agents as far as the policies allow.
+func (c *Coordinator) placeAll() {
+	for _, svc := range c.sortedServices() {
+		for c.placeNext(svc) {
+		}
+	}
+}
+
+func (c *Coordinator) sortedServices() []*service {
+	var list []*service
+	for _, svc := range c.services {
+		if svc.queue.size > 0 {
+			list = append(list, svc)
+		}
+	}
+	slices.SortFunc(list, func(a, b *service) int { return cmp.Compare(a.name, b.name) })
+	return list
+}
+
+// placeNext places one task and reports whether it could.
+func (c *Coordinator) placeNext(svc *service) bool {
+	j, index, ok := svc.queue.peek()
+	if !ok {
+		return false
+	}
+	id, ok := svc.policy.Pick(c.now, &j.specs[index])
+	if !ok {
+		return false
+	}
+	svc.queue.pop()
+	c.place(j, index, c.agents[id])
+	return true
+}
+
+// place sends a task to an agent under the next attempt number. The task is
+// waiting, so no agent holds an earlier attempt.
+func (c *Coordinator) place(j *job, index int, a *agent) {
+	t := &j.tasks[index]
+	t.phase = placed
+	t.attempt++
+	t.agent = a.info.Incarnation
+	ref := j.ref(index)
+	a.calls[ref] = c.now
+	a.service.policy.Dispatched(c.now, a.info.Incarnation)
+	c.emit(Run{
+		Agent: a.info.Incarnation,
+		Request: structs.RunRequest{
+			Agent:     a.info.Incarnation,
+			Task:      ref.Task,
+			Attempt:   ref.Attempt,
+			Spec:      j.specs[index],
+			Service:   j.service.name,
+			Team:      j.team,
+			Revision:  j.service.record.Revision,
+			Timeout:   j.deadline.Sub(c.now),
+			Watermark: c.ids.watermark,
+		},
+	})
+}
+
+// holder returns the task of an attempt that is at the agent now, or nil if the
+// attempt is over or belongs elsewhere.
+func (c *Coordinator) holder(id structs.Incarnation, ref structs.TaskRef) (*job, *task) {
+	j := c.jobs[ref.Task.Job.Seq]
+	if j == nil || !c.local(ref.Task.Job) || ref.Task.Index >= len(j.tasks) {
+		return nil, nil
+	}
+	t := &j.tasks[ref.Task.Index]
+	atAgent := t.phase == placed || t.phase == unsettled
+	if !atAgent || t.agent != id || t.attempt != ref.Attempt {
+		return nil, nil
+	}
+	return j, t
+}
+
+// runReplied takes in the outcome of a Run or Await.
+func (c *Coordinator) runReplied(e RunReplied) {
+	a := c.agents[e.Agent]
+	if a != nil {
+		c.taskEnded(a, e.Ref, &e.Reply.Result, placement.Outcome{Service: e.Reply.ServiceTime})
+		c.observe(a, e.Reply.State)
+	}
+}
+
+// taskEnded takes in the final word of the agent on an attempt.
+func (c *Coordinator) taskEnded(a *agent, ref structs.TaskRef, r *structs.TaskResult, o placement.Outcome) {
+	o.Refused = r.Verdict == structs.NotRun
+	o.Failed = r.Error != nil && !o.Refused
+	a.release(c.now, ref, o)
+	j, t := c.holder(a.info.Incarnation, ref)
+	if j == nil {
+		return
+	}
+	result := *r
+	result.Index = ref.Task.Index
+	if r.Verdict == structs.NotRun {
+		c.taskRefused(a, j, t, &result)
+		return
+	}
+	if r.Error == nil && !c.hold(j, len(result.Body)) {
+		result.Body = nil
+		result.Error = structs.Errorf(structs.CodeResultLost, structs.Ran, "no memory for its result")
+	}
+	c.endTask(j, t, result)
+}
+
+// taskFailed ends an attempt whose outcome the agent did not tell.
+func (c *Coordinator) taskFailed(a *agent, ref structs.TaskRef, err *structs.Error) {
+	a.release(c.now, ref, placement.Outcome{Failed: true})
+	j, t := c.holder(a.info.Incarnation, ref)
+	if j == nil {
+		return
+	}
+	c.endTask(j, t, structs.TaskResult{Index: ref.Task.Index, Verdict: err.Verdict, Error: err})
+}
+
+// taskRefused handles an attempt that certainly did not start: the task is
+// placed again unless its job fails anyway or the refusal is for good.
+func (c *Coordinator) taskRefused(a *agent, j *job, t *task, r *structs.TaskResult) {
+	if r.Error == nil {
+		r.Error = structs.Errorf(structs.CodeInternal, structs.NotRun, "refused without a reason")
+	}
+	if r.Error.Code == structs.CodeHomeFenced {
+		a.fenced = true
+		c.refreshAgent(a)
+	}
+	if j.failure != nil || !retryable(r.Error.Code) || t.attempt >= c.cfg.MaxAttempts {
+		c.endTask(j, t, *r)
+		return
+	}
+	t.phase = waiting
+	t.agent = 0
+	j.service.queue.pushFront(j, r.Index)
+}
+
+// retryable reports whether another agent may take what one refused.
+func retryable(code structs.ErrorCode) bool {
+	switch code {
+	case structs.CodeRejected, structs.CodeInvalid, structs.CodeTooLarge, structs.CodeTimeout:
+		return false
+	}
+	return true
+}
+
+// runNotSent handles a Run that never left this process.
+func (c *Coordinator) runNotSent(e RunNotSent) {
+	a := c.agents[e.Agent]
+	if a == nil {
+		return
+	}
+	err := structs.Errorf(structs.CodeUnavailable, structs.NotRun, "no connection to agent %s", a.info.Name)
+	a.suspect = true
+	c.refreshAgent(a)
+	c.taskEnded(a, e.Ref, &structs.TaskResult{Verdict: structs.NotRun, Error: err}, placement.Outcome{})
+}
+
+// runBroken handles a call that broke: the agent is asked about the task.
+func (c *Coordinator) runBroken(e RunBroken) {
+	a := c.agents[e.Agent]
+	if a == nil {
+		return
+	}
+	if a.replaced {
+		c.taskFailed(a, e.Ref, replacedError(a))
+		return
+	}
+	j, t := c.holder(e.Agent, e.Ref)
+	if j == nil {
+		a.release(c.now, e.Ref, placement.Outcome{Failed: true})
+		return
+	}
+	t.phase = unsettled
+	mode := structs.SettleQuery
+	if j.failure != nil {
+		mode = structs.SettleRecall
+	}
+	a.ask(e.Ref, mode)
+}
+
+// sortedRefs returns the keys in a fixed order, so that equal states give equal
+// effects.
+func sortedRefs[V any](m map[structs.TaskRef]V) []structs.TaskRef {
+	refs := make([]structs.TaskRef, 0, len(m))
+	for ref := range m {
+		refs = append(refs, ref)
+	}
+	slices.SortFunc(refs, func(a, b structs.TaskRef) int {
+		return cmp.Or(
+			cmp.Compare(a.Task.Job.Seq, b.Task.Job.Seq),
+			cmp.Compare(a.Task.Index, b.Task.Index),
+			cmp.Compare(a.Attempt, b.Attempt),
+		)
+	})
+	return refs
+}
--- /dev/null
+++ b/coordinator/service.go
@@ -0,0 +1,75 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/document"
+	"github.com/chestnuthollow/chestnuthollow/placement"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// service is what the entry knows of one service.
+type service struct {
+	name   string
+	record structs.DocumentRecord
+	doc    *document.Document
+	policy placement.Policy
+	agents []*agent
+	queue  queue
+}
+
+// service returns the named service, made at first mention.
+func (c *Coordinator) service(name string) *service {
+	svc := c.services[name]
+	if svc == nil {
+		seed := c.cfg.Seed + uint64(len(c.services))
+		svc = &service{name: name, policy: c.cfg.NewPolicy(seed)}
+		c.services[name] = svc
+	}
+	return svc
+}
+
+// leaving reports whether the whole service takes no new work.
+func (s *service) leaving(now time.Time) bool {
+	return s.doc != nil && s.doc.Leaving("", now)
+}
+
+// available reports whether any agent may take work.
+func (s *service) available() bool {
+	for _, a := range s.agents {
+		if a.usable() {
+			return true
+		}
+	}
+	return false
+}
+
+// documentChanged puts a document in force. An older revision is ignored.
+func (c *Coordinator) documentChanged(e DocumentChanged) {
+	svc := c.service(e.Record.Service)
+	if e.Record.Revision <= svc.record.Revision {
+		return
+	}
+	svc.record = e.Record
+	svc.doc = e.Document
+	c.emit(LogEvent{Event: "document_in_force", Task: noTask, Detail: svc.name})
+	for _, a := range svc.agents {
+		c.refreshAgent(a)
+		c.exchangeDocument(a)
+	}
+}
+
+// exchangeDocument sends the agent the revision it lacks, or fetches the one it
+// has and this entry lacks.
+func (c *Coordinator) exchangeDocument(a *agent) {
+	ours := a.service.record.Revision
+	theirs := a.state.Revision
+	switch {
+	case theirs < ours && a.pushed < ours:
+		a.pushed = ours
+		c.emit(PushDocument{Agent: a.info.Incarnation, Record: a.service.record})
+	case theirs > ours && a.fetched < theirs:
+		a.fetched = theirs
+		c.emit(FetchDocument{Agent: a.info.Incarnation, Service: a.service.name})
+	}
+}
--- a/structs/error.go
+++ b/structs/error.go
@@ -21,7 +21,8 @@
 	CodeUnavailable      ErrorCode = "unavailable"       // no backend server or process can take it now
 	CodeLeaving          ErrorCode = "leaving"           // the backend server or process is leaving
 	CodeStaleIncarnation ErrorCode = "stale_incarnation" // addressed to an earlier run of the process
-	CodeFenced           ErrorCode = "fenced"            // the task or its home is fenced at this agent
+	CodeFenced           ErrorCode = "fenced"            // the attempt is fenced at this agent
+	CodeHomeFenced       ErrorCode = "home_fenced"       // the agent takes nothing of that home any more
 	CodeHomeLost         ErrorCode = "home_lost"         // the job's home entry is gone
 	CodeAgentLost        ErrorCode = "agent_lost"        // the agent holding the task is gone
 	CodeTimeout          ErrorCode = "timeout"           // the job's or task's timeout passed
