--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -19,6 +19,7 @@
 	agents   map[structs.Incarnation]*agent
 	order    []*agent // agents in the order of their arrival
 	peers    map[structs.Incarnation]structs.EntryInfo
+	live     int // entries heard of lately, this one included
 
 	openJobs  int
 	openTasks int
@@ -40,6 +41,7 @@
 		services: make(map[string]*service),
 		agents:   make(map[structs.Incarnation]*agent),
 		peers:    make(map[structs.Incarnation]structs.EntryInfo),
+		live:     1,
 	}
 }
 
@@ -77,7 +79,7 @@
 	case DocumentChanged:
 		c.documentChanged(e)
 	case PeersChanged:
-		c.peersChanged(e.Entries)
+		c.peersChanged(e)
 	case LeaveRequested:
 		c.leave()
 	case Ticked:
@@ -112,9 +114,10 @@
 }
 
 // peersChanged replaces the known entries. The own announcement is no peer.
-func (c *Coordinator) peersChanged(entries []structs.EntryInfo) {
+func (c *Coordinator) peersChanged(ev PeersChanged) {
+	c.live = max(ev.Live, 1)
 	clear(c.peers)
-	for _, e := range entries {
+	for _, e := range ev.Entries {
 		if e.Incarnation != c.cfg.Self.Incarnation {
 			c.peers[e.Incarnation] = e
 		}
--- /dev/null
+++ b/coordinator/dump.go
@@ -0,0 +1,136 @@
+package coordinator
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// dumpJobs bounds the jobs that a dump lists.
+const dumpJobs = 100
+
+// Dump is a copy of the state for operators, bounded in size.
+type Dump struct {
+	Self      structs.EntryInfo   `json:"self"`
+	Leaving   bool                `json:"leaving"`
+	OpenJobs  int                 `json:"open_jobs"`
+	OpenTasks int                 `json:"open_tasks"`
+	HeldBytes int                 `json:"held_bytes"`
+	Answers   int                 `json:"answers"`
+	Reserved  int                 `json:"reserved_ids"`
+	NextID    uint64              `json:"next_id"`
+	Watermark uint64              `json:"watermark"`
+	Peers     []structs.EntryInfo `json:"peers"`
+	Services  []ServiceDump       `json:"services"`
+	Agents    []AgentDump         `json:"agents"`
+	// Jobs lists the oldest open jobs.
+	Jobs []JobDump `json:"jobs"`
+}
+
+// ServiceDump is the state of one service.
+type ServiceDump struct {
+	Name     string `json:"name"`
+	Owner    string `json:"owner"`
+	Revision uint64 `json:"revision"`
+	Queued   int    `json:"queued"`
+	Agents   int    `json:"agents"`
+}
+
+// AgentDump is what the entry knows of one agent.
+type AgentDump struct {
+	Info     structs.AgentInfo  `json:"info"`
+	State    structs.AgentState `json:"state"`
+	Usable   bool               `json:"usable"`
+	Suspect  bool               `json:"suspect"`
+	Fenced   bool               `json:"fenced"`
+	Replaced bool               `json:"replaced"`
+	Calls    int                `json:"calls"`
+	Settling int                `json:"settling"`
+}
+
+// JobDump is one open job.
+type JobDump struct {
+	ID      structs.JobID    `json:"id"`
+	Service string           `json:"service"`
+	Team    string           `json:"team"`
+	Total   int              `json:"total"`
+	Left    int              `json:"left"`
+	Waiters int              `json:"waiters"`
+	Failure *structs.Error   `json:"failure,omitempty"`
+	State   structs.JobState `json:"state"`
+}
+
+// Dump returns a copy of the state.
+func (c *Coordinator) Dump() Dump {
+	d := Dump{
+		Self:      c.cfg.Self,
+		Leaving:   c.leaving,
+		OpenJobs:  c.openJobs,
+		OpenTasks: c.openTasks,
+		HeldBytes: c.heldBytes,
+		Answers:   len(c.finals),
+		Reserved:  len(c.ids.reserved),
+		NextID:    c.ids.next,
+		Watermark: c.ids.watermark,
+	}
+	for _, p := range c.peers {
+		d.Peers = append(d.Peers, p)
+	}
+	slices.SortFunc(d.Peers, func(a, b structs.EntryInfo) int { return cmp.Compare(a.Name, b.Name) })
+	for _, svc := range c.services {
+		d.Services = append(d.Services, svc.dump())
+	}
+	slices.SortFunc(d.Services, func(a, b ServiceDump) int { return cmp.Compare(a.Name, b.Name) })
+	for _, a := range c.order {
+		d.Agents = append(d.Agents, a.dump())
+	}
+	for _, j := range c.open {
+		if len(d.Jobs) == dumpJobs {
+			break
+		}
+		if !j.state.Final() {
+			d.Jobs = append(d.Jobs, j.dump())
+		}
+	}
+	return d
+}
+
+func (s *service) dump() ServiceDump {
+	d := ServiceDump{
+		Name:     s.name,
+		Revision: s.record.Revision,
+		Queued:   s.queue.size,
+		Agents:   len(s.agents),
+	}
+	if s.doc != nil {
+		d.Owner = s.doc.Owner
+	}
+	return d
+}
+
+func (a *agent) dump() AgentDump {
+	return AgentDump{
+		Info:     a.info,
+		State:    a.state,
+		Usable:   a.usable(),
+		Suspect:  a.suspect,
+		Fenced:   a.fenced,
+		Replaced: a.replaced,
+		Calls:    len(a.calls),
+		Settling: len(a.settle) + len(a.asked),
+	}
+}
+
+func (j *job) dump() JobDump {
+	return JobDump{
+		ID:      j.id,
+		Service: j.service.name,
+		Team:    j.team,
+		Total:   len(j.tasks),
+		Left:    j.left,
+		Waiters: len(j.waiters),
+		Failure: j.failure,
+		State:   j.state,
+	}
+}
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -87,8 +87,12 @@
 		Record   structs.DocumentRecord
 		Document *document.Document
 	}
-	// PeersChanged replaces what is known of the other entries.
-	PeersChanged struct{ Entries []structs.EntryInfo }
+	// PeersChanged replaces what is known of the entries. Live counts those
+	// heard of lately, this one included.
+	PeersChanged struct {
+		Entries []structs.EntryInfo
+		Live    int
+	}
 	// LeaveRequested starts a graceful stop.
 	LeaveRequested struct{}
 	// Ticked lets time pass.
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,241 @@
+// Package entry is the shell of an entry instance: it carries the events of
+// HTTP callers, agents, peers and the platform's log into the coordinator, and
+// the coordinator's effects out.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/chestnuthollow/chestnuthollow/coordinator"
+	"github.com/chestnuthollow/chestnuthollow/internal/rpcconn"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// Timeouts of the HTTP server towards callers.
+const (
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+	shutdownTimeout   = 5 * time.Second
+	maxHeaderBytes    = 16 << 10
+)
+
+// Entry is one run of an entry.
+type Entry struct {
+	opts    Options
+	self    structs.EntryInfo
+	log     log.Logger
+	metrics metrics.Registry
+
+	coord   *coordinator.Coordinator
+	mail    *mailbox
+	calls   *callTable
+	links   map[structs.Incarnation]*agentLink // of the loop only
+	peers   *peerTable
+	docs    *documents
+	rpc     *rpcconn.Server
+	httpLn  net.Listener
+	http    *http.Server
+	drained chan struct{}
+	drain   sync.Once
+
+	inspect chan func(*coordinator.Coordinator) // runs in the loop
+	stopped chan struct{}                       // closed when the loop ends
+}
+
+// New makes an entry and binds its listeners.
+func New(opts Options, logger log.Logger) (*Entry, error) {
+	e := &Entry{
+		opts:    opts,
+		log:     logger,
+		metrics: metrics.NewRegistry(),
+		mail:    newMailbox(),
+		calls:   newCallTable(),
+		links:   make(map[structs.Incarnation]*agentLink),
+		drained: make(chan struct{}),
+		inspect: make(chan func(*coordinator.Coordinator)),
+		stopped: make(chan struct{}),
+	}
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	e.self = structs.EntryInfo{
+		Name:        opts.Name,
+		Incarnation: structs.Incarnation(randomUint64()),
+		Zone:        opts.Zone,
+		Region:      opts.Region,
+		RPCAddr:     e.rpc.Addr(),
+		HTTPAddr:    e.HTTPAddr(),
+	}
+	e.coord = coordinator.New(coordinator.Config{
+		Self:         e.self,
+		Seed:         e.seed(),
+		MaxOpenJobs:  opts.MaxOpenJobs,
+		MaxOpenTasks: opts.MaxOpenTasks,
+	})
+	e.peers = newPeerTable(e.self)
+	docs, err := newDocuments(e)
+	if err != nil {
+		e.closeListeners()
+		return nil, err
+	}
+	e.docs = docs
+	return e, nil
+}
+
+func (e *Entry) listen() error {
+	rpcServer, err := rpcconn.Listen(e.opts.RPCAddr, structs.EntryService, &rpcReceiver{e: e})
+	if err != nil {
+		return fmt.Errorf("entry: rpc_addr: %w", err)
+	}
+	httpLn, err := net.Listen("tcp", e.opts.HTTPAddr)
+	if err != nil {
+		rpcServer.Close()
+		return fmt.Errorf("entry: http_addr: %w", err)
+	}
+	e.rpc = rpcServer
+	e.httpLn = httpLn
+	e.http = &http.Server{
+		Handler:           e.routes(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	return nil
+}
+
+func (e *Entry) closeListeners() {
+	e.rpc.Close()
+	e.httpLn.Close()
+}
+
+func (e *Entry) seed() uint64 {
+	if e.opts.Seed != 0 {
+		return e.opts.Seed
+	}
+	return randomUint64()
+}
+
+// randomUint64 returns a random number that is not zero.
+func randomUint64() uint64 {
+	var b [8]byte
+	for {
+		rand.Read(b[:])
+		if v := binary.BigEndian.Uint64(b[:]); v != 0 {
+			return v
+		}
+	}
+}
+
+// HTTPAddr returns the bound address for callers.
+func (e *Entry) HTTPAddr() string { return e.httpLn.Addr().String() }
+
+// RPCAddr returns the bound address for agents and peers.
+func (e *Entry) RPCAddr() string { return e.rpc.Addr() }
+
+// Info returns the entry's announcement.
+func (e *Entry) Info() structs.EntryInfo { return e.self }
+
+// Run serves until ctx is canceled, then stops gracefully: it refuses new jobs,
+// finishes the open ones and returns. It returns an error if the drain timeout
+// cut that short.
+func (e *Entry) Run(ctx context.Context) error {
+	level.Info(e.log).Log("event", "started", "incarnation", e.self.Incarnation,
+		"http_addr", e.HTTPAddr(), "rpc_addr", e.RPCAddr(), "zone", e.self.Zone)
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go e.rpc.Serve()
+	go e.serveHTTP()
+	go e.loop(background)
+	go e.docs.run(background)
+	go e.peers.run(background, e.postPeers, e.postAgent)
+
+	<-ctx.Done()
+	level.Info(e.log).Log("event", "leaving")
+	e.mail.post(coordinator.LeaveRequested{})
+	e.docs.leave()
+	err := e.awaitDrained()
+	e.shutdown()
+	cancel()
+	<-e.stopped
+	level.Info(e.log).Log("event", "stopped")
+	return err
+}
+
+func (e *Entry) awaitDrained() error {
+	select {
+	case <-e.drained:
+		return nil
+	case <-time.After(time.Duration(e.opts.DrainTimeout)):
+		return errors.New("entry: drain timeout passed with jobs open")
+	}
+}
+
+// shutdown lets the replies under way go out.
+func (e *Entry) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := e.http.Shutdown(ctx); err != nil {
+		e.http.Close()
+	}
+	e.rpc.Close()
+}
+
+func (e *Entry) serveHTTP() {
+	if err := e.http.Serve(e.httpLn); !errors.Is(err, http.ErrServerClosed) {
+		level.Error(e.log).Log("event", "http_server_failed", "err", err)
+	}
+}
+
+// postPeers tells the coordinator of the entries known now.
+func (e *Entry) postPeers(entries []structs.EntryInfo, live int) {
+	e.mail.post(coordinator.PeersChanged{Entries: entries, Live: live})
+}
+
+// postAgent tells the coordinator of an agent that a peer named.
+func (e *Entry) postAgent(info structs.AgentInfo) {
+	e.mail.post(coordinator.AgentAnnounced{Info: info})
+}
+
+// Ready implements ops.Source.
+func (e *Entry) Ready() error {
+	if e.isLeaving() {
+		return errors.New("leaving")
+	}
+	return e.docs.ready()
+}
+
+func (e *Entry) isLeaving() bool {
+	d, ok := e.snapshot()
+	return !ok || d.Leaving
+}
+
+// Dump implements ops.Source.
+func (e *Entry) Dump() any {
+	d, _ := e.snapshot()
+	return d
+}
+
+// snapshot returns a copy of the coordinator's state, or false once stopped.
+func (e *Entry) snapshot() (coordinator.Dump, bool) {
+	result := make(chan coordinator.Dump, 1)
+	select {
+	case e.inspect <- func(c *coordinator.Coordinator) { result <- c.Dump() }:
+		return <-result, true
+	case <-e.stopped:
+		return coordinator.Dump{}, false
+	}
+}
