--- /dev/null
+++ b/fold/record.go
@@ -0,0 +1,101 @@
+package fold
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// RecordType names the kind of a Record.
+type RecordType string
+
+// Record types.
+const (
+	TypeEdit       RecordType = "edit"
+	TypeCheckpoint RecordType = "checkpoint"
+	TypeEntry      RecordType = "entry"
+	TypeEntryGone  RecordType = "entry_gone"
+)
+
+// Record is one record of the system's stream on the platform's log. The field
+// named by Type is set, the others are nil.
+type Record struct {
+	Type       RecordType  `json:"type"`
+	Edit       *Edit       `json:"edit,omitempty"`
+	Checkpoint *Checkpoint `json:"checkpoint,omitempty"`
+	Entry      *Entry      `json:"entry,omitempty"`
+	EntryGone  *EntryGone  `json:"entry_gone,omitempty"`
+}
+
+// Edit replaces the text of a service's document. It is accepted if Base is the
+// revision in force where it stands in the log.
+type Edit struct {
+	ID        string    `json:"id"` // unique; the same for every append of the edit
+	Service   string    `json:"service"`
+	Base      uint64    `json:"base"` // 0: the service has no document yet
+	Text      string    `json:"text"` // TOML
+	Published time.Time `json:"published"`
+}
+
+// Checkpoint holds an encoded Fold.
+type Checkpoint struct {
+	// Through is the offset of the last record that State covers.
+	Through uint64          `json:"through"`
+	State   json.RawMessage `json:"state"`
+}
+
+// Entry announces a run of an entry.
+type Entry struct {
+	Info structs.EntryInfo `json:"info"`
+}
+
+// EntryGone says that a run of an entry has stopped for good.
+type EntryGone struct {
+	Name        string              `json:"name"`
+	Incarnation structs.Incarnation `json:"incarnation"`
+}
+
+// Errors of DecodeRecord.
+var (
+	// ErrUnknownType says that the record's type is not known here; it may come
+	// from a newer process.
+	ErrUnknownType = errors.New("fold: unknown record type")
+	// ErrMalformed says that the data is not a record.
+	ErrMalformed = errors.New("fold: malformed record")
+)
+
+// EncodeRecord returns the data of a record.
+func EncodeRecord(r Record) ([]byte, error) { return json.Marshal(r) }
+
+// DecodeRecord reads a record. Unknown fields are ignored.
+func DecodeRecord(data []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Record{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	complete, known := r.complete()
+	if !known {
+		return Record{}, fmt.Errorf("%w %q", ErrUnknownType, r.Type)
+	}
+	if !complete {
+		return Record{}, fmt.Errorf("%w: no body for type %q", ErrMalformed, r.Type)
+	}
+	return r, nil
+}
+
+func (r *Record) complete() (complete, known bool) {
+	switch r.Type {
+	case TypeEdit:
+		return r.Edit != nil && r.Edit.ID != "" && r.Edit.Service != "", true
+	case TypeCheckpoint:
+		return r.Checkpoint != nil, true
+	case TypeEntry:
+		return r.Entry != nil && r.Entry.Info.Name != "" && r.Entry.Info.Incarnation != 0, true
+	case TypeEntryGone:
+		return r.EntryGone != nil, true
+	}
+	return false, false
+}
