Add the agent: executor, shell and stand-in backend server

Cause: the thin whole path needs a process beside each backend server that starts a task at most once and says honestly what became of it.

Change: executor holds records per task and fences per attempt, with caps; agent serves Run, Await, Settle, Fence, Heartbeat and documents over net/rpc, calls the backend server over HTTP and announces itself to entries; internal/rpcserver bounds what a net/rpc peer can make a process hold; standin/backend records every start. SettleReply gains Forgotten, so that an entry which gathers the answer of a fenced home does not take a dropped record for a task that never ran.

Ruled out: remembering refusals as full records (a flood of refusals would fill the memory kept for results).

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,182 @@
+package agent
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/chestnuthollow/chestnuthollow/executor"
+	"github.com/chestnuthollow/chestnuthollow/internal/ops"
+	"github.com/chestnuthollow/chestnuthollow/internal/rpcserver"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+const (
+	tickInterval    = 250 * time.Millisecond
+	shutdownTimeout = 5 * time.Second
+)
+
+// Agent is one run of an agent.
+type Agent struct {
+	opts    Options
+	logger  log.Logger
+	info    structs.AgentInfo
+	backend *backend
+	metrics *agentMetrics
+	entries *announcer
+
+	rpcListener  net.Listener
+	httpListener net.Listener
+	rpc          *rpcserver.Server
+
+	drained chan struct{} // closed when a graceful stop is complete
+
+	mu       sync.Mutex
+	executor *executor.Executor
+	nextCall executor.CallID
+	calls    map[executor.CallID]chan any
+	stops    map[structs.TaskID]context.CancelCauseFunc
+}
+
+// New binds the agent's addresses; port 0 takes a free one.
+func New(opts Options, logger log.Logger) (*Agent, error) {
+	incarnation, err := newIncarnation()
+	if err != nil {
+		return nil, fmt.Errorf("agent: %w", err)
+	}
+	rpcListener, err := net.Listen("tcp", opts.RPCAddr)
+	if err != nil {
+		return nil, fmt.Errorf("agent: %w", err)
+	}
+	httpListener, err := net.Listen("tcp", opts.HTTPAddr)
+	if err != nil {
+		rpcListener.Close()
+		return nil, fmt.Errorf("agent: %w", err)
+	}
+	a := &Agent{
+		opts:         opts,
+		logger:       logger,
+		backend:      newBackend(opts.BackendURL, opts.Slots),
+		rpcListener:  rpcListener,
+		httpListener: httpListener,
+		drained:      make(chan struct{}),
+		calls:        make(map[executor.CallID]chan any),
+		stops:        make(map[structs.TaskID]context.CancelCauseFunc),
+	}
+	a.info = structs.AgentInfo{
+		Name:        opts.Name,
+		Incarnation: incarnation,
+		Service:     opts.Service,
+		Team:        opts.Team,
+		Zone:        opts.Zone,
+		Region:      opts.Region,
+		RPCAddr:     rpcListener.Addr().String(),
+		Slots:       opts.Slots,
+	}
+	a.executor = executor.New(executorOptions(opts, incarnation))
+	a.metrics = newMetrics(a)
+	a.entries = newAnnouncer(a)
+	a.rpc = rpcserver.New(rpcserver.DefaultOptions(), structs.AgentService, func(conn context.Context) any {
+		return &receiver{agent: a, conn: conn}
+	})
+	return a, nil
+}
+
+func executorOptions(opts Options, incarnation structs.Incarnation) executor.Options {
+	eo := executor.DefaultOptions()
+	eo.Name = opts.Name
+	eo.Service = opts.Service
+	eo.Incarnation = incarnation
+	eo.Slots = opts.Slots
+	return eo
+}
+
+func newIncarnation() (structs.Incarnation, error) {
+	var b [8]byte
+	for {
+		if _, err := rand.Read(b[:]); err != nil {
+			return 0, err
+		}
+		if v := binary.BigEndian.Uint64(b[:]); v != 0 {
+			return structs.Incarnation(v), nil
+		}
+	}
+}
+
+// RPCAddr returns the address for entries.
+func (a *Agent) RPCAddr() string { return a.rpcListener.Addr().String() }
+
+// HTTPAddr returns the address for operators.
+func (a *Agent) HTTPAddr() string { return a.httpListener.Addr().String() }
+
+// Incarnation returns the identity of this run.
+func (a *Agent) Incarnation() structs.Incarnation { return a.info.Incarnation }
+
+// Run serves until ctx is canceled, and then stops gracefully: it takes no new
+// task, lets the started ones finish and delivers their replies. A started task
+// ends at its own timeout at the latest.
+func (a *Agent) Run(ctx context.Context) error {
+	level.Info(a.logger).Log("event", "started", "agent", a.info.Incarnation, "service", a.info.Service,
+		"rpc_addr", a.RPCAddr(), "http_addr", a.HTTPAddr())
+	background, stopBackground := context.WithCancel(context.Background())
+	defer stopBackground()
+	web := a.serveHTTP()
+	go a.rpc.Serve(a.rpcListener)
+	go a.tick(background)
+	go a.entries.run(background)
+
+	<-ctx.Done()
+	a.step(executor.LeaveRequested{})
+	<-a.drained
+	a.entries.waitAnnounced(time.Duration(a.opts.AnnounceTimeout))
+	time.Sleep(time.Duration(a.opts.StopLinger))
+	return a.shutdown(web)
+}
+
+func (a *Agent) serveHTTP() *http.Server {
+	e := ops.NewServer()
+	ops.Register(e, a, a.metrics.registry)
+	web := &http.Server{
+		Handler:           e,
+		ReadHeaderTimeout: 5 * time.Second,
+		ReadTimeout:       10 * time.Second,
+		WriteTimeout:      10 * time.Second,
+		IdleTimeout:       time.Minute,
+		MaxHeaderBytes:    16 << 10,
+	}
+	go web.Serve(a.httpListener)
+	return web
+}
+
+func (a *Agent) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			a.step(executor.Ticked{})
+		}
+	}
+}
+
+func (a *Agent) shutdown(web *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	err := a.rpc.Shutdown(ctx)
+	a.rpcListener.Close()
+	err = errors.Join(err, web.Shutdown(ctx))
+	a.backend.close()
+	level.Info(a.logger).Log("event", "stopped", "agent", a.info.Incarnation)
+	return err
+}
--- /dev/null
+++ b/executor/control.go
@@ -0,0 +1,74 @@
+package executor
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/document"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// maxDocumentBytes bounds the text of a document an agent takes.
+const maxDocumentBytes = 64 << 10
+
+// heartbeat handles Agent.Heartbeat.
+func (e *Executor) heartbeat(now time.Time, call CallID, req *structs.HeartbeatRequest) {
+	if h := e.homes[req.Entry.Incarnation]; h != nil && req.Agent == e.opts.Incarnation {
+		h.lastHeard = now
+		e.raiseWatermark(h, req.Watermark)
+	}
+	e.reply(call, &structs.HeartbeatReply{State: e.State()})
+}
+
+// putDocument takes in a newer revision of the service's document and answers
+// with the newest one.
+func (e *Executor) putDocument(call CallID, rec *structs.DocumentRecord) {
+	if rec.Revision > e.record.Revision && rec.Service == e.opts.Service {
+		e.adopt(rec)
+	}
+	e.reply(call, &structs.DocumentReply{Record: e.record, State: e.State()})
+}
+
+func (e *Executor) adopt(rec *structs.DocumentRecord) {
+	detail := "revision=" + strconv.FormatUint(rec.Revision, 10)
+	if len(rec.Text) > maxDocumentBytes {
+		e.emit(LogEvent{Event: "document_refused", Detail: detail + " too large"})
+		return
+	}
+	doc, err := document.Parse(rec.Text)
+	if err != nil {
+		e.emit(LogEvent{Event: "document_refused", Detail: detail + " " + err.Error()})
+		return
+	}
+	e.record = *rec
+	e.document = *doc
+	e.emit(LogEvent{Event: "document_in_force", Detail: detail})
+}
+
+// updateLeaving compares the wish to leave with the state, and refuses waiting
+// tasks when the backend server starts to leave, so that entries place them
+// elsewhere.
+func (e *Executor) updateLeaving(now time.Time) {
+	leaving := e.leaveRequested || e.document.Leaving(e.opts.Name, now)
+	if leaving == e.leaving {
+		return
+	}
+	e.leaving = leaving
+	if !leaving {
+		e.emit(LogEvent{Event: "leaving_revoked"})
+		e.emit(Announce{State: e.State()})
+		return
+	}
+	e.emit(LogEvent{Event: "leaving"})
+	e.dropQueuedIf(func(*record) *structs.Error { return e.leavingError() })
+	e.emit(Announce{State: e.State()})
+}
+
+// checkDrained reports the end of a graceful stop, once.
+func (e *Executor) checkDrained() {
+	if !e.leaveRequested || e.drained || e.running > 0 || len(e.queue) > 0 {
+		return
+	}
+	e.drained = true
+	e.emit(Drained{})
+}
--- /dev/null
+++ b/executor/dump.go
@@ -0,0 +1,98 @@
+package executor
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// Bounds of a Dump.
+const (
+	maxDumpTasks = 200
+	maxDumpHomes = 200
+)
+
+// Dump is the state of an Executor for operators, bounded in size.
+type Dump struct {
+	Records      int        `json:"records"`
+	Jobs         int        `json:"jobs"`
+	Fences       int        `json:"fences"`
+	Homes        int        `json:"homes"`
+	ResultBytes  int        `json:"result_bytes"`
+	PayloadBytes int        `json:"payload_bytes"`
+	Revision     uint64     `json:"revision"`
+	Leaving      bool       `json:"leaving"`
+	OpenTasks    []DumpTask `json:"open_tasks"` // queued and running, some
+	HomeList     []DumpHome `json:"home_list"`  // some
+}
+
+// DumpTask is one task in a Dump.
+type DumpTask struct {
+	Task    structs.TaskID `json:"task"`
+	Attempt uint32         `json:"attempt"`
+	Phase   string         `json:"phase"`
+	Team    string         `json:"team"`
+	Waiters int            `json:"waiters"`
+}
+
+// DumpHome is one home in a Dump.
+type DumpHome struct {
+	Home      structs.Incarnation `json:"home"`
+	Open      int                 `json:"open"`
+	Jobs      int                 `json:"jobs"`
+	Watermark uint64              `json:"watermark"`
+	Floor     uint64              `json:"floor"`
+	Forgotten uint64              `json:"forgotten"`
+	Closed    bool                `json:"closed"`
+}
+
+// Dump returns the state for operators.
+func (e *Executor) Dump() Dump {
+	return Dump{
+		Records:      len(e.records),
+		Jobs:         e.jobs,
+		Fences:       e.fences,
+		Homes:        len(e.homes),
+		ResultBytes:  e.results.bytes,
+		PayloadBytes: e.payloadBytes,
+		Revision:     e.record.Revision,
+		Leaving:      e.leaving,
+		OpenTasks:    e.dumpTasks(),
+		HomeList:     e.dumpHomes(),
+	}
+}
+
+func (e *Executor) dumpTasks() []DumpTask {
+	tasks := []DumpTask{}
+	for _, r := range e.records {
+		if r.phase == structs.TaskDone {
+			continue
+		}
+		tasks = append(tasks, DumpTask{Task: r.id, Attempt: r.attempt, Phase: r.phase.String(), Team: r.team, Waiters: len(r.waiters)})
+		if len(tasks) == maxDumpTasks {
+			break
+		}
+	}
+	return tasks
+}
+
+func (e *Executor) dumpHomes() []DumpHome {
+	homes := []DumpHome{}
+	for id, h := range e.homes {
+		homes = append(homes, DumpHome{
+			Home:      id,
+			Open:      h.open,
+			Jobs:      len(h.jobs),
+			Watermark: h.watermark,
+			Floor:     h.floor,
+			Forgotten: h.forgotten,
+			Closed:    h.closed,
+		})
+		if len(homes) == maxDumpHomes {
+			break
+		}
+	}
+	slices.SortFunc(homes, func(a, b DumpHome) int { return cmp.Compare(a.Home, b.Home) })
+	return homes
+}
--- /dev/null
+++ b/executor/start.go
@@ -0,0 +1,132 @@
+package executor
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// startQueued starts waiting tasks while slots are free.
+func (e *Executor) startQueued(now time.Time) {
+	for len(e.queue) > 0 && e.running < e.slots() {
+		r := e.queue[0]
+		if !now.Before(r.deadline) {
+			e.dropQueued(r, queueTimeout())
+			continue
+		}
+		e.queue = slices.Delete(e.queue, 0, 1)
+		e.start(now, r)
+	}
+}
+
+func (e *Executor) start(now time.Time, r *record) {
+	r.phase = structs.TaskRunning
+	e.running++
+	e.emit(StartBackend{Task: r.id, Spec: r.spec, Team: r.team, Timeout: r.deadline.Sub(now)})
+}
+
+func queueTimeout() *structs.Error {
+	return structs.Errorf(structs.CodeTimeout, structs.NotRun, "the timeout passed in the agent's queue")
+}
+
+// expireQueued refuses waiting tasks whose timeout has passed.
+func (e *Executor) expireQueued(now time.Time) {
+	e.dropQueuedIf(func(r *record) *structs.Error {
+		if now.Before(r.deadline) {
+			return nil
+		}
+		return queueTimeout()
+	})
+}
+
+// dropQueuedIf refuses the waiting tasks for which why returns an error.
+func (e *Executor) dropQueuedIf(why func(*record) *structs.Error) {
+	for i := 0; i < len(e.queue); {
+		r := e.queue[i]
+		err := why(r)
+		if err == nil {
+			i++
+			continue
+		}
+		e.dropQueued(r, err)
+	}
+}
+
+// dropQueued refuses a waiting task for good: its record becomes a fence.
+func (e *Executor) dropQueued(r *record, err *structs.Error) {
+	i := slices.Index(e.queue, r)
+	e.queue = slices.Delete(e.queue, i, i+1)
+	h := e.homes[r.id.Job.Home]
+	h.open--
+	e.payloadBytes -= r.payloadSize()
+	e.unlink(h, r)
+	e.fence(h, r.ref())
+	e.logTask("task_refused", r.id, err.Verdict, string(err.Code))
+	e.replyWaiters(r, structs.TaskResult{Index: r.id.Index, Verdict: err.Verdict, Error: err}, 0)
+}
+
+func (e *Executor) replyWaiters(r *record, res structs.TaskResult, took time.Duration) {
+	for _, call := range r.waiters {
+		delete(e.waiting, call)
+		e.replyResult(call, res, took)
+	}
+	r.waiters = nil
+}
+
+// backendDone takes in the end of a started task.
+func (e *Executor) backendDone(_ time.Time, ev *BackendDone) {
+	r := e.records[ev.Task]
+	if r == nil || r.phase != structs.TaskRunning {
+		e.logTask("unexpected_backend_answer", ev.Task, ev.Result.Verdict, "")
+		return
+	}
+	res := soundResult(r, ev.Result)
+	h := e.homes[r.id.Job.Home]
+	h.open--
+	e.running--
+	e.payloadBytes -= r.payloadSize()
+	r.phase = structs.TaskDone
+	r.spec = structs.TaskSpec{}
+	r.result = res
+	r.serviceTime = ev.ServiceTime
+	e.logTask("task_done", r.id, res.Verdict, codeOf(res.Error))
+	e.replyWaiters(r, res, r.serviceTime)
+	e.keep(h, r)
+}
+
+// keep remembers a finished task as long and as briefly as needed.
+func (e *Executor) keep(h *home, r *record) {
+	switch {
+	case r.id.Job.Seq < h.watermark:
+		e.dropRecord(h, r)
+		e.dropJobIfSettled(h, r.id.Job.Seq)
+	case r.result.Verdict == structs.NotRun:
+		e.unlink(h, r)
+		e.fence(h, r.ref())
+	default:
+		e.results.add(r)
+		e.results.shrink(e.opts.MaxResultBytes)
+	}
+}
+
+// soundResult holds a result to the limits and to the rule that a verdict
+// other than Ran comes with an error.
+func soundResult(r *record, res structs.TaskResult) structs.TaskResult {
+	res.Index = r.id.Index
+	if len(res.Body) > structs.MaxResultBytes {
+		res.Body = nil
+		res.Error = structs.Errorf(structs.CodeTooLarge, res.Verdict, "the result is larger than %d bytes", structs.MaxResultBytes)
+	}
+	if res.Error == nil && res.Verdict != structs.Ran {
+		res.Error = structs.Errorf(structs.CodeInternal, res.Verdict, "no result")
+	}
+	return res
+}
+
+func codeOf(err *structs.Error) string {
+	if err == nil {
+		return ""
+	}
+	return string(err.Code)
+}
--- /dev/null
+++ b/internal/rpcserver/codec.go
@@ -0,0 +1,108 @@
+package rpcserver
+
+import (
+	"bufio"
+	"context"
+	"encoding/gob"
+	"io"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// codec is net/rpc's gob server codec with bounds.
+type codec struct {
+	opts   Options
+	conn   net.Conn
+	cancel context.CancelFunc // says that the peer has gone
+	limit  *io.LimitedReader
+	dec    *gob.Decoder
+	enc    *gob.Encoder
+	buf    *bufio.Writer
+	calls  chan struct{} // one element per pending call
+
+	stopping  atomic.Bool
+	closeOnce sync.Once
+}
+
+func newCodec(s *Server, conn net.Conn, cancel context.CancelFunc) *codec {
+	limit := &io.LimitedReader{R: conn}
+	buf := bufio.NewWriter(conn)
+	return &codec{
+		opts:   s.opts,
+		conn:   conn,
+		cancel: cancel,
+		limit:  limit,
+		dec:    gob.NewDecoder(limit),
+		enc:    gob.NewEncoder(buf),
+		buf:    buf,
+		calls:  make(chan struct{}, s.opts.MaxCallsPerConn),
+	}
+}
+
+// ReadRequestHeader implements rpc.ServerCodec.
+func (c *codec) ReadRequestHeader(r *rpc.Request) error {
+	c.calls <- struct{}{}
+	c.limit.N = int64(c.opts.MaxMessageBytes)
+	c.conn.SetReadDeadline(time.Now().Add(c.opts.IdleTimeout))
+	if c.stopping.Load() {
+		return io.EOF
+	}
+	err := c.dec.Decode(r)
+	if err != nil {
+		c.peerGone()
+		return io.EOF
+	}
+	return nil
+}
+
+// ReadRequestBody implements rpc.ServerCodec.
+func (c *codec) ReadRequestBody(body any) error {
+	return c.dec.Decode(body)
+}
+
+// WriteResponse implements rpc.ServerCodec.
+func (c *codec) WriteResponse(r *rpc.Response, body any) error {
+	defer func() { <-c.calls }()
+	c.conn.SetWriteDeadline(time.Now().Add(c.opts.WriteTimeout))
+	if err := c.write(r, body); err != nil {
+		c.Close()
+		return err
+	}
+	return nil
+}
+
+func (c *codec) write(r *rpc.Response, body any) error {
+	if err := c.enc.Encode(r); err != nil {
+		return err
+	}
+	if err := c.enc.Encode(body); err != nil {
+		return err
+	}
+	return c.buf.Flush()
+}
+
+// peerGone ends the pending calls, unless it is this side that stops.
+func (c *codec) peerGone() {
+	if !c.stopping.Load() {
+		c.cancel()
+	}
+}
+
+// stopReading makes ReadRequestHeader return; pending calls go on.
+func (c *codec) stopReading() {
+	c.stopping.Store(true)
+	c.conn.SetReadDeadline(time.Now())
+}
+
+// Close implements rpc.ServerCodec.
+func (c *codec) Close() error {
+	var err error
+	c.closeOnce.Do(func() {
+		c.cancel()
+		err = c.conn.Close()
+	})
+	return err
+}
--- /dev/null
+++ b/standin/backend/task.go
@@ -0,0 +1,104 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// HeaderWork names a task's work time in milliseconds.
+const HeaderWork = "Standin-Work-Ms"
+
+// Headers of the convention with agents, as in docs/BACKENDS.md.
+const (
+	headerTaskID  = "Chestnuthollow-Task-Id"
+	headerVerdict = "Chestnuthollow-Verdict"
+	notRun        = "not-run"
+)
+
+func (s *Server) runTask(c echo.Context) error {
+	r := c.Request()
+	body, err := io.ReadAll(io.LimitReader(r.Body, structs.MaxPayloadBytes+1))
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest)
+	}
+	p := s.draw(s.workTime(r, body))
+	switch p.mode {
+	case ModeDecline:
+		c.Response().Header().Set(headerVerdict, notRun)
+		return c.String(http.StatusServiceUnavailable, "declined")
+	case ModeRefuse:
+		return c.String(http.StatusServiceUnavailable, "refused")
+	}
+	select {
+	case s.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return nil
+	}
+	defer func() { <-s.slots }()
+	s.recordStart(r.Header.Get(headerTaskID))
+	answered := s.work(r.Context(), &p)
+	s.recordEnd(answered)
+	return respond(c, p.mode, body)
+}
+
+// work spends the task's time and reports whether it was done to its end.
+func (s *Server) work(ctx context.Context, p *plan) bool {
+	switch p.mode {
+	case ModeFail, ModeCut:
+		return false
+	case ModeStall:
+		select {
+		case <-p.changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	timer := time.NewTimer(p.work)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return p.mode == ModeWork || p.mode == ModeStall
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func respond(c echo.Context, mode Mode, body []byte) error {
+	switch mode {
+	case ModeFail, ModeFailSlow:
+		return c.String(http.StatusInternalServerError, "failed on request")
+	case ModeCut, ModeDeaf:
+		panic(http.ErrAbortHandler)
+	}
+	contentType := c.Request().Header.Get(echo.HeaderContentType)
+	if contentType == "" {
+		contentType = echo.MIMEOctetStream
+	}
+	return c.Blob(http.StatusOK, contentType, body)
+}
+
+// workTime returns the time a task asks for, before speed and spread.
+func (s *Server) workTime(r *http.Request, body []byte) time.Duration {
+	if ms, err := strconv.ParseFloat(r.Header.Get(HeaderWork), 64); err == nil && ms >= 0 {
+		return milliseconds(ms)
+	}
+	var payload struct {
+		WorkMS *float64 `json:"work_ms"`
+	}
+	if json.Unmarshal(body, &payload) == nil && payload.WorkMS != nil && *payload.WorkMS >= 0 {
+		return milliseconds(*payload.WorkMS)
+	}
+	return s.opts.Work
+}
+
+func milliseconds(ms float64) time.Duration {
+	return time.Duration(ms * float64(time.Millisecond))
+}
--- a/structs/rpc.go
+++ b/structs/rpc.go
@@ -105,6 +105,10 @@
 type SettleReply struct {
 	Statuses []TaskStatus
 	State    AgentState
+	// Forgotten says, in the answer to a FenceRequest, that records of started
+	// tasks of the job may have been dropped: a task without a status may have
+	// run. Otherwise a task without a status is not run and never will be.
+	Forgotten bool
 }
 
 // AwaitRequest asks for the outcome of a task that the agent has accepted
