Add the Go client package

A retry by net/http itself was looked at: it repeats a PUT only when nothing was written, and under the same id, so it is left on; redirects are not followed.

Change: Submit resubmits under the same id through any entry; it takes another id only when the first certainly never runs; a refusal that follows a lost answer is not passed on as not run, but settled by a cancel.

--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,64 @@
+package client
+
+import (
+	"net"
+	"net/http"
+	"time"
+)
+
+// Transport settings of the default HTTP client.
+const (
+	dialTimeout      = time.Second
+	keepAlivePeriod  = 15 * time.Second
+	idleConnTimeout  = 30 * time.Second
+	idleConnsPerHost = 64
+)
+
+// Client talks to the entries. It is safe for concurrent use.
+type Client struct {
+	opts      Options
+	http      *http.Client
+	endpoints *endpoints
+	ids       *reservoir
+	budget    *budget
+}
+
+// New returns a client.
+func New(opts Options) (*Client, error) {
+	urls, err := parseEntries(opts.Entries)
+	if err != nil {
+		return nil, err
+	}
+	opts.setDefaults()
+	c := &Client{
+		opts:      opts,
+		http:      newHTTPClient(opts.HTTP),
+		endpoints: newEndpoints(urls),
+		budget:    newBudget(opts.BudgetRatio, opts.BudgetBurst),
+	}
+	c.ids = newReservoir(opts.ReserveLife)
+	return c, nil
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// newHTTPClient returns a copy of given, or of the default, that follows no
+// redirect: a redirect would send a job to a host that nobody configured.
+func newHTTPClient(given *http.Client) *http.Client {
+	h := &http.Client{Transport: newTransport()}
+	if given != nil {
+		*h = *given
+	}
+	h.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return h
+}
+
+func newTransport() *http.Transport {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConnsPerHost,
+		IdleConnTimeout:     idleConnTimeout,
+	}
+}
--- /dev/null
+++ b/client/service.go
@@ -0,0 +1,99 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+const servicesPath = "/v1/services"
+
+func servicePath(name string) string { return servicesPath + "/" + url.PathEscape(name) }
+
+// Services returns the known services and the revisions in force.
+func (c *Client) Services(ctx context.Context) ([]structs.ServiceStatus, error) {
+	return get[[]structs.ServiceStatus](ctx, c, servicesPath)
+}
+
+// Service returns the document of a service that is in force.
+func (c *Client) Service(ctx context.Context, name string) (*structs.DocumentRecord, error) {
+	return get[*structs.DocumentRecord](ctx, c, servicePath(name))
+}
+
+// History returns the kept revisions of a service's document, newest first.
+func (c *Client) History(ctx context.Context, name string) ([]structs.DocumentRecord, error) {
+	return get[[]structs.DocumentRecord](ctx, c, servicePath(name)+"/history")
+}
+
+// Apply publishes an edit and returns the new record. An edit without EditID
+// gets one, and is sent again under it if an answer is lost; if all are lost,
+// Apply looks for it in the history. Another edit that won gives a
+// *structs.Error with code conflict.
+func (c *Client) Apply(ctx context.Context, service string, edit structs.Edit) (*structs.DocumentRecord, error) {
+	if edit.EditID == "" {
+		edit.EditID = uuid.NewString()
+	}
+	body, err := json.Marshal(edit)
+	if err != nil {
+		return nil, err
+	}
+	var rec structs.DocumentRecord
+	r := request{method: http.MethodPut, path: servicePath(service), body: body, wait: c.opts.PollWait}
+	if _, err = c.call(ctx, r, &rec); err == nil {
+		return &rec, nil
+	}
+	if Verdict(err) == structs.MayHaveRun {
+		if found := c.findEdit(ctx, service, edit.EditID); found != nil {
+			return found, nil
+		}
+	}
+	return nil, err
+}
+
+// findEdit returns the record of an edit that was accepted; nil if it is not
+// known to be.
+func (c *Client) findEdit(ctx context.Context, service, editID string) *structs.DocumentRecord {
+	history, err := c.History(ctx, service)
+	if err != nil {
+		return nil
+	}
+	for i := range history {
+		if history[i].EditID == editID {
+			return &history[i]
+		}
+	}
+	return nil
+}
+
+// Entries returns the live entries that an entry knows.
+func (c *Client) Entries(ctx context.Context) ([]structs.EntryInfo, error) {
+	return get[[]structs.EntryInfo](ctx, c, "/v1/entries")
+}
+
+// Status returns the system as one entry sees it.
+func (c *Client) Status(ctx context.Context) (*structs.Status, error) {
+	return get[*structs.Status](ctx, c, "/v1/status")
+}
+
+// Dump returns the state of the process, entry or agent, at a base URL.
+func (c *Client) Dump(ctx context.Context, baseURL string) (json.RawMessage, error) {
+	to := &endpoint{url: strings.TrimRight(baseURL, "/")}
+	var out json.RawMessage
+	rep := c.send(ctx, to, request{method: http.MethodGet, path: "/debug/dump"})
+	if err := rep.decode(&out); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+func get[T any](ctx context.Context, c *Client, path string) (T, error) {
+	var out T
+	_, err := c.call(ctx, request{method: http.MethodGet, path: path}, &out)
+	return out, err
+}
--- /dev/null
+++ b/client/submission.go
@@ -0,0 +1,228 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// maxHomeLost is how many times entries may say that a job's home is lost
+// before that is final: another entry may still reach it.
+const maxHomeLost = 3
+
+// submission is one job on its way.
+type submission struct {
+	c        *Client
+	retry    *retrier
+	body     []byte
+	total    int // tasks
+	progress func(*structs.JobAnswer)
+
+	id     structs.JobID
+	pinned bool      // the id is the caller's
+	via    *endpoint // preferred
+
+	attempts int
+	accepted bool // an entry has said that the job runs
+	lost     bool // a submission under this id got no usable answer
+	homeLost int  // answers in a row that said so
+}
+
+// run sends requests until the job is final or the client gives up.
+func (s *submission) run(ctx context.Context) (*structs.JobAnswer, error) {
+	for {
+		if err := s.ensureID(ctx); err != nil {
+			return nil, s.failed(err, ctx.Err())
+		}
+		answer, refused, rep := s.attempt(ctx)
+		if answer != nil && answer.State.Final() {
+			return s.finish(answer)
+		}
+		if answer != nil {
+			s.noteRunning(answer)
+			if err := sleep(ctx, s.c.opts.MinBackoff); err != nil {
+				return s.giveUp(ctx, noAnswer(err, structs.MayHaveRun), err)
+			}
+			continue
+		}
+		if s.final(rep, refused) {
+			return s.giveUp(ctx, refused, nil)
+		}
+		if err := s.retry.wait(ctx, refused.RetryAfter); err != nil {
+			return s.giveUp(ctx, refused, err)
+		}
+		s.changeID(refused)
+	}
+}
+
+// ensureID takes a reserved id if the job has none.
+func (s *submission) ensureID(ctx context.Context) *structs.Error {
+	if s.id != (structs.JobID{}) {
+		return nil
+	}
+	r, err := s.c.reserve(ctx)
+	if err != nil {
+		var e *structs.Error
+		errors.As(err, &e)
+		return e
+	}
+	s.id, s.via = r.id, r.from
+	return nil
+}
+
+// attempt submits the job, or asks for the answer of one that is known to run.
+// Either answer or refused is set.
+func (s *submission) attempt(ctx context.Context) (answer *structs.JobAnswer, refused *structs.Error, rep reply) {
+	to := s.c.endpoints.pick(time.Now(), s.via)
+	s.via = nil
+	s.attempts++
+	rep = s.c.send(ctx, to, s.request())
+	answer, refused = rep.answer(s.id, s.total)
+	if answer == nil {
+		s.noteLost(rep)
+		return nil, refused, rep
+	}
+	s.via = to
+	return answer, nil, rep
+}
+
+func (s *submission) request() request {
+	wait := s.c.opts.PollWait
+	r := request{method: http.MethodPut, path: jobPath(s.id, wait), body: s.body, wait: wait}
+	if s.accepted {
+		r.method, r.body = http.MethodGet, nil
+	}
+	return r
+}
+
+func jobPath(id structs.JobID, wait time.Duration) string {
+	return "/v1/jobs/" + id.String() + "?wait=" + url.QueryEscape(wait.String())
+}
+
+// noteLost counts what a request without an answer means for the id.
+func (s *submission) noteLost(rep reply) {
+	if rep.unsent || (rep.err == nil && rep.known()) {
+		return
+	}
+	s.lost = true
+}
+
+func (s *submission) noteRunning(a *structs.JobAnswer) {
+	s.accepted = true
+	s.lost = true // from now on a refusal says nothing of the job
+	s.homeLost = 0
+	s.retry.progressed()
+	if s.progress != nil {
+		s.progress(a)
+	}
+}
+
+// final reports whether a refusal is the entries' last word.
+func (s *submission) final(rep reply, refused *structs.Error) bool {
+	if refused.Code == structs.CodeHomeLost {
+		s.homeLost++
+		return !s.replaceable(refused) && s.homeLost >= maxHomeLost
+	}
+	if s.replaceable(refused) {
+		return false
+	}
+	return !rep.again(refused)
+}
+
+// replaceable reports whether the id is of no more use and the job can be
+// submitted under another one, because it certainly never runs under this one.
+func (s *submission) replaceable(refused *structs.Error) bool {
+	if s.pinned || s.verdict(refused) != structs.NotRun {
+		return false
+	}
+	switch refused.Code {
+	case structs.CodeExpired, structs.CodeHomeLost, structs.CodeLeaving, structs.CodeUnavailable:
+		return true
+	}
+	return false
+}
+
+// changeID gives up an id that can be replaced.
+func (s *submission) changeID(refused *structs.Error) {
+	if !s.replaceable(refused) {
+		return
+	}
+	s.c.ids.drop(s.id.Home)
+	s.id = structs.JobID{}
+	s.lost, s.accepted, s.homeLost = false, false, 0
+}
+
+// verdict returns what a refusal says of the job. While a submission without
+// an answer may still be on its way, "not run" holds only if the id is closed.
+func (s *submission) verdict(refused *structs.Error) structs.Verdict {
+	if !s.lost {
+		if refused.Code == structs.CodeExpired {
+			return structs.NotRun // it was never sent before, and never starts now
+		}
+		return refused.Verdict
+	}
+	switch refused.Code {
+	case structs.CodeExpired, structs.CodeHomeLost:
+		return refused.Verdict
+	}
+	return structs.MayHaveRun
+}
+
+// finish returns a final answer.
+func (s *submission) finish(a *structs.JobAnswer) (*structs.JobAnswer, error) {
+	if a.State == structs.JobComplete {
+		return a, nil
+	}
+	reason := a.Error
+	if reason == nil {
+		reason = structs.Errorf(structs.CodeInternal, tasksVerdict(a), "the job failed without a reason")
+	}
+	err := s.failed(reason, nil)
+	err.Answer = a
+	return a, err
+}
+
+// tasksVerdict combines the verdicts of an answer's tasks.
+func tasksVerdict(a *structs.JobAnswer) structs.Verdict {
+	if len(a.Results) == 0 {
+		return structs.MayHaveRun
+	}
+	v := structs.NotRun
+	for i := range a.Results {
+		v = v.Combine(a.Results[i].Verdict)
+	}
+	return v
+}
+
+// giveUp ends the submission. If an earlier request may still be on its way
+// while the last answer was a refusal, the job is canceled, which closes the id
+// and often gives a definite answer.
+func (s *submission) giveUp(ctx context.Context, refused *structs.Error, cause error) (*structs.JobAnswer, error) {
+	v := s.verdict(refused)
+	if v == structs.MayHaveRun && refused.Verdict == structs.NotRun && ctx.Err() == nil {
+		if a := s.settle(ctx); a != nil {
+			return s.finish(a)
+		}
+	}
+	return nil, s.failed(withVerdict(refused, v), cause)
+}
+
+// settle cancels the job and returns its final answer; nil if there is none.
+func (s *submission) settle(ctx context.Context) *structs.JobAnswer {
+	s.attempts++
+	to := s.c.endpoints.pick(time.Now(), nil)
+	rep := s.c.send(ctx, to, cancelRequest(s.id, s.c.opts.PollWait))
+	a, _ := rep.answer(s.id, s.total)
+	if a == nil || !a.State.Final() {
+		return nil
+	}
+	return a
+}
+
+func (s *submission) failed(reason *structs.Error, cause error) *JobError {
+	return &JobError{ID: s.id, Attempts: s.attempts, Reason: reason, Cause: cause}
+}
