Client: take a refusal as closing its id

Cause: the coordinator keeps a refused id taken, so that no late copy of the submission starts after the refusal; the client sent the refused id again and would have got the first refusal for ever. It also said may have run of a kept id whose home had been replaced although nothing had been sent to it.

Change: after a refusal that proves not run the job comes back under another id; Error.NotForwarded (additive) lets an entry say that it passed a request to nobody, which proves a first request not run. The settling by cancel is taken out: with closed ids a refusal is definite.

--- a/client/submission.go
+++ b/client/submission.go
@@ -45,15 +45,15 @@
 		if answer != nil {
 			s.noteRunning(answer)
 			if err := sleep(ctx, s.c.opts.MinBackoff); err != nil {
-				return s.giveUp(ctx, noAnswer(err, structs.MayHaveRun), err)
+				return nil, s.failed(noAnswer(err, structs.MayHaveRun), err)
 			}
 			continue
 		}
 		if s.final(rep, refused) {
-			return s.giveUp(ctx, refused, nil)
+			return nil, s.failed(refused, nil)
 		}
 		if err := s.retry.wait(ctx, refused.RetryAfter); err != nil {
-			return s.giveUp(ctx, refused, err)
+			return nil, s.failed(refused, err)
 		}
 		s.changeID(refused)
 	}
@@ -84,7 +84,7 @@
 	answer, refused = rep.answer(s.id, s.total)
 	if answer == nil {
 		s.noteLost(rep)
-		return nil, refused, rep
+		return nil, withVerdict(refused, s.verdict(rep, refused)), rep
 	}
 	s.via = to
 	return answer, nil, rep
@@ -113,7 +113,7 @@
 
 func (s *submission) noteRunning(a *structs.JobAnswer) {
 	s.accepted = true
-	s.lost = true // from now on a refusal says nothing of the job
+	s.lost = true
 	s.homeLost = 0
 	s.retry.progressed()
 	if s.progress != nil {
@@ -121,57 +121,70 @@
 	}
 }
 
+// verdict returns what a reply without an answer says of the job. "Not run" by
+// an entry covers every request under the id, which is closed by then; a
+// request that could not be sent says nothing of earlier ones.
+func (s *submission) verdict(rep reply, refused *structs.Error) structs.Verdict {
+	if s.lost {
+		return s.verdictAfterLost(rep, refused)
+	}
+	if rep.unsent || refused.NotForwarded || refused.Code == structs.CodeExpired {
+		return structs.NotRun // nothing was sent before, and this one started nothing
+	}
+	return refused.Verdict
+}
+
+func (s *submission) verdictAfterLost(rep reply, refused *structs.Error) structs.Verdict {
+	if rep.err != nil {
+		return structs.MayHaveRun
+	}
+	if s.accepted && refused.Code != structs.CodeHomeLost {
+		return structs.MayHaveRun // the refusal is of the question, not of the job
+	}
+	switch refused.Code {
+	case structs.CodeInvalid, structs.CodeTooLarge:
+		// Said before the id is looked at; an entry of another version may have
+		// taken the same request.
+		return structs.MayHaveRun
+	}
+	return refused.Verdict
+}
+
 // final reports whether a refusal is the entries' last word.
 func (s *submission) final(rep reply, refused *structs.Error) bool {
+	if refused.Verdict == structs.NotRun && !rep.unsent {
+		return s.pinned || !(rep.again(refused) || closesID(refused.Code))
+	}
 	if refused.Code == structs.CodeHomeLost {
 		s.homeLost++
-		return !s.replaceable(refused) && s.homeLost >= maxHomeLost
-	}
-	if s.replaceable(refused) {
-		return false
+		return s.homeLost >= maxHomeLost
 	}
 	return !rep.again(refused)
 }
 
-// replaceable reports whether the id is of no more use and the job can be
-// submitted under another one, because it certainly never runs under this one.
-func (s *submission) replaceable(refused *structs.Error) bool {
-	if s.pinned || s.verdict(refused) != structs.NotRun {
-		return false
-	}
-	switch refused.Code {
+// closesID reports whether a code means that the job's home takes no more jobs
+// under the ids that it has given.
+func closesID(code structs.ErrorCode) bool {
+	switch code {
 	case structs.CodeExpired, structs.CodeHomeLost, structs.CodeLeaving, structs.CodeUnavailable:
 		return true
 	}
 	return false
 }
 
-// changeID gives up an id that can be replaced.
+// changeID gives up an id under which the job certainly never runs. A refusal
+// is final for its id, so the job has to come back under another one.
 func (s *submission) changeID(refused *structs.Error) {
-	if !s.replaceable(refused) {
+	if s.pinned || refused.Verdict != structs.NotRun {
 		return
 	}
-	s.c.ids.drop(s.id.Home)
+	if closesID(refused.Code) {
+		s.c.ids.drop(s.id.Home)
+	}
 	s.id = structs.JobID{}
 	s.lost, s.accepted, s.homeLost = false, false, 0
 }
 
-// verdict returns what a refusal says of the job. While a submission without
-// an answer may still be on its way, "not run" holds only if the id is closed.
-func (s *submission) verdict(refused *structs.Error) structs.Verdict {
-	if !s.lost {
-		if refused.Code == structs.CodeExpired {
-			return structs.NotRun // it was never sent before, and never starts now
-		}
-		return refused.Verdict
-	}
-	switch refused.Code {
-	case structs.CodeExpired, structs.CodeHomeLost:
-		return refused.Verdict
-	}
-	return structs.MayHaveRun
-}
-
 // finish returns a final answer.
 func (s *submission) finish(a *structs.JobAnswer) (*structs.JobAnswer, error) {
 	if a.State == structs.JobComplete {
@@ -198,31 +211,6 @@
 	return v
 }
 
-// giveUp ends the submission. If an earlier request may still be on its way
-// while the last answer was a refusal, the job is canceled, which closes the id
-// and often gives a definite answer.
-func (s *submission) giveUp(ctx context.Context, refused *structs.Error, cause error) (*structs.JobAnswer, error) {
-	v := s.verdict(refused)
-	if v == structs.MayHaveRun && refused.Verdict == structs.NotRun && ctx.Err() == nil {
-		if a := s.settle(ctx); a != nil {
-			return s.finish(a)
-		}
-	}
-	return nil, s.failed(withVerdict(refused, v), cause)
-}
-
-// settle cancels the job and returns its final answer; nil if there is none.
-func (s *submission) settle(ctx context.Context) *structs.JobAnswer {
-	s.attempts++
-	to := s.c.endpoints.pick(time.Now(), nil)
-	rep := s.c.send(ctx, to, cancelRequest(s.id, s.c.opts.PollWait))
-	a, _ := rep.answer(s.id, s.total)
-	if a == nil || !a.State.Final() {
-		return nil
-	}
-	return a
-}
-
 func (s *submission) failed(reason *structs.Error, cause error) *JobError {
 	return &JobError{ID: s.id, Attempts: s.attempts, Reason: reason, Cause: cause}
 }
--- a/client/submit.go
+++ b/client/submit.go
@@ -11,8 +11,8 @@
 type SubmitOption func(*submission)
 
 // WithID submits under an id that the caller has reserved, and may have used
-// before: a resubmission after a crash, with the same spec. The client then
-// takes no other id for the job.
+// before: a resubmission after a crash, with the same spec. The client takes no
+// other id for the job, and a refusal, which closes the id, is then final.
 func WithID(id structs.JobID) SubmitOption {
 	return func(s *submission) {
 		s.id = id
@@ -32,9 +32,6 @@
 // id only if the first one certainly never runs. A job that does not complete
 // gives a *JobError; the answer is then returned too if the job has one.
 //
-// A job that is refused for good while an earlier request may still be on its
-// way is canceled, so that it does not run after Submit has failed.
-//
 // When ctx ends, Submit returns at once and the job goes on; Cancel stops it.
 func (c *Client) Submit(ctx context.Context, spec *structs.JobSpec, options ...SubmitOption) (*structs.JobAnswer, error) {
 	s := &submission{c: c, retry: c.newRetrier(), total: len(spec.Tasks)}
--- a/structs/error.go
+++ b/structs/error.go
@@ -40,6 +40,10 @@
 	// RetryAfter is how long to wait before the same request is worth sending
 	// again; zero says nothing about it.
 	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
+	// NotForwarded says that the entry handed this request to no other
+	// process, the job's home included. It says nothing of earlier requests
+	// under the same id, which Verdict covers.
+	NotForwarded bool `json:"not_forwarded,omitempty"`
 }
 
 // Error implements the error interface.
