--- /dev/null
+++ b/fairqueue/queue_test.go
@@ -0,0 +1,159 @@
+package fairqueue_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/chestnuthollow/chestnuthollow/fairqueue"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+type task struct {
+	team string
+	job  uint64
+	n    int
+}
+
+func jobID(seq uint64) structs.JobID { return structs.JobID{Home: 1, Seq: seq} }
+
+func push(q *fairqueue.Queue[task], team string, job uint64, count int) {
+	for n := range count {
+		q.Push(team, jobID(job), task{team, job, n})
+	}
+}
+
+func TestHoldPassesBurst(t *testing.T) {
+	g := NewWithT(t)
+	q := fairqueue.New[task](2000)
+	push(q, "front-desk", 1, 890)
+	for hold := uint64(2); hold < 800; hold++ {
+		push(q, "front-desk", hold, 1)
+		popped := 0
+		for {
+			got, ok := q.Pop()
+			g.Expect(ok).To(BeTrue())
+			popped++
+			if got.job == hold {
+				break
+			}
+		}
+		g.Expect(popped).To(BeNumerically("<=", 2), "hold %d", hold)
+	}
+}
+
+func TestBurstIsNotStarvedByHolds(t *testing.T) {
+	g := NewWithT(t)
+	q := fairqueue.New[task](2000)
+	push(q, "school", 1, 890)
+	served := 0
+	for hold := uint64(2); hold < 4000; hold++ {
+		push(q, "school", hold, 1)
+		if got, _ := q.Pop(); got.job == 1 {
+			served++
+		}
+	}
+	g.Expect(served).To(BeNumerically(">", 890/2))
+}
+
+func TestTeamsShareByWeight(t *testing.T) {
+	g := NewWithT(t)
+	q := fairqueue.New[task](10000)
+	q.SetShare("desk", 3)
+	push(q, "flood", 1, 890)
+	push(q, "flood", 2, 890)
+	push(q, "desk", 3, 600)
+	count := map[string]int{}
+	for range 400 {
+		got, _ := q.Pop()
+		count[got.team]++
+	}
+	g.Expect(count["desk"]).To(BeNumerically("~", 300, 2))
+	g.Expect(count["flood"]).To(BeNumerically("~", 100, 2))
+}
+
+func TestIdleTeamGainsNothing(t *testing.T) {
+	g := NewWithT(t)
+	q := fairqueue.New[task](10000)
+	push(q, "a", 1, 800)
+	for range 500 {
+		q.Pop()
+	}
+	push(q, "b", 2, 800)
+	count := map[string]int{}
+	for range 100 {
+		got, _ := q.Pop()
+		count[got.team]++
+	}
+	g.Expect(count["a"]).To(BeNumerically("~", 50, 1))
+}
+
+func TestReturnedTaskIsNextOfItsJob(t *testing.T) {
+	g := NewWithT(t)
+	q := fairqueue.New[task](3)
+	push(q, "a", 1, 3)
+	first, _ := q.Pop()
+	push(q, "a", 2, 1)
+	q.PushFront("a", jobID(1), first)
+	g.Expect(q.Len()).To(Equal(4))
+	g.Expect(q.RemoveJob(jobID(1))).To(Equal([]task{{"a", 1, 0}, {"a", 1, 1}, {"a", 1, 2}}))
+	g.Expect(q.Push("a", jobID(3), task{})).To(BeTrue())
+	g.Expect(q.Push("a", jobID(3), task{})).To(BeTrue())
+	g.Expect(q.Push("a", jobID(3), task{})).To(BeFalse())
+}
+
+// TestEachTaskComesOutOnce drives random operations against a plain set.
+func TestEachTaskComesOutOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		q := fairqueue.New[task](50)
+		want := map[task]bool{}
+		next := map[uint64]int{}
+		rt.Repeat(map[string]func(*rapid.T){
+			"push": func(rt *rapid.T) {
+				id := rapid.Uint64Range(1, 6).Draw(rt, "job")
+				x := task{team: string(rune('a' + id%3)), job: id, n: next[id]}
+				if q.Push(x.team, jobID(id), x) {
+					next[id]++
+					want[x] = true
+				}
+			},
+			"pop": func(rt *rapid.T) {
+				x, ok := q.Pop()
+				if ok != (len(want) > 0) || ok && !want[x] {
+					rt.Fatalf("popped %v, %v with %d queued", x, ok, len(want))
+				}
+				if ok && rapid.Bool().Draw(rt, "return") {
+					q.PushFront(x.team, jobID(x.job), x)
+					return
+				}
+				delete(want, x)
+			},
+			"remove": func(rt *rapid.T) {
+				for _, x := range q.RemoveJob(jobID(rapid.Uint64Range(1, 6).Draw(rt, "job"))) {
+					if !want[x] {
+						rt.Fatalf("removed %v, which is not queued", x)
+					}
+					delete(want, x)
+				}
+			},
+			"": func(rt *rapid.T) {
+				if q.Len() != len(want) {
+					rt.Fatalf("length %d, want %d", q.Len(), len(want))
+				}
+			},
+		})
+	})
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	q := fairqueue.New[task](1 << 20)
+	for job := range uint64(1000) {
+		push(q, string(rune('a'+job%20)), job, 50)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		x, _ := q.Pop()
+		q.Push(x.team, jobID(x.job), x)
+	}
+}
