Add quotas shared among entries without a coordinator

Each of n live entries gives out one nth of a limit by x/time/rate buckets; a gone entry's part rests for ShareDelay.

--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,166 @@
+package quota_test
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/document"
+	"github.com/chestnuthollow/chestnuthollow/quota"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+var start = time.Date(2026, 3, 12, 9, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func jobID(seq uint64) structs.JobID { return structs.JobID{Home: 1, Seq: seq} }
+
+func withQuota(q document.Quota) *document.Document {
+	return &document.Document{Teams: map[string]document.Quota{"shop": q}}
+}
+
+// admitted floods each limiter with jobs of size tasks from start+from to
+// start+to and returns the tasks let in.
+func admitted(limiters []*quota.Limiter, from, to time.Duration, size int) int {
+	total := 0
+	seq := uint64(from) << 20
+	for now := from; now < to; now += time.Millisecond {
+		for _, l := range limiters {
+			seq++
+			if l.Admit(at(now), "shop", jobID(seq), size) == nil {
+				total += size
+			}
+		}
+	}
+	return total
+}
+
+func entries(n int, d *document.Document) []*quota.Limiter {
+	all := make([]*quota.Limiter, n)
+	for i := range all {
+		all[i] = quota.New()
+		all[i].SetEntries(start, n)
+		all[i].SetDocument(start, d)
+	}
+	return all
+}
+
+func TestRateIsSharedAmongEntries(t *testing.T) {
+	g := NewWithT(t)
+	all := entries(4, withQuota(document.Quota{TasksPerSecond: 200}))
+	got := admitted(all, 0, 20*time.Second, 10)
+	g.Expect(got).To(BeNumerically(">=", 20*200-4*10))
+	// One second's burst, and each entry may overdraw by less than a job.
+	g.Expect(got).To(BeNumerically("<=", 20*200+200+4*10))
+}
+
+func TestRateWhenEntriesComeAndGo(t *testing.T) {
+	g := NewWithT(t)
+	d := withQuota(document.Quota{TasksPerSecond: 200})
+	all := entries(2, d)
+	admitted(all, 0, 10*time.Second, 1)
+	// One goes; the other takes its part only after ShareDelay.
+	all[0].SetEntries(at(10*time.Second), 1)
+	g.Expect(admitted(all[:1], 10*time.Second, 10*time.Second+quota.ShareDelay, 1)).
+		To(BeNumerically("~", 100*quota.ShareDelay.Seconds(), 2))
+	later := 10*time.Second + quota.ShareDelay
+	g.Expect(admitted(all[:1], later, later+10*time.Second, 1)).To(BeNumerically("~", 2000, 200))
+	// It comes back, heard at once.
+	later += 10 * time.Second
+	all[0].SetEntries(at(later), 2)
+	fresh := quota.New()
+	fresh.SetEntries(at(later), 2)
+	fresh.SetDocument(at(later), d)
+	g.Expect(admitted([]*quota.Limiter{all[0], fresh}, later, later+10*time.Second, 1)).
+		To(BeNumerically("~", 2000, 200))
+}
+
+func TestRateWhenEntriesDoNotHearEachOther(t *testing.T) {
+	g := NewWithT(t)
+	all := entries(4, withQuota(document.Quota{TasksPerSecond: 200}))
+	for _, l := range all {
+		l.SetEntries(start, 1)
+	}
+	within := admitted(all, 0, quota.ShareDelay, 1)
+	g.Expect(within).To(BeNumerically("<=", 200*quota.ShareDelay.Seconds()+204))
+	later := admitted(all, quota.ShareDelay, quota.ShareDelay+10*time.Second, 1)
+	g.Expect(later).To(BeNumerically("<=", 4*(2000+200)))
+}
+
+func TestOpenTasks(t *testing.T) {
+	g := NewWithT(t)
+	l := entries(2, withQuota(document.Quota{MaxOpenTasks: 100}))[0]
+	g.Expect(l.Admit(start, "shop", jobID(1), 101).Code).To(Equal(structs.CodeRejected))
+	g.Expect(l.Admit(start, "shop", jobID(2), 40)).To(BeNil())
+	refused := l.Admit(start, "shop", jobID(3), 20)
+	g.Expect(refused.Code).To(Equal(structs.CodeQuota))
+	g.Expect(refused.Verdict).To(Equal(structs.NotRun))
+	g.Expect(refused.RetryAfter).To(BeNumerically(">", 0))
+	l.Done("shop", 40)
+	g.Expect(l.Admit(start, "shop", jobID(3), 20)).To(BeNil())
+	g.Expect(l.Open("shop")).To(Equal(20))
+}
+
+type arrival struct {
+	at    time.Duration
+	job   uint64
+	tries int
+}
+
+type arrivals []arrival
+
+func (a arrivals) Len() int           { return len(a) }
+func (a arrivals) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a arrivals) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *arrivals) Push(x any)        { *a = append(*a, x.(arrival)) }
+func (a *arrivals) Pop() any {
+	last := len(*a) - 1
+	x := (*a)[last]
+	*a = (*a)[:last]
+	return x
+}
+
+// TestRetryAfterKeptIsNotRefusedAgain offers three times the rate with callers
+// that come back exactly when told: in the main they get in then.
+func TestRetryAfterKeptIsNotRefusedAgain(t *testing.T) {
+	g := NewWithT(t)
+	l := entries(1, withQuota(document.Quota{TasksPerSecond: 100}))[0]
+	rng := rand.New(rand.NewPCG(1, 1))
+	var due arrivals
+	for job := range uint64(1500) {
+		due = append(due, arrival{at: time.Duration(rng.Int64N(int64(5 * time.Second))), job: job + 1})
+	}
+	heap.Init(&due)
+	returned, refusedAgain := 0, 0
+	for due.Len() > 0 {
+		a := heap.Pop(&due).(arrival)
+		if a.tries > 0 {
+			returned++
+		}
+		err := l.Admit(at(a.at), "shop", jobID(a.job), 1)
+		if err == nil {
+			continue
+		}
+		if a.tries > 0 {
+			refusedAgain++
+		}
+		heap.Push(&due, arrival{at: a.at + err.RetryAfter, job: a.job, tries: a.tries + 1})
+	}
+	t.Logf("%d returned, %d refused again", returned, refusedAgain)
+	g.Expect(returned).To(BeNumerically(">", 500))
+	g.Expect(refusedAgain).To(BeNumerically("<", returned/10))
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	l := entries(2, withQuota(document.Quota{TasksPerSecond: 1000}))[0]
+	now := start
+	b.ReportAllocs()
+	for i := uint64(1); b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		l.Admit(now, "shop", jobID(i), 1)
+	}
+}
