--- a/placement/placement.go
+++ b/placement/placement.go
@@ -25,7 +25,11 @@
 	Dispatched(now time.Time, agent structs.Incarnation)
 	// Finished counts a task's end at the agent.
 	Finished(now time.Time, agent structs.Incarnation, o Outcome)
-	// Observe takes in the agent's state as of now.
+	// SetWaiting says how many tasks this entry holds back for want of agents,
+	// the one to be picked for included.
+	SetWaiting(n int)
+	// Observe takes in the agent's state as of now; it follows the Finished of
+	// the reply that the state came with.
 	Observe(now time.Time, agent structs.Incarnation, s structs.AgentState)
 }
 
@@ -36,6 +40,9 @@
 	// Failed says that the backend server answered with an error, or that the
 	// outcome is not known.
 	Failed bool
+	// Kind and Declared are those of the task.
+	Kind     string
+	Declared time.Duration
 	// Took is the time from dispatch to answer; Service the backend server's
 	// part of it, zero if unknown.
 	Took    time.Duration
