Entry queues by fairqueue and places by least expected finish

Promises of quota are kept by content, since a refused job comes back under another id. Policy gets SetWaiting, Outcome the task's kind and declared time.

--- a/coordinator/config.go
+++ b/coordinator/config.go
@@ -57,7 +57,7 @@
 
 func (c Config) withDefaults() Config {
 	if c.NewPolicy == nil {
-		c.NewPolicy = func(seed uint64) placement.Policy { return placement.NewLeastOutstanding(seed) }
+		c.NewPolicy = func(seed uint64) placement.Policy { return placement.NewLeastExpectedFinish(seed) }
 	}
 	orDefault(&c.ReservationTTL, defaultReservationTTL)
 	orDefault(&c.AnswerTTL, defaultAnswerTTL)
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -19,7 +19,7 @@
 func (c *Coordinator) sortedServices() []*service {
 	var list []*service
 	for _, svc := range c.services {
-		if svc.queue.size > 0 {
+		if svc.queue.Len() > 0 {
 			list = append(list, svc)
 		}
 	}
@@ -29,16 +29,17 @@
 
 // placeNext places one task and reports whether it could.
 func (c *Coordinator) placeNext(svc *service) bool {
-	j, index, ok := svc.queue.peek()
+	next, ok := svc.queue.Peek()
 	if !ok {
 		return false
 	}
-	id, ok := svc.policy.Pick(c.now, &j.specs[index])
+	svc.policy.SetWaiting(svc.queue.Len())
+	id, ok := svc.policy.Pick(c.now, &next.job.specs[next.index])
 	if !ok {
 		return false
 	}
-	svc.queue.pop()
-	c.place(j, index, c.agents[id])
+	svc.queue.Pop()
+	c.place(next.job, next.index, c.agents[id])
 	return true
 }
 
@@ -96,8 +97,12 @@
 func (c *Coordinator) taskEnded(a *agent, ref structs.TaskRef, r *structs.TaskResult, o placement.Outcome) {
 	o.Refused = r.Verdict == structs.NotRun
 	o.Failed = r.Error != nil && !o.Refused
-	a.release(c.now, ref, o)
 	j, t := c.holder(a.info.Incarnation, ref)
+	if j != nil {
+		spec := &j.specs[ref.Task.Index]
+		o.Kind, o.Declared = spec.Kind, spec.Declared
+	}
+	a.release(c.now, ref, o)
 	if j == nil {
 		return
 	}
--- a/coordinator/service.go
+++ b/coordinator/service.go
@@ -23,7 +23,7 @@
 	svc := c.services[name]
 	if svc == nil {
 		seed := c.cfg.Seed + uint64(len(c.services))
-		svc = &service{name: name, policy: c.cfg.NewPolicy(seed)}
+		svc = &service{name: name, policy: c.cfg.NewPolicy(seed), queue: newQueue(c.cfg.MaxOpenTasks)}
 		c.services[name] = svc
 	}
 	return svc
--- a/fairqueue/job.go
+++ b/fairqueue/job.go
@@ -31,6 +31,13 @@
 
 func (j *job[T]) pushFront(task T) { j.returned = append(j.returned, task) }
 
+func (j *job[T]) peek() T {
+	if n := len(j.returned) - 1; n >= 0 {
+		return j.returned[n]
+	}
+	return j.tasks[j.head]
+}
+
 func (j *job[T]) pop() T {
 	var zero T
 	if n := len(j.returned) - 1; n >= 0 {
--- a/fairqueue/queue.go
+++ b/fairqueue/queue.go
@@ -85,6 +85,15 @@
 	q.length++
 }
 
+// Peek returns the task that Pop would take out.
+func (q *Queue[T]) Peek() (T, bool) {
+	if q.active.Len() == 0 {
+		var zero T
+		return zero, false
+	}
+	return q.active.First().next().peek(), true
+}
+
 // Pop takes the next task out; it returns false if there is none.
 func (q *Queue[T]) Pop() (T, bool) {
 	if q.active.Len() == 0 {
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"golang.org/x/time/rate"
-
-	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
 // burstTime is how much of its rate a bucket holds when at rest.
@@ -40,31 +38,31 @@
 func (b *bucket) unbounded() bool { return b.limiter.Limit() == rate.Inf }
 
 // wait returns how long a job must wait; zero if it may pass now.
-func (b *bucket) wait(now time.Time, id structs.JobID, n int) time.Duration {
+func (b *bucket) wait(now time.Time, key Key, n int) time.Duration {
 	if b.unbounded() {
 		return 0
 	}
 	tokens := b.limiter.TokensAt(now)
 	perTask := time.Duration(float64(time.Second) / float64(b.limiter.Limit()))
 	burst := b.limiter.Burst()
-	if b.promises.Kept(now, id) {
+	if b.promises.Kept(now, key) {
 		if tokens >= -float64(burst)*keptOverdraft {
 			return 0
 		}
-	} else if tokens-float64(min(b.promises.Due(now, now.Add(perTask)), burst-1)) >= 1 {
+	} else if jobs, _ := b.promises.Due(now, now.Add(perTask)); tokens-float64(min(jobs, burst-1)) >= 1 {
 		return 0
 	}
 	short := max(1-tokens, 1)
 	free := now.Add(time.Duration(short * float64(perTask)))
-	return b.promises.Make(now, id, n, free, perTask).Sub(now)
+	return b.promises.Make(now, key, n, free, perTask).Sub(now)
 }
 
 // take charges a job that passes.
-func (b *bucket) take(now time.Time, id structs.JobID, n int) {
+func (b *bucket) take(now time.Time, key Key, n int) {
 	if b.unbounded() {
 		return
 	}
-	b.promises.Settle(now, id)
+	b.promises.Settle(now, key)
 	for burst := b.limiter.Burst(); n > 0; n -= burst {
 		b.limiter.ReserveN(now, min(n, burst))
 	}
--- a/quota/promises.go
+++ b/quota/promises.go
@@ -1,10 +1,6 @@
 package quota
 
-import (
-	"time"
-
-	"github.com/chestnuthollow/chestnuthollow/structs"
-)
+import "time"
 
 // Bounds on promises.
 const (
@@ -17,16 +13,20 @@
 	promiseEarly = 20 * time.Millisecond
 )
 
+// Key identifies the content of a submission. A refused job comes back under
+// another id, with the same content.
+type Key [16]byte
+
 // Promises gives refused jobs times to come back that lie apart by the work of
 // those before them, and remembers them, so that newcomers do not take the
 // place of a job that keeps its time. It is not safe for concurrent use.
 type Promises struct {
 	order []*promise // by time
-	byJob map[structs.JobID]*promise
+	byKey map[Key][]*promise
 }
 
 type promise struct {
-	job   structs.JobID
+	key   Key
 	at    time.Time
 	tasks int
 	over  bool
@@ -34,21 +34,13 @@
 
 // NewPromises returns an empty ledger.
 func NewPromises() *Promises {
-	return &Promises{byJob: make(map[structs.JobID]*promise)}
+	return &Promises{byKey: make(map[Key][]*promise)}
 }
 
-// Len returns the number of open promises.
-func (p *Promises) Len() int { return len(p.byJob) }
-
 // Make promises a job of n tasks a time to come back: free, or once those
-// promised before it have had their time at perTask each. A job that asks
-// again too early is told its time again.
-func (p *Promises) Make(now time.Time, id structs.JobID, n int, free time.Time, perTask time.Duration) time.Time {
+// promised before it have had their time at perTask each.
+func (p *Promises) Make(now time.Time, key Key, n int, free time.Time, perTask time.Duration) time.Time {
 	p.expire(now)
-	if old := p.byJob[id]; old != nil && old.at.After(now) {
-		return old.at
-	}
-	p.Settle(now, id)
 	at := free
 	if last := p.last(); last != nil {
 		if after := last.at.Add(time.Duration(last.tasks) * perTask); after.After(at) {
@@ -56,43 +48,50 @@
 		}
 	}
 	if len(p.order) < maxPromises {
-		made := &promise{job: id, at: at, tasks: n}
+		made := &promise{key: key, at: at, tasks: n}
 		p.order = append(p.order, made)
-		p.byJob[id] = made
+		p.byKey[key] = append(p.byKey[key], made)
 	}
 	return at
 }
 
-// Kept reports whether the job comes at the time it was promised.
-func (p *Promises) Kept(now time.Time, id structs.JobID) bool {
-	made := p.byJob[id]
-	if made == nil {
-		return false
-	}
-	return !now.Before(made.at.Add(-promiseEarly)) && now.Before(made.at.Add(promiseGrace))
+// Kept reports whether the job comes at a time it was promised.
+func (p *Promises) Kept(now time.Time, key Key) bool {
+	p.expire(now)
+	list := p.byKey[key]
+	return len(list) > 0 && !now.Before(list[0].at.Add(-promiseEarly))
 }
 
-// Due returns how many jobs are promised a time up to until and have not come.
-func (p *Promises) Due(now, until time.Time) int {
+// Due returns how many jobs, and tasks of them, are promised a time up to until
+// and have not come.
+func (p *Promises) Due(now, until time.Time) (jobs, tasks int) {
 	p.expire(now)
-	n := 0
 	for _, made := range p.order {
 		if made.at.After(until) {
 			break
 		}
 		if !made.over {
-			n++
+			jobs++
+			tasks += made.tasks
 		}
 	}
-	return n
+	return jobs, tasks
+}
+
+// Settle forgets the job's promise, if it comes at the time of one.
+func (p *Promises) Settle(now time.Time, key Key) {
+	if p.Kept(now, key) {
+		p.byKey[key][0].over = true
+		p.dropFirst(key)
+	}
 }
 
-// Settle forgets a job's promise.
-func (p *Promises) Settle(_ time.Time, id structs.JobID) {
-	if made := p.byJob[id]; made != nil {
-		made.over = true
-		delete(p.byJob, id)
+func (p *Promises) dropFirst(key Key) {
+	if list := p.byKey[key][1:]; len(list) > 0 {
+		p.byKey[key] = list
+		return
 	}
+	delete(p.byKey, key)
 }
 
 func (p *Promises) last() *promise {
@@ -109,9 +108,8 @@
 		if !first.over && now.Before(first.at.Add(promiseGrace)) {
 			return
 		}
-		first.over = true
-		if p.byJob[first.job] == first {
-			delete(p.byJob, first.job)
+		if !first.over {
+			p.dropFirst(first.key)
 		}
 		p.order = p.order[1:]
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -55,10 +55,10 @@
 	l.apply(now)
 }
 
-// Admit takes a job of a team with n tasks, or says why not and when to come
+// Admit takes a job of a team with n tasks and the content key, or says why not and when to come
 // back. A job that was told to come back and keeps that time is preferred to
 // newcomers. The tasks are open until Done is called for them.
-func (l *Limiter) Admit(now time.Time, teamName string, id structs.JobID, n int) *structs.Error {
+func (l *Limiter) Admit(now time.Time, teamName string, key Key, n int) *structs.Error {
 	if l.share.due(now) {
 		l.apply(now)
 	}
@@ -66,14 +66,14 @@
 	if err := l.admitOpen(t, teamName, n); err != nil {
 		return err
 	}
-	if wait := t.rate.wait(now, id, n); wait > 0 {
+	if wait := t.rate.wait(now, key, n); wait > 0 {
 		return refuse(wait, "team %s is over its rate", teamName)
 	}
-	if wait := l.service.wait(now, id, n); wait > 0 {
+	if wait := l.service.wait(now, key, n); wait > 0 {
 		return refuse(wait, "the service is over its rate")
 	}
-	t.rate.take(now, id, n)
-	l.service.take(now, id, n)
+	t.rate.take(now, key, n)
+	l.service.take(now, key, n)
 	t.open += n
 	return nil
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"encoding/binary"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -17,7 +18,10 @@
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
-func jobID(seq uint64) structs.JobID { return structs.JobID{Home: 1, Seq: seq} }
+func key(seq uint64) (k quota.Key) {
+	binary.LittleEndian.PutUint64(k[:], seq)
+	return k
+}
 
 func withQuota(q document.Quota) *document.Document {
 	return &document.Document{Teams: map[string]document.Quota{"shop": q}}
@@ -31,7 +35,7 @@
 	for now := from; now < to; now += time.Millisecond {
 		for _, l := range limiters {
 			seq++
-			if l.Admit(at(now), "shop", jobID(seq), size) == nil {
+			if l.Admit(at(now), "shop", key(seq), size) == nil {
 				total += size
 			}
 		}
@@ -94,14 +98,14 @@
 func TestOpenTasks(t *testing.T) {
 	g := NewWithT(t)
 	l := entries(2, withQuota(document.Quota{MaxOpenTasks: 100}))[0]
-	g.Expect(l.Admit(start, "shop", jobID(1), 101).Code).To(Equal(structs.CodeRejected))
-	g.Expect(l.Admit(start, "shop", jobID(2), 40)).To(BeNil())
-	refused := l.Admit(start, "shop", jobID(3), 20)
+	g.Expect(l.Admit(start, "shop", key(1), 101).Code).To(Equal(structs.CodeRejected))
+	g.Expect(l.Admit(start, "shop", key(2), 40)).To(BeNil())
+	refused := l.Admit(start, "shop", key(3), 20)
 	g.Expect(refused.Code).To(Equal(structs.CodeQuota))
 	g.Expect(refused.Verdict).To(Equal(structs.NotRun))
 	g.Expect(refused.RetryAfter).To(BeNumerically(">", 0))
 	l.Done("shop", 40)
-	g.Expect(l.Admit(start, "shop", jobID(3), 20)).To(BeNil())
+	g.Expect(l.Admit(start, "shop", key(3), 20)).To(BeNil())
 	g.Expect(l.Open("shop")).To(Equal(20))
 }
 
@@ -141,7 +145,7 @@
 		if a.tries > 0 {
 			returned++
 		}
-		err := l.Admit(at(a.at), "shop", jobID(a.job), 1)
+		err := l.Admit(at(a.at), "shop", key(a.job), 1)
 		if err == nil {
 			continue
 		}
@@ -161,6 +165,6 @@
 	b.ReportAllocs()
 	for i := uint64(1); b.Loop(); i++ {
 		now = now.Add(time.Millisecond)
-		l.Admit(now, "shop", jobID(i), 1)
+		l.Admit(now, "shop", key(i), 1)
 	}
 }
