--- a/coordinator/dump.go
+++ b/coordinator/dump.go
@@ -100,7 +100,7 @@
 	d := ServiceDump{
 		Name:     s.name,
 		Revision: s.record.Revision,
-		Queued:   s.queue.size,
+		Queued:   s.queue.Len(),
 		Agents:   len(s.agents),
 	}
 	if s.doc != nil {
