Recover a job whose home is lost from the agents' records

A resubmission through another entry was answered may_have_run for every task. Now that entry asks all agents of the service. All tasks finished: the whole answer, which needs no fence, since a task is at one agent at most. If the home's process has ended (connection refused, or another run at its address), the home is closed at the agents, and a task that waited there is not run: the home had no evidence against that attempt, so no later one exists, and a home never places again what was refused because it is fenced. Of a task that no agent reports nothing is known, for the home may have used an agent that this entry does not know; ruled out: inferring not run from all known agents' silence.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -191,6 +191,7 @@
 	a.service.agents = without(a.service.agents, a)
 	a.service.policy.Remove(id)
 	c.emit(DropAgent{Agent: id})
+	c.dropFromRecoveries(id)
 	c.emit(LogEvent{Event: "agent_gone", Task: noTask, Agent: id, Detail: a.info.Name + ": " + why})
 	for _, ref := range sortedRefs(a.calls) {
 		err := structs.Errorf(structs.CodeAgentLost, structs.MayHaveRun, "agent %s is %s", a.info.Name, why)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -15,6 +15,7 @@
 	open     []*job          // admitted jobs, final ones dropped at each tick
 	finals   []uint64        // sequences of final jobs, oldest first
 	calls    map[CallID]*job // callers that wait
+	recovers map[CallID]*recovery
 	services map[string]*service
 	agents   map[structs.Incarnation]*agent
 	order    []*agent // agents in the order of their arrival
@@ -38,6 +39,7 @@
 		ids:      newIDs(),
 		jobs:     make(map[uint64]*job),
 		calls:    make(map[CallID]*job),
+		recovers: make(map[CallID]*recovery),
 		services: make(map[string]*service),
 		agents:   make(map[structs.Incarnation]*agent),
 		peers:    make(map[structs.Incarnation]structs.EntryInfo),
@@ -76,6 +78,14 @@
 		c.settleFailed(e)
 	case HeartbeatFailed:
 		c.heartbeatFailed(e.Agent)
+	case RecoverCalled:
+		c.recoverJob(e)
+	case QueryReplied:
+		c.queryReplied(e)
+	case QueryAwaited:
+		c.queryAwaited(e)
+	case QueryFailed:
+		c.queryFailed(e)
 	case DocumentChanged:
 		c.documentChanged(e)
 	case PeersChanged:
--- a/coordinator/finish.go
+++ b/coordinator/finish.go
@@ -120,12 +120,16 @@
 
 func dropResults(j *job) {
 	for i := range j.tasks {
-		r := &j.tasks[i].result
-		r.Body = nil
-		r.ContentType = ""
-		if r.Error == nil {
-			r.Error = structs.Errorf(j.failure.Code, r.Verdict, "finished; another task of the job failed")
-		}
+		withoutResult(&j.tasks[i].result, j.failure)
+	}
+}
+
+// withoutResult leaves a task of a failed job its verdict alone.
+func withoutResult(r *structs.TaskResult, failure *structs.Error) {
+	r.Body = nil
+	r.ContentType = ""
+	if r.Error == nil {
+		r.Error = structs.Errorf(failure.Code, r.Verdict, "finished; another task of the job failed")
 	}
 }
 
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -82,6 +82,36 @@
 	}
 	// HeartbeatFailed says that an agent did not answer a heartbeat in time.
 	HeartbeatFailed struct{ Agent structs.Incarnation }
+	// RecoverCalled asks for what the agents know of a job whose home, another
+	// entry, cannot be reached. The reply is as for GetCalled with Wait. Dead
+	// says that the home's process is known to have ended.
+	RecoverCalled struct {
+		Call    CallID
+		ID      structs.JobID
+		Service string // zero: unknown
+		Tasks   int    // of the job; zero: unknown
+		Dead    bool
+	}
+	// QueryReplied is the reply to a Query effect.
+	QueryReplied struct {
+		Call  CallID
+		Agent structs.Incarnation
+		Reply structs.SettleReply
+	}
+	// QueryAwaited is the reply to a QueryAwait effect.
+	QueryAwaited struct {
+		Call  CallID
+		Agent structs.Incarnation
+		Ref   structs.TaskRef
+		Reply structs.RunReply
+	}
+	// QueryFailed says that a Query or, with Ref set, a QueryAwait effect got
+	// no reply.
+	QueryFailed struct {
+		Call  CallID
+		Agent structs.Incarnation
+		Ref   structs.TaskRef
+	}
 	// DocumentChanged puts a newer revision of a service's document in force.
 	DocumentChanged struct {
 		Record   structs.DocumentRecord
@@ -143,6 +173,20 @@
 		Agent   structs.Incarnation
 		Request structs.SettleRequest
 	}
+	// Query asks an agent about another home's job (Agent.Fence). QueryReplied
+	// or QueryFailed follows.
+	Query struct {
+		Call    CallID
+		Agent   structs.Incarnation
+		Request structs.FenceRequest
+	}
+	// QueryAwait asks for the outcome of another home's task that the agent
+	// holds (Agent.Await). QueryAwaited or QueryFailed follows.
+	QueryAwait struct {
+		Call  CallID
+		Agent structs.Incarnation
+		Ref   structs.TaskRef
+	}
 	// Heartbeat probes an agent (Agent.Heartbeat). AgentObserved or
 	// HeartbeatFailed follows.
 	Heartbeat struct {
@@ -191,6 +235,10 @@
 func (SettleReplied) isEvent()   {}
 func (SettleFailed) isEvent()    {}
 func (HeartbeatFailed) isEvent() {}
+func (RecoverCalled) isEvent()   {}
+func (QueryReplied) isEvent()    {}
+func (QueryAwaited) isEvent()    {}
+func (QueryFailed) isEvent()     {}
 func (DocumentChanged) isEvent() {}
 func (PeersChanged) isEvent()    {}
 func (LeaveRequested) isEvent()  {}
@@ -202,6 +250,8 @@
 func (Run) isEffect()           {}
 func (Await) isEffect()         {}
 func (Settle) isEffect()        {}
+func (Query) isEffect()         {}
+func (QueryAwait) isEffect()    {}
 func (Heartbeat) isEffect()     {}
 func (ConnectAgent) isEffect()  {}
 func (DropAgent) isEffect()     {}
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -59,6 +59,7 @@
 			Agent:     a.info.Incarnation,
 			Task:      ref.Task,
 			Attempt:   ref.Attempt,
+			JobTasks:  len(j.tasks),
 			Spec:      j.specs[index],
 			Service:   j.service.name,
 			Team:      j.team,
@@ -136,8 +137,7 @@
 		r.Error = structs.Errorf(structs.CodeInternal, structs.NotRun, "refused without a reason")
 	}
 	if r.Error.Code == structs.CodeHomeFenced {
-		a.fenced = true
-		c.refreshAgent(a)
+		c.fencedBy(a)
 	}
 	if j.failure != nil || !retryable(r.Error.Code) || t.attempt >= c.cfg.MaxAttempts {
 		c.endTask(j, t, *r)
@@ -148,10 +148,25 @@
 	j.service.queue.pushFront(j, r.Index)
 }
 
-// retryable reports whether another agent may take what one refused.
+// fencedBy handles the news that another entry took this one for dead and
+// fenced it at an agent. It can be a home no longer and leaves, to be replaced
+// by a new run.
+func (c *Coordinator) fencedBy(a *agent) {
+	if !a.fenced {
+		a.fenced = true
+		c.refreshAgent(a)
+		c.emit(LogEvent{Event: "home_fenced", Task: noTask, Agent: a.info.Incarnation, Detail: a.info.Name})
+	}
+	c.leave()
+}
+
+// retryable reports whether another agent may take what one refused. What was
+// refused because this home is fenced must not be placed again: the entry that
+// fenced it may have told the caller that it has not run.
 func retryable(code structs.ErrorCode) bool {
 	switch code {
-	case structs.CodeRejected, structs.CodeInvalid, structs.CodeTooLarge, structs.CodeTimeout:
+	case structs.CodeHomeFenced,
+		structs.CodeRejected, structs.CodeInvalid, structs.CodeTooLarge, structs.CodeTimeout:
 		return false
 	}
 	return true
--- a/coordinator/settle.go
+++ b/coordinator/settle.go
@@ -79,7 +79,10 @@
 func (c *Coordinator) settled(a *agent, ref structs.TaskRef, s *structs.TaskStatus) {
 	switch s.Phase {
 	case structs.TaskFenced:
-		err := structs.Errorf(structs.CodeUnavailable, structs.NotRun, "agent %s has not started it", a.info.Name)
+		err := s.Result.Error
+		if err == nil {
+			err = structs.Errorf(structs.CodeUnavailable, structs.NotRun, "agent %s has not started it", a.info.Name)
+		}
 		c.taskEnded(a, ref, &structs.TaskResult{Verdict: structs.NotRun, Error: err}, placement.Outcome{})
 	case structs.TaskDone:
 		c.taskEnded(a, ref, &s.Result, placement.Outcome{Service: s.ServiceTime})
--- a/coordinator/submit.go
+++ b/coordinator/submit.go
@@ -143,8 +143,11 @@
 func (c *Coordinator) forward(call CallID, op structs.JobOp, id structs.JobID, spec *structs.JobSpec) {
 	home, ok := c.peers[owner(id)]
 	if !ok {
-		c.replyError(call, structs.Errorf(structs.CodeHomeLost, structs.MayHaveRun,
-			"the entry that owns job %s is not known here", id))
+		ev := RecoverCalled{Call: call, ID: id}
+		if spec != nil {
+			ev.Service, ev.Tasks = spec.Service, len(spec.Tasks)
+		}
+		c.recoverJob(ev)
 		return
 	}
 	c.emit(Forward{Call: call, Home: home, Op: op, ID: id, Spec: spec})
@@ -172,6 +175,10 @@
 
 // callGone forgets a waiting caller.
 func (c *Coordinator) callGone(e CallGone) {
+	if r := c.recovers[e.Call]; r != nil {
+		c.abandonRecovery(r, e.Answer)
+		return
+	}
 	j := c.calls[e.Call]
 	if j == nil {
 		return
--- a/entry/agentlink.go
+++ b/entry/agentlink.go
@@ -211,6 +211,39 @@
 	})
 }
 
+// sendQuery sends Agent.Fence.
+func (l *agentLink) sendQuery(q coordinator.Query) {
+	reply := new(structs.SettleReply)
+	failed := func() { l.post(coordinator.QueryFailed{Call: q.Call, Agent: q.Agent}) }
+	l.send(&linkCall{
+		method:  "Fence",
+		args:    &q.Request,
+		reply:   reply,
+		timeout: controlTimeout,
+		notSent: failed,
+		broken:  failed,
+		replied: func() {
+			l.post(coordinator.QueryReplied{Call: q.Call, Agent: q.Agent, Reply: *reply})
+		},
+	})
+}
+
+// sendQueryAwait sends Agent.Await for another home's task.
+func (l *agentLink) sendQueryAwait(q coordinator.QueryAwait) {
+	reply := new(structs.RunReply)
+	failed := func() { l.post(coordinator.QueryFailed{Call: q.Call, Agent: q.Agent, Ref: q.Ref}) }
+	l.send(&linkCall{
+		method:  "Await",
+		args:    &structs.AwaitRequest{Agent: q.Agent, Task: q.Ref.Task, Attempt: q.Ref.Attempt},
+		reply:   reply,
+		notSent: failed,
+		broken:  failed,
+		replied: func() {
+			l.post(coordinator.QueryAwaited{Call: q.Call, Agent: q.Agent, Ref: q.Ref, Reply: *reply})
+		},
+	})
+}
+
 // sendHeartbeat sends Agent.Heartbeat.
 func (l *agentLink) sendHeartbeat(req *structs.HeartbeatRequest) {
 	agent := l.info.Incarnation
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -86,6 +86,14 @@
 		if l := e.links[f.Agent]; l != nil {
 			l.sendSettle(&f.Request)
 		}
+	case coordinator.Query:
+		if l := e.links[f.Agent]; l != nil {
+			l.sendQuery(f)
+		}
+	case coordinator.QueryAwait:
+		if l := e.links[f.Agent]; l != nil {
+			l.sendQueryAwait(f)
+		}
 	case coordinator.Heartbeat:
 		if l := e.links[f.Agent]; l != nil {
 			l.sendHeartbeat(&structs.HeartbeatRequest{
--- a/entry/request.go
+++ b/entry/request.go
@@ -15,9 +15,20 @@
 	id   structs.JobID // zero: submit under a new id
 	spec *structs.JobSpec
 	wait time.Duration // how long to wait for a final state
+	// lost asks the agents in place of the job's home, and homeDead says that
+	// the home's process has ended.
+	lost     bool
+	homeDead bool
 }
 
 func (r *jobRequest) event(call coordinator.CallID) coordinator.Event {
+	if r.lost {
+		ev := coordinator.RecoverCalled{Call: call, ID: r.id, Dead: r.homeDead}
+		if r.spec != nil {
+			ev.Service, ev.Tasks = r.spec.Service, len(r.spec.Tasks)
+		}
+		return ev
+	}
 	switch r.op {
 	case structs.OpSubmit:
 		return coordinator.SubmitCalled{Call: call, ID: r.id, Spec: *r.spec, Wait: r.wait > 0}
@@ -57,14 +68,24 @@
 	}
 }
 
-// doAnywhere runs a job request here or, through a peer, at the job's home.
+// minRecoveryWait is how long agents are asked at least in place of a lost home.
+const minRecoveryWait = 2 * time.Second
+
+// doAnywhere runs a job request here or, through a peer, at the job's home. If
+// the home cannot be reached, the agents are asked.
 func (e *Entry) doAnywhere(ctx context.Context, r *jobRequest) (*structs.JobAnswer, *structs.Error) {
-	switch f := e.do(ctx, r).(type) {
-	case coordinator.Reply:
+	start := time.Now()
+	eff := e.do(ctx, r)
+	if f, ok := eff.(coordinator.Forward); ok {
+		answer, err, homeDead := e.peers.forward(ctx, f, r.wait)
+		if err == nil || err.Code != structs.CodeHomeLost || ctx.Err() != nil {
+			return answer, err
+		}
+		rest := max(r.wait-time.Since(start), minRecoveryWait)
+		eff = e.do(ctx, &jobRequest{op: r.op, id: r.id, spec: r.spec, wait: rest, lost: true, homeDead: homeDead})
+	}
+	if f, ok := eff.(coordinator.Reply); ok {
 		return f.Answer, f.Error
-	case coordinator.Forward:
-		answer, err, _ := e.peers.forward(ctx, f, r.wait)
-		return answer, err
 	}
 	return nil, structs.Errorf(structs.CodeUnavailable, structs.MayHaveRun, "the entry stopped or the caller went")
 }
--- a/executor/home.go
+++ b/executor/home.go
@@ -29,6 +29,13 @@
 	// fences maps a task's index to the newest attempt that never starts here;
 	// nor do the attempts before it.
 	fences map[int]uint32
+	// waited holds the tasks that were queued when their home was closed. Its
+	// home had no evidence against their attempt, so no later one exists.
+	waited map[int]struct{}
+}
+
+func homeFenced() *structs.Error {
+	return structs.Errorf(structs.CodeHomeFenced, structs.NotRun, "the job's home is fenced")
 }
 
 // validIndex reports whether a task with the index can exist at all.
@@ -43,7 +50,7 @@
 		// it must not be false all the same.
 		return structs.Errorf(structs.CodeExpired, structs.MayHaveRun, "the job is older than what is remembered")
 	case h.closed:
-		return structs.Errorf(structs.CodeFenced, structs.NotRun, "the job's home is fenced")
+		return homeFenced()
 	case seq < h.watermark:
 		return structs.Errorf(structs.CodeExpired, structs.NotRun, "the job is settled")
 	case seq <= h.floor:
--- a/executor/record.go
+++ b/executor/record.go
@@ -11,6 +11,7 @@
 type record struct {
 	id       structs.TaskID
 	attempt  uint32
+	jobTasks int
 	phase    structs.TaskPhase
 	spec     structs.TaskSpec // until done
 	team     string
--- a/executor/run.go
+++ b/executor/run.go
@@ -135,6 +135,7 @@
 	r := &record{
 		id:       req.Task,
 		attempt:  req.Attempt,
+		jobTasks: req.JobTasks,
 		phase:    structs.TaskQueued,
 		spec:     req.Spec,
 		team:     req.Team,
--- a/executor/settle.go
+++ b/executor/settle.go
@@ -46,7 +46,7 @@
 func (e *Executor) settleTask(now time.Time, ref structs.TaskRef, mode structs.SettleMode) structs.TaskStatus {
 	r := e.records[ref.Task]
 	if r == nil {
-		return e.settleUnknown(now, ref)
+		return e.withFenceReason(e.settleUnknown(now, ref))
 	}
 	if ref.Attempt < r.attempt {
 		return fencedStatus(ref)
@@ -70,11 +70,21 @@
 	e.emit(StopBackend{Task: r.id})
 }
 
+// withFenceReason adds to a fenced status that the home is closed.
+func (e *Executor) withFenceReason(st structs.TaskStatus) structs.TaskStatus {
+	h := e.homes[st.Task.Job.Home]
+	if st.Phase == structs.TaskFenced && h != nil && h.closed {
+		st.Result.Error = homeFenced()
+	}
+	return st
+}
+
 func statusOf(r *record) structs.TaskStatus {
 	return structs.TaskStatus{
 		Task:        r.id,
 		Attempt:     r.attempt,
 		Phase:       r.phase,
+		JobTasks:    r.jobTasks,
 		Result:      r.result,
 		ServiceTime: r.serviceTime,
 	}
@@ -116,7 +126,7 @@
 func boundStatus(st structs.TaskStatus, room *int) structs.TaskStatus {
 	size := resultSize(&st.Result)
 	if size > *room {
-		return structs.TaskStatus{Task: st.Task, Attempt: st.Attempt, Phase: structs.TaskRunning}
+		return structs.TaskStatus{Task: st.Task, Attempt: st.Attempt, Phase: structs.TaskRunning, JobTasks: st.JobTasks}
 	}
 	*room -= size
 	return st
@@ -128,21 +138,18 @@
 		e.reply(call, &structs.SettleReply{State: e.State()})
 		return
 	}
-	h := e.homeOf(req.Job.Home, now)
+	h := e.homes[req.Job.Home]
+	if req.Close {
+		h = e.homeOf(req.Job.Home, now)
+	}
 	if h == nil {
+		// Without a record nothing can be told of the job.
 		e.reply(call, &structs.SettleReply{State: e.State()})
 		return
 	}
-	if !h.closed {
-		h.closed = true
-		e.emit(LogEvent{Event: "home_fenced", Detail: req.Job.Home.String()})
+	if req.Close {
+		e.closeHome(h, req.Job.Home)
 	}
-	e.dropQueuedIf(func(r *record) *structs.Error {
-		if r.id.Job.Home != req.Job.Home {
-			return nil
-		}
-		return structs.Errorf(structs.CodeFenced, structs.NotRun, "the job's home is fenced")
-	})
 	e.reply(call, &structs.SettleReply{
 		Statuses:  e.statusesOfJob(h, req.Job),
 		Forgotten: req.Job.Seq <= h.forgotten,
@@ -150,6 +157,26 @@
 	})
 }
 
+// closeHome drops the home's queued tasks and lets nothing of it start any more.
+func (e *Executor) closeHome(h *home, id structs.Incarnation) {
+	if h.closed {
+		return
+	}
+	h.closed = true
+	e.emit(LogEvent{Event: "home_fenced", Detail: id.String()})
+	e.dropQueuedIf(func(r *record) *structs.Error {
+		if r.id.Job.Home != id {
+			return nil
+		}
+		j := h.jobs[r.id.Job.Seq]
+		if j.waited == nil {
+			j.waited = make(map[int]struct{})
+		}
+		j.waited[r.id.Index] = struct{}{}
+		return homeFenced()
+	})
+}
+
 // statusesOfJob returns the statuses of the job's known tasks, fenced ones last.
 func (e *Executor) statusesOfJob(h *home, id structs.JobID) []structs.TaskStatus {
 	j := h.jobs[id.Seq]
@@ -163,7 +190,11 @@
 	}
 	for i := range structs.MaxTasksPerJob {
 		if attempt := j.fences[i]; attempt > 0 && e.records[structs.TaskID{Job: id, Index: i}] == nil {
-			statuses = append(statuses, fencedStatus(structs.TaskRef{Task: structs.TaskID{Job: id, Index: i}, Attempt: attempt}))
+			st := fencedStatus(structs.TaskRef{Task: structs.TaskID{Job: id, Index: i}, Attempt: attempt})
+			if _, waited := j.waited[i]; waited {
+				st.Result.Error = homeFenced()
+			}
+			statuses = append(statuses, st)
 		}
 	}
 	return statuses
--- a/structs/rpc.go
+++ b/structs/rpc.go
@@ -25,6 +25,7 @@
 	Agent    Incarnation // the agent run it is meant for
 	Task     TaskID      // Task.Job.Home is the sender
 	Attempt  uint32
+	JobTasks int // tasks of the whole job
 	Spec     TaskSpec
 	Service  string
 	Team     string
@@ -93,10 +94,14 @@
 
 // TaskStatus is the state of one task at an agent.
 type TaskStatus struct {
-	Task        TaskID
-	Attempt     uint32 // the newest attempt the agent knows, as asked if fenced
-	Phase       TaskPhase
-	Result      TaskResult // set if Phase is TaskDone
+	Task     TaskID
+	Attempt  uint32 // the newest attempt the agent knows, as asked if fenced
+	Phase    TaskPhase
+	JobTasks int // tasks of the whole job; zero if fenced
+	// Result is set if Phase is TaskDone. If Phase is TaskFenced, its Error may
+	// tell why; CodeHomeFenced says that the task waited here when its home
+	// was fenced.
+	Result      TaskResult
 	ServiceTime time.Duration
 }
 
@@ -119,12 +124,14 @@
 	Attempt uint32
 }
 
-// FenceRequest closes a home at an agent (Agent.Fence): nothing of that home
-// starts there any more, queued tasks are dropped, running ones go on. The
-// reply carries the statuses of Job's tasks that the agent knows.
+// FenceRequest asks an agent for the statuses of a job's tasks, on behalf of an
+// entry that is not the job's home (Agent.Fence); the reply is a SettleReply.
+// With Close, the home is closed first: nothing of it starts there any more,
+// queued tasks are dropped, running ones go on.
 type FenceRequest struct {
 	Agent Incarnation
-	Job   JobID // Job.Home is the home to fence
+	Job   JobID
+	Close bool
 }
 
 // HeartbeatRequest probes an agent (Agent.Heartbeat) and tells it of the entry.
