--- a/fairqueue/job.go
+++ b/fairqueue/job.go
@@ -18,6 +18,7 @@
 	returned   []T // popped and come back, the last one first
 	tasks      []T
 	head       int
+	counted    int // tasks left, as counted by the team
 	bySize     indexheap.Index
 	byDeadline indexheap.Index
 }
--- a/fairqueue/queue.go
+++ b/fairqueue/queue.go
@@ -17,7 +17,9 @@
 	teams  map[string]*team[T]
 	jobs   map[structs.JobID]*job[T]
 	shares map[string]float64
-	active *indexheap.Heap[*team[T]]
+	// weights is the sum of the shares of the teams with queued tasks.
+	weights float64
+	active  *indexheap.Heap[*team[T]]
 }
 
 // New returns an empty queue that Push fills with at most limit tasks.
@@ -54,11 +56,15 @@
 // SetShare sets a team's weight under contention; the default is 1, and a
 // weight that is not positive takes the default back.
 func (q *Queue[T]) SetShare(name string, weight float64) {
-	if weight <= 0 {
+	before := q.share(name)
+	if weight > 0 {
+		q.shares[name] = weight
+	} else {
 		delete(q.shares, name)
-		return
 	}
-	q.shares[name] = weight
+	if q.teams[name] != nil {
+		q.weights += q.share(name) - before
+	}
 }
 
 // Push adds a task behind the others of its job. It returns false, and adds
@@ -147,6 +153,7 @@
 	if t == nil {
 		t = newTeam[T](name, q.clock)
 		q.teams[name] = t
+		q.weights += q.share(name)
 		q.active.Set(t)
 	}
 	j := q.jobs[id]
@@ -162,6 +169,20 @@
 	delete(q.jobs, j.id)
 	if t.length == 0 {
 		q.active.Remove(t)
+		q.weights -= q.share(t.name)
 		delete(q.teams, t.name)
 	}
 }
+
+// Ahead estimates how many tasks are served before the last one of a new job of
+// n tasks of the team, its own included.
+func (q *Queue[T]) Ahead(name string, n int) float64 {
+	t := q.teams[name]
+	if t == nil {
+		return float64(n) * (q.weights + q.share(name)) / q.share(name)
+	}
+	smaller, larger := t.classes.split(n)
+	own := n + smaller
+	own += min(own, larger)
+	return float64(own) * q.weights / q.share(name)
+}
--- a/fairqueue/team.go
+++ b/fairqueue/team.go
@@ -1,6 +1,10 @@
 package fairqueue
 
-import "github.com/chestnuthollow/chestnuthollow/internal/indexheap"
+import (
+	"math/bits"
+
+	"github.com/chestnuthollow/chestnuthollow/internal/indexheap"
+)
 
 // team holds one team's jobs in two orders. Its turns alternate between them:
 // the job with the fewest tasks left, so that small jobs pass large ones; and
@@ -10,6 +14,7 @@
 	start    float64 // virtual start tag of its next task
 	served   uint64
 	length   int
+	classes  classes
 	index    indexheap.Index
 	smallest *indexheap.Heap[*job[T]]
 	earliest *indexheap.Heap[*job[T]]
@@ -38,11 +43,38 @@
 }
 
 func (t *team[T]) place(j *job[T]) {
+	t.classes.move(&j.counted, j.len())
 	t.smallest.Set(j)
 	t.earliest.Set(j)
 }
 
 func (t *team[T]) remove(j *job[T]) {
+	t.classes.move(&j.counted, 0)
 	t.smallest.Remove(j)
 	t.earliest.Remove(j)
 }
+
+// classes counts a team's tasks by the magnitude of what their job has left.
+type classes [16]int
+
+func classOf(n int) int { return min(bits.Len(uint(n)), len(classes{})-1) }
+
+// move counts a job that has n tasks left, in place of those counted before.
+func (c *classes) move(counted *int, n int) {
+	c[classOf(*counted)] -= *counted
+	c[classOf(n)] += n
+	*counted = n
+}
+
+// split returns the tasks of jobs that are not larger than n, by magnitude, and
+// of those that are.
+func (c *classes) split(n int) (smaller, larger int) {
+	for i, tasks := range c {
+		if i <= classOf(n) {
+			smaller += tasks
+		} else {
+			larger += tasks
+		}
+	}
+	return smaller, larger
+}
