Entry: quotas, overload refusals, retry budget and recall from stragglers

Admission refuses at once what would wait longer than MaxQueueWait behind others, or past its timeout, from the tasks ahead and the rate at which tasks end; Retry-After is a promise that newcomers do not take. Placing again is bounded by the retry budget. What waits at an agent for two mean service times is recalled in one message when another agent would take it.

--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/document"
+	"github.com/chestnuthollow/chestnuthollow/quota"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -27,6 +28,13 @@
 	if err := c.checkCapacity(svc, spec); err != nil {
 		return err
 	}
+	key := quota.Key(j.fingerprint)
+	if err := c.checkQueue(svc, spec, key); err != nil {
+		return err
+	}
+	if err := svc.limiter.Admit(c.now, spec.Team, key, len(spec.Tasks)); err != nil {
+		return err
+	}
 	j.service = svc
 	return nil
 }
--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -28,6 +28,7 @@
 	settle   map[structs.TaskRef]structs.SettleMode
 	asked    map[structs.TaskRef]structs.SettleMode
 	settleAt time.Time
+	recalled time.Time // when waiting tasks were last asked back
 }
 
 // usable reports whether the agent may get new work.
@@ -207,6 +208,7 @@
 	delete(a.calls, ref)
 	delete(a.settle, ref)
 	o.Took = now.Sub(sent)
+	a.service.drain.ended(now, o.Service)
 	a.service.policy.Finished(now, a.info.Incarnation, o)
 }
 
--- a/coordinator/config.go
+++ b/coordinator/config.go
@@ -32,6 +32,12 @@
 	MaxAnswers      int // final answers kept
 	MaxHeldBytes    int // payloads and results together
 	MaxAttempts     uint32
+
+	// MaxQueueWait is how long a job may be expected to wait for its turn
+	// behind others at admission.
+	MaxQueueWait time.Duration
+	// NoRecall leaves tasks that wait at stragglers there.
+	NoRecall bool
 }
 
 // Default parameters.
@@ -45,6 +51,7 @@
 	defaultAgentLostAfter  = 15 * time.Second
 	defaultSettleRetry     = 500 * time.Millisecond
 	defaultFailSettleBound = time.Second
+	defaultMaxQueueWait    = time.Second
 
 	defaultMaxReserve      = 4096
 	defaultMaxReservations = 1 << 16
@@ -67,6 +74,7 @@
 	orDefault(&c.ProbeAfter, defaultProbeAfter)
 	orDefault(&c.AgentLostAfter, defaultAgentLostAfter)
 	orDefault(&c.SettleRetry, defaultSettleRetry)
+	orDefault(&c.MaxQueueWait, defaultMaxQueueWait)
 	orDefault(&c.FailSettleBound, defaultFailSettleBound)
 	orDefault(&c.MaxReserve, defaultMaxReserve)
 	orDefault(&c.MaxReservations, defaultMaxReservations)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -122,4 +122,7 @@
 			c.peers[e.Incarnation] = e
 		}
 	}
+	for _, svc := range c.services {
+		svc.limiter.SetEntries(c.now, len(c.peers)+1)
+	}
 }
--- a/coordinator/finish.go
+++ b/coordinator/finish.go
@@ -26,6 +26,7 @@
 	t.result = r
 	j.left--
 	c.openTasks--
+	j.service.limiter.Done(j.team, 1)
 }
 
 // fail gives a job up: what waits never starts, what is placed is recalled, and
@@ -158,10 +159,19 @@
 	for _, a := range append([]*agent(nil), c.order...) {
 		c.tickAgent(a)
 	}
+	c.tickServices()
 	c.forgetAnswers()
 	c.advanceWatermark()
 }
 
+func (c *Coordinator) tickServices() {
+	for _, svc := range c.services {
+		svc.retries.Trickle()
+		svc.limiter.Expire(c.now)
+		c.recallStragglers(svc)
+	}
+}
+
 // tickJobs fails jobs past their timeout and closes failing ones.
 func (c *Coordinator) tickJobs() {
 	for _, j := range c.compactOpen() {
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -10,6 +10,9 @@
 
 // placeAll sends waiting tasks to agents as far as the policies allow.
 func (c *Coordinator) placeAll() {
+	for _, svc := range c.services {
+		svc.releaseDelayed()
+	}
 	for _, svc := range c.sortedServices() {
 		for c.placeNext(svc) {
 		}
@@ -52,6 +55,7 @@
 	t.agent = a.info.Incarnation
 	ref := j.ref(index)
 	a.calls[ref] = c.now
+	a.service.drain.placed++
 	a.service.policy.Dispatched(c.now, a.info.Incarnation)
 	c.emit(Run{
 		Agent: a.info.Incarnation,
@@ -143,9 +147,7 @@
 		c.endTask(j, t, *r)
 		return
 	}
-	t.phase = waiting
-	t.agent = 0
-	j.service.queue.pushFront(j, r.Index)
+	c.taskReturns(j, r.Index)
 }
 
 // retryable reports whether another agent may take what one refused.
--- a/coordinator/service.go
+++ b/coordinator/service.go
@@ -5,6 +5,8 @@
 
 	"github.com/chestnuthollow/chestnuthollow/document"
 	"github.com/chestnuthollow/chestnuthollow/placement"
+	"github.com/chestnuthollow/chestnuthollow/quota"
+	"github.com/chestnuthollow/chestnuthollow/retry"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -16,6 +18,12 @@
 	policy placement.Policy
 	agents []*agent
 	queue  queue
+	drain  drain
+
+	limiter  *quota.Limiter
+	promises *quota.Promises // to jobs refused for want of capacity
+	retries  *retry.Budget
+	delayed  []queued // tasks that wait for the retry budget
 }
 
 // service returns the named service, made at first mention.
@@ -23,7 +31,15 @@
 	svc := c.services[name]
 	if svc == nil {
 		seed := c.cfg.Seed + uint64(len(c.services))
-		svc = &service{name: name, policy: c.cfg.NewPolicy(seed), queue: newQueue(c.cfg.MaxOpenTasks)}
+		svc = &service{
+			name:     name,
+			policy:   c.cfg.NewPolicy(seed),
+			queue:    newQueue(c.cfg.MaxOpenTasks),
+			limiter:  quota.New(),
+			promises: quota.NewPromises(),
+			retries:  retry.NewBudget(0),
+		}
+		svc.limiter.SetEntries(c.now, len(c.peers)+1)
 		c.services[name] = svc
 	}
 	return svc
@@ -51,7 +67,7 @@
 		return
 	}
 	svc.record = e.Record
-	svc.doc = e.Document
+	svc.setDocument(c.now, e.Document)
 	c.emit(LogEvent{Event: "document_in_force", Task: noTask, Detail: svc.name})
 	for _, a := range svc.agents {
 		c.refreshAgent(a)
@@ -59,6 +75,21 @@
 	}
 }
 
+// setDocument takes the limits and shares of a document over.
+func (s *service) setDocument(now time.Time, doc *document.Document) {
+	if s.doc != nil {
+		for team := range s.doc.Teams {
+			s.queue.SetShare(team, 0)
+		}
+	}
+	for team, q := range doc.Teams {
+		s.queue.SetShare(team, q.Share)
+	}
+	s.doc = doc
+	s.limiter.SetDocument(now, doc)
+	s.retries.SetShare(doc.Limits.Retries)
+}
+
 // exchangeDocument sends the agent the revision it lacks, or fetches the one it
 // has and this entry lacks.
 func (c *Coordinator) exchangeDocument(a *agent) {
--- a/coordinator/submit.go
+++ b/coordinator/submit.go
@@ -84,12 +84,8 @@
 
 // start makes an admitted job run.
 func (c *Coordinator) start(j *job, spec *structs.JobSpec) {
-	timeout := spec.Timeout
-	if timeout == 0 {
-		timeout = c.cfg.DefaultTimeout
-	}
 	j.specs = spec.Tasks
-	j.deadline = c.now.Add(timeout)
+	j.deadline = c.now.Add(c.timeout(spec))
 	j.state = structs.JobRunning
 	j.tasks = make([]task, len(spec.Tasks))
 	j.left = len(j.tasks)
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -9,6 +9,8 @@
 	DefaultShare = 0.2
 	// Reserve is how many retries a budget holds at most and at the start.
 	Reserve = 64
+	// trickle is what one tick adds.
+	trickle = 0.1
 )
 
 // Budget gives out retries: each success earns a share of one, up to a reserve.
@@ -48,6 +50,10 @@
 	b.balance = min(b.balance+b.share, Reserve)
 }
 
+// Trickle refills the budget a little without a success, so that a service
+// that comes back is found out. It is called at each tick of the entry.
+func (b *Budget) Trickle() { b.balance = min(b.balance+trickle, Reserve) }
+
 // Take spends one retry. It returns false if the budget is used up.
 func (b *Budget) Take() bool {
 	if b.balance < 1 {
