--- a/coordinator/session_test.go
+++ b/coordinator/session_test.go
@@ -123,8 +123,8 @@
 	s.note("a job of two tasks runs")
 	s.step(ReserveCalled{Call: 1, Count: 2})
 	s.step(SubmitCalled{Call: 2, ID: jobID(1), Spec: spec(2), Wait: true})
-	s.after(20 * time.Millisecond).ran(agentA, refOf(1, 1, 1))
-	s.after(5 * time.Millisecond).ran(agentA, refOf(1, 0, 1))
+	s.after(20*time.Millisecond).ran(agentA, refOf(1, 1, 1))
+	s.after(5*time.Millisecond).ran(agentA, refOf(1, 0, 1))
 
 	s.note("submitted again, it is the same job; other content is refused")
 	s.step(SubmitCalled{Call: 3, ID: jobID(1), Spec: spec(2)})
