--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,69 @@
+package settings
+
+import (
+	"fmt"
+	"mime"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+)
+
+// Problem is one value that fails its check.
+type Problem struct {
+	Key    string // dotted
+	Value  any
+	Reason string
+}
+
+// String returns the problem as "key = value: reason".
+func (p Problem) String() string { return fmt.Sprintf("%s = %v: %s", p.Key, p.Value, p.Reason) }
+
+// Check checks v, a pointer to a struct whose fields carry toml and validator
+// tags. Besides the library's own tags there are "name" (see ValidName),
+// "ipport" (an IP address and a port), "mediatype" (such as
+// "application/json") and "longest" (a duration from zero to the parameter).
+func Check(v any) []Problem {
+	err := checker.Struct(v)
+	if err == nil {
+		return nil
+	}
+	fields, ok := err.(validator.ValidationErrors)
+	if !ok {
+		panic(err) // v is no struct
+	}
+	problems := make([]Problem, 0, len(fields))
+	for _, f := range fields {
+		_, key, _ := strings.Cut(f.Namespace(), ".")
+		problems = append(problems, Problem{Key: key, Value: f.Value(), Reason: reason(f)})
+	}
+	return problems
+}
+
+var checker = newValidator()
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(tomlName)
+	must(v.RegisterValidation("name", func(f validator.FieldLevel) bool {
+		return ValidName(f.Field().String())
+	}))
+	must(v.RegisterValidation("ipport", func(f validator.FieldLevel) bool {
+		return validIPPort(f.Field().String())
+	}))
+	must(v.RegisterValidation("mediatype", func(f validator.FieldLevel) bool {
+		_, _, err := mime.ParseMediaType(f.Field().String())
+		return err == nil
+	}))
+	must(v.RegisterValidation("longest", func(f validator.FieldLevel) bool {
+		return f.Field().Kind() == reflect.Int64 && validDuration(f.Field().Int(), f.Param())
+	}))
+	return v
+}
+
+func validDuration(d int64, longest string) bool {
+	limit, err := time.ParseDuration(longest)
+	must(err)
+	return d >= 0 && d <= int64(limit)
+}
--- a/internal/settings/reason.go
+++ b/internal/settings/reason.go
@@ -28,6 +28,10 @@
 		return "want at most " + f.Param()
 	case "oneof":
 		return "want one of " + f.Param()
+	case "mediatype":
+		return "want a media type, such as application/json"
+	case "longest":
+		return "want 0s to " + f.Param()
 	case "url", "http_url":
 		return "want an http URL"
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,11 +8,9 @@
 	"net"
 	"os"
 	"regexp"
-	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
-	"github.com/go-playground/validator/v10"
 )
 
 // Duration is a time.Duration in TOML's text form, such as "250ms".
@@ -59,41 +57,12 @@
 	for _, key := range meta.Undecoded() {
 		problems = append(problems, fmt.Errorf("settings %s: unknown key %s", path, key))
 	}
-	for _, p := range check(dst) {
-		problems = append(problems, fmt.Errorf("settings %s: %w", path, p))
+	for _, p := range Check(dst) {
+		problems = append(problems, fmt.Errorf("settings %s: %s", path, p))
 	}
 	return errors.Join(problems...)
 }
 
-func check(v any) []error {
-	err := newValidator().Struct(v)
-	var fields validator.ValidationErrors
-	if !errors.As(err, &fields) {
-		if err != nil {
-			return []error{err}
-		}
-		return nil
-	}
-	problems := make([]error, 0, len(fields))
-	for _, f := range fields {
-		_, key, _ := strings.Cut(f.Namespace(), ".")
-		problems = append(problems, fmt.Errorf("%s = %v: %s", key, f.Value(), reason(f)))
-	}
-	return problems
-}
-
-func newValidator() *validator.Validate {
-	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(tomlName)
-	must(v.RegisterValidation("name", func(f validator.FieldLevel) bool {
-		return ValidName(f.Field().String())
-	}))
-	must(v.RegisterValidation("ipport", func(f validator.FieldLevel) bool {
-		return validIPPort(f.Field().String())
-	}))
-	return v
-}
-
 func validIPPort(s string) bool {
 	host, port, err := net.SplitHostPort(s)
 	if err != nil || net.ParseIP(host) == nil {
