--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -28,6 +28,7 @@
 	settle   map[structs.TaskRef]structs.SettleMode
 	asked    map[structs.TaskRef]structs.SettleMode
 	settleAt time.Time
+	recalled time.Time // when waiting tasks were last asked back
 }
 
 // usable reports whether the agent may get new work.
@@ -191,6 +192,7 @@
 	a.service.agents = without(a.service.agents, a)
 	a.service.policy.Remove(id)
 	c.emit(DropAgent{Agent: id})
+	c.dropFromRecoveries(id)
 	c.emit(LogEvent{Event: "agent_gone", Task: noTask, Agent: id, Detail: a.info.Name + ": " + why})
 	for _, ref := range sortedRefs(a.calls) {
 		err := structs.Errorf(structs.CodeAgentLost, structs.MayHaveRun, "agent %s is %s", a.info.Name, why)
@@ -207,6 +209,7 @@
 	delete(a.calls, ref)
 	delete(a.settle, ref)
 	o.Took = now.Sub(sent)
+	a.service.drain.ended(now, o.Service)
 	a.service.policy.Finished(now, a.info.Incarnation, o)
 }
 
--- a/coordinator/submit.go
+++ b/coordinator/submit.go
@@ -84,12 +84,8 @@
 
 // start makes an admitted job run.
 func (c *Coordinator) start(j *job, spec *structs.JobSpec) {
-	timeout := spec.Timeout
-	if timeout == 0 {
-		timeout = c.cfg.DefaultTimeout
-	}
 	j.specs = spec.Tasks
-	j.deadline = c.now.Add(timeout)
+	j.deadline = c.now.Add(c.timeout(spec))
 	j.state = structs.JobRunning
 	j.tasks = make([]task, len(spec.Tasks))
 	j.left = len(j.tasks)
@@ -143,8 +139,11 @@
 func (c *Coordinator) forward(call CallID, op structs.JobOp, id structs.JobID, spec *structs.JobSpec) {
 	home, ok := c.peers[owner(id)]
 	if !ok {
-		c.replyError(call, structs.Errorf(structs.CodeHomeLost, structs.MayHaveRun,
-			"the entry that owns job %s is not known here", id))
+		ev := RecoverCalled{Call: call, ID: id}
+		if spec != nil {
+			ev.Service, ev.Tasks = spec.Service, len(spec.Tasks)
+		}
+		c.recoverJob(ev)
 		return
 	}
 	c.emit(Forward{Call: call, Home: home, Op: op, ID: id, Spec: spec})
@@ -172,6 +171,10 @@
 
 // callGone forgets a waiting caller.
 func (c *Coordinator) callGone(e CallGone) {
+	if r := c.recovers[e.Call]; r != nil {
+		c.abandonRecovery(r, e.Answer)
+		return
+	}
 	j := c.calls[e.Call]
 	if j == nil {
 		return
