--- a/client/options.go
+++ b/client/options.go
@@ -40,6 +40,8 @@
 	// HTTP sends the requests. The default goes straight to the entries,
 	// without a proxy. A redirect is never followed.
 	HTTP *http.Client
+	// PublishToken is what the entries ask of operators who publish.
+	PublishToken string
 	// ReserveBlock is how many ids are reserved at once.
 	ReserveBlock int
 	// ReserveLife is how long an unused id is kept. An old one is likelier to
--- a/client/send.go
+++ b/client/send.go
@@ -25,6 +25,7 @@
 	path   string // with query
 	body   []byte
 	wait   time.Duration // how long the entry may hold the request
+	token  string        // for publishing; empty for none
 }
 
 // reply is what became of a request: an HTTP answer whose body is JSON, or an
@@ -79,6 +80,9 @@
 	if len(r.body) > 0 {
 		req.Header.Set("Content-Type", "application/json")
 	}
+	if r.token != "" {
+		req.Header.Set("Authorization", "Bearer "+r.token)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return reply{err: err}
--- a/client/service.go
+++ b/client/service.go
@@ -44,7 +44,13 @@
 		return nil, err
 	}
 	var rec structs.DocumentRecord
-	r := request{method: http.MethodPut, path: servicePath(service), body: body, wait: c.opts.PollWait}
+	r := request{
+		method: http.MethodPut,
+		path:   servicePath(service),
+		body:   body,
+		wait:   c.opts.PollWait,
+		token:  c.opts.PublishToken,
+	}
 	if _, err = c.call(ctx, r, &rec); err == nil {
 		return &rec, nil
 	}
--- a/client/submission.go
+++ b/client/submission.go
@@ -25,6 +25,8 @@
 	id     structs.JobID
 	pinned bool      // the id is the caller's
 	via    *endpoint // preferred
+	// detached says that the caller does not wait for the final answer.
+	detached bool
 
 	attempts int
 	accepted bool // an entry has said that the job runs
@@ -42,6 +44,9 @@
 		if answer != nil && answer.State.Final() {
 			return s.finish(answer)
 		}
+		if answer != nil && s.detached {
+			return answer, nil
+		}
 		if answer != nil {
 			s.noteRunning(answer)
 			if err := sleep(ctx, s.c.opts.MinBackoff); err != nil {
@@ -92,6 +97,9 @@
 
 func (s *submission) request() request {
 	wait := s.c.opts.PollWait
+	if s.detached {
+		wait = 0
+	}
 	r := request{method: http.MethodPut, path: jobPath(s.id, wait), body: s.body, wait: wait}
 	if s.accepted {
 		r.method, r.body = http.MethodGet, nil
--- a/client/submit.go
+++ b/client/submit.go
@@ -27,6 +27,12 @@
 	return func(s *submission) { s.progress = f }
 }
 
+// WithoutWaiting has Submit return as soon as an entry has taken the job; Get
+// fetches the answer.
+func WithoutWaiting() SubmitOption {
+	return func(s *submission) { s.detached = true }
+}
+
 // Submit runs a job and returns its whole answer. If an answer is lost, it
 // submits the job again under the same id, through any entry. It takes another
 // id only if the first one certainly never runs. A job that does not complete
--- a/cmd/chestnuthollow/main.go
+++ b/cmd/chestnuthollow/main.go
@@ -1,4 +1,15 @@
 // Command chestnuthollow is the command line for callers and operators.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+
+	"github.com/chestnuthollow/chestnuthollow/command"
+	"github.com/chestnuthollow/chestnuthollow/internal/exit"
+)
+
+func main() {
+	ctx := exit.OnSignal(context.Background(), func() { os.Exit(exit.Failure) })
+	os.Exit(exit.Run(ctx, command.New(os.Stdin, os.Stdout, os.Stderr), os.Args))
+}
--- /dev/null
+++ b/command/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon is the command line of chestnuthollowd: one file per role.
+package daemon
--- /dev/null
+++ b/command/job_cancel.go
@@ -0,0 +1,29 @@
+package command
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+)
+
+func jobCancelCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "cancel",
+		Usage:     "cancel a job",
+		ArgsUsage: "ID",
+		Description: `Cancels a job and prints its final answer. Tasks that have not started never
+start; started ones finish or are stopped, as the service's document says.
+The exit status tells the outcome: 3 if no task ran, 5 if one did, 4 if one may
+have, and 0 if the job was complete before.`,
+		Action: action([]string{"ID"}, cancelJob),
+	}
+}
+
+func cancelJob(ctx context.Context, c *cli.Command, s *session) error {
+	id, err := parseJobID(c)
+	if err != nil {
+		return err
+	}
+	a, err := s.client.Cancel(ctx, id)
+	return s.finishJob(a, err, false)
+}
--- /dev/null
+++ b/command/service_drain.go
@@ -0,0 +1,89 @@
+package command
+
+import (
+	"context"
+	"slices"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/chestnuthollow/chestnuthollow/document"
+	"github.com/chestnuthollow/chestnuthollow/internal/exit"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// Names of the flags of service drain.
+const (
+	flagAgent = "agent"
+	flagUndo  = "undo"
+)
+
+const serviceDrainDescription = `Publishes a revision in which the service, or with --agent single backend
+servers, take no new work; started tasks finish. --undo takes it back. Only the
+leave table of the document is changed.
+
+   chestnuthollow service drain --wait booking
+   chestnuthollow service drain --agent booking-3 --agent booking-4 booking
+   chestnuthollow service drain --undo --agent booking-3 booking`
+
+func serviceDrainCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "drain",
+		Usage:       "let a service or single backend servers leave",
+		ArgsUsage:   "NAME",
+		Description: serviceDrainDescription,
+		Flags: append(publishFlags(),
+			&cli.StringSliceFlag{Name: flagAgent, Usage: "`NAME` of the agent beside a backend server; may be repeated"},
+			&cli.BoolFlag{Name: flagUndo, Usage: "take new work again"},
+		),
+		Action: action([]string{"NAME"}, drainService),
+	}
+}
+
+func drainService(ctx context.Context, c *cli.Command, s *session) error {
+	name := c.Args().First()
+	rec, err := s.client.Service(ctx, name)
+	if err != nil {
+		return s.failRead(err)
+	}
+	text, err := drained(rec.Text, c.StringSlice(flagAgent), !c.Bool(flagUndo))
+	if err != nil {
+		return exit.With(exit.Failure, err)
+	}
+	if text == rec.Text {
+		s.printf("service %s: nothing to change in revision %d\n", name, rec.Revision)
+		return s.printJSON(published{Record: *rec})
+	}
+	return s.publish(ctx, c, name, structs.Edit{Base: rec.Revision, Text: text})
+}
+
+// drained returns the document's text with the service, or the named agents,
+// leaving or not.
+func drained(text string, agents []string, leave bool) (string, error) {
+	doc, err := document.Parse(text)
+	if err != nil {
+		return "", err
+	}
+	if len(agents) == 0 {
+		if doc.Leave.Drain == leave {
+			return text, nil
+		}
+		return setLeave(text, "drain", tomlBool(leave), func(l *document.Leave) { l.Drain = leave })
+	}
+	leaving := leavingAgents(doc.Leave.BackendServers, agents, leave)
+	if slices.Equal(leaving, doc.Leave.BackendServers) {
+		return text, nil
+	}
+	return setLeave(text, "backend_servers", tomlStrings(leaving), func(l *document.Leave) { l.BackendServers = leaving })
+}
+
+// leavingAgents adds agents to the list or takes them out.
+func leavingAgents(list, agents []string, leave bool) []string {
+	out := slices.Clone(list)
+	for _, a := range agents {
+		out = slices.DeleteFunc(out, func(s string) bool { return s == a })
+		if leave {
+			out = append(out, a)
+		}
+	}
+	return out
+}
