Entry: say at a graceful stop which ids were never submitted; linger; keep agents' records longer

A client that holds reserved ids of a replaced entry was told may_have_run of jobs that it had never submitted, with every rolling replacement. A draining entry now tells its peers which of its ids were never submitted (it admits nothing any more, so they never start), and they answer not_run. It also goes on answering for its jobs for a while, and the watermark stays ten seconds behind, so that a job whose answer was lost in a crash can be recovered from the agents.

--- a/coordinator/config.go
+++ b/coordinator/config.go
@@ -24,6 +24,7 @@
 	AgentLostAfter  time.Duration // silence after which its tasks are given up
 	SettleRetry     time.Duration // between attempts to settle with an agent
 	FailSettleBound time.Duration // how long a failing job waits to learn its tasks' verdicts
+	WatermarkLag    time.Duration // how long agents keep what they know of a final job
 
 	MaxReserve      int // ids per reservation
 	MaxReservations int // reserved and unsubmitted ids
@@ -51,6 +52,7 @@
 	defaultAgentLostAfter  = 15 * time.Second
 	defaultSettleRetry     = 500 * time.Millisecond
 	defaultFailSettleBound = time.Second
+	defaultWatermarkLag    = 10 * time.Second
 	defaultMaxQueueWait    = time.Second
 
 	defaultMaxReserve      = 4096
@@ -76,6 +78,7 @@
 	orDefault(&c.SettleRetry, defaultSettleRetry)
 	orDefault(&c.MaxQueueWait, defaultMaxQueueWait)
 	orDefault(&c.FailSettleBound, defaultFailSettleBound)
+	orDefault(&c.WatermarkLag, defaultWatermarkLag)
 	orDefault(&c.MaxReserve, defaultMaxReserve)
 	orDefault(&c.MaxReservations, defaultMaxReservations)
 	orDefault(&c.MaxOpenJobs, defaultMaxOpenJobs)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -16,6 +16,8 @@
 	finals   []uint64        // sequences of final jobs, oldest first
 	calls    map[CallID]*job // callers that wait
 	recovers map[CallID]*recovery
+	closed   map[structs.Incarnation]structs.ClosedReport
+	closedBy []structs.Incarnation // keys of closed, oldest first
 	services map[string]*service
 	agents   map[structs.Incarnation]*agent
 	order    []*agent // agents in the order of their arrival
@@ -40,6 +42,7 @@
 		jobs:     make(map[uint64]*job),
 		calls:    make(map[CallID]*job),
 		recovers: make(map[CallID]*recovery),
+		closed:   make(map[structs.Incarnation]structs.ClosedReport),
 		services: make(map[string]*service),
 		agents:   make(map[structs.Incarnation]*agent),
 		peers:    make(map[structs.Incarnation]structs.EntryInfo),
@@ -80,6 +83,8 @@
 		c.heartbeatFailed(e.Agent)
 	case RecoverCalled:
 		c.recoverJob(e)
+	case HomeClosed:
+		c.homeClosed(e.Report)
 	case QueryReplied:
 		c.queryReplied(e)
 	case QueryAwaited:
@@ -120,7 +125,11 @@
 		return
 	}
 	c.drained = true
-	c.emit(Drained{})
+	c.emit(Drained{Report: structs.ClosedReport{
+		Home:        c.cfg.Self.Incarnation,
+		Next:        c.ids.next,
+		Unsubmitted: c.ids.unsubmitted(),
+	}})
 }
 
 // peersChanged replaces the known entries. The own announcement is no peer.
--- a/coordinator/ids.go
+++ b/coordinator/ids.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/structs"
@@ -87,15 +89,39 @@
 	return nil
 }
 
+// maxRanges bounds what is told of unsubmitted sequences.
+const maxRanges = 1024
+
+// unsubmitted returns the reserved sequences as ranges in order, cut off after
+// maxRanges.
+func (s *ids) unsubmitted() []structs.SeqRange {
+	var ranges []structs.SeqRange
+	for _, seq := range slices.Sorted(maps.Keys(s.reserved)) {
+		last := len(ranges) - 1
+		if last >= 0 && ranges[last].Last+1 == seq {
+			ranges[last].Last = seq
+			continue
+		}
+		if len(ranges) == maxRanges {
+			break
+		}
+		ranges = append(ranges, structs.SeqRange{First: seq, Last: seq})
+	}
+	return ranges
+}
+
 // advanceWatermark moves the watermark past settled sequences. The watermark
 // never passes a sequence that may still be submitted or has an unsettled task.
+// It stays behind by WatermarkLag, for as long as the agents keep their records
+// another entry can recover the job.
 func (c *Coordinator) advanceWatermark() {
+	settled := c.now.Add(-c.cfg.WatermarkLag)
 	for c.ids.watermark < c.ids.next {
 		seq := c.ids.watermark
 		if _, open := c.ids.reserved[seq]; open {
 			return
 		}
-		if j := c.jobs[seq]; j != nil && !j.settled() {
+		if j := c.jobs[seq]; j != nil && !j.settledBy(settled) {
 			return
 		}
 		c.ids.watermark++
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -60,8 +60,11 @@
 	}
 }
 
-// settled reports whether no agent may ever be asked about the job again.
-func (j *job) settled() bool { return j.state.Final() }
+// settledBy reports whether the job was final at t. No agent is asked about a
+// final job.
+func (j *job) settledBy(t time.Time) bool {
+	return j.state.Final() && !j.finalAt.After(t)
+}
 
 // answer returns the job's answer as it stands.
 func (j *job) answer() *structs.JobAnswer {
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -92,6 +92,8 @@
 		Tasks   int    // of the job; zero: unknown
 		Dead    bool
 	}
+	// HomeClosed takes in what another entry said when it ended gracefully.
+	HomeClosed struct{ Report structs.ClosedReport }
 	// QueryReplied is the reply to a Query effect.
 	QueryReplied struct {
 		Call  CallID
@@ -209,8 +211,9 @@
 		Agent   structs.Incarnation
 		Service string
 	}
-	// Drained says that a graceful stop is complete: no job is open.
-	Drained struct{}
+	// Drained says that a graceful stop is complete: no job is open. The report
+	// is for the peers.
+	Drained struct{ Report structs.ClosedReport }
 	// LogEvent is one line for the log.
 	LogEvent struct {
 		Event   string
@@ -236,6 +239,7 @@
 func (SettleFailed) isEvent()    {}
 func (HeartbeatFailed) isEvent() {}
 func (RecoverCalled) isEvent()   {}
+func (HomeClosed) isEvent()      {}
 func (QueryReplied) isEvent()    {}
 func (QueryAwaited) isEvent()    {}
 func (QueryFailed) isEvent()     {}
--- a/coordinator/recovery.go
+++ b/coordinator/recovery.go
@@ -36,8 +36,29 @@
 	known   map[int]structs.TaskStatus // newest attempt of each task
 }
 
-// recoverJob starts a recovery.
+// maxClosed bounds the reports kept of entries that have ended.
+const maxClosed = 256
+
+// homeClosed remembers the last word of another entry.
+func (c *Coordinator) homeClosed(r structs.ClosedReport) {
+	if _, known := c.closed[r.Home]; known {
+		return
+	}
+	c.closed[r.Home] = r
+	c.closedBy = append(c.closedBy, r.Home)
+	if len(c.closedBy) > maxClosed {
+		delete(c.closed, c.closedBy[0])
+		c.closedBy = c.closedBy[1:]
+	}
+}
+
+// recoverJob starts a recovery, unless the home said that it never took the job.
 func (c *Coordinator) recoverJob(e RecoverCalled) {
+	if report, ok := c.closed[owner(e.ID)]; ok && report.Covers(e.ID.Seq) {
+		c.replyError(e.Call, structs.Errorf(structs.CodeExpired, structs.NotRun,
+			"the entry that reserved job %s has left without having taken it", e.ID))
+		return
+	}
 	agents := c.agentsOf(e.Service)
 	if len(agents) == 0 {
 		c.replyError(e.Call, homeLost(e.ID))
--- a/coordinator/submit.go
+++ b/coordinator/submit.go
@@ -38,6 +38,12 @@
 		c.resubmit(e, j)
 		return
 	}
+	if _, reserved := c.ids.reserved[e.ID.Seq]; reserved && c.leaving {
+		// The id stays reserved, to be reported as never submitted. A leaving
+		// entry admits nothing any more.
+		c.replyError(e.Call, c.leavingError())
+		return
+	}
 	if !c.ids.claim(e.ID.Seq) {
 		c.replyError(e.Call, c.unknownID(e.ID))
 		return
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,7 +11,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -49,7 +48,7 @@
 	httpLn  net.Listener
 	http    *http.Server
 	drained chan struct{}
-	drain   sync.Once
+	closing structs.ClosedReport // set before drained is closed
 
 	inspect chan func(*coordinator.Coordinator) // runs in the loop
 	stopped chan struct{}                       // closed when the loop ends
@@ -170,6 +169,10 @@
 	e.mail.post(coordinator.LeaveRequested{})
 	e.docs.leave()
 	err := e.awaitDrained()
+	if err == nil {
+		e.peers.tellClosed(&e.closing)
+		e.linger()
+	}
 	e.shutdown()
 	cancel()
 	<-e.stopped
@@ -186,6 +189,12 @@
 	}
 }
 
+// linger goes on answering for the jobs of this run, for callers whose answer
+// was lost.
+func (e *Entry) linger() {
+	time.Sleep(time.Duration(e.opts.StopLinger))
+}
+
 // shutdown lets the replies under way go out.
 func (e *Entry) shutdown() {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -63,7 +63,8 @@
 			delete(e.links, f.Agent)
 		}
 	case coordinator.Drained:
-		e.drain.Do(func() { close(e.drained) })
+		e.closing = f.Report
+		close(e.drained)
 	case coordinator.LogEvent:
 		e.logEvent(f)
 	default:
--- a/entry/options.go
+++ b/entry/options.go
@@ -24,6 +24,8 @@
 
 	MaxWait      settings.Duration `toml:"max_wait"`      // a caller may hold a request open
 	DrainTimeout settings.Duration `toml:"drain_timeout"` // of a graceful stop
+	// StopLinger is how long a stopped entry goes on answering for its jobs.
+	StopLinger   settings.Duration `toml:"stop_linger" validate:"min=0"`
 	MaxOpenJobs  int               `toml:"max_open_jobs" validate:"min=1,max=1000000"`
 	MaxOpenTasks int               `toml:"max_open_tasks" validate:"min=1,max=10000000"`
 	// Seed feeds the random choices of placement; 0 draws one at start.
@@ -41,6 +43,7 @@
 		LogLevel:     "info",
 		MaxWait:      settings.Duration(60 * time.Second),
 		DrainTimeout: settings.Duration(60 * time.Second),
+		StopLinger:   settings.Duration(5 * time.Second),
 		MaxOpenJobs:  10_000,
 		MaxOpenTasks: 50_000,
 	}
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -75,6 +75,7 @@
 	opts := entry.DefaultOptions()
 	opts.Name, opts.Zone, opts.Region = name, "az1", "r1"
 	opts.HTTPAddr, opts.RPCAddr, opts.LogURL = anyAddr, anyAddr, s.logs.URL()
+	opts.StopLinger = 0
 	e, err := entry.New(opts, testLogger(name))
 	s.g.Expect(err).NotTo(HaveOccurred())
 	s.entries = append(s.entries, e)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -206,6 +206,20 @@
 	return nil, errNoPeerFold
 }
 
+// tellClosed gives the last word of this entry to every live peer.
+func (t *peerTable) tellClosed(report *structs.ClosedReport) {
+	var wg sync.WaitGroup
+	for _, p := range t.list() {
+		if p.live(time.Now()) {
+			wg.Go(func() {
+				// A peer that misses it answers may_have_run instead of not_run.
+				_ = p.link.call("Closed", report, new(bool), controlTimeout)
+			})
+		}
+	}
+	wg.Wait()
+}
+
 func (t *peerTable) forgetSilent() {
 	now := time.Now()
 	for _, p := range t.list() {
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -40,6 +40,13 @@
 	return nil
 }
 
+// Closed takes in the last word of a peer that ends gracefully.
+func (r *rpcReceiver) Closed(report *structs.ClosedReport, taken *bool) error {
+	r.e.mail.post(coordinator.HomeClosed{Report: *report})
+	*taken = true
+	return nil
+}
+
 // Forward runs a caller's request that a peer took in. It is never forwarded
 // again.
 func (r *rpcReceiver) Forward(req *structs.ForwardRequest, reply *structs.ForwardReply) error {
--- a/structs/rpc.go
+++ b/structs/rpc.go
@@ -178,6 +178,30 @@
 	Fold []byte
 }
 
+// SeqRange is a range of a home's sequence numbers, both ends included.
+type SeqRange struct{ First, Last uint64 }
+
+// ClosedReport is the last word of an entry that ends gracefully (Entry.Closed,
+// no reply): which of its job ids were never submitted, and never will start.
+type ClosedReport struct {
+	Home        Incarnation
+	Next        uint64 // ids from here on were never reserved
+	Unsubmitted []SeqRange
+}
+
+// Covers reports whether the job with the sequence certainly never started.
+func (r *ClosedReport) Covers(seq uint64) bool {
+	if seq >= r.Next {
+		return true
+	}
+	for _, s := range r.Unsubmitted {
+		if seq >= s.First && seq <= s.Last {
+			return true
+		}
+	}
+	return false
+}
+
 // ForwardRequest carries a caller's request to the job's home (Entry.Forward).
 type ForwardRequest struct {
 	Op   JobOp
