--- a/coordinator/submit.go
+++ b/coordinator/submit.go
@@ -63,13 +63,14 @@
 }
 
 // unknownID explains an identifier of this home without a job. What was
-// forgotten may have run, so nothing better than MayHaveRun is known of it.
+// forgotten may have run, and a submission of a reserved identifier may still
+// be under way, so nothing better than MayHaveRun is known of either.
 func (c *Coordinator) unknownID(id structs.JobID) *structs.Error {
 	if id.Seq >= c.ids.next {
 		return structs.Errorf(structs.CodeNotFound, structs.NotRun, "job %s was never reserved", id)
 	}
 	if _, reserved := c.ids.reserved[id.Seq]; reserved {
-		return structs.Errorf(structs.CodeNotFound, structs.NotRun, "job %s was not submitted", id)
+		return structs.Errorf(structs.CodeNotFound, structs.MayHaveRun, "job %s has not been submitted yet", id)
 	}
 	return structs.Errorf(structs.CodeExpired, structs.MayHaveRun, "job %s is no longer remembered", id)
 }
--- /dev/null
+++ b/test/e2e/cluster_test.go
@@ -0,0 +1,175 @@
+package e2e_test
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const (
+	serviceName = "faq"
+	ownerTeam   = "kilimo"
+	callerTeam  = "kariakoo"
+	// patience bounds every wait for something that must come.
+	patience = 60 * time.Second
+	poll     = 50 * time.Millisecond
+)
+
+// cluster is one system of separate processes.
+type cluster struct {
+	t       *testing.T
+	g       *WithT
+	dir     string
+	log     *daemon
+	entries []*daemon
+	agents  []*daemon
+	servers []*daemon
+	relays  []*relay
+	record  string // the backend servers' record of starts
+}
+
+// daemon is a process slot that can be started again at the same addresses.
+type daemon struct {
+	*process
+	c        *cluster
+	name     string
+	httpAddr string
+	rpcAddr  string
+	launch   func(d *daemon) *process
+}
+
+func (d *daemon) url() string { return "http://" + d.httpAddr }
+
+// startCluster starts the stand-ins, entries and agents and waits until each
+// entry knows each agent. Slowness has one stand-in backend server each.
+func startCluster(t *testing.T, entries int, slowness ...float64) *cluster {
+	t.Helper()
+	c := &cluster{t: t, g: NewWithT(t), dir: t.TempDir()}
+	c.record = filepath.Join(c.dir, "starts")
+	c.startLog()
+	for i := range entries {
+		c.startEntry(i)
+	}
+	for i, s := range slowness {
+		c.startServer(i, s)
+		c.relays = append(c.relays, newRelay(t, c, agentName(i)))
+		c.startAgent(i)
+	}
+	return c
+}
+
+func agentName(i int) string { return fmt.Sprintf("agent-%d", i+1) }
+
+func (c *cluster) startLog() {
+	c.log = &daemon{c: c, name: "log", httpAddr: "127.0.0.1:0"}
+	c.log.launch = func(d *daemon) *process {
+		return c.standin(d, standinLog, d.httpAddr)
+	}
+	c.log.begin()
+}
+
+func (c *cluster) startServer(i int, slowness float64) {
+	s := &daemon{c: c, name: fmt.Sprintf("server-%d", i+1), httpAddr: "127.0.0.1:0"}
+	s.launch = func(d *daemon) *process {
+		return c.standin(d, standinBackend, d.httpAddr, d.name, c.record, fmt.Sprint(slowness))
+	}
+	c.servers = append(c.servers, s)
+	s.begin()
+}
+
+func (c *cluster) standin(d *daemon, role string, args ...string) *process {
+	self, err := os.Executable()
+	c.g.Expect(err).NotTo(HaveOccurred())
+	return start(c.t, d.name, []string{standinEnv + "=" + role}, self, args...)
+}
+
+func (c *cluster) startEntry(i int) {
+	e := &daemon{c: c, name: fmt.Sprintf("entry-%d", i+1), httpAddr: "127.0.0.1:0", rpcAddr: "127.0.0.1:0"}
+	e.launch = func(d *daemon) *process {
+		return c.chestnuthollowd(d, "entry", map[string]string{
+			"zone": "zone-a", "region": "region-1", "log_url": c.log.url(),
+		})
+	}
+	c.entries = append(c.entries, e)
+	e.begin()
+}
+
+func (c *cluster) startAgent(i int) {
+	a := &daemon{c: c, name: agentName(i), httpAddr: "127.0.0.1:0", rpcAddr: "127.0.0.1:0"}
+	a.launch = func(d *daemon) *process {
+		return c.chestnuthollowd(d, "agent", map[string]string{
+			"service": serviceName, "team": ownerTeam, "zone": "zone-a", "region": "region-1",
+			"backend_url": c.servers[i].url(), "balancer_url": c.relays[i].url(),
+		})
+	}
+	c.agents = append(c.agents, a)
+	a.begin()
+}
+
+// chestnuthollowd starts the daemon with a settings file.
+func (c *cluster) chestnuthollowd(d *daemon, role string, settings map[string]string) *process {
+	settings["name"] = d.name
+	settings["http_addr"] = d.httpAddr
+	settings["rpc_addr"] = d.rpcAddr
+	var text strings.Builder
+	for key, value := range settings {
+		fmt.Fprintf(&text, "%s = %q\n", key, value)
+	}
+	path := filepath.Join(c.dir, d.name+".toml")
+	c.g.Expect(os.WriteFile(path, []byte(text.String()), 0o600)).To(Succeed())
+	return start(c.t, d.name, nil, filepath.Join(binDir, "chestnuthollowd"), role, "--config", path)
+}
+
+var (
+	httpAddrPattern = regexp.MustCompile(`\b(?:http_)?addr=(127\.0\.0\.1:[0-9]+)`)
+	rpcAddrPattern  = regexp.MustCompile(`\brpc_addr=(127\.0\.0\.1:[0-9]+)`)
+)
+
+// begin starts the process, at the addresses of its last run if there was one,
+// and learns its addresses from its first log lines.
+func (d *daemon) begin() {
+	d.c.t.Helper()
+	d.process = d.launch(d)
+	d.c.g.Eventually(func(g Gomega) {
+		line := startedLine(d.out.String())
+		g.Expect(line).NotTo(BeEmpty())
+		d.httpAddr = httpAddrPattern.FindStringSubmatch(line)[1]
+		if m := rpcAddrPattern.FindStringSubmatch(line); m != nil {
+			d.rpcAddr = m[1]
+		}
+	}, patience, poll).Should(Succeed(), "%s has not started:\n%s", d.name, d.out)
+}
+
+func startedLine(out string) string {
+	for line := range strings.Lines(out) {
+		if strings.Contains(line, "event=started") && strings.HasSuffix(line, "\n") {
+			return line
+		}
+	}
+	return ""
+}
+
+// restart kills the process and starts another run at the same addresses.
+func (d *daemon) restart() {
+	d.kill()
+	d.begin()
+}
+
+// ready waits until a process says that it is ready.
+func (d *daemon) ready() {
+	d.c.t.Helper()
+	client := http.Client{Timeout: 2 * time.Second}
+	d.c.g.Eventually(func(g Gomega) {
+		resp, err := client.Get(d.url() + "/readyz")
+		g.Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	}, patience, poll).Should(Succeed(), "%s is not ready", d.name)
+}
--- /dev/null
+++ b/test/e2e/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package e2e_test
+
+const raceEnabled = false
