--- a/fold/entries.go
+++ b/fold/entries.go
@@ -40,6 +40,12 @@
 	return list
 }
 
+// Listed reports whether Entries holds the run.
+func (f *Fold) Listed(name string, run structs.Incarnation) bool {
+	a := f.entries[name]
+	return a.Info.Incarnation == run && run != 0 && !a.Gone
+}
+
 // Superseded reports whether a later run of the entry with that name has
 // announced itself, so that this one is no longer listed.
 func (f *Fold) Superseded(name string, run structs.Incarnation) bool {
@@ -54,6 +60,9 @@
 	}
 	next := announcement{Info: e.Info, Offset: offset, Former: a.Former}
 	if known && a.Info.Incarnation != run {
+		if e.Seen <= a.Offset {
+			return // late; a live run announces itself again
+		}
 		next.Former = appendBounded(a.Former, a.Info.Incarnation)
 	}
 	f.entries[e.Info.Name] = next
--- a/fold/fold.go
+++ b/fold/fold.go
@@ -9,6 +9,7 @@
 package fold
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
@@ -17,16 +18,27 @@
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
-// Bounds of a fold's size.
+// Bounds of a fold's size. Together they keep a checkpoint within one record of
+// the log. Sizes of texts are those of EncodedBytes.
 const (
 	MaxServices     = 64
 	MaxEntries      = 64       // names of entries, gone ones included
-	MaxTextBytes    = 32 << 10 // of one document
-	MaxHistoryBytes = 64 << 10 // texts of a service's former revisions
+	MaxTextBytes    = 24 << 10 // of one document
+	MaxHistoryBytes = 24 << 10 // texts of a service's former revisions
 	MaxHistory      = 16       // former revisions of a service
 	MaxOutcomes     = 256      // remembered edit ids
+	MaxNameBytes    = 128      // of an edit's id, a name or an address
 )
 
+// EncodedBytes returns the size of a text in an encoded fold.
+func EncodedBytes(text string) int {
+	data, err := json.Marshal(text)
+	if err != nil {
+		panic(err) // a string always encodes
+	}
+	return len(data)
+}
+
 // ErrOffset says that a record does not follow the ones already folded.
 var ErrOffset = errors.New("fold: record out of order")
 
--- a/fold/record.go
+++ b/fold/record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"regexp"
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/structs"
@@ -50,6 +51,9 @@
 // Entry announces a run of an entry.
 type Entry struct {
 	Info structs.EntryInfo `json:"info"`
+	// Seen is the announcer's Fold.Next. An announcement replaces that of
+	// another run of the same entry only if it was made in its knowledge.
+	Seen uint64 `json:"seen"`
 }
 
 // EntryGone says that a run of an entry has stopped for good.
@@ -89,13 +93,33 @@
 func (r *Record) complete() (complete, known bool) {
 	switch r.Type {
 	case TypeEdit:
-		return r.Edit != nil && r.Edit.ID != "" && r.Edit.Service != "", true
+		return r.Edit != nil && validName(r.Edit.ID) && validName(r.Edit.Service), true
 	case TypeCheckpoint:
 		return r.Checkpoint != nil, true
 	case TypeEntry:
-		return r.Entry != nil && r.Entry.Info.Name != "" && r.Entry.Info.Incarnation != 0, true
+		return r.Entry != nil && validInfo(&r.Entry.Info), true
 	case TypeEntryGone:
 		return r.EntryGone != nil, true
 	}
 	return false, false
 }
+
+// namePattern is what ids, names and addresses are made of.
+var namePattern = regexp.MustCompile(`^[0-9A-Za-z._:\[\]-]*$`)
+
+func validName(s string) bool { return s != "" && validPart(s) }
+
+func validPart(s string) bool { return len(s) <= MaxNameBytes && namePattern.MatchString(s) }
+
+func validInfo(info *structs.EntryInfo) bool {
+	for _, s := range []string{info.Zone, info.Region, info.RPCAddr, info.HTTPAddr} {
+		if !validPart(s) {
+			return false
+		}
+	}
+	return validName(info.Name) && info.Incarnation != 0
+}
+
+// ValidEditID reports whether an edit may carry the id: 1 to MaxNameBytes of
+// letters, digits, '.', '_', ':' and '-'.
+func ValidEditID(id string) bool { return validName(id) }
--- a/fold/service.go
+++ b/fold/service.go
@@ -113,7 +113,7 @@
 	switch {
 	case e.Base != current:
 		return ReasonConflict
-	case len(e.Text) > MaxTextBytes:
+	case EncodedBytes(e.Text) > MaxTextBytes:
 		return ReasonTooLarge
 	case current == 0 && len(f.services) >= MaxServices:
 		return ReasonTooMany
@@ -138,7 +138,7 @@
 func boundHistory(revisions []structs.DocumentRecord) []structs.DocumentRecord {
 	bytes, keep := 0, 1
 	for keep < len(revisions) && keep <= MaxHistory {
-		bytes += len(revisions[len(revisions)-1-keep].Text)
+		bytes += EncodedBytes(revisions[len(revisions)-1-keep].Text)
 		if bytes > MaxHistoryBytes {
 			break
 		}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -80,12 +80,15 @@
 	wg.Wait()
 }
 
-// Fold returns the newest fold, which must not be changed, or nil if there is
-// none yet.
+// Fold returns the newest fold, which must not be changed; an empty one if there
+// is none yet.
 func (f *Follower) Fold() *fold.Fold {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.reader.Fold()
+	if current := f.reader.Fold(); current != nil {
+		return current
+	}
+	return fold.New()
 }
 
 // Ready returns nil once the process knows the documents, or the reason why it
--- a/follow/upkeep.go
+++ b/follow/upkeep.go
@@ -18,6 +18,11 @@
 	appendSpacing = 10 * time.Second
 	// earlyJitter spreads the writers of a checkpoint that records made due.
 	earlyJitter = 10 * time.Second
+	// boundsInterval passes between questions of how much the log keeps.
+	boundsInterval = 15 * time.Second
+	// keptShare is the part of a log's kept records that may go uncovered by a
+	// checkpoint: one in keptShare.
+	keptShare = 4
 	// farewellAttempts bounds the appends that say the process is gone.
 	farewellAttempts = 3
 )
@@ -27,6 +32,9 @@
 type schedule struct {
 	opts *Options
 
+	// kept is the number of records the log keeps; zero: it has dropped none.
+	kept        uint64
+	boundsAt    time.Time // of the last question for it
 	announcedAt time.Time // of the last append; zero: none
 	// covered is how far checkpoints reach; seenAt is when that changed.
 	covered      uint64
@@ -46,16 +54,7 @@
 	if s.announcedAt.IsZero() || since >= s.opts.AnnounceInterval {
 		return true
 	}
-	return since >= appendSpacing && !listed(f, self.Name)
-}
-
-func listed(f *fold.Fold, name string) bool {
-	for _, e := range f.Entries() {
-		if e.Info.Name == name {
-			return true
-		}
-	}
-	return false
+	return since >= appendSpacing && !f.Listed(self.Name, self.Incarnation)
 }
 
 // wantsCheckpoint reports whether a checkpoint is to be written now. Random is
@@ -74,7 +73,7 @@
 	if !now.Before(s.dueAt) {
 		return true
 	}
-	if f.SinceCheckpoint() < uint64(s.opts.CheckpointRecords) {
+	if f.SinceCheckpoint() < s.uncoveredLimit() {
 		return false
 	}
 	if s.earlyAt.IsZero() {
@@ -83,6 +82,16 @@
 	return !now.Before(s.earlyAt)
 }
 
+// uncoveredLimit returns the number of records without a checkpoint that makes
+// one due early.
+func (s *schedule) uncoveredLimit() uint64 {
+	limit := uint64(s.opts.CheckpointRecords)
+	if s.kept == 0 {
+		return limit
+	}
+	return min(limit, max(1, s.kept/keptShare))
+}
+
 func fraction(d time.Duration, random float64) time.Duration {
 	return time.Duration(float64(d) * random)
 }
@@ -118,14 +127,27 @@
 func (f *Follower) upkeep(ctx context.Context, s *schedule, current *fold.Fold) {
 	if s.wantsAnnouncement(time.Now(), current) {
 		s.announcedAt = time.Now()
-		f.append(ctx, fold.Record{Type: fold.TypeEntry, Entry: &fold.Entry{Info: f.opts.Self}})
+		f.append(ctx, fold.Record{Type: fold.TypeEntry, Entry: &fold.Entry{Info: f.opts.Self, Seen: current.Next()}})
 	}
+	f.askBounds(ctx, s)
 	if s.wantsCheckpoint(time.Now(), current, rand.Float64()) {
 		s.checkpointAt = time.Now()
 		f.append(ctx, current.CheckpointRecord())
 	}
 }
 
+// askBounds finds out now and then how many records the log keeps.
+func (f *Follower) askBounds(ctx context.Context, s *schedule) {
+	if time.Since(s.boundsAt) < boundsInterval {
+		return
+	}
+	s.boundsAt = time.Now()
+	earliest, next, err := f.opts.Log.Bounds(ctx)
+	if err == nil && earliest > 0 {
+		s.kept = next - earliest
+	}
+}
+
 // append writes a record whose loss is mended by a later one.
 func (f *Follower) append(ctx context.Context, r fold.Record) {
 	data, err := fold.EncodeRecord(r)
--- a/publish/publish.go
+++ b/publish/publish.go
@@ -23,8 +23,6 @@
 	readBackTimeout = 2 * time.Second
 	// retryHint is the time to come back after a refusal that may pass.
 	retryHint = 5 * time.Second
-	// maxEditIDBytes bounds an edit's id.
-	maxEditIDBytes = 128
 )
 
 // Publisher publishes edits. Its methods are safe for concurrent use.
@@ -51,11 +49,10 @@
 	if err := check(&edit); err != nil {
 		return structs.DocumentRecord{}, err
 	}
-	current := p.follower.Fold()
-	if current == nil {
-		return structs.DocumentRecord{}, structs.Errorf(structs.CodeUnavailable, structs.NotRun,
-			"this entry does not know the documents yet").WithRetryAfter(retryHint)
+	if err := p.ready(); err != nil {
+		return structs.DocumentRecord{}, err
 	}
+	current := p.follower.Fold()
 	if out, done := current.Outcome(edit.ID); done {
 		return result(current, &edit, out)
 	}
@@ -68,12 +65,10 @@
 // Rollback publishes the text of a kept earlier revision as a new one based on
 // revision base.
 func (p *Publisher) Rollback(ctx context.Context, editID, service string, base, to uint64) (structs.DocumentRecord, error) {
-	current := p.follower.Fold()
-	if current == nil {
-		return structs.DocumentRecord{}, structs.Errorf(structs.CodeUnavailable, structs.NotRun,
-			"this entry does not know the documents yet").WithRetryAfter(retryHint)
+	if err := p.ready(); err != nil {
+		return structs.DocumentRecord{}, err
 	}
-	old, kept := current.Revision(service, to)
+	old, kept := p.follower.Fold().Revision(service, to)
 	if !kept {
 		return structs.DocumentRecord{}, structs.Errorf(structs.CodeNotFound, structs.NotRun,
 			"revision %d of service %s is not kept", to, service)
@@ -81,12 +76,21 @@
 	return p.Publish(ctx, fold.Edit{ID: editID, Service: service, Base: base, Text: old.Text, Published: time.Now().UTC()})
 }
 
+// ready refuses edits while this process does not know the documents.
+func (p *Publisher) ready() error {
+	err := p.follower.Ready()
+	if err == nil {
+		return nil
+	}
+	return structs.Errorf(structs.CodeUnavailable, structs.NotRun, "this entry cannot publish yet: %v", err).WithRetryAfter(retryHint)
+}
+
 func check(edit *fold.Edit) error {
-	if edit.ID == "" || len(edit.ID) > maxEditIDBytes {
-		return structs.Errorf(structs.CodeInvalid, structs.NotRun, "edit_id: want 1 to %d bytes", maxEditIDBytes)
+	if !fold.ValidEditID(edit.ID) {
+		return structs.Errorf(structs.CodeInvalid, structs.NotRun, "edit_id: want 1 to %d letters, digits, '.', '_', ':' or '-'", fold.MaxNameBytes)
 	}
-	if len(edit.Text) > fold.MaxTextBytes {
-		return structs.Errorf(structs.CodeTooLarge, structs.NotRun, "text: %d bytes, want at most %d", len(edit.Text), fold.MaxTextBytes)
+	if size := fold.EncodedBytes(edit.Text); size > fold.MaxTextBytes {
+		return structs.Errorf(structs.CodeTooLarge, structs.NotRun, "text: %d bytes as JSON, want at most %d", size, fold.MaxTextBytes)
 	}
 	doc, err := document.Check(edit.Text)
 	if err != nil {
