Prove the executor by a state machine of undisciplined homes

Cause: the agent is the last guard of at most once, so it must hold against lost, doubled, late and reordered requests, whatever the home does.

Found by it, each mended here: - a Run whose own watermark settles its queued task attached its caller to the dropped record and never answered it; - a later attempt attached to an earlier one's record was told not run when the backend server declined, but only the earlier attempt was fenced; - a settle reply short of room reported an unknown, forgotten task as running.

go test ./executor -rapid.checks=200000: ok.

--- a/executor/control.go
+++ b/executor/control.go
@@ -13,9 +13,9 @@
 
 // heartbeat handles Agent.Heartbeat.
 func (e *Executor) heartbeat(now time.Time, call CallID, req *structs.HeartbeatRequest) {
-	if h := e.homes[req.Entry.Incarnation]; h != nil && req.Agent == e.opts.Incarnation {
-		h.lastHeard = now
-		e.raiseWatermark(h, req.Watermark)
+	if req.Agent == e.opts.Incarnation {
+		e.heard(req.Entry.Incarnation, now)
+		e.raiseWatermark(e.homes[req.Entry.Incarnation], req.Watermark)
 	}
 	e.reply(call, &structs.HeartbeatReply{State: e.State()})
 }
--- a/executor/home.go
+++ b/executor/home.go
@@ -114,9 +114,10 @@
 	return j != nil && ref.Attempt <= j.fences[ref.Task.Index]
 }
 
-// raiseWatermark drops what is known of settled jobs.
+// raiseWatermark drops what is known of settled jobs; an unknown home, nil, has
+// none.
 func (e *Executor) raiseWatermark(h *home, watermark uint64) {
-	if watermark <= h.watermark {
+	if h == nil || watermark <= h.watermark {
 		return
 	}
 	low := h.watermark
--- a/executor/messages.go
+++ b/executor/messages.go
@@ -69,6 +69,7 @@
 	// StartBackend calls the backend server; BackendDone follows.
 	StartBackend struct {
 		Task    structs.TaskID
+		Attempt uint32
 		Spec    structs.TaskSpec
 		Team    string
 		Timeout time.Duration
--- /dev/null
+++ b/executor/model_test.go
@@ -0,0 +1,468 @@
+package executor_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chestnuthollow/chestnuthollow/executor"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+const (
+	me    structs.Incarnation = 1
+	other structs.Incarnation = 2
+)
+
+var epoch = time.Date(2026, 3, 12, 9, 0, 0, 0, time.UTC)
+
+// tightOptions has every cap within reach of a short run.
+func tightOptions() executor.Options {
+	opts := executor.DefaultOptions()
+	opts.Name = "a1"
+	opts.Service = "faq"
+	opts.Incarnation = me
+	opts.Slots = 1
+	opts.MaxRecords = 5
+	opts.MaxJobs = 3
+	opts.MaxFences = 3
+	opts.MaxHomes = 2
+	opts.MaxWaiters = 2
+	opts.MaxResultBytes = 60
+	opts.MaxReplyBytes = 60
+	opts.HomeQuiet = 2 * time.Minute
+	return opts
+}
+
+// start is what the model knows of a task's start.
+type start struct {
+	attempt uint32
+	running bool
+	proof   bool // ended with proof that the backend server never saw it
+}
+
+// model drives an Executor with lost, doubled, late and reordered requests of
+// homes that keep no discipline, and holds it to the invariants in doc.go.
+type model struct {
+	opts     executor.Options
+	exec     *executor.Executor
+	now      time.Time
+	calls    executor.CallID
+	pending  map[executor.CallID]any // request of each open call
+	starts   map[structs.TaskID]*start
+	notRun   map[structs.TaskID]uint32 // newest attempt said to be not run
+	sent     []any                     // requests so far, to be sent again
+	lastSeq  uint64
+	revision uint64
+	slots    int
+	drained  bool
+}
+
+func newModel() *model {
+	opts := tightOptions()
+	return &model{
+		opts:    opts,
+		exec:    executor.New(opts),
+		now:     epoch,
+		slots:   opts.Slots,
+		pending: make(map[executor.CallID]any),
+		starts:  make(map[structs.TaskID]*start),
+		notRun:  make(map[structs.TaskID]uint32),
+	}
+}
+
+func (m *model) send(t *rapid.T, req any) {
+	m.sent = append(m.sent, req)
+	m.calls++
+	m.pending[m.calls] = req
+	var ev executor.Event
+	switch req := req.(type) {
+	case structs.RunRequest:
+		ev = executor.RunCalled{Call: m.calls, Request: req}
+	case structs.AwaitRequest:
+		ev = executor.AwaitCalled{Call: m.calls, Request: req}
+	case structs.SettleRequest:
+		ev = executor.SettleCalled{Call: m.calls, Request: req}
+	case structs.FenceRequest:
+		ev = executor.FenceCalled{Call: m.calls, Request: req}
+	case structs.HeartbeatRequest:
+		ev = executor.HeartbeatCalled{Call: m.calls, Request: req}
+	case structs.DocumentRecord:
+		ev = executor.DocumentCalled{Call: m.calls, Record: req}
+	}
+	m.step(t, ev)
+}
+
+func (m *model) step(t *rapid.T, ev executor.Event) {
+	for _, ef := range m.exec.Step(m.now, ev) {
+		switch ef := ef.(type) {
+		case executor.StartBackend:
+			m.checkStart(t, ef)
+		case executor.Reply:
+			m.checkReply(t, ef)
+		case executor.Announce:
+			m.checkState(t, ef.State)
+		case executor.Drained:
+			m.drained = true
+		}
+	}
+}
+
+func (m *model) checkStart(t *rapid.T, ef executor.StartBackend) {
+	if s := m.starts[ef.Task]; s != nil && !s.proof {
+		t.Fatalf("%v started again", ef.Task)
+	}
+	if m.notRun[ef.Task] >= ef.Attempt {
+		t.Fatalf("%v attempt %d started after it was said not to run", ef.Task, ef.Attempt)
+	}
+	if m.drained {
+		t.Fatalf("%v started after the agent had drained", ef.Task)
+	}
+	m.starts[ef.Task] = &start{attempt: ef.Attempt, running: true}
+	if n := m.running(); n > m.slots {
+		t.Fatalf("%d tasks run at once on %d slots", n, m.slots)
+	}
+}
+
+func (m *model) running() int {
+	n := 0
+	for _, s := range m.starts {
+		if s.running {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *model) checkNotRun(t *rapid.T, id structs.TaskID, attempt uint32) {
+	if s := m.starts[id]; s != nil && !s.proof && s.attempt <= attempt {
+		t.Fatalf("%v attempt %d said not to run, attempt %d started", id, attempt, s.attempt)
+	}
+	m.notRun[id] = max(m.notRun[id], attempt)
+}
+
+func (m *model) checkState(t *rapid.T, s structs.AgentState) {
+	if s.Seq <= m.lastSeq {
+		t.Fatalf("state %d after state %d", s.Seq, m.lastSeq)
+	}
+	if s.Revision < m.revision {
+		t.Fatalf("revision went back from %d to %d", m.revision, s.Revision)
+	}
+	if s.Incarnation != me {
+		t.Fatalf("state of incarnation %v", s.Incarnation)
+	}
+	m.lastSeq, m.revision, m.slots = s.Seq, s.Revision, s.Slots
+}
+
+func (m *model) checkReply(t *rapid.T, ef executor.Reply) {
+	req, ok := m.pending[ef.Call]
+	if !ok {
+		t.Fatalf("reply to call %d, which is not open", ef.Call)
+	}
+	delete(m.pending, ef.Call)
+	switch msg := ef.Message.(type) {
+	case *structs.RunReply:
+		m.checkState(t, msg.State)
+		m.checkRunReply(t, req, msg)
+	case *structs.SettleReply:
+		m.checkState(t, msg.State)
+		m.checkSettleReply(t, req, msg)
+	case *structs.HeartbeatReply:
+		m.checkState(t, msg.State)
+	case *structs.DocumentReply:
+		m.checkState(t, msg.State)
+	}
+}
+
+func (m *model) checkRunReply(t *rapid.T, req any, msg *structs.RunReply) {
+	var agent structs.Incarnation
+	var ref structs.TaskRef
+	switch req := req.(type) {
+	case structs.RunRequest:
+		agent, ref = req.Agent, structs.TaskRef{Task: req.Task, Attempt: req.Attempt}
+	case structs.AwaitRequest:
+		agent, ref = req.Agent, structs.TaskRef{Task: req.Task, Attempt: req.Attempt}
+	}
+	if agent != me {
+		if msg.Result.Error == nil || msg.Result.Error.Code != structs.CodeStaleIncarnation {
+			t.Fatalf("request to incarnation %v was taken", agent)
+		}
+		return
+	}
+	m.checkResult(t, ref.Task, &msg.Result)
+	if msg.Result.Verdict == structs.NotRun {
+		m.checkNotRun(t, ref.Task, ref.Attempt)
+	}
+}
+
+// checkResult holds a result to the task it belongs to: a body names its task.
+func (m *model) checkResult(t *rapid.T, id structs.TaskID, res *structs.TaskResult) {
+	if res.Index != id.Index {
+		t.Fatalf("result of index %d for %v", res.Index, id)
+	}
+	if res.Verdict != structs.Ran && res.Error == nil {
+		t.Fatalf("%v: verdict %v without an error", id, res.Verdict)
+	}
+	s := m.starts[id]
+	if res.Verdict == structs.Ran && (s == nil || s.running) {
+		t.Fatalf("%v is said to have run, and has not ended", id)
+	}
+	if res.Error == nil && string(res.Body) != body(id) {
+		t.Fatalf("%v got the result %q", id, res.Body)
+	}
+}
+
+func (m *model) checkSettleReply(t *rapid.T, req any, msg *structs.SettleReply) {
+	seen := make(map[structs.TaskID]bool)
+	for i := range msg.Statuses {
+		m.checkStatus(t, &msg.Statuses[i])
+		seen[msg.Statuses[i].Task] = true
+	}
+	switch req := req.(type) {
+	case structs.SettleRequest:
+		m.checkSettleCoverage(t, &req, msg)
+	case structs.FenceRequest:
+		m.checkFence(t, &req, msg, seen)
+	}
+}
+
+func (m *model) checkSettleCoverage(t *rapid.T, req *structs.SettleRequest, msg *structs.SettleReply) {
+	want := len(req.Tasks)
+	if req.Agent != me {
+		want = 0
+	}
+	if len(msg.Statuses) != want {
+		t.Fatalf("%d statuses for %d tasks", len(msg.Statuses), want)
+	}
+}
+
+// checkFence holds the closed home to what the absence of a status says.
+func (m *model) checkFence(t *rapid.T, req *structs.FenceRequest, msg *structs.SettleReply, seen map[structs.TaskID]bool) {
+	if req.Agent != me || msg.Forgotten {
+		return
+	}
+	for index := range maxIndex + 1 {
+		if id := (structs.TaskID{Job: req.Job, Index: index}); !seen[id] {
+			m.checkNotRun(t, id, ^uint32(0))
+		}
+	}
+}
+
+func (m *model) checkStatus(t *rapid.T, st *structs.TaskStatus) {
+	s := m.starts[st.Task]
+	switch st.Phase {
+	case structs.TaskFenced:
+		m.checkNotRun(t, st.Task, st.Attempt)
+	case structs.TaskQueued:
+		if s != nil && s.running {
+			t.Fatalf("%v is said to wait, and runs", st.Task)
+		}
+	case structs.TaskRunning:
+		if s == nil {
+			t.Fatalf("%v is said to run, and has not started", st.Task)
+		}
+	case structs.TaskDone:
+		m.checkResult(t, st.Task, &st.Result)
+	default:
+		t.Fatalf("%v has phase %v", st.Task, st.Phase)
+	}
+}
+
+// checkBounds is run after each action.
+func (m *model) checkBounds(t *rapid.T) {
+	d := m.exec.Dump()
+	o := &m.opts
+	if d.Records > o.MaxRecords || d.Jobs > o.MaxJobs || d.Fences > o.MaxFences || d.Homes > o.MaxHomes || d.ResultBytes > o.MaxResultBytes {
+		t.Fatalf("over a cap: %+v", d)
+	}
+	s := m.exec.State()
+	m.checkState(t, s)
+	if s.Running != m.running() {
+		t.Fatalf("%d tasks run, the state says %d", m.running(), s.Running)
+	}
+	if s.Queued > 0 && s.Leaving {
+		t.Fatalf("%d tasks wait at a leaving agent", s.Queued)
+	}
+	if s.Queued > 0 && s.Running < s.Slots {
+		t.Fatalf("%d tasks wait while %d of %d slots are taken", s.Queued, s.Running, s.Slots)
+	}
+}
+
+const (
+	firstHome = 11
+	lastHome  = 13
+	lastSeq   = 3
+	maxIndex  = 1
+)
+
+// taskIDs is every task that is drawn.
+var taskIDs = allTasks()
+
+func allTasks() []structs.TaskID {
+	var ids []structs.TaskID
+	for home := firstHome; home <= lastHome; home++ {
+		for seq := 1; seq <= lastSeq; seq++ {
+			for index := range maxIndex + 1 {
+				job := structs.JobID{Home: structs.Incarnation(home), Seq: uint64(seq)}
+				ids = append(ids, structs.TaskID{Job: job, Index: index})
+			}
+		}
+	}
+	return ids
+}
+
+func body(id structs.TaskID) string { return "result of " + id.String() }
+
+func drawTask(t *rapid.T) structs.TaskID {
+	return rapid.SampledFrom(taskIDs).Draw(t, "task")
+}
+
+func drawRef(t *rapid.T) structs.TaskRef {
+	return structs.TaskRef{Task: drawTask(t), Attempt: rapid.Uint32Range(1, 3).Draw(t, "attempt")}
+}
+
+func drawAgent(t *rapid.T) structs.Incarnation {
+	return rapid.SampledFrom([]structs.Incarnation{me, me, me, me, me, other}).Draw(t, "agent")
+}
+
+func drawWatermark(t *rapid.T) uint64 {
+	return rapid.SampledFrom([]uint64{0, 0, 0, 0, 1, 2, 3, 4}).Draw(t, "watermark")
+}
+
+func (m *model) runTask(t *rapid.T) {
+	ref := drawRef(t)
+	m.send(t, structs.RunRequest{
+		Agent:     drawAgent(t),
+		Task:      ref.Task,
+		Attempt:   ref.Attempt,
+		Spec:      structs.TaskSpec{Kind: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "kind"), Payload: []byte("p")},
+		Service:   "faq",
+		Timeout:   time.Duration(rapid.IntRange(0, 20).Draw(t, "timeout")) * time.Second,
+		Watermark: drawWatermark(t),
+	})
+}
+
+func (m *model) await(t *rapid.T) {
+	ref := drawRef(t)
+	m.send(t, structs.AwaitRequest{Agent: drawAgent(t), Task: ref.Task, Attempt: ref.Attempt})
+}
+
+func (m *model) settle(t *rapid.T) {
+	m.send(t, structs.SettleRequest{
+		Agent: drawAgent(t),
+		Mode:  structs.SettleMode(rapid.IntRange(0, 2).Draw(t, "mode")),
+		Tasks: rapid.SliceOfN(rapid.Custom(drawRef), 0, 4).Draw(t, "tasks"),
+	})
+}
+
+func (m *model) fence(t *rapid.T) {
+	m.send(t, structs.FenceRequest{Agent: drawAgent(t), Job: drawTask(t).Job})
+}
+
+func (m *model) heartbeat(t *rapid.T) {
+	m.send(t, structs.HeartbeatRequest{
+		Agent:     drawAgent(t),
+		Entry:     structs.EntryInfo{Incarnation: drawTask(t).Job.Home},
+		Watermark: drawWatermark(t),
+	})
+}
+
+func (m *model) document(t *rapid.T) {
+	rev := rapid.Uint64Range(0, 20).Draw(t, "revision")
+	text := rapid.SampledFrom([]string{
+		"[limits]\nslots = 2\nqueue = 1\n",
+		"[limits]\nslots = 3\n",
+		"[accept]\nkinds = ['a']\n",
+		"[leave]\nstop_canceled = true\n",
+		"[leave]\nbackend_servers = ['a1']\n",
+		"not TOML",
+	}).Draw(t, "text")
+	m.send(t, structs.DocumentRecord{Service: "faq", Revision: rev, Text: text})
+}
+
+func (m *model) again(t *rapid.T) {
+	if len(m.sent) > 0 {
+		m.send(t, rapid.SampledFrom(m.sent).Draw(t, "again"))
+	}
+}
+
+func (m *model) backendDone(t *rapid.T) {
+	for _, id := range taskIDs {
+		if s := m.starts[id]; s != nil && s.running && rapid.Bool().Draw(t, "ends") {
+			m.finish(t, id, s)
+			return
+		}
+	}
+}
+
+func (m *model) finish(t *rapid.T, id structs.TaskID, s *start) {
+	v := rapid.SampledFrom([]structs.Verdict{structs.Ran, structs.Ran, structs.Ran, structs.NotRun, structs.MayHaveRun}).Draw(t, "verdict")
+	s.running = false
+	s.proof = v == structs.NotRun
+	res := structs.TaskResult{Index: id.Index, Verdict: v}
+	if v == structs.Ran {
+		res.Body = []byte(body(id))
+	}
+	m.step(t, executor.BackendDone{Task: id, Result: res})
+}
+
+func (m *model) callGone(t *rapid.T) {
+	if m.calls == 0 {
+		return
+	}
+	call := executor.CallID(rapid.Uint64Range(1, uint64(m.calls)).Draw(t, "call"))
+	delete(m.pending, call)
+	m.step(t, executor.CallGone{Call: call})
+}
+
+func (m *model) tick(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 10, 150}).Draw(t, "seconds")) * time.Second)
+	m.step(t, executor.Ticked{})
+}
+
+func (m *model) leave(t *rapid.T) {
+	if rapid.IntRange(0, 9).Draw(t, "leave") == 0 {
+		m.step(t, executor.LeaveRequested{})
+	}
+}
+
+// end lets everything finish: every open call is answered then.
+func (m *model) end(t *rapid.T) {
+	for range 100 {
+		m.now = m.now.Add(time.Second)
+		for _, id := range taskIDs {
+			if s := m.starts[id]; s != nil && s.running {
+				m.finish(t, id, s)
+			}
+		}
+		m.step(t, executor.Ticked{})
+	}
+	if len(m.pending) > 0 {
+		t.Fatalf("calls without a reply: %v", m.pending)
+	}
+}
+
+// TestModel prints its seed on failure; -rapid.seed repeats it.
+func TestModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel()
+		t.Repeat(map[string]func(*rapid.T){
+			"run":         m.runTask,
+			"run2":        m.runTask,
+			"run3":        m.runTask,
+			"await":       m.await,
+			"settle":      m.settle,
+			"fence":       m.fence,
+			"heartbeat":   m.heartbeat,
+			"document":    m.document,
+			"again":       m.again,
+			"backendDone": m.backendDone,
+			"callGone":    m.callGone,
+			"tick":        m.tick,
+			"leave":       m.leave,
+			"":            m.checkBounds,
+		})
+		m.end(t)
+	})
+}
--- a/executor/record.go
+++ b/executor/record.go
@@ -10,7 +10,8 @@
 // fenced tasks are kept in their job.
 type record struct {
 	id       structs.TaskID
-	attempt  uint32
+	attempt  uint32 // that was accepted
+	newest   uint32 // that was asked about; its outcome is the task's
 	phase    structs.TaskPhase
 	spec     structs.TaskSpec // until done
 	team     string
@@ -26,7 +27,11 @@
 	kept         bool
 }
 
-func (r *record) ref() structs.TaskRef { return structs.TaskRef{Task: r.id, Attempt: r.attempt} }
+// asked notes that an attempt gets the outcome of this record.
+func (r *record) asked(attempt uint32) { r.newest = max(r.newest, attempt) }
+
+// fenceRef names the attempts that are fenced if the task does not run.
+func (r *record) fenceRef() structs.TaskRef { return structs.TaskRef{Task: r.id, Attempt: r.newest} }
 
 // payloadSize returns the bytes of the task's submission.
 func (r *record) payloadSize() int { return specSize(&r.spec) }
--- a/executor/run.go
+++ b/executor/run.go
@@ -11,25 +11,26 @@
 	ref := structs.TaskRef{Task: req.Task, Attempt: req.Attempt}
 	id := req.Task
 	if req.Agent != e.opts.Incarnation {
-		e.replyError(call, id, e.staleError(structs.NotRun, req.Agent))
+		e.refuse(call, id, e.staleError(structs.NotRun, req.Agent))
 		return
 	}
+	e.heard(id.Job.Home, now)
+	e.raiseWatermark(e.homes[id.Job.Home], req.Watermark)
 	if r := e.records[id]; r != nil {
-		e.heardRun(now, req)
 		e.runKnown(call, r, ref)
 		return
 	}
 	if err := checkRef(ref); err != nil {
-		e.replyError(call, id, err)
+		e.refuse(call, id, err)
 		return
 	}
 	h := e.homeOf(id.Job.Home, now)
 	if h == nil {
 		// The number of homes never shrinks, so this refusal holds for ever.
-		e.replyError(call, id, structs.Errorf(structs.CodeUnavailable, structs.NotRun, "the agent knows too many entries"))
+		e.refuse(call, id, structs.Errorf(structs.CodeUnavailable, structs.NotRun, "the agent knows too many entries"))
 		return
 	}
-	e.heardRun(now, req)
+	e.raiseWatermark(h, req.Watermark)
 	if err := e.refusalOf(h, ref); err != nil {
 		e.refuse(call, id, err)
 		return
@@ -42,14 +43,6 @@
 	e.accept(now, call, h, req)
 }
 
-// heardRun takes in what a Run tells of its sender.
-func (e *Executor) heardRun(now time.Time, req *structs.RunRequest) {
-	e.heard(req.Task.Job.Home, now)
-	if h := e.homes[req.Task.Job.Home]; h != nil {
-		e.raiseWatermark(h, req.Watermark)
-	}
-}
-
 // staleError is the answer to a request for another run of the agent.
 func (e *Executor) staleError(v structs.Verdict, want structs.Incarnation) *structs.Error {
 	return structs.Errorf(structs.CodeStaleIncarnation, v, "addressed to incarnation %v, this is %v", want, e.opts.Incarnation)
@@ -63,6 +56,7 @@
 		e.refuse(call, r.id, supersededError())
 		return
 	}
+	r.asked(ref.Attempt)
 	e.attach(call, r)
 }
 
@@ -135,6 +129,7 @@
 	r := &record{
 		id:       req.Task,
 		attempt:  req.Attempt,
+		newest:   req.Attempt,
 		phase:    structs.TaskQueued,
 		spec:     req.Spec,
 		team:     req.Team,
--- a/executor/settle.go
+++ b/executor/settle.go
@@ -51,6 +51,7 @@
 	if ref.Attempt < r.attempt {
 		return fencedStatus(ref)
 	}
+	r.asked(ref.Attempt)
 	if r.phase == structs.TaskQueued && mode != structs.SettleQuery {
 		e.dropQueued(r, structs.Errorf(structs.CodeCanceled, structs.NotRun, "recalled from the agent's queue"))
 		return fencedStatus(ref)
@@ -110,12 +111,12 @@
 	}
 }
 
-// boundStatus takes a status's result out of the room left in a reply. A result
-// that does not fit is reported as TaskRunning, which has it fetched by
-// Agent.Await.
+// boundStatus takes a status's result out of the room left in a reply. The
+// result of a started task that does not fit is reported as TaskRunning, which
+// has it fetched by Agent.Await.
 func boundStatus(st structs.TaskStatus, room *int) structs.TaskStatus {
 	size := resultSize(&st.Result)
-	if size > *room {
+	if size > *room && st.Result.Verdict == structs.Ran {
 		return structs.TaskStatus{Task: st.Task, Attempt: st.Attempt, Phase: structs.TaskRunning}
 	}
 	*room -= size
--- a/executor/start.go
+++ b/executor/start.go
@@ -23,7 +23,7 @@
 func (e *Executor) start(now time.Time, r *record) {
 	r.phase = structs.TaskRunning
 	e.running++
-	e.emit(StartBackend{Task: r.id, Spec: r.spec, Team: r.team, Timeout: r.deadline.Sub(now)})
+	e.emit(StartBackend{Task: r.id, Attempt: r.attempt, Spec: r.spec, Team: r.team, Timeout: r.deadline.Sub(now)})
 }
 
 func queueTimeout() *structs.Error {
@@ -61,7 +61,7 @@
 	h.open--
 	e.payloadBytes -= r.payloadSize()
 	e.unlink(h, r)
-	e.fence(h, r.ref())
+	e.fence(h, r.fenceRef())
 	e.logTask("task_refused", r.id, err.Verdict, string(err.Code))
 	e.replyWaiters(r, structs.TaskResult{Index: r.id.Index, Verdict: err.Verdict, Error: err}, 0)
 }
@@ -103,13 +103,16 @@
 		e.dropJobIfSettled(h, r.id.Job.Seq)
 	case r.result.Verdict == structs.NotRun:
 		e.unlink(h, r)
-		e.fence(h, r.ref())
+		e.fence(h, r.fenceRef())
 	default:
 		e.results.add(r)
 		e.results.shrink(e.opts.MaxResultBytes)
 	}
 }
 
+// maxErrorBytes bounds the message of a result's error.
+const maxErrorBytes = 512
+
 // soundResult holds a result to the limits and to the rule that a verdict
 // other than Ran comes with an error.
 func soundResult(r *record, res structs.TaskResult) structs.TaskResult {
@@ -118,6 +121,9 @@
 		res.Body = nil
 		res.Error = structs.Errorf(structs.CodeTooLarge, res.Verdict, "the result is larger than %d bytes", structs.MaxResultBytes)
 	}
+	if res.Error != nil && len(res.Error.Message) > maxErrorBytes {
+		res.Error = structs.Errorf(res.Error.Code, res.Error.Verdict, "%s", res.Error.Message[:maxErrorBytes])
+	}
 	if res.Error == nil && res.Verdict != structs.Ran {
 		res.Error = structs.Errorf(structs.CodeInternal, res.Verdict, "no result")
 	}
