--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -15,10 +15,12 @@
 	open     []*job          // admitted jobs, final ones dropped at each tick
 	finals   []uint64        // sequences of final jobs, oldest first
 	calls    map[CallID]*job // callers that wait
+	recovers map[CallID]*recovery
 	services map[string]*service
 	agents   map[structs.Incarnation]*agent
 	order    []*agent // agents in the order of their arrival
 	peers    map[structs.Incarnation]structs.EntryInfo
+	live     int // entries heard of lately, this one included
 
 	openJobs  int
 	openTasks int
@@ -37,9 +39,11 @@
 		ids:      newIDs(),
 		jobs:     make(map[uint64]*job),
 		calls:    make(map[CallID]*job),
+		recovers: make(map[CallID]*recovery),
 		services: make(map[string]*service),
 		agents:   make(map[structs.Incarnation]*agent),
 		peers:    make(map[structs.Incarnation]structs.EntryInfo),
+		live:     1,
 	}
 }
 
@@ -74,10 +78,18 @@
 		c.settleFailed(e)
 	case HeartbeatFailed:
 		c.heartbeatFailed(e.Agent)
+	case RecoverCalled:
+		c.recoverJob(e)
+	case QueryReplied:
+		c.queryReplied(e)
+	case QueryAwaited:
+		c.queryAwaited(e)
+	case QueryFailed:
+		c.queryFailed(e)
 	case DocumentChanged:
 		c.documentChanged(e)
 	case PeersChanged:
-		c.peersChanged(e.Entries)
+		c.peersChanged(e)
 	case LeaveRequested:
 		c.leave()
 	case Ticked:
@@ -112,11 +124,15 @@
 }
 
 // peersChanged replaces the known entries. The own announcement is no peer.
-func (c *Coordinator) peersChanged(entries []structs.EntryInfo) {
+func (c *Coordinator) peersChanged(ev PeersChanged) {
+	c.live = max(ev.Live, 1)
 	clear(c.peers)
-	for _, e := range entries {
+	for _, e := range ev.Entries {
 		if e.Incarnation != c.cfg.Self.Incarnation {
 			c.peers[e.Incarnation] = e
 		}
 	}
+	for _, svc := range c.services {
+		svc.limiter.SetEntries(c.now, c.live)
+	}
 }
--- a/coordinator/finish.go
+++ b/coordinator/finish.go
@@ -26,6 +26,7 @@
 	t.result = r
 	j.left--
 	c.openTasks--
+	j.service.limiter.Done(j.team, 1)
 }
 
 // fail gives a job up: what waits never starts, what is placed is recalled, and
@@ -120,12 +121,16 @@
 
 func dropResults(j *job) {
 	for i := range j.tasks {
-		r := &j.tasks[i].result
-		r.Body = nil
-		r.ContentType = ""
-		if r.Error == nil {
-			r.Error = structs.Errorf(j.failure.Code, r.Verdict, "finished; another task of the job failed")
-		}
+		withoutResult(&j.tasks[i].result, j.failure)
+	}
+}
+
+// withoutResult leaves a task of a failed job its verdict alone.
+func withoutResult(r *structs.TaskResult, failure *structs.Error) {
+	r.Body = nil
+	r.ContentType = ""
+	if r.Error == nil {
+		r.Error = structs.Errorf(failure.Code, r.Verdict, "finished; another task of the job failed")
 	}
 }
 
@@ -158,10 +163,19 @@
 	for _, a := range append([]*agent(nil), c.order...) {
 		c.tickAgent(a)
 	}
+	c.tickServices()
 	c.forgetAnswers()
 	c.advanceWatermark()
 }
 
+func (c *Coordinator) tickServices() {
+	for _, svc := range c.services {
+		svc.retries.Trickle()
+		svc.limiter.Expire(c.now)
+		c.recallStragglers(svc)
+	}
+}
+
 // tickJobs fails jobs past their timeout and closes failing ones.
 func (c *Coordinator) tickJobs() {
 	for _, j := range c.compactOpen() {
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -10,6 +10,9 @@
 
 // placeAll sends waiting tasks to agents as far as the policies allow.
 func (c *Coordinator) placeAll() {
+	for _, svc := range c.services {
+		svc.releaseDelayed()
+	}
 	for _, svc := range c.sortedServices() {
 		for c.placeNext(svc) {
 		}
@@ -19,7 +22,7 @@
 func (c *Coordinator) sortedServices() []*service {
 	var list []*service
 	for _, svc := range c.services {
-		if svc.queue.size > 0 {
+		if svc.queue.Len() > 0 {
 			list = append(list, svc)
 		}
 	}
@@ -29,16 +32,17 @@
 
 // placeNext places one task and reports whether it could.
 func (c *Coordinator) placeNext(svc *service) bool {
-	j, index, ok := svc.queue.peek()
+	next, ok := svc.queue.Peek()
 	if !ok {
 		return false
 	}
-	id, ok := svc.policy.Pick(c.now, &j.specs[index])
+	svc.policy.SetWaiting(svc.queue.Len())
+	id, ok := svc.policy.Pick(c.now, &next.job.specs[next.index])
 	if !ok {
 		return false
 	}
-	svc.queue.pop()
-	c.place(j, index, c.agents[id])
+	svc.queue.Pop()
+	c.place(next.job, next.index, c.agents[id])
 	return true
 }
 
@@ -51,6 +55,7 @@
 	t.agent = a.info.Incarnation
 	ref := j.ref(index)
 	a.calls[ref] = c.now
+	a.service.drain.placed++
 	a.service.policy.Dispatched(c.now, a.info.Incarnation)
 	c.emit(Run{
 		Agent: a.info.Incarnation,
@@ -58,6 +63,7 @@
 			Agent:     a.info.Incarnation,
 			Task:      ref.Task,
 			Attempt:   ref.Attempt,
+			JobTasks:  len(j.tasks),
 			Spec:      j.specs[index],
 			Service:   j.service.name,
 			Team:      j.team,
@@ -96,8 +102,12 @@
 func (c *Coordinator) taskEnded(a *agent, ref structs.TaskRef, r *structs.TaskResult, o placement.Outcome) {
 	o.Refused = r.Verdict == structs.NotRun
 	o.Failed = r.Error != nil && !o.Refused
-	a.release(c.now, ref, o)
 	j, t := c.holder(a.info.Incarnation, ref)
+	if j != nil {
+		spec := &j.specs[ref.Task.Index]
+		o.Kind, o.Declared = spec.Kind, spec.Declared
+	}
+	a.release(c.now, ref, o)
 	if j == nil {
 		return
 	}
@@ -131,22 +141,34 @@
 		r.Error = structs.Errorf(structs.CodeInternal, structs.NotRun, "refused without a reason")
 	}
 	if r.Error.Code == structs.CodeHomeFenced {
-		a.fenced = true
-		c.refreshAgent(a)
+		c.fencedBy(a)
 	}
 	if j.failure != nil || !retryable(r.Error.Code) || t.attempt >= c.cfg.MaxAttempts {
 		c.endTask(j, t, *r)
 		return
 	}
-	t.phase = waiting
-	t.agent = 0
-	j.service.queue.pushFront(j, r.Index)
+	c.taskReturns(j, r.Index)
+}
+
+// fencedBy handles the news that another entry took this one for dead and
+// fenced it at an agent. It can be a home no longer and leaves, to be replaced
+// by a new run.
+func (c *Coordinator) fencedBy(a *agent) {
+	if !a.fenced {
+		a.fenced = true
+		c.refreshAgent(a)
+		c.emit(LogEvent{Event: "home_fenced", Task: noTask, Agent: a.info.Incarnation, Detail: a.info.Name})
+	}
+	c.leave()
 }
 
-// retryable reports whether another agent may take what one refused.
+// retryable reports whether another agent may take what one refused. What was
+// refused because this home is fenced must not be placed again: the entry that
+// fenced it may have told the caller that it has not run.
 func retryable(code structs.ErrorCode) bool {
 	switch code {
-	case structs.CodeRejected, structs.CodeInvalid, structs.CodeTooLarge, structs.CodeTimeout:
+	case structs.CodeHomeFenced,
+		structs.CodeRejected, structs.CodeInvalid, structs.CodeTooLarge, structs.CodeTimeout:
 		return false
 	}
 	return true
--- a/executor/record.go
+++ b/executor/record.go
@@ -12,6 +12,7 @@
 	id       structs.TaskID
 	attempt  uint32 // that was accepted
 	newest   uint32 // that was asked about; its outcome is the task's
+	jobTasks int
 	phase    structs.TaskPhase
 	spec     structs.TaskSpec // until done
 	team     string
--- a/executor/run.go
+++ b/executor/run.go
@@ -130,6 +130,7 @@
 		id:       req.Task,
 		attempt:  req.Attempt,
 		newest:   req.Attempt,
+		jobTasks: req.JobTasks,
 		phase:    structs.TaskQueued,
 		spec:     req.Spec,
 		team:     req.Team,
