--- a/structs/rpc.go
+++ b/structs/rpc.go
@@ -112,7 +112,8 @@
 	State    AgentState
 	// Forgotten says, in the answer to a FenceRequest, that records of started
 	// tasks of the job may have been dropped: a task without a status may have
-	// run. Otherwise a task without a status is not run and never will be.
+	// run. Otherwise, and with Close, a task without a status is not run at
+	// this agent and never will be.
 	Forgotten bool
 }
 
