Client: submit again what its home lost before anything ran

Cause: another entry can now answer for a lost home with a failed job whose verdict is not run; the client passed that on although the job can safely come back under another id. Kept ids are the likeliest to meet a replaced home, so they are kept for less time.

Proof: TestSubmitSettles, the cases of a home found dead.

--- a/client/options.go
+++ b/client/options.go
@@ -14,7 +14,7 @@
 // Defaults of Options.
 const (
 	defaultReserveBlock = 16
-	defaultReserveLife  = 10 * time.Second
+	defaultReserveLife  = 2 * time.Second
 	defaultPollWait     = 5 * time.Second
 	defaultAnswerSlack  = 2 * time.Second
 	defaultMaxRetries   = 10
--- a/client/submission.go
+++ b/client/submission.go
@@ -42,7 +42,12 @@
 		}
 		answer, refused, rep := s.attempt(ctx)
 		if answer != nil && answer.State.Final() {
-			return s.finish(answer)
+			lost := s.homeGone(answer)
+			if lost == nil || s.retry.wait(ctx, lost.RetryAfter) != nil {
+				return s.finish(answer)
+			}
+			s.changeID(lost)
+			continue
 		}
 		if answer != nil && s.detached {
 			return answer, nil
@@ -193,6 +198,19 @@
 	s.lost, s.accepted, s.homeLost = false, false, 0
 }
 
+// homeGone returns why a job failed if that is the loss of its home before
+// anything ran, so that the job can be submitted again; nil otherwise.
+func (s *submission) homeGone(a *structs.JobAnswer) *structs.Error {
+	if s.pinned || a.State != structs.JobFailed || a.Error == nil || a.Error.Code != structs.CodeHomeLost {
+		return nil
+	}
+	lost := withVerdict(a.Error, s.verdict(reply{}, a.Error))
+	if lost.Verdict != structs.NotRun {
+		return nil
+	}
+	return lost
+}
+
 // finish returns a final answer.
 func (s *submission) finish(a *structs.JobAnswer) (*structs.JobAnswer, error) {
 	if a.State == structs.JobComplete {
--- a/client/submit_test.go
+++ b/client/submit_test.go
@@ -27,6 +27,13 @@
 	notForwarded := func(w http.ResponseWriter, _ structs.JobID) {
 		writeJSON(w, http.StatusBadGateway, structs.Error{Code: structs.CodeHomeLost, NotForwarded: true})
 	}
+	recovered := func(v structs.Verdict, notForwarded bool) step {
+		return func(w http.ResponseWriter, id structs.JobID) {
+			writeJSON(w, http.StatusOK, structs.JobAnswer{ID: id, State: structs.JobFailed, Total: 1,
+				Results: []structs.TaskResult{{Verdict: v}},
+				Error:   &structs.Error{Code: structs.CodeHomeLost, Verdict: v, NotForwarded: notForwarded}})
+		}
+	}
 	cases := []struct {
 		name    string
 		script  []step
@@ -66,6 +73,12 @@
 		{"home lost, later proved not run", []step{lost, refuse(502, structs.CodeHomeLost, notRun), complete}, none, 0,
 			[]string{"PUT 1", "PUT 1", "PUT 4"}},
 		{"home unknown to the first entry asked", []step{notForwarded, complete}, none, 0, []string{"PUT 1", "PUT 4"}},
+		{"home found dead by the agents, nothing ran", []step{recovered(notRun, false), complete}, none, 0, []string{"PUT 1", "PUT 4"}},
+		{"home found dead by the agents, nothing known", []step{recovered(mayHaveRun, false), complete},
+			structs.CodeHomeLost, mayHaveRun, []string{"PUT 1"}},
+		{"home found dead before it got anything", []step{recovered(mayHaveRun, true), complete}, none, 0, []string{"PUT 1", "PUT 4"}},
+		{"home found dead after a lost answer", []step{lost, recovered(mayHaveRun, true), complete},
+			structs.CodeHomeLost, mayHaveRun, []string{"PUT 1", "PUT 1"}},
 		{"home unknown after a lost answer", []step{lost, notForwarded}, structs.CodeHomeLost, mayHaveRun,
 			[]string{"PUT 1", "PUT 1", "PUT 1", "PUT 1"}},
 		{"malformed for an entry of another version", []step{lost, refuse(400, structs.CodeInvalid, notRun)},
