Let a service's owner publish its document, by the team's token

publish_tokens in an entry's settings holds a token by team. The owner in the text of the edit's base decides, so a team cannot take a service over by naming itself; publish_token stays the platform operators'. An edit is tried for publish_timeout at most: before, an outage of the log held the operator's request for as long as the connection lasted. /v1/status tells why the log is not followed now, also when documents are known.

--- a/entry/http.go
+++ b/entry/http.go
@@ -161,6 +161,7 @@
 	structs.CodeRejected:    http.StatusUnprocessableEntity,
 	structs.CodeNotFound:    http.StatusNotFound,
 	structs.CodeConflict:    http.StatusConflict,
+	structs.CodeForbidden:   http.StatusForbidden,
 	structs.CodeCanceled:    http.StatusConflict,
 	structs.CodeExpired:     http.StatusGone,
 	structs.CodeQuota:       http.StatusTooManyRequests,
--- a/entry/options.go
+++ b/entry/options.go
@@ -18,9 +18,15 @@
 	LogURL   string `toml:"log_url" validate:"required,http_url"` // of the platform's log
 	LogLevel string `toml:"log_level" validate:"oneof=debug info warn error"`
 
-	// PublishToken is what an operator presents to publish documents; empty
-	// lets anyone who reaches the entry publish.
+	// PublishToken lets the platform's operators publish any document.
 	PublishToken string `toml:"publish_token"`
+	// PublishTokens holds by team the token that lets it publish the documents
+	// it owns. Without any token everyone who reaches the entry may publish.
+	PublishTokens map[string]string `toml:"publish_tokens" validate:"dive,keys,name,endkeys,min=16"`
+
+	// PublishTimeout bounds how long an edit is tried while the log is slow or
+	// down.
+	PublishTimeout settings.Duration `toml:"publish_timeout" validate:"longest=1m"`
 
 	MaxWait      settings.Duration `toml:"max_wait"`      // a caller may hold a request open
 	DrainTimeout settings.Duration `toml:"drain_timeout"` // of a graceful stop
@@ -40,11 +46,12 @@
 // DefaultOptions returns the settings that have a default.
 func DefaultOptions() Options {
 	return Options{
-		LogLevel:     "info",
-		MaxWait:      settings.Duration(60 * time.Second),
-		DrainTimeout: settings.Duration(60 * time.Second),
-		StopLinger:   settings.Duration(5 * time.Second),
-		MaxOpenJobs:  10_000,
-		MaxOpenTasks: 50_000,
+		LogLevel:       "info",
+		PublishTimeout: settings.Duration(15 * time.Second),
+		MaxWait:        settings.Duration(60 * time.Second),
+		DrainTimeout:   settings.Duration(60 * time.Second),
+		StopLinger:     settings.Duration(5 * time.Second),
+		MaxOpenJobs:    10_000,
+		MaxOpenTasks:   50_000,
 	}
 }
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -71,11 +71,14 @@
 	})
 }
 
-func (s *site) startEntry(name string) {
+func (s *site) startEntry(name string) { s.startEntryWith(name, func(*entry.Options) {}) }
+
+func (s *site) startEntryWith(name string, change func(*entry.Options)) {
 	opts := entry.DefaultOptions()
 	opts.Name, opts.Zone, opts.Region = name, "az1", "r1"
 	opts.HTTPAddr, opts.RPCAddr, opts.LogURL = anyAddr, anyAddr, s.logs.URL()
 	opts.StopLinger = 0
+	change(&opts)
 	e, err := entry.New(opts, testLogger(name))
 	s.g.Expect(err).NotTo(HaveOccurred())
 	s.entries = append(s.entries, e)
--- a/entry/services.go
+++ b/entry/services.go
@@ -1,10 +1,10 @@
 package entry
 
 import (
-	"crypto/subtle"
+	"context"
 	"errors"
 	"net/http"
-	"strings"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -46,34 +46,29 @@
 
 // putService publishes an edit.
 func (e *Entry) putService(c echo.Context) error {
-	if !e.mayPublish(c.Request()) {
-		return c.JSON(http.StatusForbidden, structs.Errorf(structs.CodeRejected, structs.NotRun, "the publish token is missing or wrong"))
+	var body structs.Edit
+	if err := readJSON(c, maxEditBody, &body); err != nil {
+		return writeError(c, err)
+	}
+	edit := fold.Edit{
+		ID:        body.EditID,
+		Service:   c.Param("name"),
+		Base:      body.Base,
+		Text:      body.Text,
+		Published: time.Now().UTC(),
 	}
-	var edit structs.Edit
-	if err := readJSON(c, maxEditBody, &edit); err != nil {
+	if err := e.mayPublish(c.Request(), &edit); err != nil {
 		return writeError(c, err)
 	}
-	rec, err := e.docs.publisher.Publish(c.Request().Context(), fold.Edit{
-		ID:      edit.EditID,
-		Service: c.Param("name"),
-		Base:    edit.Base,
-		Text:    edit.Text,
-	})
+	ctx, cancel := context.WithTimeout(c.Request().Context(), e.opts.PublishTimeout.D())
+	defer cancel()
+	rec, err := e.docs.publisher.Publish(ctx, edit)
 	if err != nil {
 		return writeError(c, publishError(err))
 	}
 	return c.JSON(http.StatusOK, rec)
 }
 
-// mayPublish checks the operator's bearer token against the settings.
-func (e *Entry) mayPublish(r *http.Request) bool {
-	if e.opts.PublishToken == "" {
-		return true
-	}
-	token := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
-	return subtle.ConstantTimeCompare([]byte(token), []byte(e.opts.PublishToken)) == 1
-}
-
 func publishError(err error) *structs.Error {
 	var known *structs.Error
 	if errors.As(err, &known) {
--- /dev/null
+++ b/entry/services_test.go
@@ -0,0 +1,97 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/client"
+	"github.com/chestnuthollow/chestnuthollow/entry"
+	"github.com/chestnuthollow/chestnuthollow/internal/settings"
+	"github.com/chestnuthollow/chestnuthollow/standin/logserver"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+const (
+	ownerToken    = "token-of-himalaya"
+	otherToken    = "token-of-kilimo--"
+	platformToken = "token-of-platform"
+)
+
+// operator applies edits under one token.
+func (s *site) operator(token string) *client.Client {
+	c, err := client.New(client.Options{
+		Entries:      []string{"http://" + s.entries[0].HTTPAddr()},
+		PublishToken: token,
+		MaxRetries:   1,
+	})
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.t.Cleanup(c.Close)
+	s.g.Eventually(func() int {
+		resp, err := http.Get("http://" + s.entries[0].HTTPAddr() + "/readyz")
+		if err != nil {
+			return 0
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}, 30*time.Second, 50*time.Millisecond).Should(Equal(http.StatusOK))
+	return c
+}
+
+func codeOf(err error) structs.ErrorCode {
+	var e *structs.Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return ""
+}
+
+// TestOnlyTheOwnerPublishes: the owner at the edit's base decides, so that no
+// team takes a service over by naming itself.
+func TestOnlyTheOwnerPublishes(t *testing.T) {
+	s := newSite(t, 0, 0)
+	s.startEntryWith("entry-0", func(o *entry.Options) {
+		o.PublishToken = platformToken
+		o.PublishTokens = map[string]string{"himalaya": ownerToken, "kilimo": otherToken}
+	})
+	taken := strings.ReplaceAll(bookingDocument, "himalaya", "kilimo")
+	steps := []struct {
+		token, text string
+		base        uint64
+		want        structs.ErrorCode
+	}{
+		{"", bookingDocument, 0, structs.CodeForbidden},
+		{otherToken, bookingDocument, 0, structs.CodeForbidden},
+		{ownerToken, bookingDocument, 0, ""},
+		{otherToken, taken, 1, structs.CodeForbidden},
+		{otherToken, taken, 0, structs.CodeConflict},
+		{platformToken, bookingDocument + "[limits]\nqueue = 3\n", 1, ""},
+		{ownerToken, taken, 2, ""}, // handed over
+		{ownerToken, bookingDocument, 3, structs.CodeForbidden},
+		{otherToken, taken + "[limits]\nqueue = 3\n", 3, ""},
+	}
+	for i, step := range steps {
+		_, err := s.operator(step.token).Apply(context.Background(), "booking", structs.Edit{Base: step.base, Text: step.text})
+		s.g.Expect(codeOf(err)).To(Equal(step.want), "step %d: %v", i, err)
+	}
+}
+
+// TestEditsDuringAnOutageAreRefusedInTime: a log that is down holds no operator
+// up for ever, and the entry says so.
+func TestEditsDuringAnOutageAreRefusedInTime(t *testing.T) {
+	s := newSite(t, 0, 0)
+	s.startEntryWith("entry-0", func(o *entry.Options) { o.PublishTimeout = settings.Duration(time.Second) })
+	s.publish(context.Background())
+	s.logs.SetFaults(logserver.Faults{Down: true})
+	_, err := s.operator("").Apply(context.Background(), "booking", structs.Edit{Base: 1, Text: bookingDocument})
+	s.g.Expect(err).To(HaveOccurred())
+	status, err := s.operator("").Status(context.Background())
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.g.Expect(status.LogError).NotTo(BeEmpty())
+	s.g.Expect(status.Services).To(ConsistOf(structs.ServiceStatus{Service: "booking", Owner: "himalaya", Revision: 1}))
+}
--- a/entry/status.go
+++ b/entry/status.go
@@ -17,13 +17,11 @@
 		Entries:   e.peers.entries(),
 		Services:  serviceStatuses(d.Services),
 		LogOffset: e.docs.follower.Fold().Next(),
+		LogError:  e.docs.follower.LogError(),
 	}
 	for _, a := range d.Agents {
 		status.Agents = append(status.Agents, structs.AgentStatus{Info: a.Info, State: a.State})
 	}
-	if err := e.docs.ready(); err != nil {
-		status.LogError = err.Error()
-	}
 	return c.JSON(http.StatusOK, status)
 }
 
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -24,6 +24,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"reflect"
 	"sync"
 	"time"
@@ -105,6 +106,21 @@
 	return nil
 }
 
+// LogError returns why the log cannot be followed now; empty if it can.
+func (f *Follower) LogError() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.link.problem
+}
+
+// Refused returns by service the accepted revisions that fail this program's
+// checks, so that an earlier one stays in force here.
+func (f *Follower) Refused() map[string]RefusedDocument {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.register.refused)
+}
+
 // Poke makes the next read of the log happen at once.
 func (f *Follower) Poke() {
 	select {
--- a/follow/register.go
+++ b/follow/register.go
@@ -42,7 +42,7 @@
 	if rec.Revision == r.refused[rec.Service].Revision {
 		return nil, nil
 	}
-	doc, err := document.Parse(rec.Text)
+	doc, err := parseFor(rec)
 	if err != nil {
 		r.refuse(rec, err)
 		return nil, fmt.Errorf("service %s revision %d: %w", rec.Service, rec.Revision, err)
@@ -54,6 +54,18 @@
 	return doc, nil
 }
 
+// parseFor parses a record's text, which must be for the record's service.
+func parseFor(rec structs.DocumentRecord) (*document.Document, error) {
+	doc, err := document.Parse(rec.Text)
+	if err != nil {
+		return nil, err
+	}
+	if doc.Service != rec.Service {
+		return nil, fmt.Errorf("the text is for service %q", doc.Service)
+	}
+	return doc, nil
+}
+
 func (r *Register) refuse(rec structs.DocumentRecord, err error) {
 	if rec.Revision > r.refused[rec.Service].Revision {
 		r.refused[rec.Service] = RefusedDocument{Revision: rec.Revision, Reason: err.Error()}
--- a/structs/error.go
+++ b/structs/error.go
@@ -16,6 +16,7 @@
 	CodeExpired          ErrorCode = "expired"           // the job id is older than what its home remembers
 	CodeConflict         ErrorCode = "conflict"          // same id, other content; or a stale base revision
 	CodeRejected         ErrorCode = "rejected"          // the service's document forbids it; it can never run
+	CodeForbidden        ErrorCode = "forbidden"         // the caller's token does not allow it
 	CodeQuota            ErrorCode = "quota"             // the team is over its quota
 	CodeOverloaded       ErrorCode = "overloaded"        // no capacity for it now
 	CodeUnavailable      ErrorCode = "unavailable"       // no backend server or process can take it now
