--- a/entry/services_test.go
+++ b/entry/services_test.go
@@ -1,7 +1,9 @@
 package entry_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"strings"
@@ -88,8 +90,17 @@
 	s.startEntryWith("entry-0", func(o *entry.Options) { o.PublishTimeout = settings.Duration(time.Second) })
 	s.publish(context.Background())
 	s.logs.SetFaults(logserver.Faults{Down: true})
-	_, err := s.operator("").Apply(context.Background(), "booking", structs.Edit{Base: 1, Text: bookingDocument})
-	s.g.Expect(err).To(HaveOccurred())
+	edit, err := json.Marshal(structs.Edit{EditID: "second", Base: 1, Text: bookingDocument})
+	s.g.Expect(err).NotTo(HaveOccurred())
+	url := "http://" + s.entries[0].HTTPAddr() + "/v1/services/booking"
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(edit))
+	s.g.Expect(err).NotTo(HaveOccurred())
+	answer, err := (&http.Client{Timeout: 30 * time.Second}).Do(req)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	defer answer.Body.Close()
+	var refusal structs.Error
+	s.g.Expect(json.NewDecoder(answer.Body).Decode(&refusal)).To(Succeed())
+	s.g.Expect(refusal.Verdict).To(Equal(structs.MayHaveRun), "a cut connection tells nothing")
 	status, err := s.operator("").Status(context.Background())
 	s.g.Expect(err).NotTo(HaveOccurred())
 	s.g.Expect(status.LogError).NotTo(BeEmpty())
