Follower tests: cut a reader off for certain; no log line per poll in a search

The tests now wait for the cut to show and for readiness. A follower in search of a checkpoint logged log_followed at every poll; failure and search are now kept apart.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -24,6 +24,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"reflect"
 	"sync"
@@ -50,10 +51,12 @@
 	leaving  bool
 }
 
+// notReadYet is the first failure of every follower.
+const notReadYet = "the log has not been read yet"
+
 // linkState is how the log is doing.
 type linkState struct {
-	problem string    // of the last read; empty if it went well
-	since   time.Time // of the first failure in a row, or of the first success
+	failure string    // of the last read; empty if it went well
 	readAt  time.Time // of the last read that went well
 	caught  bool      // the log's end has been reached once
 }
@@ -69,7 +72,7 @@
 		register: NewRegister(),
 		liveness: newLiveness(opts.EntryTTL),
 		changed:  make(chan struct{}),
-		link:     linkState{problem: "the log has not been read yet", since: time.Now()},
+		link:     linkState{failure: notReadYet},
 	}, nil
 }
 
@@ -98,7 +101,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.reader.Fold() == nil {
-		return errors.New("no service documents: " + f.link.problem)
+		return errors.New("no service documents: " + f.problem())
 	}
 	if !f.link.caught {
 		return errors.New("still reading the log")
@@ -110,7 +113,15 @@
 func (f *Follower) LogError() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.link.problem
+	return f.problem()
+}
+
+// problem is LogError with f.mu held.
+func (f *Follower) problem() string {
+	if f.link.failure == "" && f.reader.Searching() {
+		return fmt.Sprintf("the log holds no usable checkpoint before offset %d", f.reader.Offset())
+	}
+	return f.link.failure
 }
 
 // Refused returns by service the accepted revisions that fail this program's
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -149,6 +149,13 @@
 	s.srv.Append(data)
 }
 
+// cut cuts a follower off from the log; no read of it is under way after.
+func (s *site) cut(r *reader) {
+	s.t.Helper()
+	r.log.cut.Store(true)
+	s.g.Eventually(r.LogError, patience).Should(Equal(errCut.Error()))
+}
+
 func (s *site) reaches(r *reader, revision uint64) {
 	s.t.Helper()
 	s.g.Eventually(func() uint64 { return r.revision(s.g) }, patience, 10*time.Millisecond).Should(Equal(revision))
@@ -173,6 +180,7 @@
 	old := s.start("entry-a", 1, nil)
 	s.edit(0)
 	s.reaches(old, 1)
+	s.g.Eventually(old.Ready, patience).Should(Succeed())
 	s.srv.SetFaults(logserver.Faults{Down: true})
 
 	alone := s.start("entry-b", 2, nil)
@@ -197,7 +205,7 @@
 	cut := s.start("entry-b", 2, peer)
 	s.edit(0)
 	s.reaches(cut, 1)
-	cut.log.cut.Store(true)
+	s.cut(cut)
 	s.edit(1)
 	s.reaches(cut, 2)
 	s.g.Expect(cut.LogError()).To(Equal(errCut.Error()))
@@ -222,13 +230,13 @@
 	s.reaches(running, 1)
 	s.reaches(frozen, 1)
 	stale := running.Fold().CheckpointRecord()
-	frozen.log.cut.Store(true)
+	s.cut(frozen)
 	for base := range uint64(6) {
 		s.edit(base + 1)
 	}
 	s.reaches(running, 7)
 	whole := running.Fold().CheckpointRecord()
-	running.log.cut.Store(true) // so that it writes no checkpoint by itself
+	s.cut(running) // so that it writes no checkpoint by itself
 	s.srv.SetFaults(logserver.Faults{KeepRecords: 3})
 	s.append(stale) // by a process that was paused
 	frozen.log.cut.Store(false)
--- a/follow/read.go
+++ b/follow/read.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -75,11 +74,10 @@
 func (f *Follower) failed(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.link.problem == "" {
-		f.link.since = time.Now()
+	if f.link.failure == "" || f.link.failure == notReadYet {
 		level.Warn(f.opts.Logger).Log("event", "log_unreachable", "err", err)
 	}
-	f.link.problem = err.Error()
+	f.link.failure = err.Error()
 }
 
 // took takes in the records of a read that went well.
@@ -102,18 +100,14 @@
 // last call; f.mu is held.
 func (f *Follower) noteRead(now time.Time, end bool) time.Duration {
 	var elapsed time.Duration
-	if f.link.problem == "" {
+	if f.link.failure == "" {
 		elapsed = now.Sub(f.link.readAt)
 	} else {
 		level.Info(f.opts.Logger).Log("event", "log_followed", "offset", f.reader.Offset())
-		f.link.since = now
 	}
 	f.link.readAt = now
-	f.link.problem = ""
-	switch {
-	case f.reader.Searching():
-		f.link.problem = fmt.Sprintf("the log holds no usable checkpoint before offset %d", f.reader.Offset())
-	case end:
+	f.link.failure = ""
+	if end && !f.reader.Searching() {
 		f.link.caught = true
 	}
 	return elapsed
@@ -123,7 +117,7 @@
 func (f *Follower) wantsPeer() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.opts.FetchPeerFold != nil && f.link.problem != ""
+	return f.opts.FetchPeerFold != nil && f.problem() != ""
 }
 
 // askPeer takes over a peer's fold if it is ahead.
--- a/follow/upkeep.go
+++ b/follow/upkeep.go
@@ -41,7 +41,7 @@
 func (f *Follower) followed() *fold.Fold {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.leaving || f.link.problem != "" || !f.link.caught {
+	if f.leaving || f.problem() != "" || !f.link.caught {
 		return nil
 	}
 	return f.reader.Fold()
