Idempotency keys, bound to job ids by the first record on a stream of the log

Weighed against hashing over named entry positions: that way needs no write, but its successor cannot fence a frozen predecessor at an agent only that one knows, so a key could start twice. Bound by the log, a keyed job becomes a reserved id and shares everything after it.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 
 	"github.com/chestnuthollow/chestnuthollow/coordinator"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcconn"
+	"github.com/chestnuthollow/chestnuthollow/keybind"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -44,6 +45,7 @@
 	links   map[structs.Incarnation]*agentLink // of the loop only
 	peers   *peerTable
 	docs    *documents
+	keys    *keybind.Binder // nil: keyed jobs are refused
 	rpc     *rpcconn.Server
 	httpLn  net.Listener
 	http    *http.Server
@@ -93,6 +95,10 @@
 		return nil, err
 	}
 	e.docs = docs
+	if err := e.openKeys(); err != nil {
+		e.closeListeners()
+		return nil, err
+	}
 	return e, nil
 }
 
@@ -162,6 +168,9 @@
 	go e.serveHTTP()
 	go e.loop(background)
 	go e.docs.run(background)
+	if e.keys != nil {
+		go e.keys.Run(background)
+	}
 	go e.peers.run(background, e.postPeers, e.postAgent)
 
 	<-ctx.Done()
--- a/entry/http.go
+++ b/entry/http.go
@@ -53,7 +53,15 @@
 }
 
 func (e *Entry) postJob(c echo.Context) error {
-	return e.submitJob(c, structs.JobID{})
+	text := c.Request().Header.Get(headerIdempotencyKey)
+	if text == "" {
+		return e.submitJob(c, structs.JobID{})
+	}
+	id, err := e.jobOfKey(c.Request().Context(), text)
+	if err != nil {
+		return writeError(c, err)
+	}
+	return e.submitJob(c, id)
 }
 
 func (e *Entry) putJob(c echo.Context) error {
--- a/entry/options.go
+++ b/entry/options.go
@@ -16,7 +16,10 @@
 	HTTPAddr string `toml:"http_addr" validate:"required,ipport"`
 	RPCAddr  string `toml:"rpc_addr" validate:"required,ipport"`
 	LogURL   string `toml:"log_url" validate:"required,http_url"` // of the platform's log
-	LogLevel string `toml:"log_level" validate:"oneof=debug info warn error"`
+	// KeyLogURL is a second stream of the log, for idempotency keys; empty
+	// refuses jobs that carry one.
+	KeyLogURL string `toml:"key_log_url" validate:"omitempty,http_url"`
+	LogLevel  string `toml:"log_level" validate:"oneof=debug info warn error"`
 
 	// PublishToken is what an operator presents to publish documents; empty
 	// lets anyone who reaches the entry publish.
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -31,6 +31,7 @@
 	g        *WithT
 	t        *testing.T
 	logs     *logserver.Server
+	keyLogs  *logserver.Server
 	entries  []*entry.Entry
 	backends []*backend.Server
 }
@@ -41,6 +42,9 @@
 	s.logs, err = logserver.Start(anyAddr, logserver.Faults{})
 	s.g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { s.logs.Close() })
+	s.keyLogs, err = logserver.Start(anyAddr, logserver.Faults{})
+	s.g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { s.keyLogs.Close() })
 	for i := range entries {
 		s.startEntry(fmt.Sprintf("entry-%d", i))
 	}
@@ -75,6 +79,7 @@
 	opts := entry.DefaultOptions()
 	opts.Name, opts.Zone, opts.Region = name, "az1", "r1"
 	opts.HTTPAddr, opts.RPCAddr, opts.LogURL = anyAddr, anyAddr, s.logs.URL()
+	opts.KeyLogURL = s.keyLogs.URL()
 	opts.StopLinger = 0
 	e, err := entry.New(opts, testLogger(name))
 	s.g.Expect(err).NotTo(HaveOccurred())
