--- a/executor/control.go
+++ b/executor/control.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -40,11 +41,25 @@
 		e.emit(LogEvent{Event: "document_refused", Detail: detail + " " + err.Error()})
 		return
 	}
+	if doc.Service != e.opts.Service {
+		e.emit(LogEvent{Event: "document_refused", Detail: detail + " is of service " + doc.Service})
+		return
+	}
 	e.record = *rec
 	e.document = *doc
+	e.document.Leave.BackendServers = e.ownName(doc.Leave.BackendServers)
 	e.emit(LogEvent{Event: "document_in_force", Detail: detail})
 }
 
+// ownName reduces a list of agent names to this agent's, so that a long list
+// costs nothing afterwards.
+func (e *Executor) ownName(names []string) []string {
+	if slices.Contains(names, e.opts.Name) {
+		return []string{e.opts.Name}
+	}
+	return nil
+}
+
 // updateLeaving compares the wish to leave with the state, and refuses waiting
 // tasks when the backend server starts to leave, so that entries place them
 // elsewhere.
--- a/executor/model_test.go
+++ b/executor/model_test.go
@@ -378,7 +378,7 @@
 		"[leave]\nbackend_servers = ['a1']\n",
 		"not TOML",
 	}).Draw(t, "text")
-	m.send(t, structs.DocumentRecord{Service: "faq", Revision: rev, Text: text})
+	m.send(t, structs.DocumentRecord{Service: "faq", Revision: rev, Text: documentHead + text})
 }
 
 func (m *model) again(t *rapid.T) {
--- /dev/null
+++ b/executor/session_test.go
@@ -0,0 +1,171 @@
+package executor_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/executor"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+func TestRepeatedRunAttachesToTheFirst(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(nil)
+	first := h.run(request(task(1, 0), 1))
+	second := h.run(request(task(1, 0), 1))
+	g.Expect(h.replies).To(BeEmpty())
+	h.done(task(1, 0), structs.Ran, "r")
+	third := h.run(request(task(1, 0), 1))
+	for _, call := range []executor.CallID{first, second, third} {
+		g.Expect(string(h.result(call).Body)).To(Equal("r"))
+	}
+	g.Expect(h.started).To(HaveLen(1))
+}
+
+func TestSettleModes(t *testing.T) {
+	for mode, want := range map[structs.SettleMode]structs.TaskPhase{
+		structs.SettleQuery:  structs.TaskQueued,
+		structs.SettleRecall: structs.TaskFenced,
+		structs.SettleStop:   structs.TaskFenced,
+	} {
+		g := NewWithT(t)
+		h := newHarness(nil)
+		h.document(1, "[leave]\nstop_canceled = true")
+		h.run(request(task(1, 0), 1))
+		queued := h.run(request(task(1, 1), 1))
+		reply := h.settle(mode, ref(task(1, 0), 1), ref(task(1, 1), 1), ref(task(1, 2), 1))
+		g.Expect(reply.Statuses[0].Phase).To(Equal(structs.TaskRunning))
+		g.Expect(reply.Statuses[1].Phase).To(Equal(want))
+		g.Expect(reply.Statuses[2].Phase).To(Equal(structs.TaskFenced))
+		g.Expect(h.result(queued) != nil).To(Equal(want == structs.TaskFenced))
+		g.Expect(len(h.stopped) == 1).To(Equal(mode == structs.SettleStop))
+	}
+}
+
+func TestStopNeedsTheDocumentsLeave(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(nil)
+	h.run(request(task(1, 0), 1))
+	h.settle(structs.SettleStop, ref(task(1, 0), 1))
+	g.Expect(h.stopped).To(BeEmpty())
+}
+
+// A late recall of an earlier attempt does not touch the present one.
+func TestLateRecallOfAnEarlierAttempt(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(nil)
+	h.run(request(task(1, 0), 1))
+	h.run(request(task(1, 1), 2))
+	st := h.settle(structs.SettleRecall, ref(task(1, 1), 1)).Statuses[0]
+	g.Expect(st.Phase).To(Equal(structs.TaskFenced))
+	g.Expect(st.Attempt).To(Equal(uint32(1)))
+	h.done(task(1, 0), structs.Ran, "r")
+	g.Expect(h.started).To(ContainElement(ref(task(1, 1), 2)))
+}
+
+func TestFenceDropsQueuedAndReportsRunning(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(nil)
+	running := h.run(request(task(1, 0), 1))
+	queued := h.run(request(task(1, 1), 1))
+	reply := h.fence(task(1, 0).Job)
+	g.Expect(reply.Forgotten).To(BeFalse())
+	g.Expect(reply.Statuses).To(HaveLen(2))
+	g.Expect(reply.Statuses[0].Phase).To(Equal(structs.TaskRunning))
+	g.Expect(reply.Statuses[1].Phase).To(Equal(structs.TaskFenced))
+	g.Expect(h.result(queued).Verdict).To(Equal(structs.NotRun))
+	h.done(task(1, 0), structs.Ran, "r")
+	g.Expect(string(h.result(running).Body)).To(Equal("r"))
+	g.Expect(h.fence(task(1, 0).Job).Statuses[0].Phase).To(Equal(structs.TaskDone))
+}
+
+func TestLeavingRefusesQueuedAtOnceAndFinishesRunning(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(nil)
+	running := h.run(request(task(1, 0), 1))
+	queued := h.run(request(task(1, 1), 1))
+	h.step(executor.LeaveRequested{})
+	g.Expect(h.result(queued).Error.Code).To(Equal(structs.CodeLeaving))
+	g.Expect(h.announce).To(HaveLen(1))
+	g.Expect(h.announce[0].Leaving).To(BeTrue())
+	g.Expect(h.drained).To(BeZero())
+	h.done(task(1, 0), structs.Ran, "r")
+	g.Expect(h.result(running).Verdict).To(Equal(structs.Ran))
+	g.Expect(h.drained).To(Equal(1))
+	h.wait(time.Second)
+	g.Expect(h.drained).To(Equal(1))
+}
+
+func TestDocumentCallsBackALeavingServer(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(nil)
+	h.document(1, "[leave]\nbackend_servers = ['a1']")
+	h.document(2, "")
+	g.Expect(h.announce).To(HaveLen(2))
+	g.Expect(h.announce[1].Leaving).To(BeFalse())
+	h.run(request(task(1, 0), 1))
+	g.Expect(h.started).To(HaveLen(1))
+}
+
+func TestDocumentNeverGoesBack(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(nil)
+	h.document(5, "[limits]\nslots = 3")
+	g.Expect(h.document(4, "[limits]\nslots = 1").Record.Revision).To(Equal(uint64(5)))
+	g.Expect(h.document(6, "not TOML").Record.Revision).To(Equal(uint64(5)))
+	g.Expect(h.exec.State().Slots).To(Equal(3))
+}
+
+func TestOldestResultsAreDroppedFirst(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(func(o *executor.Options) { o.MaxResultBytes = 10 })
+	for i := range 2 {
+		h.run(request(task(1, i), 1))
+		h.done(task(1, i), structs.Ran, "sixsix")
+	}
+	lost := h.result(h.await(task(1, 0), 1))
+	g.Expect(lost.Verdict).To(Equal(structs.Ran))
+	g.Expect(lost.Error.Code).To(Equal(structs.CodeResultLost))
+	g.Expect(string(h.result(h.await(task(1, 1), 1)).Body)).To(Equal("sixsix"))
+}
+
+// A result that does not fit into a settle reply is fetched by Await.
+func TestSettleReplyIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(func(o *executor.Options) { o.MaxReplyBytes = 10 })
+	var refs []structs.TaskRef
+	for i := range 3 {
+		h.run(request(task(1, i), 1))
+		h.done(task(1, i), structs.Ran, "sixsix")
+		refs = append(refs, ref(task(1, i), 1))
+	}
+	st := h.settle(structs.SettleQuery, refs...).Statuses
+	g.Expect(st[0].Phase).To(Equal(structs.TaskDone))
+	g.Expect(st[1].Phase).To(Equal(structs.TaskRunning))
+	g.Expect(h.result(h.await(task(1, 1), 1)).Verdict).To(Equal(structs.Ran))
+}
+
+// A Run whose own watermark settles its queued task still gets an answer.
+func TestRunThatSettlesItsOwnTask(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(nil)
+	h.run(request(task(1, 0), 1))
+	h.run(request(task(2, 0), 1))
+	again := request(task(2, 0), 1)
+	again.Watermark = 3
+	g.Expect(h.result(h.run(again)).Verdict).To(Equal(structs.NotRun))
+}
+
+// A later attempt that shared an earlier one's record shares its fence.
+func TestLaterAttemptSharesTheFence(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(nil)
+	h.run(request(task(1, 0), 1))
+	second := h.run(request(task(1, 0), 2))
+	h.done(task(1, 0), structs.NotRun, "")
+	g.Expect(h.result(second).Verdict).To(Equal(structs.NotRun))
+	h.run(request(task(1, 0), 2))
+	g.Expect(h.started).To(HaveLen(1))
+}
--- a/executor/start.go
+++ b/executor/start.go
@@ -75,7 +75,7 @@
 }
 
 // backendDone takes in the end of a started task.
-func (e *Executor) backendDone(_ time.Time, ev *BackendDone) {
+func (e *Executor) backendDone(now time.Time, ev *BackendDone) {
 	r := e.records[ev.Task]
 	if r == nil || r.phase != structs.TaskRunning {
 		e.logTask("unexpected_backend_answer", ev.Task, ev.Result.Verdict, "")
@@ -91,6 +91,7 @@
 	r.result = res
 	r.serviceTime = ev.ServiceTime
 	e.logTask("task_done", r.id, res.Verdict, codeOf(res.Error))
+	e.startQueued(now) // before the replies, whose state then counts it
 	e.replyWaiters(r, res, r.serviceTime)
 	e.keep(h, r)
 }
