--- a/coordinator/submit.go
+++ b/coordinator/submit.go
@@ -38,6 +38,12 @@
 		c.resubmit(e, j)
 		return
 	}
+	if _, reserved := c.ids.reserved[e.ID.Seq]; reserved && c.leaving {
+		// The id stays reserved, to be reported as never submitted. A leaving
+		// entry admits nothing any more.
+		c.replyError(e.Call, c.leavingError())
+		return
+	}
 	if !c.ids.claim(e.ID.Seq) {
 		c.replyError(e.Call, c.unknownID(e.ID))
 		return
@@ -63,13 +69,14 @@
 }
 
 // unknownID explains an identifier of this home without a job. What was
-// forgotten may have run, so nothing better than MayHaveRun is known of it.
+// forgotten may have run, and a submission of a reserved identifier may still
+// be under way, so nothing better than MayHaveRun is known of either.
 func (c *Coordinator) unknownID(id structs.JobID) *structs.Error {
 	if id.Seq >= c.ids.next {
 		return structs.Errorf(structs.CodeNotFound, structs.NotRun, "job %s was never reserved", id)
 	}
 	if _, reserved := c.ids.reserved[id.Seq]; reserved {
-		return structs.Errorf(structs.CodeNotFound, structs.NotRun, "job %s was not submitted", id)
+		return structs.Errorf(structs.CodeNotFound, structs.MayHaveRun, "job %s has not been submitted yet", id)
 	}
 	return structs.Errorf(structs.CodeExpired, structs.MayHaveRun, "job %s is no longer remembered", id)
 }
