--- a/allinone/system.go
+++ b/allinone/system.go
@@ -70,6 +70,7 @@
 	opts.HTTPAddr = anyPort
 	opts.RPCAddr = anyPort
 	opts.LogURL = s.log.URL()
+	opts.StopLinger = 0 // no caller comes back for an answer
 	e, err := entry.New(opts, s.logger(opts.Name))
 	if err != nil {
 		return err
