Refuse other content under the id of a lost home's job

The model of the reducers found: after a home was lost, a submission of other content under the id of a finished job was answered with that job's results. Cause: the recovery from the agents' records did not know what had been submitted. A dispatch now carries the fingerprint of the submission, the agent's status gives it back, and a repeated submission whose fingerprint differs is answered with a conflict.

--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -90,7 +90,10 @@
 		ID      structs.JobID
 		Service string // zero: unknown
 		Tasks   int    // of the job; zero: unknown
-		Dead    bool
+		// Spec is the submission that is repeated, or nil. If the agents know
+		// other content under the id, the reply is CodeConflict.
+		Spec *structs.JobSpec
+		Dead bool
 	}
 	// QueryReplied is the reply to a Query effect.
 	QueryReplied struct {
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -64,6 +64,7 @@
 			Task:      ref.Task,
 			Attempt:   ref.Attempt,
 			JobTasks:  len(j.tasks),
+			Content:   j.fingerprint,
 			Spec:      j.specs[index],
 			Service:   j.service.name,
 			Team:      j.team,
--- a/coordinator/recovery.go
+++ b/coordinator/recovery.go
@@ -29,6 +29,9 @@
 	// tasks is the number of the job's tasks; zero until known.
 	tasks int
 	dead  bool
+	// content identifies the submission that is repeated; zero if unknown.
+	content  [16]byte
+	conflict bool
 	// pending are the agents that have not answered, and awaited the tasks
 	// that still run.
 	pending map[structs.Incarnation]struct{}
@@ -56,6 +59,9 @@
 		awaited: make(map[structs.TaskRef]struct{}),
 		known:   make(map[int]structs.TaskStatus),
 	}
+	if e.Spec != nil {
+		r.content = fingerprint(e.Spec)
+	}
 	c.recovers[e.Call] = r
 	for _, a := range agents {
 		id := a.info.Incarnation
@@ -104,6 +110,7 @@
 		return
 	}
 	r.known[index] = *s
+	r.checkContent(s.Content)
 	r.tasks = max(r.tasks, s.JobTasks)
 	if s.Phase == structs.TaskRunning || s.Phase == structs.TaskQueued {
 		ref := structs.TaskRef{Task: s.Task, Attempt: s.Attempt}
@@ -112,6 +119,15 @@
 	}
 }
 
+// checkContent notes whether the agents know the id with other content than the
+// repeated submission.
+func (r *recovery) checkContent(known [16]byte) {
+	var unknown [16]byte
+	if r.content != unknown && known != unknown && known != r.content {
+		r.conflict = true
+	}
+}
+
 // queryAwaited takes in the outcome of a task that was still under way.
 func (c *Coordinator) queryAwaited(e QueryAwaited) {
 	r := c.recovers[e.Call]
@@ -148,6 +164,10 @@
 		return
 	}
 	delete(c.recovers, r.call)
+	if r.conflict {
+		c.replyError(r.call, otherContent(r.id))
+		return
+	}
 	answer := r.answer()
 	if answer == nil {
 		c.replyError(r.call, homeLost(r.id))
--- a/coordinator/submit.go
+++ b/coordinator/submit.go
@@ -55,13 +55,16 @@
 // resubmit answers a repeated submission.
 func (c *Coordinator) resubmit(e SubmitCalled, j *job) {
 	if fingerprint(&e.Spec) != j.fingerprint {
-		c.replyError(e.Call, structs.Errorf(structs.CodeConflict, structs.MayHaveRun,
-			"job %s was submitted with other content", j.id))
+		c.replyError(e.Call, otherContent(j.id))
 		return
 	}
 	c.answerCall(e.Call, j, e.Wait)
 }
 
+func otherContent(id structs.JobID) *structs.Error {
+	return structs.Errorf(structs.CodeConflict, structs.MayHaveRun, "job %s was submitted with other content", id)
+}
+
 // unknownID explains an identifier of this home without a job. What was
 // forgotten may have run, and a submission of a reserved identifier may still
 // be under way, so nothing better than MayHaveRun is known of either.
@@ -142,7 +145,7 @@
 	if !ok {
 		ev := RecoverCalled{Call: call, ID: id}
 		if spec != nil {
-			ev.Service, ev.Tasks = spec.Service, len(spec.Tasks)
+			ev.Service, ev.Tasks, ev.Spec = spec.Service, len(spec.Tasks), spec
 		}
 		c.recoverJob(ev)
 		return
--- a/entry/request.go
+++ b/entry/request.go
@@ -25,7 +25,7 @@
 	if r.lost {
 		ev := coordinator.RecoverCalled{Call: call, ID: r.id, Dead: r.homeDead}
 		if r.spec != nil {
-			ev.Service, ev.Tasks = r.spec.Service, len(r.spec.Tasks)
+			ev.Service, ev.Tasks, ev.Spec = r.spec.Service, len(r.spec.Tasks), r.spec
 		}
 		return ev
 	}
--- a/executor/record.go
+++ b/executor/record.go
@@ -12,6 +12,7 @@
 	id       structs.TaskID
 	attempt  uint32
 	jobTasks int
+	content  [16]byte
 	phase    structs.TaskPhase
 	spec     structs.TaskSpec // until done
 	team     string
--- a/executor/run.go
+++ b/executor/run.go
@@ -136,6 +136,7 @@
 		id:       req.Task,
 		attempt:  req.Attempt,
 		jobTasks: req.JobTasks,
+		content:  req.Content,
 		phase:    structs.TaskQueued,
 		spec:     req.Spec,
 		team:     req.Team,
--- a/executor/settle.go
+++ b/executor/settle.go
@@ -85,6 +85,7 @@
 		Attempt:     r.attempt,
 		Phase:       r.phase,
 		JobTasks:    r.jobTasks,
+		Content:     r.content,
 		Result:      r.result,
 		ServiceTime: r.serviceTime,
 	}
@@ -126,7 +127,9 @@
 func boundStatus(st structs.TaskStatus, room *int) structs.TaskStatus {
 	size := resultSize(&st.Result)
 	if size > *room {
-		return structs.TaskStatus{Task: st.Task, Attempt: st.Attempt, Phase: structs.TaskRunning, JobTasks: st.JobTasks}
+		st.Phase = structs.TaskRunning
+		st.Result = structs.TaskResult{}
+		return st
 	}
 	*room -= size
 	return st
--- a/structs/rpc.go
+++ b/structs/rpc.go
@@ -25,7 +25,8 @@
 	Agent    Incarnation // the agent run it is meant for
 	Task     TaskID      // Task.Job.Home is the sender
 	Attempt  uint32
-	JobTasks int // tasks of the whole job
+	JobTasks int      // tasks of the whole job
+	Content  [16]byte // identifies the content of the job's submission
 	Spec     TaskSpec
 	Service  string
 	Team     string
@@ -97,7 +98,8 @@
 	Task     TaskID
 	Attempt  uint32 // the newest attempt the agent knows, as asked if fenced
 	Phase    TaskPhase
-	JobTasks int // tasks of the whole job; zero if fenced
+	JobTasks int      // tasks of the whole job; zero if fenced
+	Content  [16]byte // of the job's submission; zero if fenced
 	// Result is set if Phase is TaskDone. If Phase is TaskFenced, its Error may
 	// tell why; CodeHomeFenced says that the task waited here when its home
 	// was fenced.
