--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -95,6 +95,8 @@
 		Spec *structs.JobSpec
 		Dead bool
 	}
+	// HomeClosed takes in what another entry said when it ended gracefully.
+	HomeClosed struct{ Report structs.ClosedReport }
 	// QueryReplied is the reply to a Query effect.
 	QueryReplied struct {
 		Call  CallID
@@ -212,8 +214,9 @@
 		Agent   structs.Incarnation
 		Service string
 	}
-	// Drained says that a graceful stop is complete: no job is open.
-	Drained struct{}
+	// Drained says that a graceful stop is complete: no job is open. The report
+	// is for the peers.
+	Drained struct{ Report structs.ClosedReport }
 	// LogEvent is one line for the log.
 	LogEvent struct {
 		Event   string
@@ -239,6 +242,7 @@
 func (SettleFailed) isEvent()    {}
 func (HeartbeatFailed) isEvent() {}
 func (RecoverCalled) isEvent()   {}
+func (HomeClosed) isEvent()      {}
 func (QueryReplied) isEvent()    {}
 func (QueryAwaited) isEvent()    {}
 func (QueryFailed) isEvent()     {}
