--- a/executor/record.go
+++ b/executor/record.go
@@ -13,6 +13,7 @@
 	attempt  uint32 // that was accepted
 	newest   uint32 // that was asked about; its outcome is the task's
 	jobTasks int
+	content  [16]byte
 	phase    structs.TaskPhase
 	spec     structs.TaskSpec // until done
 	team     string
