Refuse jobs of unknown services as unavailable until the documents are known

A newcomer during an outage of the log refused jobs for good (not_found), though other entries knew the service. The coordinator is now told when all documents are known; until then it says unavailable, not run, come back.

--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -20,7 +20,7 @@
 	}
 	svc := c.services[spec.Service]
 	if svc == nil || svc.doc == nil {
-		return structs.Errorf(structs.CodeNotFound, structs.NotRun, "service %q has no document", spec.Service)
+		return c.noDocument(spec.Service)
 	}
 	if err := checkAccept(svc.doc, spec); err != nil {
 		return err
@@ -39,6 +39,15 @@
 	return nil
 }
 
+// noDocument refuses a job whose service has no document here.
+func (c *Coordinator) noDocument(service string) *structs.Error {
+	if !c.documentsKnown {
+		return structs.Errorf(structs.CodeUnavailable, structs.NotRun, "this entry does not know the services' documents yet").
+			WithRetryAfter(retryAfterUnavailable)
+	}
+	return structs.Errorf(structs.CodeNotFound, structs.NotRun, "service %q has no document", service)
+}
+
 // checkSpec applies the limits that hold for every service.
 func (c *Coordinator) checkSpec(spec *structs.JobSpec) *structs.Error {
 	refuse := func(code structs.ErrorCode, format string, args ...any) *structs.Error {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -29,6 +29,8 @@
 	heldBytes int
 	leaving   bool
 	drained   bool
+	// documentsKnown says that a service without a document does not exist.
+	documentsKnown bool
 
 	now time.Time
 	out []Effect
@@ -93,6 +95,8 @@
 		c.queryFailed(e)
 	case DocumentChanged:
 		c.documentChanged(e)
+	case DocumentsKnown:
+		c.documentsKnown = true
 	case PeersChanged:
 		c.peersChanged(e)
 	case LeaveRequested:
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -122,6 +122,9 @@
 		Record   structs.DocumentRecord
 		Document *document.Document
 	}
+	// DocumentsKnown says that every service's document has been told: from now
+	// on a service without one does not exist.
+	DocumentsKnown struct{}
 	// PeersChanged replaces what is known of the entries. Live counts those
 	// heard of lately, this one included.
 	PeersChanged struct {
@@ -247,6 +250,7 @@
 func (QueryAwaited) isEvent()    {}
 func (QueryFailed) isEvent()     {}
 func (DocumentChanged) isEvent() {}
+func (DocumentsKnown) isEvent()  {}
 func (PeersChanged) isEvent()    {}
 func (LeaveRequested) isEvent()  {}
 func (Ticked) isEvent()          {}
--- a/entry/documents.go
+++ b/entry/documents.go
@@ -45,7 +45,28 @@
 	return d, nil
 }
 
-func (d *documents) run(ctx context.Context) { d.follower.Run(ctx) }
+func (d *documents) run(ctx context.Context) {
+	go d.awaitReady(ctx)
+	d.follower.Run(ctx)
+}
+
+// readyPoll passes between looks at whether the documents are known.
+const readyPoll = 50 * time.Millisecond
+
+// awaitReady tells the coordinator once the documents are known. Those known
+// then have been handed to it before.
+func (d *documents) awaitReady(ctx context.Context) {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for d.follower.Ready() != nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+	d.e.mail.post(coordinator.DocumentsKnown{})
+}
 
 // inForce hands a newer revision to the coordinator.
 func (d *documents) inForce(rec structs.DocumentRecord, doc *document.Document) {
