--- a/allinone/system.go
+++ b/allinone/system.go
@@ -26,6 +26,7 @@
 	opts     Options
 	logger   func(name string) log.Logger
 	log      *logserver.Server
+	keyLog   *logserver.Server // stream of idempotency keys
 	backends []*backend.Server
 	agents   []*agent.Agent
 	entries  []*entry.Entry
@@ -49,6 +50,9 @@
 	if s.log, err = logserver.Start(anyPort, logserver.Faults{}); err != nil {
 		return fmt.Errorf("allinone: log: %w", err)
 	}
+	if s.keyLog, err = logserver.Start(anyPort, logserver.Faults{}); err != nil {
+		return fmt.Errorf("allinone: log: %w", err)
+	}
 	for i := range s.opts.Entries {
 		if err := s.startEntry(i); err != nil {
 			return fmt.Errorf("allinone: entry: %w", err)
@@ -70,6 +74,7 @@
 	opts.HTTPAddr = anyPort
 	opts.RPCAddr = anyPort
 	opts.LogURL = s.log.URL()
+	opts.KeyLogURL = s.keyLog.URL()
 	opts.StopLinger = 0 // no caller comes back for an answer
 	e, err := entry.New(opts, s.logger(opts.Name))
 	if err != nil {
@@ -155,8 +160,10 @@
 	for _, b := range s.backends {
 		err = errors.Join(err, b.Shutdown(context.Background()))
 	}
-	if s.log != nil {
-		err = errors.Join(err, s.log.Close())
+	for _, l := range []*logserver.Server{s.log, s.keyLog} {
+		if l != nil {
+			err = errors.Join(err, l.Close())
+		}
 	}
 	return err
 }
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -20,6 +20,9 @@
 // home is the incarnation of every fake entry.
 const home = structs.Incarnation(0xabc)
 
+// keyedSeq is the sequence of the job that an idempotency key is bound to.
+const keyedSeq = 77
+
 // step answers one request for a job, which has been read.
 type step func(w http.ResponseWriter, id structs.JobID)
 
@@ -45,6 +48,10 @@
 		f.reserve(w, r)
 		return
 	}
+	if key := r.Header.Get("Idempotency-Key"); key != "" {
+		f.next(r.Method+" "+key, structs.JobID{})(w, structs.JobID{Home: home, Seq: keyedSeq})
+		return
+	}
 	id, err := structs.ParseJobID(strings.TrimPrefix(r.URL.Path, "/v1/jobs/"))
 	if err != nil {
 		http.NotFound(w, r)
--- a/client/job.go
+++ b/client/job.go
@@ -77,12 +77,13 @@
 	return json.Unmarshal(rep.body, &e) == nil && e.Code != ""
 }
 
+// decodeAnswer decodes the answer of a job; a zero id takes any.
 func decodeAnswer(body []byte, id structs.JobID) (*structs.JobAnswer, error) {
 	var a structs.JobAnswer
 	if err := json.Unmarshal(body, &a); err != nil {
 		return nil, fmt.Errorf("client: unknown answer: %w", err)
 	}
-	if a.ID != id {
+	if id != (structs.JobID{}) && a.ID != id {
 		return nil, fmt.Errorf("client: asked for job %s and got %s", id, a.ID)
 	}
 	if a.State != structs.JobRunning && !a.State.Final() {
--- a/client/send.go
+++ b/client/send.go
@@ -26,6 +26,7 @@
 	body   []byte
 	wait   time.Duration // how long the entry may hold the request
 	token  string        // for publishing; empty for none
+	key    string        // idempotency key; empty for none
 }
 
 // reply is what became of a request: an HTTP answer whose body is JSON, or an
@@ -80,6 +81,9 @@
 	if len(r.body) > 0 {
 		req.Header.Set("Content-Type", "application/json")
 	}
+	if r.key != "" {
+		req.Header.Set("Idempotency-Key", r.key)
+	}
 	if r.token != "" {
 		req.Header.Set("Authorization", "Bearer "+r.token)
 	}
--- a/client/submission.go
+++ b/client/submission.go
@@ -23,7 +23,8 @@
 	progress func(*structs.JobAnswer)
 
 	id     structs.JobID
-	pinned bool      // the id is the caller's
+	key    string    // idempotency key; empty for a reserved id
+	pinned bool      // the id or key is the caller's
 	via    *endpoint // preferred
 	// detached says that the caller does not wait for the final answer.
 	detached bool
@@ -69,9 +70,10 @@
 	}
 }
 
-// ensureID takes a reserved id if the job has none.
+// ensureID takes a reserved id if the job has none. A job under a key learns
+// its id from the first answer.
 func (s *submission) ensureID(ctx context.Context) *structs.Error {
-	if s.id != (structs.JobID{}) {
+	if s.key != "" || s.id != (structs.JobID{}) {
 		return nil
 	}
 	r, err := s.c.reserve(ctx)
@@ -97,6 +99,7 @@
 		return nil, withVerdict(refused, s.verdict(rep, refused)), rep
 	}
 	s.via = to
+	s.id = answer.ID
 	return answer, nil, rep
 }
 
@@ -105,17 +108,25 @@
 	if s.detached {
 		wait = 0
 	}
-	r := request{method: http.MethodPut, path: jobPath(s.id, wait), body: s.body, wait: wait}
-	if s.accepted {
-		r.method, r.body = http.MethodGet, nil
+	switch {
+	case s.accepted:
+		return request{method: http.MethodGet, path: jobPath(s.id, wait), wait: wait}
+	case s.key != "":
+		return request{method: http.MethodPost, path: keyedJobPath(wait), body: s.body, wait: wait, key: s.key}
 	}
-	return r
+	return request{method: http.MethodPut, path: jobPath(s.id, wait), body: s.body, wait: wait}
 }
 
+const jobsPath = "/v1/jobs"
+
 func jobPath(id structs.JobID, wait time.Duration) string {
-	return "/v1/jobs/" + id.String() + "?wait=" + url.QueryEscape(wait.String())
+	return jobsPath + "/" + id.String() + waitQuery(wait)
 }
 
+func keyedJobPath(wait time.Duration) string { return jobsPath + waitQuery(wait) }
+
+func waitQuery(wait time.Duration) string { return "?wait=" + url.QueryEscape(wait.String()) }
+
 // noteLost counts what a request without an answer means for the id.
 func (s *submission) noteLost(rep reply) {
 	if rep.unsent || (rep.err == nil && rep.known()) {
--- a/client/submit.go
+++ b/client/submit.go
@@ -21,6 +21,18 @@
 	}
 }
 
+// WithKey submits under an idempotency key, a UUID of version 7, in place of a
+// reserved id. It may be used again for the same job, also after a crash. A key
+// costs a write to the platform's log and is refused while the log is out;
+// reserved ids are not.
+func WithKey(key string) SubmitOption {
+	return func(s *submission) {
+		s.key = key
+		s.pinned = true
+		s.lost = true // an earlier process may have sent it
+	}
+}
+
 // WithProgress has f called when an entry says how far the job is. It is
 // called from the goroutine of Submit.
 func WithProgress(f func(*structs.JobAnswer)) SubmitOption {
--- a/client/submit_test.go
+++ b/client/submit_test.go
@@ -155,6 +155,20 @@
 	g.Expect(f.seen()).To(Equal([]string{"PUT 9", "PUT 9"}))
 }
 
+func TestSubmitWithKey(t *testing.T) {
+	g := NewWithT(t)
+	f := newFakeEntry(t, lost, running, complete)
+	a, err := newClient(g, nil, f.URL).Submit(t.Context(), job(1), client.WithKey("k"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(a.ID.Seq).To(Equal(uint64(keyedSeq)))
+	g.Expect(f.seen()).To(Equal([]string{"POST k 0", "POST k 0", "GET 77"}))
+
+	f = newFakeEntry(t, refuse(http.StatusServiceUnavailable, structs.CodeOverloaded, structs.NotRun))
+	_, err = newClient(g, nil, f.URL).Submit(t.Context(), job(1), client.WithKey("k"))
+	g.Expect(client.Verdict(err)).To(Equal(structs.NotRun))
+	g.Expect(f.seen()).To(HaveLen(1), "the key's job is refused for good")
+}
+
 func TestSubmitFailsOver(t *testing.T) {
 	g := NewWithT(t)
 	first := newFakeEntry(t, lost)
--- a/command/job_submit.go
+++ b/command/job_submit.go
@@ -29,6 +29,7 @@
 	flagDeclared    = "declared"
 	flagJobTimeout  = "job-timeout"
 	flagID          = "id"
+	flagKey         = "key"
 	flagDetach      = "detach"
 )
 
@@ -38,7 +39,8 @@
 
 The command reserves an id, and sends the job again under it when an answer is
 lost, so that no task starts twice. To go on after the command itself was ended,
-give the id that it had with --id, and the same job.
+give the id that it had with --id, and the same job. Callers with ids of their
+own give --key.
 
    chestnuthollow job submit job.json
    chestnuthollow job submit --service booking --team desk --task '{"court":4}'
@@ -60,6 +62,7 @@
 			&cli.DurationFlag{Name: flagDeclared, Usage: "estimated run time of each task"},
 			&cli.DurationFlag{Name: flagJobTimeout, Usage: "fail the job if it takes longer; 0 for the service's default"},
 			&cli.StringFlag{Name: flagID, Usage: "reserved `ID` to submit under, perhaps again"},
+			&cli.StringFlag{Name: flagKey, Usage: "idempotency `KEY` of your own in place of an id: a UUID of version 7"},
 			&cli.BoolFlag{Name: flagDetach, Usage: "do not wait; job get fetches the answer"},
 			resultsFlag(),
 		},
@@ -78,21 +81,36 @@
 	if err != nil {
 		return exit.With(exit.Usage, err)
 	}
+	options, err := submitOptions(c)
+	if err != nil {
+		return exit.With(exit.Usage, err)
+	}
 	bar := newProgress(s.errOut)
-	options := []client.SubmitOption{client.WithProgress(bar.job)}
-	if text := c.String(flagID); text != "" {
-		id, err := structs.ParseJobID(text)
+	options = append(options, client.WithProgress(bar.job))
+	a, err := s.client.Submit(ctx, spec, options...)
+	bar.clear()
+	return s.finishJob(a, err, c.Bool(flagResults))
+}
+
+func submitOptions(c *cli.Command) ([]client.SubmitOption, error) {
+	var options []client.SubmitOption
+	if c.IsSet(flagID) && c.IsSet(flagKey) {
+		return nil, fmt.Errorf("give either --%s or --%s, not both", flagID, flagKey)
+	}
+	if c.IsSet(flagID) {
+		id, err := structs.ParseJobID(c.String(flagID))
 		if err != nil {
-			return exit.With(exit.Usage, err)
+			return nil, err
 		}
 		options = append(options, client.WithID(id))
 	}
+	if c.IsSet(flagKey) {
+		options = append(options, client.WithKey(c.String(flagKey)))
+	}
 	if c.Bool(flagDetach) {
 		options = append(options, client.WithoutWaiting())
 	}
-	a, err := s.client.Submit(ctx, spec, options...)
-	bar.clear()
-	return s.finishJob(a, err, c.Bool(flagResults))
+	return options, nil
 }
 
 // jobSpec reads the job from the file named on the command line, or makes it
--- a/command/job_test.go
+++ b/command/job_test.go
@@ -101,6 +101,7 @@
 		"job submit /nonexistent",
 		"job submit --service s --team t --task x --id nope",
 		"job submit --bogus",
+		"job submit --service s --team t --task x --id 00000000000000ab-1 --key k",
 		"service",
 		"service get",
 		"service apply",
--- a/command/service_test.go
+++ b/command/service_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	. "github.com/onsi/gomega"
 
 	"github.com/chestnuthollow/chestnuthollow/structs"
@@ -115,6 +116,12 @@
 		g.Expect(r.out).To(ContainSubstring(id + ": complete"))
 		g.Expect(r.out).To(ContainSubstring(`task 0: {"work_ms": 1}`))
 	}
+	// The same under a key of the caller's own.
+	key := uuid.Must(uuid.NewV7()).String()
+	first := run(t, "--entry", url, "job", "submit", "--key", key, file)
+	g.Expect(first.status).To(Equal(0), first.errOut)
+	g.Expect(run(t, "--entry", url, "job", "submit", "--key", key, file).out).To(Equal(first.out), "the same job")
+
 	text, err := os.Open(file)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer text.Close()
