Keep a job's final answer the same, whoever finds it out

The model of the reducers found three ways to two different final answers: -: the home said failed, ran (the task had started when the job was canceled), died, and another entry then found the task finished and answered complete; - the home failed a timed out job although each task had its result, after another entry, which could not reach the home, had answered complete; -: one recovery answered complete, another one, whose connection to the agent broke, answered failed, ran. And: ran was said of a task whose call had not reached its backend server, and was then refused.

Cause: a state that may still change was taken for an outcome. Ruled out: marking the task at the agent as given up, which kept the answers equal too, but left ran said without a start.

--- a/coordinator/finish.go
+++ b/coordinator/finish.go
@@ -79,7 +79,8 @@
 		return
 	}
 	c.openJobs--
-	if j.failure == nil {
+	if j.failure == nil || j.whole() {
+		j.failure = nil
 		c.finish(j, structs.JobComplete)
 		return
 	}
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -89,6 +89,18 @@
 	return a
 }
 
+// whole reports whether every task has its result. A job that was canceled or
+// timed out may turn out to be whole all the same; then it is complete, for
+// another entry may already have found it so.
+func (j *job) whole() bool {
+	for i := range j.tasks {
+		if j.tasks[i].phase != done || j.tasks[i].result.Error != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // verdict combines the verdicts of all tasks.
 func (j *job) verdict() structs.Verdict {
 	v := structs.NotRun
--- a/coordinator/recovery.go
+++ b/coordinator/recovery.go
@@ -32,6 +32,9 @@
 	// content identifies the submission that is repeated; zero if unknown.
 	content  [16]byte
 	conflict bool
+	// unsure says that an agent or a task's outcome could not be had now, but
+	// may be had later.
+	unsure bool
 	// pending are the agents that have not answered, and awaited the tasks
 	// that still run.
 	pending map[structs.Incarnation]struct{}
@@ -165,17 +168,16 @@
 	c.finishRecovery(r)
 }
 
-// queryFailed counts an agent's answer, or a task's outcome, as not to be had.
+// queryFailed counts an agent's answer, or a task's outcome, as not to be had
+// now.
 func (c *Coordinator) queryFailed(e QueryFailed) {
 	r := c.recovers[e.Call]
 	if r == nil {
 		return
 	}
-	if e.Ref == (structs.TaskRef{}) {
-		delete(r.pending, e.Agent)
-	} else {
-		delete(r.awaited, e.Ref)
-	}
+	r.unsure = true
+	delete(r.pending, e.Agent)
+	delete(r.awaited, e.Ref)
 	c.finishRecovery(r)
 }
 
@@ -207,7 +209,8 @@
 }
 
 // answer returns the job's final answer, or nil if the agents do not know
-// enough. While the home may live, only a whole answer is final.
+// enough. While the home may live, only a whole answer is final. So it is while
+// an agent may still tell more: what is final must not depend on who asks when.
 func (r *recovery) answer() *structs.JobAnswer {
 	if r.tasks == 0 {
 		return nil
@@ -225,7 +228,7 @@
 	if a.State == structs.JobComplete {
 		return a
 	}
-	if !r.dead {
+	if !r.dead || r.unsure {
 		return nil
 	}
 	a.Error = structs.Errorf(structs.CodeHomeLost, verdict, "the entry that owned job %s is gone", r.id)
@@ -238,14 +241,14 @@
 // result returns what is known of one task.
 func (r *recovery) result(index int) structs.TaskResult {
 	s, known := r.known[index]
+	if s.Result.Error != nil && s.Result.Error.Code == structs.CodeResultLost {
+		r.unsure = true
+	}
 	switch {
 	case known && s.Phase == structs.TaskDone && s.Result.Verdict != structs.NotRun:
 		result := s.Result
 		result.Index = index
 		return result
-	case known && s.Phase == structs.TaskRunning:
-		err := structs.Errorf(structs.CodeHomeLost, structs.Ran, "it started; its outcome is not known")
-		return structs.TaskResult{Index: index, Verdict: structs.Ran, Error: err}
 	case known && s.Phase == structs.TaskFenced && s.Result.Error != nil && s.Result.Error.Code == structs.CodeHomeFenced:
 		return structs.TaskResult{Index: index, Verdict: structs.NotRun, Error: s.Result.Error}
 	}
@@ -257,7 +260,8 @@
 func (c *Coordinator) dropFromRecoveries(agent structs.Incarnation) {
 	for _, r := range c.sortedRecoveries() {
 		if _, waits := r.pending[agent]; waits {
-			c.queryFailed(QueryFailed{Call: r.call, Agent: agent})
+			delete(r.pending, agent)
+			c.finishRecovery(r)
 		}
 	}
 }
--- a/coordinator/settle.go
+++ b/coordinator/settle.go
@@ -87,27 +87,20 @@
 	case structs.TaskDone:
 		c.taskEnded(a, ref, &s.Result, placement.Outcome{Service: s.ServiceTime})
 	case structs.TaskQueued, structs.TaskRunning:
-		c.stillHeld(a, ref, s.Phase)
+		c.stillHeld(a, ref)
 	}
 }
 
-// stillHeld handles an attempt that waits or runs at the agent. A failing job
-// needs to know only that it started; otherwise a broken call is taken up
-// again.
-func (c *Coordinator) stillHeld(a *agent, ref structs.TaskRef, p structs.TaskPhase) {
+// stillHeld takes a broken call up again for an attempt that waits or runs at
+// the agent. So does a failing job: that the agent called its backend server
+// does not show that the task started, its outcome does.
+func (c *Coordinator) stillHeld(a *agent, ref structs.TaskRef) {
 	j, t := c.holder(a.info.Incarnation, ref)
-	if j == nil {
+	if j == nil || t.phase != unsettled {
 		return
 	}
-	if j.failure != nil && p == structs.TaskRunning {
-		err := structs.Errorf(j.failure.Code, structs.Ran, "it had started when the job failed")
-		c.endTask(j, t, structs.TaskResult{Index: ref.Task.Index, Verdict: structs.Ran, Error: err})
-		return
-	}
-	if t.phase == unsettled {
-		t.phase = placed
-		c.emit(Await{Agent: a.info.Incarnation, Ref: ref})
-	}
+	t.phase = placed
+	c.emit(Await{Agent: a.info.Incarnation, Ref: ref})
 }
 
 // settleFailed notes the attempts for another try after a pause.
