Wait at most 250 ms for the verdicts of a failing job

The users want the final answer of a request that is given up at once; a second was longer than a settle's round trip needs. What is not known by then is may_have_run.

--- a/coordinator/config.go
+++ b/coordinator/config.go
@@ -51,7 +51,7 @@
 	defaultProbeAfter      = time.Second
 	defaultAgentLostAfter  = 15 * time.Second
 	defaultSettleRetry     = 500 * time.Millisecond
-	defaultFailSettleBound = time.Second
+	defaultFailSettleBound = 250 * time.Millisecond
 	defaultWatermarkLag    = 10 * time.Second
 	defaultMaxQueueWait    = time.Second
 
