--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,7 +18,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/chestnuthollow/chestnuthollow/coordinator"
-	"github.com/chestnuthollow/chestnuthollow/internal/rpcconn"
+	"github.com/chestnuthollow/chestnuthollow/internal/rpcserver"
 	"github.com/chestnuthollow/chestnuthollow/keybind"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
@@ -46,7 +46,8 @@
 	peers   *peerTable
 	docs    *documents
 	keys    *keybind.Binder // nil: keyed jobs are refused
-	rpc     *rpcconn.Server
+	rpc     *rpcserver.Server
+	rpcLn   net.Listener
 	httpLn  net.Listener
 	http    *http.Server
 	drained chan struct{}
@@ -77,7 +78,7 @@
 		Incarnation: structs.Incarnation(randomUint64()),
 		Zone:        opts.Zone,
 		Region:      opts.Region,
-		RPCAddr:     e.rpc.Addr(),
+		RPCAddr:     e.RPCAddr(),
 		HTTPAddr:    e.HTTPAddr(),
 	}
 	e.coord = coordinator.New(coordinator.Config{
@@ -103,17 +104,19 @@
 }
 
 func (e *Entry) listen() error {
-	rpcServer, err := rpcconn.Listen(e.opts.RPCAddr, structs.EntryService, &rpcReceiver{e: e})
+	rpcLn, err := net.Listen("tcp", e.opts.RPCAddr)
 	if err != nil {
 		return fmt.Errorf("entry: rpc_addr: %w", err)
 	}
 	httpLn, err := net.Listen("tcp", e.opts.HTTPAddr)
 	if err != nil {
-		rpcServer.Close()
+		rpcLn.Close()
 		return fmt.Errorf("entry: http_addr: %w", err)
 	}
-	e.rpc = rpcServer
-	e.httpLn = httpLn
+	e.rpcLn, e.httpLn = rpcLn, httpLn
+	e.rpc = rpcserver.New(rpcOptions(), structs.EntryService, func(conn context.Context) any {
+		return &rpcReceiver{e: e, conn: conn}
+	})
 	e.http = &http.Server{
 		Handler:           e.routes(),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -124,8 +127,21 @@
 	return nil
 }
 
+// Bounds of the net/rpc server towards agents and peers.
+const (
+	maxRPCConns   = 4096
+	maxRPCMessage = 2 * structs.MaxJobBytes // a forwarded job and its framing
+)
+
+func rpcOptions() rpcserver.Options {
+	opts := rpcserver.DefaultOptions()
+	opts.MaxConns = maxRPCConns
+	opts.MaxMessageBytes = maxRPCMessage
+	return opts
+}
+
 func (e *Entry) closeListeners() {
-	e.rpc.Close()
+	e.rpcLn.Close()
 	e.httpLn.Close()
 }
 
@@ -151,7 +167,7 @@
 func (e *Entry) HTTPAddr() string { return e.httpLn.Addr().String() }
 
 // RPCAddr returns the bound address for agents and peers.
-func (e *Entry) RPCAddr() string { return e.rpc.Addr() }
+func (e *Entry) RPCAddr() string { return e.rpcLn.Addr().String() }
 
 // Info returns the entry's announcement.
 func (e *Entry) Info() structs.EntryInfo { return e.self }
@@ -164,7 +180,7 @@
 		"http_addr", e.HTTPAddr(), "rpc_addr", e.RPCAddr(), "zone", e.self.Zone)
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go e.rpc.Serve()
+	go e.serveRPC()
 	go e.serveHTTP()
 	go e.loop(background)
 	go e.docs.run(background)
@@ -211,7 +227,16 @@
 	if err := e.http.Shutdown(ctx); err != nil {
 		e.http.Close()
 	}
-	e.rpc.Close()
+	e.rpcLn.Close()
+	if err := e.rpc.Shutdown(ctx); err != nil {
+		level.Warn(e.log).Log("event", "rpc_calls_cut", "err", err)
+	}
+}
+
+func (e *Entry) serveRPC() {
+	if err := e.rpc.Serve(e.rpcLn); err != nil {
+		level.Error(e.log).Log("event", "rpc_server_failed", "err", err)
+	}
 }
 
 func (e *Entry) serveHTTP() {
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -8,7 +8,10 @@
 )
 
 // rpcReceiver serves agents and peers under net/rpc.
-type rpcReceiver struct{ e *Entry }
+type rpcReceiver struct {
+	e    *Entry
+	conn context.Context // ends when the peer has gone
+}
 
 // Announce takes in an agent run.
 func (r *rpcReceiver) Announce(req *structs.AnnounceRequest, reply *structs.AnnounceReply) error {
@@ -56,6 +59,6 @@
 		return nil
 	}
 	job := &jobRequest{op: req.Op, id: req.ID, spec: req.Spec, wait: req.Wait}
-	reply.Answer, reply.Error = r.e.doAnywhere(context.Background(), job)
+	reply.Answer, reply.Error = r.e.doAnywhere(r.conn, job)
 	return nil
 }
