--- a/internal/settings/reason.go
+++ b/internal/settings/reason.go
@@ -21,7 +21,7 @@
 	case "name":
 		return "want 1 to 63 of a-z, 0-9, '.', '_', '-'"
 	case "ipport":
-		return "want an IP address and a port"
+		return "want an IP address that others can dial, and a port"
 	case "min", "gte":
 		return "want at least " + f.Param()
 	case "max", "lte":
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,9 +63,15 @@
 	return errors.Join(problems...)
 }
 
+// validIPPort reports whether s is an address that other processes can be told:
+// an IP address, not the unspecified one, and a port.
 func validIPPort(s string) bool {
 	host, port, err := net.SplitHostPort(s)
-	if err != nil || net.ParseIP(host) == nil {
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	if ip == nil || ip.IsUnspecified() {
 		return false
 	}
 	_, err = net.LookupPort("tcp", port)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -24,6 +24,13 @@
 	}
 }
 
+// The address is announced, so it must be one that others can dial.
+func TestParseRefusesTheUnspecifiedAddress(t *testing.T) {
+	g := NewWithT(t)
+	s := sample{Rate: 5}
+	g.Expect(settings.Parse("x.toml", "name = 'a'\naddr = '0.0.0.0:80'\n", &s)).NotTo(Succeed())
+}
+
 func TestParseKeepsDefaults(t *testing.T) {
 	g := NewWithT(t)
 	s := sample{Rate: 5}
