Placement: short agent queues, holding back, and the last of the queue to slow agents

An entry with little to do was shut out by another's burst until its view went stale. A single task is held for a faster agent; the slower one gets the task that can wait longest.

--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -30,20 +30,36 @@
 	return list
 }
 
-// placeNext places one task and reports whether it could.
+// placeNext places one task and reports whether it could: the first one, or the
+// one that can wait longest if an agent is only good enough for that.
 func (c *Coordinator) placeNext(svc *service) bool {
-	next, ok := svc.queue.Peek()
+	first, ok := svc.queue.Peek()
 	if !ok {
 		return false
 	}
-	svc.policy.SetWaiting(svc.queue.Len())
-	id, ok := svc.policy.Pick(c.now, &next.job.specs[next.index])
+	if a := c.pick(svc, first, svc.queue.Jobs()); a != nil {
+		svc.queue.Pop()
+		c.place(first.job, first.index, a)
+		return true
+	}
+	last, _ := svc.queue.PeekLast()
+	if a := c.pick(svc, last, svc.queue.Len()); a != nil {
+		svc.queue.PopLast()
+		c.place(last.job, last.index, a)
+		return true
+	}
+	return false
+}
+
+// pick returns the agent for a task that would otherwise be the nth to wait;
+// nil if there is none now.
+func (c *Coordinator) pick(svc *service, q queued, n int) *agent {
+	svc.policy.SetWaiting(n)
+	id, ok := svc.policy.Pick(c.now, &q.job.specs[q.index])
 	if !ok {
-		return false
+		return nil
 	}
-	svc.queue.Pop()
-	c.place(next.job, next.index, c.agents[id])
-	return true
+	return c.agents[id]
 }
 
 // place sends a task to an agent under the next attempt number. The task is
--- a/fairqueue/job.go
+++ b/fairqueue/job.go
@@ -21,6 +21,7 @@
 	counted    int // tasks left, as counted by the team
 	bySize     indexheap.Index
 	byDeadline indexheap.Index
+	byLatest   indexheap.Index
 }
 
 func (j *job[T]) len() int { return len(j.returned) + len(j.tasks) - j.head }
--- a/fairqueue/queue.go
+++ b/fairqueue/queue.go
@@ -39,6 +39,9 @@
 // Len returns the number of queued tasks.
 func (q *Queue[T]) Len() int { return q.length }
 
+// Jobs returns the number of jobs with queued tasks.
+func (q *Queue[T]) Jobs() int { return len(q.jobs) }
+
 // TeamLen returns the number of queued tasks of one team.
 func (q *Queue[T]) TeamLen(name string) int {
 	if t := q.teams[name]; t != nil {
@@ -107,8 +110,32 @@
 		return zero, false
 	}
 	t := q.active.First()
+	return q.take(t, t.next()), true
+}
+
+// PeekLast returns the task that PopLast would take out.
+func (q *Queue[T]) PeekLast() (T, bool) {
+	if q.active.Len() == 0 {
+		var zero T
+		return zero, false
+	}
+	return q.active.First().latest.First().peek(), true
+}
+
+// PopLast takes out the task that can wait longest: of the team whose turn it
+// is, one of the job with the latest deadline. It returns false if there is
+// none.
+func (q *Queue[T]) PopLast() (T, bool) {
+	if q.active.Len() == 0 {
+		var zero T
+		return zero, false
+	}
+	t := q.active.First()
+	return q.take(t, t.latest.First()), true
+}
+
+func (q *Queue[T]) take(t *team[T], j *job[T]) T {
 	q.clock = t.start
-	j := t.next()
 	task := j.pop()
 	t.served++
 	t.length--
@@ -122,7 +149,7 @@
 	if t.length > 0 {
 		q.active.Set(t)
 	}
-	return task, true
+	return task
 }
 
 // RemoveJob takes all queued tasks of a job out and returns them in order.
--- a/fairqueue/team.go
+++ b/fairqueue/team.go
@@ -18,6 +18,7 @@
 	index    indexheap.Index
 	smallest *indexheap.Heap[*job[T]]
 	earliest *indexheap.Heap[*job[T]]
+	latest   *indexheap.Heap[*job[T]]
 }
 
 func newTeam[T any](name string, start float64) *team[T] {
@@ -32,6 +33,10 @@
 			func(a, b *job[T]) bool { return a.deadline < b.deadline },
 			func(j *job[T]) *indexheap.Index { return &j.byDeadline },
 		),
+		latest: indexheap.New(
+			func(a, b *job[T]) bool { return a.deadline > b.deadline },
+			func(j *job[T]) *indexheap.Index { return &j.byLatest },
+		),
 	}
 }
 
@@ -46,12 +51,14 @@
 	t.classes.move(&j.counted, j.len())
 	t.smallest.Set(j)
 	t.earliest.Set(j)
+	t.latest.Set(j)
 }
 
 func (t *team[T]) remove(j *job[T]) {
 	t.classes.move(&j.counted, 0)
 	t.smallest.Remove(j)
 	t.earliest.Remove(j)
+	t.latest.Remove(j)
 }
 
 // classes counts a team's tasks by the magnitude of what their job has left.
--- a/load/recorder.go
+++ b/load/recorder.go
@@ -29,7 +29,8 @@
 
 	complete      int
 	completeTasks int
-	completeWork  time.Duration
+	timelyWork    time.Duration // of jobs complete before the last arrival
+	lastArrival   time.Time
 	failures      map[string]int
 	refusals      map[string]int
 	turnedAway    int // refusals of first tries
@@ -58,7 +59,7 @@
 	record(r.lags, d.Microseconds(), maxResponse)
 }
 
-func (r *recorder) answered(j *Job, a *structs.JobAnswer, _ time.Time, took, ideal time.Duration) {
+func (r *recorder) answered(j *Job, a *structs.JobAnswer, intended time.Time, took, ideal time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if a.State != structs.JobComplete {
@@ -67,8 +68,10 @@
 	}
 	r.complete++
 	r.completeTasks += len(j.Tasks)
-	for _, t := range j.Tasks {
-		r.completeWork += t.Work
+	if !intended.Add(took).After(r.lastArrival) {
+		for _, t := range j.Tasks {
+			r.timelyWork += t.Work
+		}
 	}
 	ratio := int64(float64(took) / float64(ideal) * ratioUnit)
 	record(r.response, took.Microseconds(), maxResponse)
--- a/load/report.go
+++ b/load/report.go
@@ -23,7 +23,7 @@
 	Jobs    int           `json:"jobs"`
 	Tasks   int           `json:"tasks"`
 	// Offered is the work that arrived over the servers' capacity, and Goodput
-	// the work of complete jobs over it.
+	// the work of the jobs that were complete by the last arrival over it.
 	Offered float64 `json:"offered"`
 	Goodput float64 `json:"goodput"`
 
@@ -87,7 +87,7 @@
 	for name, h := range r.teams {
 		rep.Teams[name] = quantiles(h, ratioUnit)
 	}
-	rep.countWork(opts, jobs, r.completeWork)
+	rep.countWork(opts, jobs, r.timelyWork)
 	rep.countMessages(sent)
 	return rep
 }
@@ -106,7 +106,7 @@
 		return
 	}
 	rep.Offered = work.Seconds() / span.Seconds() / capacity
-	rep.Goodput = done.Seconds() / rep.Elapsed.Seconds() / capacity
+	rep.Goodput = done.Seconds() / span.Seconds() / capacity
 }
 
 func (rep *Report) countMessages(sent messages) {
--- a/load/runner.go
+++ b/load/runner.go
@@ -68,6 +68,9 @@
 		bodies[i] = r.body(&jobs[i])
 	}
 	start := time.Now()
+	if len(jobs) > 0 {
+		r.rec.lastArrival = start.Add(jobs[len(jobs)-1].At)
+	}
 	for i := range jobs {
 		intended := start.Add(jobs[i].At)
 		if !sleepUntil(ctx, intended) {
--- a/placement/agent.go
+++ b/placement/agent.go
@@ -39,6 +39,10 @@
 
 func (a *agent) load() int { return a.own + a.others }
 
+// ownTasks is how many tasks of this entry an agent may have whatever the other
+// entries sent it, so that an entry with little to do is not shut out.
+const ownTasks = 1
+
 // eligible reports whether the agent may get one more task, with extra tasks
 // allowed beyond its slots.
 func (a *agent) eligible(extra int) bool {
@@ -51,7 +55,7 @@
 	case probation:
 		return a.own < probationTasks
 	}
-	return a.load() < a.slots+extra
+	return a.load() < a.slots+extra || a.own < ownTasks
 }
 
 // nextWake returns when the agent's state changes by time alone; zero if it
--- a/placement/finish.go
+++ b/placement/finish.go
@@ -7,9 +7,9 @@
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
-// extraTasks is how many tasks an agent gets beyond its slots, to be at hand
-// when a slot falls free.
-const extraTasks = 1
+// extraTasks is how many tasks an agent gets beyond its slots. A task that waits
+// at an agent cannot be overtaken or sent elsewhere for nothing.
+const extraTasks = 0
 
 // Weights of an agent's score.
 const (
@@ -23,7 +23,7 @@
 
 // holdWeight is how much longer the wait for a faster agent is taken to be than
 // the one expected from this entry's own tasks there.
-const holdWeight = 2
+const holdWeight = 8
 
 // LeastExpectedFinish picks the agent on which a task is expected to finish
 // first, by its learned slowness and its load. It holds a task back if waiting
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -25,8 +25,8 @@
 	Dispatched(now time.Time, agent structs.Incarnation)
 	// Finished counts a task's end at the agent.
 	Finished(now time.Time, agent structs.Incarnation, o Outcome)
-	// SetWaiting says how many tasks this entry holds back for want of agents,
-	// the one to be picked for included.
+	// SetWaiting says as which of the tasks that this entry holds back, from 1
+	// on, the one to be picked for would wait.
 	SetWaiting(n int)
 	// Observe takes in the agent's state as of now; it follows the Finished of
 	// the reply that the state came with.
