--- a/client/submission.go
+++ b/client/submission.go
@@ -23,8 +23,11 @@
 	progress func(*structs.JobAnswer)
 
 	id     structs.JobID
-	pinned bool      // the id is the caller's
+	key    string    // idempotency key; empty for a reserved id
+	pinned bool      // the id or key is the caller's
 	via    *endpoint // preferred
+	// detached says that the caller does not wait for the final answer.
+	detached bool
 
 	attempts int
 	accepted bool // an entry has said that the job runs
@@ -40,7 +43,15 @@
 		}
 		answer, refused, rep := s.attempt(ctx)
 		if answer != nil && answer.State.Final() {
-			return s.finish(answer)
+			lost := s.homeGone(answer)
+			if lost == nil || s.retry.wait(ctx, lost.RetryAfter) != nil {
+				return s.finish(answer)
+			}
+			s.changeID(lost)
+			continue
+		}
+		if answer != nil && s.detached {
+			return answer, nil
 		}
 		if answer != nil {
 			s.noteRunning(answer)
@@ -59,9 +70,10 @@
 	}
 }
 
-// ensureID takes a reserved id if the job has none.
+// ensureID takes a reserved id if the job has none. A job under a key learns
+// its id from the first answer.
 func (s *submission) ensureID(ctx context.Context) *structs.Error {
-	if s.id != (structs.JobID{}) {
+	if s.key != "" || s.id != (structs.JobID{}) {
 		return nil
 	}
 	r, err := s.c.reserve(ctx)
@@ -87,22 +99,34 @@
 		return nil, withVerdict(refused, s.verdict(rep, refused)), rep
 	}
 	s.via = to
+	s.id = answer.ID
 	return answer, nil, rep
 }
 
 func (s *submission) request() request {
 	wait := s.c.opts.PollWait
-	r := request{method: http.MethodPut, path: jobPath(s.id, wait), body: s.body, wait: wait}
-	if s.accepted {
-		r.method, r.body = http.MethodGet, nil
+	if s.detached {
+		wait = 0
+	}
+	switch {
+	case s.accepted:
+		return request{method: http.MethodGet, path: jobPath(s.id, wait), wait: wait}
+	case s.key != "":
+		return request{method: http.MethodPost, path: keyedJobPath(wait), body: s.body, wait: wait, key: s.key}
 	}
-	return r
+	return request{method: http.MethodPut, path: jobPath(s.id, wait), body: s.body, wait: wait}
 }
 
+const jobsPath = "/v1/jobs"
+
 func jobPath(id structs.JobID, wait time.Duration) string {
-	return "/v1/jobs/" + id.String() + "?wait=" + url.QueryEscape(wait.String())
+	return jobsPath + "/" + id.String() + waitQuery(wait)
 }
 
+func keyedJobPath(wait time.Duration) string { return jobsPath + waitQuery(wait) }
+
+func waitQuery(wait time.Duration) string { return "?wait=" + url.QueryEscape(wait.String()) }
+
 // noteLost counts what a request without an answer means for the id.
 func (s *submission) noteLost(rep reply) {
 	if rep.unsent || (rep.err == nil && rep.known()) {
@@ -185,6 +209,19 @@
 	s.lost, s.accepted, s.homeLost = false, false, 0
 }
 
+// homeGone returns why a job failed if that is the loss of its home before
+// anything ran, so that the job can be submitted again; nil otherwise.
+func (s *submission) homeGone(a *structs.JobAnswer) *structs.Error {
+	if s.pinned || a.State != structs.JobFailed || a.Error == nil || a.Error.Code != structs.CodeHomeLost {
+		return nil
+	}
+	lost := withVerdict(a.Error, s.verdict(reply{}, a.Error))
+	if lost.Verdict != structs.NotRun {
+		return nil
+	}
+	return lost
+}
+
 // finish returns a final answer.
 func (s *submission) finish(a *structs.JobAnswer) (*structs.JobAnswer, error) {
 	if a.State == structs.JobComplete {
--- a/client/submit_test.go
+++ b/client/submit_test.go
@@ -27,6 +27,13 @@
 	notForwarded := func(w http.ResponseWriter, _ structs.JobID) {
 		writeJSON(w, http.StatusBadGateway, structs.Error{Code: structs.CodeHomeLost, NotForwarded: true})
 	}
+	recovered := func(v structs.Verdict, notForwarded bool) step {
+		return func(w http.ResponseWriter, id structs.JobID) {
+			writeJSON(w, http.StatusOK, structs.JobAnswer{ID: id, State: structs.JobFailed, Total: 1,
+				Results: []structs.TaskResult{{Verdict: v}},
+				Error:   &structs.Error{Code: structs.CodeHomeLost, Verdict: v, NotForwarded: notForwarded}})
+		}
+	}
 	cases := []struct {
 		name    string
 		script  []step
@@ -66,6 +73,12 @@
 		{"home lost, later proved not run", []step{lost, refuse(502, structs.CodeHomeLost, notRun), complete}, none, 0,
 			[]string{"PUT 1", "PUT 1", "PUT 4"}},
 		{"home unknown to the first entry asked", []step{notForwarded, complete}, none, 0, []string{"PUT 1", "PUT 4"}},
+		{"home found dead by the agents, nothing ran", []step{recovered(notRun, false), complete}, none, 0, []string{"PUT 1", "PUT 4"}},
+		{"home found dead by the agents, nothing known", []step{recovered(mayHaveRun, false), complete},
+			structs.CodeHomeLost, mayHaveRun, []string{"PUT 1"}},
+		{"home found dead before it got anything", []step{recovered(mayHaveRun, true), complete}, none, 0, []string{"PUT 1", "PUT 4"}},
+		{"home found dead after a lost answer", []step{lost, recovered(mayHaveRun, true), complete},
+			structs.CodeHomeLost, mayHaveRun, []string{"PUT 1", "PUT 1"}},
 		{"home unknown after a lost answer", []step{lost, notForwarded}, structs.CodeHomeLost, mayHaveRun,
 			[]string{"PUT 1", "PUT 1", "PUT 1", "PUT 1"}},
 		{"malformed for an entry of another version", []step{lost, refuse(400, structs.CodeInvalid, notRun)},
@@ -142,6 +155,20 @@
 	g.Expect(f.seen()).To(Equal([]string{"PUT 9", "PUT 9"}))
 }
 
+func TestSubmitWithKey(t *testing.T) {
+	g := NewWithT(t)
+	f := newFakeEntry(t, lost, running, complete)
+	a, err := newClient(g, nil, f.URL).Submit(t.Context(), job(1), client.WithKey("k"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(a.ID.Seq).To(Equal(uint64(keyedSeq)))
+	g.Expect(f.seen()).To(Equal([]string{"POST k 0", "POST k 0", "GET 77"}))
+
+	f = newFakeEntry(t, refuse(http.StatusServiceUnavailable, structs.CodeOverloaded, structs.NotRun))
+	_, err = newClient(g, nil, f.URL).Submit(t.Context(), job(1), client.WithKey("k"))
+	g.Expect(client.Verdict(err)).To(Equal(structs.NotRun))
+	g.Expect(f.seen()).To(HaveLen(1), "the key's job is refused for good")
+}
+
 func TestSubmitFailsOver(t *testing.T) {
 	g := NewWithT(t)
 	first := newFakeEntry(t, lost)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -15,6 +15,9 @@
 	open     []*job          // admitted jobs, final ones dropped at each tick
 	finals   []uint64        // sequences of final jobs, oldest first
 	calls    map[CallID]*job // callers that wait
+	recovers map[CallID]*recovery
+	closed   map[structs.Incarnation]structs.ClosedReport
+	closedBy []structs.Incarnation // keys of closed, oldest first
 	services map[string]*service
 	agents   map[structs.Incarnation]*agent
 	order    []*agent // agents in the order of their arrival
@@ -26,6 +29,8 @@
 	heldBytes int
 	leaving   bool
 	drained   bool
+	// documentsKnown says that a service without a document does not exist.
+	documentsKnown bool
 
 	now time.Time
 	out []Effect
@@ -38,6 +43,8 @@
 		ids:      newIDs(),
 		jobs:     make(map[uint64]*job),
 		calls:    make(map[CallID]*job),
+		recovers: make(map[CallID]*recovery),
+		closed:   make(map[structs.Incarnation]structs.ClosedReport),
 		services: make(map[string]*service),
 		agents:   make(map[structs.Incarnation]*agent),
 		peers:    make(map[structs.Incarnation]structs.EntryInfo),
@@ -76,8 +83,20 @@
 		c.settleFailed(e)
 	case HeartbeatFailed:
 		c.heartbeatFailed(e.Agent)
+	case RecoverCalled:
+		c.recoverJob(e)
+	case HomeClosed:
+		c.homeClosed(e.Report)
+	case QueryReplied:
+		c.queryReplied(e)
+	case QueryAwaited:
+		c.queryAwaited(e)
+	case QueryFailed:
+		c.queryFailed(e)
 	case DocumentChanged:
 		c.documentChanged(e)
+	case DocumentsKnown:
+		c.documentsKnown = true
 	case PeersChanged:
 		c.peersChanged(e)
 	case LeaveRequested:
@@ -110,7 +129,11 @@
 		return
 	}
 	c.drained = true
-	c.emit(Drained{})
+	c.emit(Drained{Report: structs.ClosedReport{
+		Home:        c.cfg.Self.Incarnation,
+		Next:        c.ids.next,
+		Unsubmitted: c.ids.unsubmitted(),
+	}})
 }
 
 // peersChanged replaces the known entries. The own announcement is no peer.
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -60,8 +60,11 @@
 	}
 }
 
-// settled reports whether no agent may ever be asked about the job again.
-func (j *job) settled() bool { return j.state.Final() }
+// settledBy reports whether the job was final at t. No agent is asked about a
+// final job.
+func (j *job) settledBy(t time.Time) bool {
+	return j.state.Final() && !j.finalAt.After(t)
+}
 
 // answer returns the job's answer as it stands.
 func (j *job) answer() *structs.JobAnswer {
@@ -86,6 +89,18 @@
 	return a
 }
 
+// whole reports whether every task has its result. A job that was canceled or
+// timed out may turn out to be whole all the same; then it is complete, for
+// another entry may already have found it so.
+func (j *job) whole() bool {
+	for i := range j.tasks {
+		if j.tasks[i].phase != done || j.tasks[i].result.Error != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // verdict combines the verdicts of all tasks.
 func (j *job) verdict() structs.Verdict {
 	v := structs.NotRun
--- a/coordinator/submit.go
+++ b/coordinator/submit.go
@@ -38,6 +38,12 @@
 		c.resubmit(e, j)
 		return
 	}
+	if _, reserved := c.ids.reserved[e.ID.Seq]; reserved && c.leaving {
+		// The id stays reserved, to be reported as never submitted. A leaving
+		// entry admits nothing any more.
+		c.replyError(e.Call, c.leavingError())
+		return
+	}
 	if !c.ids.claim(e.ID.Seq) {
 		c.replyError(e.Call, c.unknownID(e.ID))
 		return
@@ -55,21 +61,25 @@
 // resubmit answers a repeated submission.
 func (c *Coordinator) resubmit(e SubmitCalled, j *job) {
 	if fingerprint(&e.Spec) != j.fingerprint {
-		c.replyError(e.Call, structs.Errorf(structs.CodeConflict, structs.MayHaveRun,
-			"job %s was submitted with other content", j.id))
+		c.replyError(e.Call, otherContent(j.id))
 		return
 	}
 	c.answerCall(e.Call, j, e.Wait)
 }
 
+func otherContent(id structs.JobID) *structs.Error {
+	return structs.Errorf(structs.CodeConflict, structs.MayHaveRun, "job %s was submitted with other content", id)
+}
+
 // unknownID explains an identifier of this home without a job. What was
-// forgotten may have run, so nothing better than MayHaveRun is known of it.
+// forgotten may have run, and a submission of a reserved identifier may still
+// be under way, so nothing better than MayHaveRun is known of either.
 func (c *Coordinator) unknownID(id structs.JobID) *structs.Error {
 	if id.Seq >= c.ids.next {
 		return structs.Errorf(structs.CodeNotFound, structs.NotRun, "job %s was never reserved", id)
 	}
 	if _, reserved := c.ids.reserved[id.Seq]; reserved {
-		return structs.Errorf(structs.CodeNotFound, structs.NotRun, "job %s was not submitted", id)
+		return structs.Errorf(structs.CodeNotFound, structs.MayHaveRun, "job %s has not been submitted yet", id)
 	}
 	return structs.Errorf(structs.CodeExpired, structs.MayHaveRun, "job %s is no longer remembered", id)
 }
@@ -139,8 +149,11 @@
 func (c *Coordinator) forward(call CallID, op structs.JobOp, id structs.JobID, spec *structs.JobSpec) {
 	home, ok := c.peers[owner(id)]
 	if !ok {
-		c.replyError(call, structs.Errorf(structs.CodeHomeLost, structs.MayHaveRun,
-			"the entry that owns job %s is not known here", id))
+		ev := RecoverCalled{Call: call, ID: id}
+		if spec != nil {
+			ev.Service, ev.Tasks, ev.Spec = spec.Service, len(spec.Tasks), spec
+		}
+		c.recoverJob(ev)
 		return
 	}
 	c.emit(Forward{Call: call, Home: home, Op: op, ID: id, Spec: spec})
@@ -168,6 +181,10 @@
 
 // callGone forgets a waiting caller.
 func (c *Coordinator) callGone(e CallGone) {
+	if r := c.recovers[e.Call]; r != nil {
+		c.abandonRecovery(r, e.Answer)
+		return
+	}
 	j := c.calls[e.Call]
 	if j == nil {
 		return
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,7 +11,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -20,6 +19,7 @@
 
 	"github.com/chestnuthollow/chestnuthollow/coordinator"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcconn"
+	"github.com/chestnuthollow/chestnuthollow/keybind"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -45,11 +45,12 @@
 	links   map[structs.Incarnation]*agentLink // of the loop only
 	peers   *peerTable
 	docs    *documents
+	keys    *keybind.Binder // nil: keyed jobs are refused
 	rpc     *rpcconn.Server
 	httpLn  net.Listener
 	http    *http.Server
 	drained chan struct{}
-	drain   sync.Once
+	closing structs.ClosedReport // set before drained is closed
 
 	inspect chan func(*coordinator.Coordinator) // runs in the loop
 	stopped chan struct{}                       // closed when the loop ends
@@ -94,6 +95,10 @@
 		return nil, err
 	}
 	e.docs = docs
+	if err := e.openKeys(); err != nil {
+		e.closeListeners()
+		return nil, err
+	}
 	return e, nil
 }
 
@@ -163,6 +168,9 @@
 	go e.serveHTTP()
 	go e.loop(background)
 	go e.docs.run(background)
+	if e.keys != nil {
+		go e.keys.Run(background)
+	}
 	go e.peers.run(background, e.postPeers, e.postAgent)
 
 	<-ctx.Done()
@@ -170,6 +178,10 @@
 	e.mail.post(coordinator.LeaveRequested{})
 	e.docs.leave()
 	err := e.awaitDrained()
+	if err == nil {
+		e.peers.tellClosed(&e.closing)
+		e.linger()
+	}
 	e.shutdown()
 	cancel()
 	<-e.stopped
@@ -186,6 +198,12 @@
 	}
 }
 
+// linger goes on answering for the jobs of this run, for callers whose answer
+// was lost.
+func (e *Entry) linger() {
+	time.Sleep(time.Duration(e.opts.StopLinger))
+}
+
 // shutdown lets the replies under way go out.
 func (e *Entry) shutdown() {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
--- a/entry/http.go
+++ b/entry/http.go
@@ -53,7 +53,15 @@
 }
 
 func (e *Entry) postJob(c echo.Context) error {
-	return e.submitJob(c, structs.JobID{})
+	text := c.Request().Header.Get(headerIdempotencyKey)
+	if text == "" {
+		return e.submitJob(c, structs.JobID{})
+	}
+	id, err := e.jobOfKey(c.Request().Context(), text)
+	if err != nil {
+		return writeError(c, err)
+	}
+	return e.submitJob(c, id)
 }
 
 func (e *Entry) putJob(c echo.Context) error {
@@ -161,6 +169,7 @@
 	structs.CodeRejected:    http.StatusUnprocessableEntity,
 	structs.CodeNotFound:    http.StatusNotFound,
 	structs.CodeConflict:    http.StatusConflict,
+	structs.CodeForbidden:   http.StatusForbidden,
 	structs.CodeCanceled:    http.StatusConflict,
 	structs.CodeExpired:     http.StatusGone,
 	structs.CodeQuota:       http.StatusTooManyRequests,
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -63,7 +63,8 @@
 			delete(e.links, f.Agent)
 		}
 	case coordinator.Drained:
-		e.drain.Do(func() { close(e.drained) })
+		e.closing = f.Report
+		close(e.drained)
 	case coordinator.LogEvent:
 		e.logEvent(f)
 	default:
@@ -86,6 +87,14 @@
 		if l := e.links[f.Agent]; l != nil {
 			l.sendSettle(&f.Request)
 		}
+	case coordinator.Query:
+		if l := e.links[f.Agent]; l != nil {
+			l.sendQuery(f)
+		}
+	case coordinator.QueryAwait:
+		if l := e.links[f.Agent]; l != nil {
+			l.sendQueryAwait(f)
+		}
 	case coordinator.Heartbeat:
 		if l := e.links[f.Agent]; l != nil {
 			l.sendHeartbeat(&structs.HeartbeatRequest{
--- a/structs/rpc.go
+++ b/structs/rpc.go
@@ -25,6 +25,8 @@
 	Agent    Incarnation // the agent run it is meant for
 	Task     TaskID      // Task.Job.Home is the sender
 	Attempt  uint32
+	JobTasks int      // tasks of the whole job
+	Content  [16]byte // identifies the content of the job's submission
 	Spec     TaskSpec
 	Service  string
 	Team     string
@@ -93,10 +95,15 @@
 
 // TaskStatus is the state of one task at an agent.
 type TaskStatus struct {
-	Task        TaskID
-	Attempt     uint32 // the newest attempt the agent knows, as asked if fenced
-	Phase       TaskPhase
-	Result      TaskResult // set if Phase is TaskDone
+	Task     TaskID
+	Attempt  uint32 // the newest attempt the agent knows, as asked if fenced
+	Phase    TaskPhase
+	JobTasks int      // tasks of the whole job; zero if fenced
+	Content  [16]byte // of the job's submission; zero if fenced
+	// Result is set if Phase is TaskDone. If Phase is TaskFenced, its Error may
+	// tell why; CodeHomeFenced says that the task waited here when its home
+	// was fenced.
+	Result      TaskResult
 	ServiceTime time.Duration
 }
 
@@ -107,7 +114,8 @@
 	State    AgentState
 	// Forgotten says, in the answer to a FenceRequest, that records of started
 	// tasks of the job may have been dropped: a task without a status may have
-	// run. Otherwise a task without a status is not run and never will be.
+	// run. Otherwise, and with Close, a task without a status is not run at
+	// this agent and never will be.
 	Forgotten bool
 }
 
@@ -119,12 +127,14 @@
 	Attempt uint32
 }
 
-// FenceRequest closes a home at an agent (Agent.Fence): nothing of that home
-// starts there any more, queued tasks are dropped, running ones go on. The
-// reply carries the statuses of Job's tasks that the agent knows.
+// FenceRequest asks an agent for the statuses of a job's tasks, on behalf of an
+// entry that is not the job's home (Agent.Fence); the reply is a SettleReply.
+// With Close, the home is closed first: nothing of it starts there any more,
+// queued tasks are dropped, running ones go on.
 type FenceRequest struct {
 	Agent Incarnation
-	Job   JobID // Job.Home is the home to fence
+	Job   JobID
+	Close bool
 }
 
 // HeartbeatRequest probes an agent (Agent.Heartbeat) and tells it of the entry.
@@ -171,6 +181,30 @@
 	Fold []byte
 }
 
+// SeqRange is a range of a home's sequence numbers, both ends included.
+type SeqRange struct{ First, Last uint64 }
+
+// ClosedReport is the last word of an entry that ends gracefully (Entry.Closed,
+// no reply): which of its job ids were never submitted, and never will start.
+type ClosedReport struct {
+	Home        Incarnation
+	Next        uint64 // ids from here on were never reserved
+	Unsubmitted []SeqRange
+}
+
+// Covers reports whether the job with the sequence certainly never started.
+func (r *ClosedReport) Covers(seq uint64) bool {
+	if seq >= r.Next {
+		return true
+	}
+	for _, s := range r.Unsubmitted {
+		if seq >= s.First && seq <= s.Last {
+			return true
+		}
+	}
+	return false
+}
+
 // ForwardRequest carries a caller's request to the job's home (Entry.Forward).
 type ForwardRequest struct {
 	Op   JobOp
