--- /dev/null
+++ b/command/load.go
@@ -0,0 +1,218 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/chestnuthollow/chestnuthollow/internal/exit"
+	"github.com/chestnuthollow/chestnuthollow/load"
+)
+
+// Flags of the load commands.
+const (
+	flagServer   = "server"
+	flagDuration = "duration"
+	flagRate     = "rate"
+	flagReplay   = "replay"
+	flagRecord   = "record"
+	flagSeed     = "seed"
+	flagTeams    = "team"
+	flagSingle   = "single"
+	flagLarge    = "large"
+	flagBurst    = "burst"
+	flagScale    = "scale"
+	flagOff      = "declared-off"
+	flagRetries  = "retries"
+	flagPlot     = "plot"
+	flagJobTime  = "job-timeout"
+)
+
+const loadRunDescription = `Sends jobs at their intended times, whatever became of earlier ones, and
+measures their response time from then on over the ideal: the time the job
+would take alone on idle backend servers of the speeds given with --server.
+Tasks have the payload {"work_ms": …}, which the stand-in backend server
+understands. --timeout bounds the whole run.`
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name:     "load",
+		Usage:    "generate load and measure response time over the ideal",
+		Commands: []*cli.Command{loadRunCommand(), loadCompareCommand()},
+	}
+}
+
+func loadRunCommand() *cli.Command {
+	flags := []cli.Flag{
+		&cli.StringFlag{Name: flagService, Usage: "`NAME` of the service", Required: true},
+		&cli.StringSliceFlag{Name: flagServer, Usage: "`SLOTSxSPEED` of a backend server, for the ideal; repeated", Value: []string{"8x1"}},
+		&cli.FloatFlag{Name: flagRate, Usage: "mean `TASKS` a second of all jobs", Value: 50},
+		&cli.StringFlag{Name: flagReplay, Usage: "send the jobs in `FILE`, one JSON object a line, in place of drawn ones"},
+		&cli.StringFlag{Name: flagRecord, Usage: "write the jobs to `FILE` for --replay"},
+		&cli.IntFlag{Name: flagRetries, Usage: "how often a refused job comes back when told"},
+		&cli.DurationFlag{Name: flagJobTime, Usage: "timeout of each job", Value: 30 * time.Second},
+		&cli.StringFlag{Name: flagPlot, Usage: "write a plot to `FILE`, .png or .svg"},
+	}
+	return &cli.Command{
+		Name:        "run",
+		Usage:       "load running entries",
+		Description: loadRunDescription,
+		Flags:       append(flags, workloadFlags()...),
+		Action:      action(nil, runLoad),
+	}
+}
+
+// workloadFlags are those of drawn jobs.
+func workloadFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.DurationFlag{Name: flagDuration, Usage: "how long jobs arrive", Value: 10 * time.Second},
+		&cli.Uint64Flag{Name: flagSeed, Usage: "`SEED` of the jobs", Value: 1},
+		&cli.StringSliceFlag{Name: flagTeams, Usage: "`NAME=WEIGHT` of a calling team; repeated", Value: []string{"front-desk=1"}},
+		&cli.FloatFlag{Name: flagSingle, Usage: "share of jobs with one task", Value: load.DefaultSizes().Single},
+		&cli.FloatFlag{Name: flagLarge, Usage: "share of jobs with 50 to 890 tasks", Value: load.DefaultSizes().Large},
+		&cli.DurationFlag{Name: flagBurst, Usage: "time between bursts of 890 tasks; 0 for none"},
+		&cli.FloatFlag{Name: flagScale, Usage: "factor on the task times of 50 ms to 1 s", Value: 1},
+		&cli.FloatFlag{Name: flagOff, Usage: "factor by which declared times are off, both ways", Value: 1},
+	}
+}
+
+func workload(c *cli.Command) (load.Workload, error) {
+	teams, err := parseTeams(c.StringSlice(flagTeams))
+	if err != nil {
+		return load.Workload{}, err
+	}
+	return load.Workload{
+		Seed:          c.Uint64(flagSeed),
+		Duration:      c.Duration(flagDuration),
+		Teams:         teams,
+		Sizes:         load.Sizes{Single: c.Float(flagSingle), Large: c.Float(flagLarge)},
+		Times:         load.DefaultTimes().Scale(c.Float(flagScale)),
+		Burst:         c.Duration(flagBurst),
+		DeclaredError: c.Float(flagOff),
+	}, nil
+}
+
+func parseTeams(list []string) ([]load.Team, error) {
+	teams := make([]load.Team, 0, len(list))
+	for _, text := range list {
+		name, weight, _ := strings.Cut(text, "=")
+		w, err := strconv.ParseFloat(weight, 64)
+		if err != nil || w <= 0 {
+			return nil, exit.Usagef("--%s %s: want NAME=WEIGHT with a positive weight", flagTeams, text)
+		}
+		teams = append(teams, load.Team{Name: name, Weight: w})
+	}
+	return teams, nil
+}
+
+func parseServers(list []string) ([]load.Server, error) {
+	servers := make([]load.Server, 0, len(list))
+	for _, text := range list {
+		var s load.Server
+		if n, err := fmt.Sscanf(text, "%dx%g", &s.Slots, &s.Speed); n != 2 || err != nil || s.Slots < 1 || s.Speed <= 0 {
+			return nil, exit.Usagef("--%s %s: want SLOTSxSPEED such as 8x0.5", flagServer, text)
+		}
+		servers = append(servers, s)
+	}
+	return servers, nil
+}
+
+func runLoad(ctx context.Context, c *cli.Command, s *session) error {
+	servers, err := parseServers(c.StringSlice(flagServer))
+	if err != nil {
+		return err
+	}
+	jobs, err := loadJobs(c)
+	if err != nil {
+		return err
+	}
+	opts := load.Options{
+		Entries: s.entries,
+		Service: c.String(flagService),
+		Servers: servers,
+		Timeout: c.Duration(flagJobTime),
+		Retries: c.Int(flagRetries),
+	}
+	rep, err := load.Run(ctx, opts, jobs)
+	if err != nil {
+		return exit.With(exit.Failure, err)
+	}
+	rep.Name = opts.Service
+	return s.printReports(c.String(flagPlot), rep)
+}
+
+// loadJobs draws the jobs or reads them, and writes them down if asked.
+func loadJobs(c *cli.Command) ([]load.Job, error) {
+	jobs, err := drawJobs(c)
+	if err != nil {
+		return nil, err
+	}
+	path := c.String(flagRecord)
+	if path == "" {
+		return jobs, nil
+	}
+	return jobs, writeFile(path, func(w io.Writer) error { return load.WriteJobs(w, jobs) })
+}
+
+func drawJobs(c *cli.Command) ([]load.Job, error) {
+	if path := c.String(flagReplay); path != "" {
+		f, err := os.Open(path)
+		if err != nil {
+			return nil, exit.With(exit.Usage, err)
+		}
+		defer f.Close()
+		return load.ReadJobs(f)
+	}
+	w, err := workload(c)
+	if err != nil {
+		return nil, err
+	}
+	w.Rate = c.Float(flagRate)
+	if err := w.Validate(); err != nil {
+		return nil, exit.With(exit.Usage, err)
+	}
+	return w.Generate(), nil
+}
+
+// printReports prints reports and draws them if a plot file is named.
+func (s *session) printReports(plot string, reports ...*load.Report) error {
+	if s.json {
+		if err := writeJSON(s.out, reports); err != nil {
+			return err
+		}
+	} else {
+		for _, rep := range reports {
+			rep.WriteText(s.out)
+		}
+	}
+	return writePlot(plot, reports)
+}
+
+func writePlot(path string, reports []*load.Report) error {
+	if path == "" {
+		return nil
+	}
+	format := load.PNG
+	if strings.HasSuffix(path, ".svg") {
+		format = load.SVG
+	}
+	return writeFile(path, func(w io.Writer) error { return load.Plot(w, format, reports...) })
+}
+
+func writeFile(path string, write func(io.Writer) error) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return exit.With(exit.Usage, err)
+	}
+	if err := write(f); err != nil {
+		f.Close()
+		return err
+	}
+	return f.Close()
+}
--- a/load/deployment/compare.go
+++ b/load/deployment/compare.go
@@ -25,6 +25,7 @@
 		{Name: "credits", NewPolicy: func(s uint64) placement.Policy { return placement.NewCredits(s) }, NoRecall: true},
 		{Name: "eager", NewPolicy: func(s uint64) placement.Policy { return placement.NewEager(s) }, NoRecall: true},
 		{Name: "finish", NewPolicy: func(s uint64) placement.Policy { return placement.NewLeastExpectedFinish(s) }, NoRecall: true},
+		{Name: "random+recall", NewPolicy: func(s uint64) placement.Policy { return placement.NewRandom(s) }},
 		{Name: "two-choices+recall", NewPolicy: func(s uint64) placement.Policy { return placement.NewTwoChoices(s) }},
 		{Name: "credits+recall", NewPolicy: func(s uint64) placement.Policy { return placement.NewCredits(s) }},
 		{Name: "eager+recall", NewPolicy: func(s uint64) placement.Policy { return placement.NewEager(s) }},
