Prove the whole path with separate processes

Two entries, three agents with backend servers of three speeds and a stand-in log run as processes of their own; the document is published by the command line; jobs of 1, 50 and 890 tasks go through each entry by the command line and by the Go client. A graceful stop of an agent and of an entry under load cuts no job.

--- /dev/null
+++ b/test/e2e/path_test.go
@@ -0,0 +1,168 @@
+package e2e_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/client"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// newSystem starts two entries and three agents with backend servers of
+// different speeds, and publishes the service's document.
+func newSystem(t *testing.T) *cluster {
+	t.Helper()
+	c := startCluster(t, 2, 1, 2, 4)
+	for _, e := range c.entries {
+		e.ready()
+	}
+	c.publish("0", "")
+	for _, e := range c.entries {
+		c.knowsAgents(e, len(c.agents))
+	}
+	return c
+}
+
+// knowsAgents waits until the entry sees that many agents that take work.
+func (c *cluster) knowsAgents(e *daemon, count int) {
+	c.t.Helper()
+	k := newCaller(c, &history{})
+	c.g.Eventually(func(g Gomega) {
+		var s structs.Status
+		code, _ := k.do("GET", e.url()+"/v1/status", nil, &s)
+		g.Expect(code).To(Equal(200))
+		up := 0
+		for _, a := range s.Agents {
+			if !a.State.Leaving {
+				up++
+			}
+		}
+		g.Expect(up).To(Equal(count))
+	}, patience, poll).Should(Succeed(), "agents known to %s", e.name)
+}
+
+// submitByClient runs a job by the Go client and records what came.
+func (c *cluster) submitByClient(h *history, k *client.Client, s *submission) error {
+	o := observation{of: s, call: time.Now().UnixNano()}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	answer, err := k.Submit(ctx, &s.spec)
+	o.ret = time.Now().UnixNano()
+	o.answer = answer
+	var failed *client.JobError
+	if errors.As(err, &failed) {
+		o.err = failed.Reason
+		if o.answer == nil {
+			o.answer = failed.Answer
+		}
+	}
+	if o.answer != nil {
+		s.id = o.answer.ID
+	}
+	if o.answer != nil || o.err != nil {
+		h.add(o)
+	}
+	return err
+}
+
+func (c *cluster) newClient(entries ...*daemon) *client.Client {
+	c.t.Helper()
+	var urls []string
+	for _, e := range entries {
+		urls = append(urls, e.url())
+	}
+	k, err := client.New(client.Options{Entries: urls})
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.t.Cleanup(k.Close)
+	return k
+}
+
+// TestWholePath is the proof of issue 3: jobs of 1, 50 and 890 tasks through
+// each entry, by the command line and by the Go client.
+func TestWholePath(t *testing.T) {
+	c := newSystem(t)
+	h := &history{}
+	for i, e := range c.entries {
+		k := c.newClient(e)
+		for _, tasks := range []int{1, 50, structs.MaxTasksPerJob} {
+			byCommand := newSubmission(fmt.Sprintf("command-%d-%d", i, tasks), tasks, 1)
+			c.g.Expect(c.submitByCommand(h, c.entries[i:i+1], byCommand)).To(Equal(0))
+			byClient := newSubmission(fmt.Sprintf("client-%d-%d", i, tasks), tasks, 1)
+			c.g.Expect(c.submitByClient(h, k, byClient)).To(Succeed())
+		}
+	}
+	v := c.check(h)
+	c.g.Expect(v.Complete).To(Equal(12))
+	c.g.Expect(c.starts()).To(HaveLen(4 * (1 + 50 + structs.MaxTasksPerJob)))
+}
+
+// load submits small jobs by the Go client until it is stopped.
+type load struct {
+	c       *cluster
+	history *history
+	stop    chan struct{}
+	wait    sync.WaitGroup
+	jobs    atomic.Int64
+	refused atomic.Int64
+}
+
+// startLoad runs that many clients at once.
+func (c *cluster) startLoad(h *history, clients, tasks, millis int) *load {
+	l := &load{c: c, history: h, stop: make(chan struct{})}
+	for i := range clients {
+		k := c.newClient(c.entries...)
+		l.wait.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-l.stop:
+					return
+				default:
+				}
+				s := newSubmission(fmt.Sprintf("load-%d-%d", i, n), tasks, millis)
+				l.jobs.Add(1)
+				if err := c.submitByClient(h, k, s); err != nil {
+					l.refused.Add(1)
+					c.t.Logf("%s: %v", s.name, err)
+				}
+			}
+		})
+	}
+	return l
+}
+
+func (l *load) end() {
+	close(l.stop)
+	l.wait.Wait()
+}
+
+// more waits until that many further jobs have been submitted.
+func (l *load) more(count int64) {
+	l.c.t.Helper()
+	until := l.jobs.Load() + count
+	l.c.g.Eventually(l.jobs.Load, patience, poll).Should(BeNumerically(">=", until))
+}
+
+// TestGracefulStopCutsNothing stops an agent and an entry under load: each job
+// completes.
+func TestGracefulStopCutsNothing(t *testing.T) {
+	c := newSystem(t)
+	h := &history{}
+	l := c.startLoad(h, 6, 5, 20)
+	l.more(30)
+	c.g.Expect(c.agents[0].stop()).To(Succeed())
+	l.more(30)
+	c.g.Expect(c.entries[0].stop()).To(Succeed())
+	l.more(30)
+	l.end()
+	v := c.check(h)
+	c.g.Expect(l.refused.Load()).To(BeZero(), "jobs cut by a graceful stop: %+v", v)
+	c.g.Expect(v.Failed).To(BeZero())
+	t.Logf("verdicts: %+v", v)
+}
