--- a/entry/agentlink.go
+++ b/entry/agentlink.go
@@ -231,7 +231,7 @@
 // sendQueryAwait sends Agent.Await for another home's task.
 func (l *agentLink) sendQueryAwait(q coordinator.QueryAwait) {
 	reply := new(structs.RunReply)
-	failed := func() { l.post(coordinator.QueryFailed{Call: q.Call, Agent: q.Agent, Ref: q.Ref}) }
+	failed := func() { l.post(coordinator.QueryFailed(q)) }
 	l.send(&linkCall{
 		method:  "Await",
 		args:    &structs.AwaitRequest{Agent: q.Agent, Task: q.Ref.Task, Attempt: q.Ref.Attempt},
