Find successors of lost entries soon; ask a returned peer for its agents again

An agent whose entries were all replaced at once waited for 15 s of silence before it asked the balancer; it now asks about a second after an entry's connection ends. An entry that had lost a region's agents learned them again only from their own announcements; it now also asks a peer that was away. A peer is kept for three hours of silence, above the hour that regions may be apart.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -86,6 +86,7 @@
 	a.metrics = newMetrics(a)
 	a.entries = newAnnouncer(a)
 	a.rpc = rpcserver.New(rpcserver.DefaultOptions(), structs.AgentService, func(conn context.Context) any {
+		context.AfterFunc(conn, a.entries.connectionLost)
 		return &receiver{agent: a, conn: conn}
 	})
 	return a, nil
--- a/agent/announcer.go
+++ b/agent/announcer.go
@@ -19,9 +19,12 @@
 )
 
 const (
-	announcePoll      = 250 * time.Millisecond
-	lookupRetryMin    = 250 * time.Millisecond
-	lookupRetryMax    = 5 * time.Second
+	announcePoll   = 250 * time.Millisecond
+	lookupRetryMin = 250 * time.Millisecond
+	lookupRetryMax = 5 * time.Second
+	// lookupAfterLoss is the mean time from the end of an entry's connection to
+	// a lookup: its successor does not know the agent yet.
+	lookupAfterLoss   = time.Second
 	lookupTimeout     = 2 * time.Second
 	maxLookupBytes    = 256 << 10
 	maxAnnounceBytes  = 1 << 20
@@ -36,6 +39,7 @@
 	agent  *Agent
 	dir    *directory
 	wake   chan struct{}
+	lost   chan struct{} // an entry's connection has ended
 	client *http.Client
 }
 
@@ -44,6 +48,7 @@
 		agent:  a,
 		dir:    newDirectory(time.Duration(a.opts.SilenceTimeout)),
 		wake:   make(chan struct{}, 1),
+		lost:   make(chan struct{}, 1),
 		client: &http.Client{Timeout: lookupTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 }
@@ -51,6 +56,14 @@
 // heard notes a heartbeat of an entry.
 func (n *announcer) heard(info structs.EntryInfo) { n.dir.heard(info, time.Now()) }
 
+// connectionLost has entries looked up soon. It does not block.
+func (n *announcer) connectionLost() {
+	select {
+	case n.lost <- struct{}{}:
+	default:
+	}
+}
+
 // stateChanged has every entry told of the agent's present state. It does not
 // block.
 func (n *announcer) stateChanged() {
@@ -81,10 +94,19 @@
 			return
 		case <-ticker.C:
 		case <-n.wake:
+		case <-n.lost:
+			nextLookup = earlier(nextLookup, time.Now().Add(jitter(lookupAfterLoss)))
 		}
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // silenceHead is how much earlier a lookup comes when no entry is heard of.
 func (n *announcer) silenceHead() time.Duration {
 	return time.Duration(n.agent.opts.LookupInterval) - time.Duration(n.agent.opts.SilenceTimeout)
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -33,6 +33,7 @@
 	logs     *logserver.Server
 	keyLogs  *logserver.Server
 	entries  []*entry.Entry
+	stops    []func() // of entries
 	backends []*backend.Server
 }
 
@@ -61,18 +62,28 @@
 	return logging.New(os.Stderr, name, "info")
 }
 
-// run runs a process's Run until the test ends.
-func (s *site) run(run func(context.Context) error) {
+// run runs a process's Run until the returned function is called or the test
+// ends.
+func (s *site) run(run func(context.Context) error) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		_ = run(ctx)
 	}()
-	s.t.Cleanup(func() {
+	stop = func() {
 		cancel()
 		<-done
-	})
+	}
+	s.t.Cleanup(stop)
+	return stop
+}
+
+// stopEntry stops an entry gracefully and forgets it.
+func (s *site) stopEntry(i int) {
+	s.stops[i]()
+	s.entries = append(s.entries[:i], s.entries[i+1:]...)
+	s.stops = append(s.stops[:i], s.stops[i+1:]...)
 }
 
 func (s *site) startEntry(name string) { s.startEntryWith(name, func(*entry.Options) {}) }
@@ -87,7 +98,7 @@
 	e, err := entry.New(opts, testLogger(name))
 	s.g.Expect(err).NotTo(HaveOccurred())
 	s.entries = append(s.entries, e)
-	s.run(e.Run)
+	s.stops = append(s.stops, s.run(e.Run))
 }
 
 func (s *site) startAgent(name string) {
@@ -170,3 +181,19 @@
 	s.g.Expect(err).NotTo(HaveOccurred())
 	s.g.Expect(answer.State).To(Equal(structs.JobComplete))
 }
+
+// When all entries are replaced at once, the agents find the new ones through
+// the balancer, and the documents come from the log.
+func TestAllEntriesReplacedAtOnce(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	s := newSite(t, 1, 2)
+	s.publish(ctx)
+	addr := s.entries[0].HTTPAddr()
+	s.stopEntry(0)
+	s.startEntryWith("entry-9", func(o *entry.Options) { o.HTTPAddr = addr })
+	s.g.Eventually(func() error {
+		_, err := s.client(0).Submit(ctx, job(3))
+		return err
+	}, 30*time.Second, 50*time.Millisecond).Should(Succeed())
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -14,7 +14,7 @@
 const (
 	pingInterval = 2 * time.Second
 	peerLiveFor  = 3 * pingInterval // since it was last heard
-	peerKeepFor  = time.Hour        // a silent peer is forgotten after
+	peerKeepFor  = 3 * time.Hour    // a silent peer is forgotten after
 )
 
 // peerTable knows the other entries: announced on the log, named by peers, or
@@ -162,6 +162,7 @@
 func (t *peerTable) ping(p peer, learned func(structs.AgentInfo)) {
 	var info structs.EntryInfo
 	if err := p.link.call("Ping", &t.self, &info, controlTimeout); err != nil {
+		t.setAsked(p.info.Incarnation, p.asked && p.live(time.Now()))
 		return
 	}
 	t.heard(info)
@@ -184,10 +185,16 @@
 	for _, a := range reply.Agents {
 		learned(a)
 	}
+	t.setAsked(p.info.Incarnation, true)
+}
+
+// setAsked notes whether the peer's members are known. A peer that was away is
+// asked again, for agents may have come and gone meanwhile.
+func (t *peerTable) setAsked(id structs.Incarnation, asked bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if known := t.peers[p.info.Incarnation]; known != nil {
-		known.asked = true
+	if known := t.peers[id]; known != nil {
+		known.asked = asked
 	}
 }
 
