--- a/test/e2e/history_test.go
+++ b/test/e2e/history_test.go
@@ -135,8 +135,11 @@
 // verdicts counts what was said of the tasks of final answers.
 type verdicts struct {
 	Complete, Failed, Refused int
-	NotRun, Ran, MayHaveRun   int
-	MayHaveRunNotStarted      int
+	// NoAnswer counts the jobs whose caller gave up on a final answer. Their
+	// tasks count as MayHaveRun.
+	NoAnswer                int
+	NotRun, Ran, MayHaveRun int
+	MayHaveRunNotStarted    int
 }
 
 // check judges the whole history by the backend servers' record of starts.
@@ -255,39 +258,79 @@
 	return out
 }
 
+// count tells what callers were left with, and holds it against the record.
 func (c *cluster) count(h *history, starts []startRecord) verdicts {
 	started := make(map[string]bool)
 	for _, s := range starts {
 		started[s.Token] = true
 	}
 	var v verdicts
-	counted := make(map[*submission]bool)
-	for _, o := range h.seen {
-		if o.answer == nil && o.err != nil {
-			v.Refused++
-		}
-		if o.answer == nil || !o.answer.State.Final() || counted[o.of] {
-			continue
-		}
-		counted[o.of] = true
-		if o.answer.State == structs.JobComplete {
+	for _, o := range lastWords(h.seen) {
+		switch {
+		case o.answer != nil && o.answer.State == structs.JobComplete:
 			v.Complete++
-		} else {
+		case o.answer != nil && o.answer.State == structs.JobFailed:
 			v.Failed++
+		case o.err != nil && o.err.Verdict == structs.NotRun:
+			v.Refused++
+		default:
+			v.NoAnswer++
 		}
-		for i, r := range o.answer.Results {
-			switch r.Verdict {
-			case structs.NotRun:
-				v.NotRun++
-			case structs.Ran:
-				v.Ran++
-			default:
-				v.MayHaveRun++
-				if !started[o.of.tokens[i]] {
-					v.MayHaveRunNotStarted++
-				}
-			}
+		for i, token := range o.of.tokens {
+			v.add(o.verdict(i), started[token])
 		}
 	}
 	return v
 }
+
+// lastWords returns for each job the final answer, or the refusal, or else the
+// last that was said.
+func lastWords(seen []observation) []observation {
+	index := make(map[*submission]int)
+	var last []observation
+	for _, o := range seen {
+		i, ok := index[o.of]
+		if !ok {
+			index[o.of] = len(last)
+			last = append(last, o)
+		} else if o.rank() >= last[i].rank() {
+			last[i] = o
+		}
+	}
+	return last
+}
+
+func (o *observation) rank() int {
+	switch {
+	case o.answer != nil && o.answer.State.Final():
+		return 2
+	case o.err != nil && o.err.Verdict == structs.NotRun:
+		return 1
+	}
+	return 0
+}
+
+// verdict is what the observation says of one task.
+func (o *observation) verdict(i int) structs.Verdict {
+	switch {
+	case o.answer != nil && o.answer.State.Final():
+		return o.answer.Results[i].Verdict
+	case o.err != nil:
+		return o.err.Verdict
+	}
+	return structs.MayHaveRun
+}
+
+func (v *verdicts) add(said structs.Verdict, started bool) {
+	switch said {
+	case structs.NotRun:
+		v.NotRun++
+	case structs.Ran:
+		v.Ran++
+	default:
+		v.MayHaveRun++
+		if !started {
+			v.MayHaveRunNotStarted++
+		}
+	}
+}
