--- a/client/service.go
+++ b/client/service.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -14,6 +15,9 @@
 
 const servicesPath = "/v1/services"
 
+// publishWait is how long an entry may try to publish an edit.
+const publishWait = 15 * time.Second
+
 func servicePath(name string) string { return servicesPath + "/" + url.PathEscape(name) }
 
 // Services returns the known services and the revisions in force.
@@ -48,7 +52,7 @@
 		method: http.MethodPut,
 		path:   servicePath(service),
 		body:   body,
-		wait:   c.opts.PollWait,
+		wait:   publishWait,
 		token:  c.opts.PublishToken,
 	}
 	if _, err = c.call(ctx, r, &rec); err == nil {
