--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -31,7 +31,9 @@
 	g        *WithT
 	t        *testing.T
 	logs     *logserver.Server
+	keyLogs  *logserver.Server
 	entries  []*entry.Entry
+	stops    []func() // of entries
 	backends []*backend.Server
 }
 
@@ -41,6 +43,9 @@
 	s.logs, err = logserver.Start(anyAddr, logserver.Faults{})
 	s.g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { s.logs.Close() })
+	s.keyLogs, err = logserver.Start(anyAddr, logserver.Faults{})
+	s.g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { s.keyLogs.Close() })
 	for i := range entries {
 		s.startEntry(fmt.Sprintf("entry-%d", i))
 	}
@@ -57,18 +62,28 @@
 	return logging.New(os.Stderr, name, "info")
 }
 
-// run runs a process's Run until the test ends.
-func (s *site) run(run func(context.Context) error) {
+// run runs a process's Run until the returned function is called or the test
+// ends.
+func (s *site) run(run func(context.Context) error) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		_ = run(ctx)
 	}()
-	s.t.Cleanup(func() {
+	stop = func() {
 		cancel()
 		<-done
-	})
+	}
+	s.t.Cleanup(stop)
+	return stop
+}
+
+// stopEntry stops an entry gracefully and forgets it.
+func (s *site) stopEntry(i int) {
+	s.stops[i]()
+	s.entries = append(s.entries[:i], s.entries[i+1:]...)
+	s.stops = append(s.stops[:i], s.stops[i+1:]...)
 }
 
 func (s *site) startEntry(name string) { s.startEntryWith(name, func(*entry.Options) {}) }
@@ -77,12 +92,13 @@
 	opts := entry.DefaultOptions()
 	opts.Name, opts.Zone, opts.Region = name, "az1", "r1"
 	opts.HTTPAddr, opts.RPCAddr, opts.LogURL = anyAddr, anyAddr, s.logs.URL()
+	opts.KeyLogURL = s.keyLogs.URL()
 	opts.StopLinger = 0
 	change(&opts)
 	e, err := entry.New(opts, testLogger(name))
 	s.g.Expect(err).NotTo(HaveOccurred())
 	s.entries = append(s.entries, e)
-	s.run(e.Run)
+	s.stops = append(s.stops, s.run(e.Run))
 }
 
 func (s *site) startAgent(name string) {
@@ -165,3 +181,19 @@
 	s.g.Expect(err).NotTo(HaveOccurred())
 	s.g.Expect(answer.State).To(Equal(structs.JobComplete))
 }
+
+// When all entries are replaced at once, the agents find the new ones through
+// the balancer, and the documents come from the log.
+func TestAllEntriesReplacedAtOnce(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	s := newSite(t, 1, 2)
+	s.publish(ctx)
+	addr := s.entries[0].HTTPAddr()
+	s.stopEntry(0)
+	s.startEntryWith("entry-9", func(o *entry.Options) { o.HTTPAddr = addr })
+	s.g.Eventually(func() error {
+		_, err := s.client(0).Submit(ctx, job(3))
+		return err
+	}, 30*time.Second, 50*time.Millisecond).Should(Succeed())
+}
