Test the log's client and stand-in; close the stand-in's listener at once

Seen: TestOnlyCertainFailures.../refused_connection failed once. The stand-in, closed before its Serve had begun, left its listener open for a moment, and the kernel took a connection that nobody served.

Faults shown to fail first: idle connections kept after a timeout (TestSilentConnection...), every error taken as a failed dial (TestOnlyCertainFailures...). go test -race -count=30 -run Certain passes.

--- /dev/null
+++ b/platformlog/client_test.go
@@ -0,0 +1,182 @@
+package platformlog_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/platformlog"
+	"github.com/chestnuthollow/chestnuthollow/standin/logserver"
+)
+
+const testTimeout = 200 * time.Millisecond
+
+func start(t *testing.T, f logserver.Faults) (*logserver.Server, *platformlog.Client) {
+	t.Helper()
+	g := NewWithT(t)
+	srv, err := logserver.Start("127.0.0.1:0", f)
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { srv.Close() })
+	c, err := platformlog.NewClient(srv.URL(), testTimeout)
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(c.Close)
+	return srv, c
+}
+
+func TestAppendAndRead(t *testing.T) {
+	g := NewWithT(t)
+	srv, c := start(t, logserver.Faults{KeepRecords: 2})
+	ctx := context.Background()
+	for want, text := range []string{"a", "b", "c"} {
+		offset, err := c.Append(ctx, []byte(text))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(offset).To(Equal(uint64(want)))
+	}
+	records, err := c.Read(ctx, 1, 10)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(records).To(Equal([]platformlog.Record{{Offset: 1, Data: []byte("b")}, {Offset: 2, Data: []byte("c")}}))
+	g.Expect(c.Read(ctx, 3, 10)).To(BeEmpty())
+	_, err = c.Read(ctx, 0, 10)
+	g.Expect(err).To(MatchError(platformlog.ErrTruncated))
+	_, err = c.Read(ctx, 4, 10)
+	g.Expect(err).To(MatchError(platformlog.ErrOutOfRange))
+	earliest, next, err := c.Bounds(ctx)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect([]uint64{earliest, next}).To(Equal([]uint64{1, 3}))
+	g.Expect(srv.Faults().KeepRecords).To(Equal(2))
+}
+
+// TestOnlyCertainFailuresSayNotAppended: of an append without an answer the
+// client claims nothing.
+func TestOnlyCertainFailuresSayNotAppended(t *testing.T) {
+	tests := []struct {
+		name     string
+		faults   logserver.Faults
+		certain  bool
+		appended uint64
+	}{
+		{"down", logserver.Faults{Down: true}, false, 0},
+		{"deaf", logserver.Faults{Deaf: true}, false, 1},
+		{"slow", logserver.Faults{Delay: logserver.Duration(10 * testTimeout)}, false, 0},
+		{"over the rate", logserver.Faults{AppendsPerSecond: 0.001}, true, 1}, // after one that is let through
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			srv, c := start(t, tt.faults)
+			if tt.certain {
+				_, err := c.Append(context.Background(), []byte("first"))
+				g.Expect(err).NotTo(HaveOccurred())
+			}
+			_, err := c.Append(context.Background(), []byte("a"))
+			g.Expect(err).To(HaveOccurred())
+			if tt.certain {
+				g.Expect(err).To(MatchError(platformlog.ErrNotAppended))
+			} else {
+				g.Expect(err).NotTo(MatchError(platformlog.ErrNotAppended))
+			}
+			_, next := srv.Bounds()
+			g.Expect(next).To(Equal(tt.appended))
+		})
+	}
+	t.Run("refused connection", func(t *testing.T) {
+		g := NewWithT(t)
+		srv, c := start(t, logserver.Faults{})
+		srv.Close()
+		_, err := c.Append(context.Background(), []byte("a"))
+		g.Expect(err).To(MatchError(platformlog.ErrNotAppended))
+	})
+	t.Run("too large", func(t *testing.T) {
+		g := NewWithT(t)
+		_, c := start(t, logserver.Faults{})
+		_, err := c.Append(context.Background(), make([]byte, platformlog.MaxRecordBytes+1))
+		g.Expect(err).To(MatchError(platformlog.ErrNotAppended))
+	})
+}
+
+// silenceable forwards connections to a server; those that are open when it is
+// silenced never carry a byte again, new ones work.
+type silenceable struct {
+	listener net.Listener
+	target   string
+	epoch    atomic.Int64
+	accepted atomic.Int64
+}
+
+func (s *silenceable) run() {
+	for {
+		in, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.accepted.Add(1)
+		out, err := net.Dial("tcp", s.target)
+		if err != nil {
+			in.Close()
+			continue
+		}
+		epoch := s.epoch.Load()
+		var once sync.Once
+		closeBoth := func() { once.Do(func() { in.Close(); out.Close() }) }
+		go s.copy(out, in, epoch, closeBoth)
+		go s.copy(in, out, epoch, closeBoth)
+	}
+}
+
+func (s *silenceable) copy(to, from net.Conn, epoch int64, done func()) {
+	defer done()
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		if s.epoch.Load() != epoch {
+			continue
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// TestSilentConnectionIsReplaced: one request pays for connections that have
+// gone silent, the next goes over a new one.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	g := NewWithT(t)
+	srv, _ := start(t, logserver.Faults{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	path := &silenceable{listener: l, target: srv.Addr()}
+	go path.run()
+	c, err := platformlog.NewClient("http://"+l.Addr().String(), time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+
+	var wg sync.WaitGroup
+	for range 3 { // several idle connections
+		wg.Go(func() { _, _, _ = c.Bounds(context.Background()) })
+	}
+	wg.Wait()
+	path.epoch.Add(1)
+	_, _, err = c.Bounds(context.Background())
+	g.Expect(err).To(MatchError(context.DeadlineExceeded))
+	_, _, err = c.Bounds(context.Background())
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+func TestBackoffGrowsToItsBound(t *testing.T) {
+	g := NewWithT(t)
+	b := platformlog.Backoff{Base: time.Millisecond, Max: 4 * time.Millisecond}
+	for _, bound := range []time.Duration{1, 2, 4, 4, 4} {
+		g.Expect(b.Next()).To(And(BeNumerically(">=", bound*time.Millisecond/2), BeNumerically("<=", bound*time.Millisecond)))
+	}
+	b.Reset()
+	g.Expect(b.Next()).To(BeNumerically("<=", time.Millisecond))
+}
--- a/standin/logserver/faults.go
+++ b/standin/logserver/faults.go
@@ -42,6 +42,9 @@
 // MarshalText implements encoding.TextMarshaler.
 func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
 
+// String returns the duration as time.Duration does.
+func (d Duration) String() string { return time.Duration(d).String() }
+
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (d *Duration) UnmarshalText(text []byte) error {
 	v, err := time.ParseDuration(string(text))
--- a/standin/logserver/server.go
+++ b/standin/logserver/server.go
@@ -64,7 +64,10 @@
 func (s *Server) URL() string { return "http://" + s.Addr() }
 
 // Close stops the server and cuts its connections.
-func (s *Server) Close() error { return s.http.Close() }
+func (s *Server) Close() error {
+	s.listener.Close() // the server does so only once it serves
+	return s.http.Close()
+}
 
 // SetFaults changes the faults for the requests to come.
 func (s *Server) SetFaults(f Faults) {
