Coordinator: hand a lost document over again

Found by reading while planning the proof of an agent cut from one entry: a revision was pushed to an agent, or fetched from it, once; with the message lost, that entry never tried again, so an agent with one entry stayed behind until the next edit.

TestLostHandoverIsRepeated failed with the repetition left out.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -20,8 +20,8 @@
 	leaving   bool // as last told to the policy
 	heartbeat time.Time
 	beating   bool // a heartbeat is under way
-	pushed    uint64
-	fetched   uint64
+	push      exchange
+	fetch     exchange
 	// calls are the placed and unsettled attempts, with the time of sending.
 	calls map[structs.TaskRef]time.Time
 	// settle holds the attempts to ask about next, asked those under way.
@@ -147,6 +147,7 @@
 		return
 	}
 	c.refreshAgent(a)
+	c.exchangeDocument(a)
 	if c.now.Sub(a.heartbeat) >= c.heartbeatInterval(a) {
 		c.beat(a)
 	}
--- a/coordinator/service.go
+++ b/coordinator/service.go
@@ -89,18 +89,3 @@
 	s.limiter.SetDocument(now, doc)
 	s.retries.SetShare(doc.Limits.Retries)
 }
-
-// exchangeDocument sends the agent the revision it lacks, or fetches the one it
-// has and this entry lacks.
-func (c *Coordinator) exchangeDocument(a *agent) {
-	ours := a.service.record.Revision
-	theirs := a.state.Revision
-	switch {
-	case theirs < ours && a.pushed < ours:
-		a.pushed = ours
-		c.emit(PushDocument{Agent: a.info.Incarnation, Record: a.service.record})
-	case theirs > ours && a.fetched < theirs:
-		a.fetched = theirs
-		c.emit(FetchDocument{Agent: a.info.Incarnation, Service: a.service.name})
-	}
-}
