Do not count an entry's own pause as its agents' silence

Cause: the first tick after the pause compared the agents' last sign of life with the present time, before the messages that had come meanwhile were read. Ruled out: a longer bound for agents, for a pause may be of any length.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -54,6 +54,7 @@
 
 // Step takes in one event and returns the effects to carry out, in order.
 func (c *Coordinator) Step(now time.Time, ev Event) []Effect {
+	c.notePause(now)
 	c.now = now
 	c.out = nil
 	switch e := ev.(type) {
--- /dev/null
+++ b/coordinator/pause_test.go
@@ -0,0 +1,32 @@
+package coordinator_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/coordinator"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// TestOwnPauseIsNotAnAgentsSilence pauses the entry for an hour, and then lets
+// an agent be silent.
+func TestOwnPauseIsNotAnAgentsSilence(t *testing.T) {
+	g := NewWithT(t)
+	c := coordinator.New(coordinator.Config{Self: structs.EntryInfo{Incarnation: 1}})
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	dropped := func(ev coordinator.Event) bool {
+		return slices.Contains(c.Step(now, ev), coordinator.Effect(coordinator.DropAgent{Agent: 2}))
+	}
+	c.Step(now, coordinator.AgentAnnounced{Info: structs.AgentInfo{Incarnation: 2, Service: "faq", Slots: 1}})
+	now = now.Add(time.Hour)
+	g.Expect(dropped(coordinator.Ticked{})).To(BeFalse(), "given up for the entry's own pause")
+	lost := false
+	for range 200 {
+		now = now.Add(coordinator.TickInterval)
+		lost = lost || dropped(coordinator.Ticked{})
+	}
+	g.Expect(lost).To(BeTrue(), "a silent agent is given up")
+}
