--- a/publish/publish.go
+++ b/publish/publish.go
@@ -22,7 +22,7 @@
 	// for before it is appended again.
 	readBackTimeout = 2 * time.Second
 	// retryHint is the time to come back after a refusal that may pass.
-	retryHint = 5 * time.Second
+	retryHint = time.Second
 )
 
 // Publisher publishes edits. Its methods are safe for concurrent use.
@@ -76,13 +76,20 @@
 	return p.Publish(ctx, fold.Edit{ID: editID, Service: service, Base: base, Text: old.Text, Published: time.Now().UTC()})
 }
 
-// ready refuses edits while this process does not know the documents.
+// ready refuses edits while this process does not know the documents or cannot
+// follow the log, so that the operator soon turns to another entry.
 func (p *Publisher) ready() error {
-	err := p.follower.Ready()
-	if err == nil {
-		return nil
+	if err := p.follower.Ready(); err != nil {
+		return unavailable(err.Error())
 	}
-	return structs.Errorf(structs.CodeUnavailable, structs.NotRun, "this entry cannot publish yet: %v", err).WithRetryAfter(retryHint)
+	if problem := p.follower.LogError(); problem != "" {
+		return unavailable(problem)
+	}
+	return nil
+}
+
+func unavailable(reason string) error {
+	return structs.Errorf(structs.CodeUnavailable, structs.NotRun, "this entry cannot publish now: %s", reason).WithRetryAfter(retryHint)
 }
 
 func check(edit *fold.Edit) error {
@@ -124,6 +131,9 @@
 			out, _ := current.Outcome(edit.ID)
 			return result(current, edit, out)
 		}
+		if verdict == structs.NotRun && p.follower.LogError() != "" {
+			return structs.DocumentRecord{}, unavailable(err.Error())
+		}
 		if !sleep(ctx, backoff.Next()) {
 			return structs.DocumentRecord{}, unknown(edit, verdict, err)
 		}
@@ -160,7 +170,7 @@
 
 func unknown(edit *fold.Edit, verdict structs.Verdict, err error) error {
 	if verdict == structs.NotRun {
-		return structs.Errorf(structs.CodeUnavailable, verdict, "the platform's log took no edit: %v", err).WithRetryAfter(retryHint)
+		return unavailable(err.Error())
 	}
 	return structs.Errorf(structs.CodeTimeout, verdict,
 		"edit %s may have been published; publish it again under the same edit_id to find out", edit.ID).WithRetryAfter(retryHint)
