--- a/entry/publishers.go
+++ b/entry/publishers.go
@@ -1,15 +1,20 @@
 package entry
 
 import (
+	"context"
 	"crypto/subtle"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/document"
 	"github.com/chestnuthollow/chestnuthollow/fold"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
+// baseTimeout is how long an edit's base is waited for.
+const baseTimeout = 2 * time.Second
+
 // mayPublish checks that the request's bearer token is that of the team which
 // owns the service at the edit's base, or the platform operators' own. Without
 // any token in the settings everyone may publish.
@@ -21,7 +26,7 @@
 	if sameToken(token, e.opts.PublishToken) {
 		return nil
 	}
-	owner, err := e.ownerAt(edit)
+	owner, err := e.ownerAt(r.Context(), edit)
 	if err != nil {
 		return err
 	}
@@ -41,13 +46,12 @@
 // service's first document it is the one that the document names. The edit
 // takes effect on no other base, so that a change of owner cannot slip in
 // between.
-func (e *Entry) ownerAt(edit *fold.Edit) (string, *structs.Error) {
+func (e *Entry) ownerAt(ctx context.Context, edit *fold.Edit) (string, *structs.Error) {
 	text := edit.Text
 	if edit.Base > 0 {
-		rec, kept := e.docs.follower.Fold().Revision(edit.Service, edit.Base)
-		if !kept {
-			return "", structs.Errorf(structs.CodeConflict, structs.NotRun,
-				"this entry does not keep revision %d of service %s", edit.Base, edit.Service)
+		rec, err := e.baseOf(ctx, edit)
+		if err != nil {
+			return "", err
 		}
 		text = rec.Text
 	}
@@ -57,3 +61,26 @@
 	}
 	return doc.Owner, nil
 }
+
+// baseOf returns the revision that an edit is based on. An entry that has not
+// read so far in the log waits for it.
+func (e *Entry) baseOf(ctx context.Context, edit *fold.Edit) (structs.DocumentRecord, *structs.Error) {
+	ctx, cancel := context.WithTimeout(ctx, baseTimeout)
+	defer cancel()
+	follower := e.docs.follower
+	follower.Poke()
+	current, err := follower.Wait(ctx, func(f *fold.Fold) bool {
+		rec, _ := f.Document(edit.Service)
+		return rec.Revision >= edit.Base
+	})
+	if err == nil {
+		if rec, kept := current.Revision(edit.Service, edit.Base); kept {
+			return rec, nil
+		}
+	} else if problem := follower.LogError(); problem != "" {
+		return structs.DocumentRecord{}, structs.Errorf(structs.CodeUnavailable, structs.NotRun,
+			"this entry cannot publish now: %s", problem).WithRetryAfter(baseTimeout)
+	}
+	return structs.DocumentRecord{}, structs.Errorf(structs.CodeConflict, structs.NotRun,
+		"revision %d of service %s is not kept, or does not exist", edit.Base, edit.Service)
+}
--- a/entry/services_test.go
+++ b/entry/services_test.go
@@ -69,6 +69,7 @@
 		{ownerToken, bookingDocument, 0, ""},
 		{otherToken, taken, 1, structs.CodeForbidden},
 		{otherToken, taken, 0, structs.CodeConflict},
+		{ownerToken, bookingDocument, 9, structs.CodeConflict}, // no such base
 		{platformToken, bookingDocument + "[limits]\nqueue = 3\n", 1, ""},
 		{ownerToken, taken, 2, ""}, // handed over
 		{ownerToken, bookingDocument, 3, structs.CodeForbidden},
@@ -83,9 +84,11 @@
 // TestEditsDuringAnOutageAreRefused: the entry says at once that nothing was
 // published, and why.
 func TestEditsDuringAnOutageAreRefused(t *testing.T) {
-	s := newSite(t, 1, 0)
-	s.publish(context.Background())
-	operator := s.operator("")
+	s := newSite(t, 0, 0)
+	s.startEntryWith("entry-0", func(o *entry.Options) { o.PublishTokens = map[string]string{"himalaya": ownerToken} })
+	operator := s.operator(ownerToken)
+	_, err := operator.Apply(context.Background(), "booking", structs.Edit{Text: bookingDocument})
+	s.g.Expect(err).NotTo(HaveOccurred())
 	s.logs.SetFaults(logserver.Faults{Down: true})
 	var status *structs.Status
 	s.g.Eventually(func() string {
@@ -95,7 +98,9 @@
 		return status.LogError
 	}, 30*time.Second, 50*time.Millisecond).ShouldNot(BeEmpty())
 	s.g.Expect(status.Services).To(ConsistOf(structs.ServiceStatus{Service: "booking", Owner: "himalaya", Revision: 1}))
-	_, err := operator.Apply(context.Background(), "booking", structs.Edit{Base: 1, Text: bookingDocument})
-	s.g.Expect(codeOf(err)).To(Equal(structs.CodeUnavailable))
-	s.g.Expect(client.Verdict(err)).To(Equal(structs.NotRun))
+	for _, base := range []uint64{1, 2} { // 2: one that this entry has not read
+		_, err := operator.Apply(context.Background(), "booking", structs.Edit{Base: base, Text: bookingDocument})
+		s.g.Expect(codeOf(err)).To(Equal(structs.CodeUnavailable))
+		s.g.Expect(client.Verdict(err)).To(Equal(structs.NotRun))
+	}
 }
--- a/internal/rpcconn/rpcconn.go
+++ b/internal/rpcconn/rpcconn.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"net/rpc"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,12 +23,33 @@
 		return 0, err
 	}
 	n, err := c.Conn.Write(p)
+	sent.Add(int64(n))
+	writes.Add(1)
 	if err != nil {
 		c.Close()
 	}
 	return n, err
 }
 
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	received.Add(int64(n))
+	return n, err
+}
+
+var sent, received, writes atomic.Int64
+
+// Traffic is what the connections made by Dial in this process have carried. A
+// request that fits a buffer is one write.
+type Traffic struct {
+	BytesSent, BytesReceived, Writes int64
+}
+
+// Carried returns the traffic up to now.
+func Carried() Traffic {
+	return Traffic{BytesSent: sent.Load(), BytesReceived: received.Load(), Writes: writes.Load()}
+}
+
 // Dial connects to addr within timeout.
 func Dial(addr string, timeout time.Duration) (*rpc.Client, error) {
 	c, err := net.DialTimeout("tcp", addr, timeout)
--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -148,7 +148,7 @@
 	p := newOperator(t, ctx, srv.URL())
 	srv.SetFaults(logserver.Faults{Down: true})
 	g.Eventually(p.follower.LogError).WithTimeout(testTimeout).ShouldNot(BeEmpty())
-	_, err := p.Publish(context.Background(), edit("a", 0, ""))
+	_, err := p.Publish(ctx, edit("a", 0, ""))
 	var e *structs.Error
 	g.Expect(errors.As(err, &e)).To(BeTrue())
 	g.Expect(e.Code).To(Equal(structs.CodeUnavailable))
--- a/standin/logserver/server.go
+++ b/standin/logserver/server.go
@@ -50,7 +50,8 @@
 	s.register(e)
 	s.http = &http.Server{Handler: e, ReadHeaderTimeout: 10 * time.Second}
 	go func() {
-		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		err := s.http.Serve(l)
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			e.Logger.Error(err)
 		}
 	}()
