Retry budget: refill by successes at the entry, and by time

The sharpened test showed that no success ever reached the budget: with half of 100 servers declining, retries came from the reserve alone and then only from the trickle per tick. The trickle counts time, not ticks, and is 10 a second, or tasks sent back during the fault waited long after all servers were back.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -32,8 +32,9 @@
 	// documentsKnown says that a service without a document does not exist.
 	documentsKnown bool
 
-	now time.Time
-	out []Effect
+	ticked time.Time // when Ticked last came
+	now    time.Time
+	out    []Effect
 }
 
 // New returns a Coordinator that knows no job, agent, peer or document.
--- a/coordinator/finish.go
+++ b/coordinator/finish.go
@@ -170,8 +170,10 @@
 }
 
 func (c *Coordinator) tickServices() {
+	passed := c.now.Sub(c.ticked)
+	c.ticked = c.now
 	for _, svc := range c.services {
-		svc.retries.Trickle()
+		svc.retries.Trickle(passed)
 		svc.limiter.Expire(c.now)
 		c.recallStragglers(svc)
 	}
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -134,6 +134,9 @@
 		c.taskRefused(a, j, t, &result)
 		return
 	}
+	if r.Error == nil {
+		j.service.retries.Succeeded()
+	}
 	if r.Error == nil && !c.hold(j, len(result.Body)) {
 		result.Body = nil
 		result.Error = structs.Errorf(structs.CodeResultLost, structs.Ran, "no memory for its result")
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -3,14 +3,16 @@
 // and reads no clock.
 package retry
 
+import "time"
+
 // Defaults of a Budget.
 const (
 	// DefaultShare is the share of dispatches that may be retries.
 	DefaultShare = 0.2
 	// Reserve is how many retries a budget holds at most and at the start.
 	Reserve = 64
-	// trickle is what one tick adds.
-	trickle = 0.1
+	// tricklePerSecond is what a second adds without a success.
+	tricklePerSecond = 10
 )
 
 // Budget gives out retries: each success earns a share of one, up to a reserve.
@@ -50,9 +52,11 @@
 	b.balance = min(b.balance+b.share, Reserve)
 }
 
-// Trickle refills the budget a little without a success, so that a service
-// that comes back is found out. It is called at each tick of the entry.
-func (b *Budget) Trickle() { b.balance = min(b.balance+trickle, Reserve) }
+// Trickle refills the budget a little for time that passed, so that a service
+// that comes back is found out without a success.
+func (b *Budget) Trickle(passed time.Duration) {
+	b.balance = min(b.balance+tricklePerSecond*passed.Seconds(), Reserve)
+}
 
 // Take spends one retry. It returns false if the budget is used up.
 func (b *Budget) Take() bool {
