--- a/coordinator/straggler.go
+++ b/coordinator/straggler.go
@@ -7,9 +7,14 @@
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
-// recallPatience is how many mean service times a task may be at an agent
-// before it is taken to wait there.
-const recallPatience = 2
+const (
+	// recallPatience is how many mean service times a task may be at an agent
+	// before it is taken to wait there.
+	recallPatience = 2
+	// messagePatience is how much longer that is if the service's document gives
+	// messages their whole weight, as a factor less one.
+	messagePatience = 4
+)
 
 // recallStragglers asks the agents that have fallen behind to give back what
 // waits there, if nothing waits here and another agent would take it now.
@@ -18,6 +23,9 @@
 		return
 	}
 	patience := recallPatience * svc.drain.meanService()
+	if svc.doc != nil {
+		patience += time.Duration(messagePatience * svc.doc.Policy.MessageWeight * float64(patience))
+	}
 	if patience == 0 {
 		return
 	}
--- a/load/deployment/compare.go
+++ b/load/deployment/compare.go
@@ -19,17 +19,10 @@
 
 // Variants returns the ways to place, by name.
 func Variants() []Variant {
+	policy := func(seed uint64) placement.Policy { return placement.NewLeastExpectedFinish(seed) }
 	return []Variant{
-		{Name: "random", NewPolicy: func(s uint64) placement.Policy { return placement.NewRandom(s) }, NoRecall: true},
-		{Name: "two-choices", NewPolicy: func(s uint64) placement.Policy { return placement.NewTwoChoices(s) }, NoRecall: true},
-		{Name: "credits", NewPolicy: func(s uint64) placement.Policy { return placement.NewCredits(s) }, NoRecall: true},
-		{Name: "eager", NewPolicy: func(s uint64) placement.Policy { return placement.NewEager(s) }, NoRecall: true},
-		{Name: "finish", NewPolicy: func(s uint64) placement.Policy { return placement.NewLeastExpectedFinish(s) }, NoRecall: true},
-		{Name: "random+recall", NewPolicy: func(s uint64) placement.Policy { return placement.NewRandom(s) }},
-		{Name: "two-choices+recall", NewPolicy: func(s uint64) placement.Policy { return placement.NewTwoChoices(s) }},
-		{Name: "credits+recall", NewPolicy: func(s uint64) placement.Policy { return placement.NewCredits(s) }},
-		{Name: "eager+recall", NewPolicy: func(s uint64) placement.Policy { return placement.NewEager(s) }},
-		{Name: "finish+recall", NewPolicy: func(s uint64) placement.Policy { return placement.NewLeastExpectedFinish(s) }},
+		{Name: "finish", NewPolicy: policy, NoRecall: true},
+		{Name: "finish+recall", NewPolicy: policy},
 	}
 }
 
--- a/placement/agent.go
+++ b/placement/agent.go
@@ -28,13 +28,11 @@
 	wake      time.Time
 	wakeIndex indexheap.Index
 
-	// Of the policies:
-	list     *list // nil if in none
-	position int   // in list
-	score    float64
-	tie      uint64
-	index    indexheap.Index
-	held     held
+	// Of LeastExpectedFinish:
+	score float64
+	tie   uint64
+	index indexheap.Index
+	held  held
 }
 
 func (a *agent) load() int { return a.own + a.others }
--- a/placement/finish.go
+++ b/placement/finish.go
@@ -33,14 +33,12 @@
 	best    *indexheap.Heap[*agent]
 	full    levels
 	waiting int
-	hold    bool
 }
 
 // NewLeastExpectedFinish returns a policy that draws from seed.
 func NewLeastExpectedFinish(seed uint64) *LeastExpectedFinish {
 	p := &LeastExpectedFinish{
 		table: newTable(seed),
-		hold:  true,
 		best: indexheap.New(
 			func(a, b *agent) bool { return a.score < b.score || a.score == b.score && a.tie < b.tie },
 			func(a *agent) *indexheap.Index { return &a.index },
@@ -54,14 +52,6 @@
 	return p
 }
 
-// NewEager returns a LeastExpectedFinish that never holds a task back while an
-// agent has room.
-func NewEager(seed uint64) *LeastExpectedFinish {
-	p := NewLeastExpectedFinish(seed)
-	p.hold = false
-	return p
-}
-
 // SetWaiting implements Policy.
 func (p *LeastExpectedFinish) SetWaiting(n int) { p.waiting = n }
 
@@ -72,7 +62,7 @@
 		return 0, false
 	}
 	a := p.best.First()
-	if p.hold && p.full.wait(a.score, max(p.waiting, 1)) < a.score {
+	if p.full.wait(a.score, max(p.waiting, 1)) < a.score {
 		return 0, false
 	}
 	return a.id, true
--- a/placement/table.go
+++ b/placement/table.go
@@ -18,8 +18,8 @@
 // before the first service times are known.
 const staleAfter = 500 * time.Millisecond
 
-// table keeps the agents of one service: the part that policies have in common.
-// The policy's changed is called after each change of an agent, and its gone
+// table keeps the agents of one service: what is known of them, whatever the
+// order in which a policy picks them. The policy's changed is called after each change of an agent, and its gone
 // when one is removed.
 type table struct {
 	rng     *rand.Rand
