--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -140,13 +140,21 @@
 	d.c.g.Eventually(func(g Gomega) {
 		line := startedLine(d.out.String())
 		g.Expect(line).NotTo(BeEmpty())
-		d.httpAddr = httpAddrPattern.FindStringSubmatch(line)[1]
-		if m := rpcAddrPattern.FindStringSubmatch(line); m != nil {
-			d.rpcAddr = m[1]
+		if d.httpAddr == "" {
+			d.learnAddrs(line)
 		}
 	}, patience, poll).Should(Succeed(), "%s has not started:\n%s", d.name, d.out)
 }
 
+// learnAddrs takes the addresses of the first run; later ones have the same, and
+// callers read them meanwhile.
+func (d *daemon) learnAddrs(line string) {
+	d.httpAddr = httpAddrPattern.FindStringSubmatch(line)[1]
+	if m := rpcAddrPattern.FindStringSubmatch(line); m != nil {
+		d.rpcAddr = m[1]
+	}
+}
+
 func startedLine(out string) string {
 	for line := range strings.Lines(out) {
 		if strings.Contains(line, "event=started") && strings.HasSuffix(line, "\n") {
