--- /dev/null
+++ b/internal/rpcserver/server_test.go
@@ -0,0 +1,201 @@
+package rpcserver_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"io"
+	"net"
+	"net/rpc"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/internal/rpcserver"
+)
+
+// Echo is the service under test.
+type Echo struct {
+	conn    context.Context
+	gone    chan struct{} // receives when a pending Wait loses its peer
+	release chan struct{}
+}
+
+// Say returns its argument.
+func (e *Echo) Say(text *string, reply *string) error {
+	*reply = *text
+	return nil
+}
+
+// Wait replies once it is released.
+func (e *Echo) Wait(_ *string, reply *string) error {
+	select {
+	case <-e.release:
+		*reply = "released"
+	case <-e.conn.Done():
+		e.gone <- struct{}{}
+	}
+	return nil
+}
+
+type fixture struct {
+	server  *rpcserver.Server
+	addr    string
+	gone    chan struct{}
+	release chan struct{}
+}
+
+func start(t testing.TB, change func(*rpcserver.Options)) *fixture {
+	t.Helper()
+	opts := rpcserver.DefaultOptions()
+	if change != nil {
+		change(&opts)
+	}
+	f := &fixture{gone: make(chan struct{}, 10), release: make(chan struct{})}
+	f.server = rpcserver.New(opts, "Echo", func(conn context.Context) any {
+		return &Echo{conn: conn, gone: f.gone, release: f.release}
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	f.addr = l.Addr().String()
+	go f.server.Serve(l)
+	t.Cleanup(func() {
+		l.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		f.server.Shutdown(ctx)
+	})
+	return f
+}
+
+func (f *fixture) dial(t *testing.T) *rpc.Client {
+	t.Helper()
+	c, err := rpc.Dial("tcp", f.addr)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func TestCallsOfAnOrdinaryClient(t *testing.T) {
+	g := NewWithT(t)
+	c := start(t, nil).dial(t)
+	for _, text := range []string{"a", strings.Repeat("b", 100_000)} {
+		var reply string
+		g.Expect(c.Call("Echo.Say", &text, &reply)).To(Succeed())
+		g.Expect(reply).To(Equal(text))
+	}
+	g.Expect(c.Call("Echo.Nothing", new(string), new(string))).To(MatchError(ContainSubstring("can't find method")))
+}
+
+func TestTooLargeMessageEndsItsConnection(t *testing.T) {
+	g := NewWithT(t)
+	f := start(t, func(o *rpcserver.Options) { o.MaxMessageBytes = 10_000 })
+	text := strings.Repeat("x", 20_000)
+	g.Expect(f.dial(t).Call("Echo.Say", &text, new(string))).To(HaveOccurred())
+	small := "x"
+	g.Expect(f.dial(t).Call("Echo.Say", &small, new(string))).To(Succeed())
+}
+
+func TestUnfinishedRequestEndsItsConnection(t *testing.T) {
+	g := NewWithT(t)
+	f := start(t, func(o *rpcserver.Options) { o.IdleTimeout = 20 * time.Millisecond })
+	conn, err := net.Dial("tcp", f.addr)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	conn.Write([]byte{0x20})
+	conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	_, err = conn.Read(make([]byte, 1))
+	g.Expect(err).To(Equal(io.EOF))
+}
+
+func TestConnectionsAreCapped(t *testing.T) {
+	g := NewWithT(t)
+	f := start(t, func(o *rpcserver.Options) { o.MaxConns = 1 })
+	text := "x"
+	first := f.dial(t)
+	g.Expect(first.Call("Echo.Say", &text, new(string))).To(Succeed())
+	g.Expect(f.dial(t).Call("Echo.Say", &text, new(string))).NotTo(Succeed())
+	first.Close()
+	g.Eventually(f.server.Conns).Should(BeZero())
+	g.Expect(f.dial(t).Call("Echo.Say", &text, new(string))).To(Succeed())
+}
+
+func TestPendingCallsAreCapped(t *testing.T) {
+	g := NewWithT(t)
+	f := start(t, func(o *rpcserver.Options) { o.MaxCallsPerConn = 1 })
+	c := f.dial(t)
+	text := "x"
+	wait := c.Go("Echo.Wait", &text, new(string), nil)
+	say := c.Go("Echo.Say", &text, new(string), nil)
+	g.Consistently(say.Done, "50ms").ShouldNot(Receive())
+	close(f.release)
+	g.Eventually(wait.Done).Should(Receive())
+	g.Eventually(say.Done).Should(Receive())
+}
+
+func TestLostPeerEndsItsCalls(t *testing.T) {
+	g := NewWithT(t)
+	f := start(t, nil)
+	c := f.dial(t)
+	c.Go("Echo.Wait", new(string), new(string), nil)
+	g.Eventually(f.server.Conns).Should(Equal(1))
+	c.Close()
+	g.Eventually(f.gone).Should(Receive())
+	g.Eventually(f.server.Conns).Should(BeZero())
+}
+
+func TestShutdownDeliversPendingReplies(t *testing.T) {
+	g := NewWithT(t)
+	f := start(t, nil)
+	c := f.dial(t)
+	text := "x"
+	var reply string
+	pending := c.Go("Echo.Wait", &text, &reply, nil)
+	g.Expect(c.Call("Echo.Say", &text, new(string))).To(Succeed())
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.server.Shutdown(context.Background()) }()
+	g.Consistently(stopped, "50ms").ShouldNot(Receive())
+	close(f.release)
+	g.Expect((<-pending.Done).Error).NotTo(HaveOccurred())
+	g.Expect(reply).To(Equal("released"))
+	g.Eventually(stopped).Should(Receive(BeNil()))
+}
+
+// FuzzConnection sends arbitrary bytes: the server must neither panic nor keep
+// the connection.
+func FuzzConnection(f *testing.F) {
+	fix := start(f, func(o *rpcserver.Options) { o.MaxMessageBytes = 4096 })
+	close(fix.release)
+	f.Add([]byte{})
+	f.Add([]byte{0xf8, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Add(recordedCall(f))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		conn, err := net.Dial("tcp", fix.addr)
+		if err != nil {
+			t.Skip(err)
+		}
+		defer conn.Close()
+		conn.Write(data)
+		conn.(*net.TCPConn).CloseWrite()
+		conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if _, err := io.Copy(io.Discard, conn); isTimeout(err) {
+			t.Error("the server keeps a connection whose peer has ended")
+		}
+	})
+}
+
+func isTimeout(err error) bool {
+	ne, ok := err.(net.Error)
+	return ok && ne.Timeout()
+}
+
+// recordedCall returns the bytes of one call of Echo.Say.
+func recordedCall(f *testing.F) []byte {
+	var buf bytes.Buffer
+	enc := gob.NewEncoder(&buf)
+	NewWithT(f).Expect(enc.Encode(rpc.Request{ServiceMethod: "Echo.Say", Seq: 1})).To(Succeed())
+	NewWithT(f).Expect(enc.Encode("hello")).To(Succeed())
+	return buf.Bytes()
+}
