--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -29,6 +29,8 @@
 	heldBytes int
 	leaving   bool
 	drained   bool
+	// documentsKnown says that a service without a document does not exist.
+	documentsKnown bool
 
 	now time.Time
 	out []Effect
@@ -52,6 +54,7 @@
 
 // Step takes in one event and returns the effects to carry out, in order.
 func (c *Coordinator) Step(now time.Time, ev Event) []Effect {
+	c.notePause(now)
 	c.now = now
 	c.out = nil
 	switch e := ev.(type) {
@@ -93,6 +96,8 @@
 		c.queryFailed(e)
 	case DocumentChanged:
 		c.documentChanged(e)
+	case DocumentsKnown:
+		c.documentsKnown = true
 	case PeersChanged:
 		c.peersChanged(e)
 	case LeaveRequested:
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -90,7 +90,10 @@
 		ID      structs.JobID
 		Service string // zero: unknown
 		Tasks   int    // of the job; zero: unknown
-		Dead    bool
+		// Spec is the submission that is repeated, or nil. If the agents know
+		// other content under the id, the reply is CodeConflict.
+		Spec *structs.JobSpec
+		Dead bool
 	}
 	// HomeClosed takes in what another entry said when it ended gracefully.
 	HomeClosed struct{ Report structs.ClosedReport }
@@ -119,6 +122,9 @@
 		Record   structs.DocumentRecord
 		Document *document.Document
 	}
+	// DocumentsKnown says that every service's document has been told: from now
+	// on a service without one does not exist.
+	DocumentsKnown struct{}
 	// PeersChanged replaces what is known of the entries. Live counts those
 	// heard of lately, this one included.
 	PeersChanged struct {
@@ -244,6 +250,7 @@
 func (QueryAwaited) isEvent()    {}
 func (QueryFailed) isEvent()     {}
 func (DocumentChanged) isEvent() {}
+func (DocumentsKnown) isEvent()  {}
 func (PeersChanged) isEvent()    {}
 func (LeaveRequested) isEvent()  {}
 func (Ticked) isEvent()          {}
--- a/coordinator/recovery.go
+++ b/coordinator/recovery.go
@@ -29,6 +29,12 @@
 	// tasks is the number of the job's tasks; zero until known.
 	tasks int
 	dead  bool
+	// content identifies the submission that is repeated; zero if unknown.
+	content  [16]byte
+	conflict bool
+	// unsure says that an agent or a task's outcome could not be had now, but
+	// may be had later.
+	unsure bool
 	// pending are the agents that have not answered, and awaited the tasks
 	// that still run.
 	pending map[structs.Incarnation]struct{}
@@ -77,6 +83,9 @@
 		awaited: make(map[structs.TaskRef]struct{}),
 		known:   make(map[int]structs.TaskStatus),
 	}
+	if e.Spec != nil {
+		r.content = fingerprint(e.Spec)
+	}
 	c.recovers[e.Call] = r
 	for _, a := range agents {
 		id := a.info.Incarnation
@@ -125,6 +134,7 @@
 		return
 	}
 	r.known[index] = *s
+	r.checkContent(s.Content)
 	r.tasks = max(r.tasks, s.JobTasks)
 	if s.Phase == structs.TaskRunning || s.Phase == structs.TaskQueued {
 		ref := structs.TaskRef{Task: s.Task, Attempt: s.Attempt}
@@ -133,6 +143,15 @@
 	}
 }
 
+// checkContent notes whether the agents know the id with other content than the
+// repeated submission.
+func (r *recovery) checkContent(known [16]byte) {
+	var unknown [16]byte
+	if r.content != unknown && known != unknown && known != r.content {
+		r.conflict = true
+	}
+}
+
 // queryAwaited takes in the outcome of a task that was still under way.
 func (c *Coordinator) queryAwaited(e QueryAwaited) {
 	r := c.recovers[e.Call]
@@ -149,17 +168,16 @@
 	c.finishRecovery(r)
 }
 
-// queryFailed counts an agent's answer, or a task's outcome, as not to be had.
+// queryFailed counts an agent's answer, or a task's outcome, as not to be had
+// now.
 func (c *Coordinator) queryFailed(e QueryFailed) {
 	r := c.recovers[e.Call]
 	if r == nil {
 		return
 	}
-	if e.Ref == (structs.TaskRef{}) {
-		delete(r.pending, e.Agent)
-	} else {
-		delete(r.awaited, e.Ref)
-	}
+	r.unsure = true
+	delete(r.pending, e.Agent)
+	delete(r.awaited, e.Ref)
 	c.finishRecovery(r)
 }
 
@@ -169,6 +187,10 @@
 		return
 	}
 	delete(c.recovers, r.call)
+	if r.conflict {
+		c.replyError(r.call, otherContent(r.id))
+		return
+	}
 	answer := r.answer()
 	if answer == nil {
 		c.replyError(r.call, homeLost(r.id))
@@ -187,7 +209,8 @@
 }
 
 // answer returns the job's final answer, or nil if the agents do not know
-// enough. While the home may live, only a whole answer is final.
+// enough. While the home may live, only a whole answer is final. So it is while
+// an agent may still tell more: what is final must not depend on who asks when.
 func (r *recovery) answer() *structs.JobAnswer {
 	if r.tasks == 0 {
 		return nil
@@ -205,7 +228,7 @@
 	if a.State == structs.JobComplete {
 		return a
 	}
-	if !r.dead {
+	if !r.dead || r.unsure {
 		return nil
 	}
 	a.Error = structs.Errorf(structs.CodeHomeLost, verdict, "the entry that owned job %s is gone", r.id)
@@ -218,14 +241,14 @@
 // result returns what is known of one task.
 func (r *recovery) result(index int) structs.TaskResult {
 	s, known := r.known[index]
+	if s.Result.Error != nil && s.Result.Error.Code == structs.CodeResultLost {
+		r.unsure = true
+	}
 	switch {
 	case known && s.Phase == structs.TaskDone && s.Result.Verdict != structs.NotRun:
 		result := s.Result
 		result.Index = index
 		return result
-	case known && s.Phase == structs.TaskRunning:
-		err := structs.Errorf(structs.CodeHomeLost, structs.Ran, "it started; its outcome is not known")
-		return structs.TaskResult{Index: index, Verdict: structs.Ran, Error: err}
 	case known && s.Phase == structs.TaskFenced && s.Result.Error != nil && s.Result.Error.Code == structs.CodeHomeFenced:
 		return structs.TaskResult{Index: index, Verdict: structs.NotRun, Error: s.Result.Error}
 	}
@@ -237,7 +260,8 @@
 func (c *Coordinator) dropFromRecoveries(agent structs.Incarnation) {
 	for _, r := range c.sortedRecoveries() {
 		if _, waits := r.pending[agent]; waits {
-			c.queryFailed(QueryFailed{Call: r.call, Agent: agent})
+			delete(r.pending, agent)
+			c.finishRecovery(r)
 		}
 	}
 }
--- a/executor/run.go
+++ b/executor/run.go
@@ -131,6 +131,7 @@
 		attempt:  req.Attempt,
 		newest:   req.Attempt,
 		jobTasks: req.JobTasks,
+		content:  req.Content,
 		phase:    structs.TaskQueued,
 		spec:     req.Spec,
 		team:     req.Team,
