--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -71,16 +71,18 @@
 	pending := c.Go("Agent.Run", s.runRequest(taskID(1, 0), "x"), &running, nil)
 	g.Eventually(s.backend.Starts).Should(HaveLen(1))
 	s.stop()
-	g.Eventually(func() bool {
+	leaving := func() bool {
 		var hb structs.HeartbeatReply
-		g.Expect(c.Call("Agent.Heartbeat", &structs.HeartbeatRequest{Agent: s.agent.Incarnation()}, &hb)).To(Succeed())
-		return hb.State.Leaving
-	}).Should(BeTrue())
+		err := c.Call("Agent.Heartbeat", &structs.HeartbeatRequest{Agent: s.agent.Incarnation()}, &hb)
+		return err == nil && hb.State.Leaving
+	}
+	g.Eventually(leaving).Should(BeTrue())
 
 	g.Expect(c.Call("Agent.Run", s.runRequest(taskID(1, 1), "y"), &late)).To(Succeed())
 	g.Expect(late.Result.Verdict).To(Equal(structs.NotRun))
 	g.Expect(late.Result.Error.Code).To(Equal(structs.CodeLeaving))
-	g.Consistently(s.stopped, "50ms").ShouldNot(Receive())
+	g.Consistently(leaving, "200ms").Should(BeTrue(), "it serves while the task runs")
+	g.Expect(s.stopped).NotTo(Receive())
 
 	g.Expect(s.backend.SetBehavior(backend.Behavior{Mode: backend.ModeWork})).To(Succeed())
 	g.Expect((<-pending.Done).Error).NotTo(HaveOccurred())
--- a/agent/backend_test.go
+++ b/agent/backend_test.go
@@ -98,6 +98,7 @@
 		{"declined", "HTTP/1.1 503 x\r\nChestnuthollow-Verdict: not-run\r\nContent-Length: 0\r\n\r\n", structs.NotRun, structs.CodeUnavailable},
 		{"unavailable without a verdict", "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", structs.Ran, structs.CodeBackend},
 		{"verdict with another status", "HTTP/1.1 500 x\r\nChestnuthollow-Verdict: not-run\r\nContent-Length: 0\r\n\r\n", structs.Ran, structs.CodeBackend},
+		{"redirect to a GET", "HTTP/1.1 302 x\r\nLocation: /tasks\r\nContent-Length: 0\r\n\r\n", structs.Ran, structs.CodeBackend},
 		{"redirect", "HTTP/1.1 307 x\r\nLocation: /tasks\r\nContent-Length: 0\r\n\r\n", structs.Ran, structs.CodeBackend},
 		{"failure", "HTTP/1.1 500 x\r\nContent-Length: 4\r\n\r\noops", structs.Ran, structs.CodeBackend},
 		{"result cut", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", structs.Ran, structs.CodeResultLost},
