Let the idlest RPC connection give way at the cap

Cause: connections that go silent stay open until their idle timeout; a handful of entries that replace silent ones every few seconds fills the cap of 64, and the agent would refuse its own entries. The agent's idle timeout is 1 min, above the entries' heartbeats of 10 s.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -85,7 +85,7 @@
 	a.executor = executor.New(executorOptions(opts, incarnation))
 	a.metrics = newMetrics(a)
 	a.entries = newAnnouncer(a)
-	a.rpc = rpcserver.New(rpcserver.DefaultOptions(), structs.AgentService, func(conn context.Context) any {
+	a.rpc = rpcserver.New(rpcOptions(), structs.AgentService, func(conn context.Context) any {
 		context.AfterFunc(conn, a.entries.connectionLost)
 		return &receiver{agent: a, conn: conn}
 	})
@@ -101,6 +101,16 @@
 	return eo
 }
 
+// entryIdleTimeout is how long an entry may send nothing on a connection; its
+// heartbeats come more often.
+const entryIdleTimeout = time.Minute
+
+func rpcOptions() rpcserver.Options {
+	opts := rpcserver.DefaultOptions()
+	opts.IdleTimeout = entryIdleTimeout
+	return opts
+}
+
 func newIncarnation() (structs.Incarnation, error) {
 	var b [8]byte
 	for {
--- a/internal/rpcserver/codec.go
+++ b/internal/rpcserver/codec.go
@@ -23,6 +23,8 @@
 	buf    *bufio.Writer
 	calls  chan struct{} // one element per pending call
 
+	lastRequest atomic.Int64 // Unix time in nanoseconds
+
 	stopping  atomic.Bool
 	closeOnce sync.Once
 }
@@ -30,7 +32,7 @@
 func newCodec(s *Server, conn net.Conn, cancel context.CancelFunc) *codec {
 	limit := &io.LimitedReader{R: conn}
 	buf := bufio.NewWriter(conn)
-	return &codec{
+	c := &codec{
 		opts:   s.opts,
 		conn:   conn,
 		cancel: cancel,
@@ -40,6 +42,8 @@
 		buf:    buf,
 		calls:  make(chan struct{}, s.opts.MaxCallsPerConn),
 	}
+	c.lastRequest.Store(time.Now().UnixNano())
+	return c
 }
 
 // ReadRequestHeader implements rpc.ServerCodec.
@@ -55,6 +59,7 @@
 		c.peerGone()
 		return io.EOF
 	}
+	c.lastRequest.Store(time.Now().UnixNano())
 	return nil
 }
 
--- a/internal/rpcserver/server.go
+++ b/internal/rpcserver/server.go
@@ -15,7 +15,7 @@
 
 // Options bounds a Server.
 type Options struct {
-	MaxConns        int
+	MaxConns        int           // at the cap the one idle for longest gives way
 	MaxCallsPerConn int           // pending calls; more are not read until some are answered
 	MaxMessageBytes int           // a longer request ends its connection
 	IdleTimeout     time.Duration // without a whole request
@@ -83,21 +83,44 @@
 func (s *Server) accept(conn net.Conn) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := newCodec(s, conn, cancel)
-	s.mu.Lock()
-	full := s.closing || len(s.conns) >= s.opts.MaxConns
-	if !full {
-		s.conns[c] = struct{}{}
-		s.wg.Add(1)
-	}
-	s.mu.Unlock()
-	if full {
-		cancel()
-		conn.Close()
+	if !s.add(c) {
+		c.Close()
 		return
 	}
 	go s.serve(ctx, c)
 }
 
+// add takes a connection in, unless the server stops. Connections whose peers
+// have gone silent must not keep new ones out.
+func (s *Server) add(c *codec) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return false
+	}
+	if len(s.conns) >= s.opts.MaxConns {
+		s.dropIdlest()
+	}
+	s.conns[c] = struct{}{}
+	s.wg.Add(1)
+	return true
+}
+
+// dropIdlest closes the connection whose last request is the oldest. It is
+// called with s.mu held.
+func (s *Server) dropIdlest() {
+	var idlest *codec
+	for c := range s.conns {
+		if idlest == nil || c.lastRequest.Load() < idlest.lastRequest.Load() {
+			idlest = c
+		}
+	}
+	if idlest != nil {
+		delete(s.conns, idlest)
+		idlest.Close()
+	}
+}
+
 func (s *Server) serve(ctx context.Context, c *codec) {
 	defer s.wg.Done()
 	srv := rpc.NewServer()
