--- /dev/null
+++ b/agent/process_test.go
@@ -0,0 +1,157 @@
+package agent_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/rpc"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/agent"
+	"github.com/chestnuthollow/chestnuthollow/standin/backend"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// processEnv has the test binary be an agent, with the balancer's and the
+// backend server's URL in the variable.
+const processEnv = "CHESTNUTHOLLOW_TEST_AGENT"
+
+func TestMain(m *testing.M) {
+	if urls, ok := os.LookupEnv(processEnv); ok {
+		runProcess(urls)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func runProcess(urls string) {
+	balancer, backendURL, _ := strings.Cut(urls, " ")
+	a, err := agent.New(agentOptions(balancer, backendURL), log.NewNopLogger())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	fmt.Println(a.RPCAddr(), a.Incarnation())
+	a.Run(context.Background())
+}
+
+// process is an agent in a process of its own.
+type process struct {
+	cmd    *exec.Cmd
+	client *rpc.Client
+	id     structs.Incarnation
+}
+
+func startProcess(b *testing.B) *process {
+	b.Helper()
+	g := NewWithT(b)
+	opts := backend.DefaultOptions()
+	server, err := backend.New(opts)
+	g.Expect(err).NotTo(HaveOccurred())
+	b.Cleanup(func() { server.Close() })
+	entry := startEntry(b, homeID)
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), processEnv+"="+entry.balancer.URL+" "+server.URL())
+	out, err := cmd.StdoutPipe()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(cmd.Start()).To(Succeed())
+	b.Cleanup(func() {
+		cmd.Process.Kill()
+		cmd.Wait()
+	})
+	line, err := bufio.NewReader(out).ReadString('\n')
+	g.Expect(err).NotTo(HaveOccurred())
+	addr, id, _ := strings.Cut(strings.TrimSpace(line), " ")
+	p := &process{cmd: cmd}
+	p.id, err = structs.ParseIncarnation(id)
+	g.Expect(err).NotTo(HaveOccurred())
+	p.client, err = rpc.Dial("tcp", addr)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(entry.announcements).ShouldNot(BeEmpty())
+	return p
+}
+
+// clockTicks is the unit of processor time in /proc, per second.
+const clockTicks = 100
+
+// processorTime returns what the process has used so far.
+func (p *process) processorTime(b *testing.B) time.Duration {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		b.Skip(err)
+	}
+	_, rest, _ := strings.Cut(string(stat), ") ")
+	fields := strings.Fields(rest)
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * time.Second / clockTicks
+}
+
+// residentMB returns the process's resident memory.
+func (p *process) residentMB(b *testing.B) float64 {
+	statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid))
+	if err != nil {
+		b.Skip(err)
+	}
+	pages, _ := strconv.Atoi(strings.Fields(string(statm))[1])
+	return float64(pages*os.Getpagesize()) / (1 << 20)
+}
+
+// BenchmarkProcess reports the share of a core and the resident memory of an
+// agent at a rate of tasks of 50 ms; 20 a second are the target's 13,000 starts
+// a second over 650 workers.
+//
+//	go test -run '^$' -bench Process -benchtime 1x ./agent
+func BenchmarkProcess(b *testing.B) {
+	for _, rate := range []int{0, 20, 100} {
+		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
+			p := startProcess(b)
+			for b.Loop() {
+				p.measure(b, rate)
+			}
+		})
+	}
+}
+
+// measured is how long a process's figures are taken.
+const measured = 8 * time.Second
+
+func (p *process) measure(b *testing.B, rate int) {
+	seq := uint64(0)
+	cpu, start := p.processorTime(b), time.Now()
+	for elapsed := time.Duration(0); elapsed < measured; elapsed = time.Since(start) {
+		if rate == 0 {
+			time.Sleep(measured)
+			continue
+		}
+		time.Sleep(time.Second / time.Duration(rate))
+		seq++
+		p.run(b, seq)
+	}
+	used := p.processorTime(b) - cpu
+	b.ReportMetric(100*float64(used)/float64(time.Since(start)), "%core")
+	b.ReportMetric(float64(seq)/time.Since(start).Seconds(), "tasks/s")
+	b.ReportMetric(p.residentMB(b), "resident-MB")
+}
+
+// run sends a task and does not wait for its end.
+func (p *process) run(b *testing.B, seq uint64) {
+	p.client.Go("Agent.Run", &structs.RunRequest{
+		Agent:     p.id,
+		Task:      taskID(seq, 0),
+		Attempt:   1,
+		Spec:      structs.TaskSpec{Kind: "preview", ContentType: "application/json", Payload: []byte(`{"work_ms":50}`)},
+		Service:   "faq",
+		Team:      "shop",
+		Timeout:   10 * time.Second,
+		Watermark: max(seq, 100) - 99,
+	}, new(structs.RunReply), make(chan *rpc.Call, 1))
+}
