Keep the backoff of lookups in silence

Cause: while no entry was heard of, the early-lookup rule looked at the next planned lookup, which after a failure is near, so that a down balancer was asked four times a second by every agent. The schedule is a type of its own now.

--- a/agent/announcer.go
+++ b/agent/announcer.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/rpc"
@@ -19,18 +18,12 @@
 )
 
 const (
-	announcePoll   = 250 * time.Millisecond
-	lookupRetryMin = 250 * time.Millisecond
-	lookupRetryMax = 5 * time.Second
-	// lookupAfterLoss is the mean time from the end of an entry's connection to
-	// a lookup: its successor does not know the agent yet.
-	lookupAfterLoss   = time.Second
-	lookupTimeout     = 2 * time.Second
-	maxLookupBytes    = 256 << 10
-	maxAnnounceBytes  = 1 << 20
-	entriesPath       = "/v1/entries"
-	announceMethod    = structs.EntryService + ".Announce"
-	lookupJitterShare = 0.2
+	announcePoll     = 250 * time.Millisecond
+	lookupTimeout    = 2 * time.Second
+	maxLookupBytes   = 256 << 10
+	maxAnnounceBytes = 1 << 20
+	entriesPath      = "/v1/entries"
+	announceMethod   = structs.EntryService + ".Announce"
 )
 
 // announcer finds entries and tells them of the agent and of changes that
@@ -78,13 +71,13 @@
 func (n *announcer) run(ctx context.Context) {
 	ticker := time.NewTicker(announcePoll)
 	defer ticker.Stop()
-	var nextLookup time.Time
-	retry := lookupRetryMin
+	schedule := newLookupSchedule(&n.agent.opts)
 	for {
 		now := time.Now()
-		if now.After(nextLookup) || n.dir.silent(now) && now.After(nextLookup.Add(-n.silenceHead())) {
+		if schedule.due(now, n.dir.silent(now)) {
 			err := n.lookup(ctx)
-			nextLookup, retry = n.schedule(err, retry)
+			schedule.done(time.Now(), err)
+			n.logLookup(err)
 		}
 		for _, e := range n.dir.due(now) {
 			go n.announce(ctx, e)
@@ -95,34 +88,15 @@
 		case <-ticker.C:
 		case <-n.wake:
 		case <-n.lost:
-			nextLookup = earlier(nextLookup, time.Now().Add(jitter(lookupAfterLoss)))
+			schedule.hasten(time.Now())
 		}
 	}
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
-// silenceHead is how much earlier a lookup comes when no entry is heard of.
-func (n *announcer) silenceHead() time.Duration {
-	return time.Duration(n.agent.opts.LookupInterval) - time.Duration(n.agent.opts.SilenceTimeout)
-}
-
-// schedule returns when to look up next, and the pause after another failure.
-func (n *announcer) schedule(err error, retry time.Duration) (time.Time, time.Duration) {
-	if err == nil {
-		return time.Now().Add(jitter(time.Duration(n.agent.opts.LookupInterval))), lookupRetryMin
+func (n *announcer) logLookup(err error) {
+	if err != nil {
+		level.Warn(n.agent.logger).Log("event", "entries_lookup_failed", "err", err)
 	}
-	level.Warn(n.agent.logger).Log("event", "entries_lookup_failed", "err", err)
-	return time.Now().Add(jitter(retry)), min(2*retry, lookupRetryMax)
-}
-
-func jitter(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (1 - lookupJitterShare + 2*lookupJitterShare*rand.Float64()))
 }
 
 // lookup asks the balancer for the live entries.
