Stop started tasks when a leaving server's grace is over

Cause: the document's leave.grace was parsed and had no effect.

Change: a server that leaves by its document has its started tasks stopped once the grace has passed, as may have run; a graceful stop of the agent has no such end, since it cuts no request. Without a grace nothing is stopped.

Deliberate faults that fail the tests: grace not waited for, grace ignored, grace held for a graceful stop. docs/BACKENDS.md says what an agent costs.

--- a/executor/control.go
+++ b/executor/control.go
@@ -59,31 +59,3 @@
 	}
 	return nil
 }
-
-// updateLeaving compares the wish to leave with the state, and refuses waiting
-// tasks when the backend server starts to leave, so that entries place them
-// elsewhere.
-func (e *Executor) updateLeaving(now time.Time) {
-	leaving := e.leaveRequested || e.document.Leaving(e.opts.Name, now)
-	if leaving == e.leaving {
-		return
-	}
-	e.leaving = leaving
-	if !leaving {
-		e.emit(LogEvent{Event: "leaving_revoked"})
-		e.emit(Announce{State: e.State()})
-		return
-	}
-	e.emit(LogEvent{Event: "leaving"})
-	e.dropQueuedIf(func(*record) *structs.Error { return e.leavingError() })
-	e.emit(Announce{State: e.State()})
-}
-
-// checkDrained reports the end of a graceful stop, once.
-func (e *Executor) checkDrained() {
-	if !e.leaveRequested || e.drained || e.running > 0 || len(e.queue) > 0 {
-		return
-	}
-	e.drained = true
-	e.emit(Drained{})
-}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -30,6 +30,8 @@
 
 	leaveRequested bool
 	leaving        bool
+	leavingSince   time.Time // by the document
+	graceOver      bool
 	drained        bool
 	seq            uint64
 
--- a/executor/model_test.go
+++ b/executor/model_test.go
@@ -376,6 +376,7 @@
 		"[accept]\nkinds = ['a']\n",
 		"[leave]\nstop_canceled = true\n",
 		"[leave]\nbackend_servers = ['a1']\n",
+		"[leave]\ndrain = true\ngrace = '5s'\n",
 		"not TOML",
 	}).Draw(t, "text")
 	m.send(t, structs.DocumentRecord{Service: "faq", Revision: rev, Text: documentHead + text})
--- a/executor/session_test.go
+++ b/executor/session_test.go
@@ -109,6 +109,31 @@
 	g.Expect(h.started).To(HaveLen(1))
 }
 
+func TestGraceOfALeavingServerStopsStartedTasks(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(nil)
+	h.document(1, "[limits]\nslots = 2")
+	h.run(request(task(1, 0), 1))
+	h.run(request(task(1, 1), 1))
+	h.document(2, "[leave]\ndrain = true\ngrace = '3s'")
+	h.wait(2 * time.Second)
+	g.Expect(h.stopped).To(BeEmpty())
+	h.wait(time.Second)
+	h.wait(time.Second)
+	g.Expect(h.stopped).To(Equal([]structs.TaskID{task(1, 0), task(1, 1)}))
+}
+
+func TestGracefulStopHasNoGrace(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(nil)
+	h.document(1, "[leave]\ngrace = '3s'")
+	h.run(request(task(1, 0), 1))
+	h.step(executor.LeaveRequested{})
+	h.wait(time.Hour)
+	g.Expect(h.stopped).To(BeEmpty())
+	g.Expect(h.drained).To(BeZero())
+}
+
 func TestDocumentNeverGoesBack(t *testing.T) {
 	g := NewWithT(t)
 	h := newHarness(nil)
--- a/executor/settle.go
+++ b/executor/settle.go
@@ -56,15 +56,15 @@
 		e.dropQueued(r, structs.Errorf(structs.CodeCanceled, structs.NotRun, "recalled from the agent's queue"))
 		return fencedStatus(ref)
 	}
-	if r.phase == structs.TaskRunning && mode == structs.SettleStop {
+	if r.phase == structs.TaskRunning && mode == structs.SettleStop && e.document.Leave.StopCanceled {
 		e.stop(r)
 	}
 	return statusOf(r)
 }
 
-// stop ends the backend call of a started task, once, if the document allows.
+// stop ends the backend call of a started task, once.
 func (e *Executor) stop(r *record) {
-	if r.stopping || !e.document.Leave.StopCanceled {
+	if r.stopping {
 		return
 	}
 	r.stopping = true
