--- a/client/submission.go
+++ b/client/submission.go
@@ -33,6 +33,8 @@
 	accepted bool // an entry has said that the job runs
 	lost     bool // a submission under this id got no usable answer
 	homeLost int  // answers in a row that said so
+	moved    bool // to another entry after a refusal of one alone
+	last     *endpoint
 }
 
 // run sends requests until the job is final or the client gives up.
@@ -63,7 +65,7 @@
 		if s.final(rep, refused) {
 			return nil, s.failed(refused, nil)
 		}
-		if err := s.retry.wait(ctx, refused.RetryAfter); err != nil {
+		if err := s.retry.wait(ctx, s.retryAfter(refused)); err != nil {
 			return nil, s.failed(refused, err)
 		}
 		s.changeID(refused)
@@ -90,7 +92,7 @@
 // Either answer or refused is set.
 func (s *submission) attempt(ctx context.Context) (answer *structs.JobAnswer, refused *structs.Error, rep reply) {
 	to := s.c.endpoints.pick(time.Now(), s.via)
-	s.via = nil
+	s.via, s.last = nil, to
 	s.attempts++
 	rep = s.c.send(ctx, to, s.request())
 	answer, refused = rep.answer(s.id, s.total)
@@ -196,6 +198,19 @@
 	return false
 }
 
+// retryAfter returns the time that a refusal asks to wait. An entry that leaves,
+// or knows no backend server, speaks for itself: another one is asked once
+// without waiting.
+func (s *submission) retryAfter(refused *structs.Error) time.Duration {
+	alone := refused.Code == structs.CodeLeaving || refused.Code == structs.CodeUnavailable
+	if !alone || refused.Verdict != structs.NotRun || s.moved {
+		return refused.RetryAfter
+	}
+	s.moved = true
+	s.c.endpoints.failed(time.Now(), s.last)
+	return 0
+}
+
 // changeID gives up an id under which the job certainly never runs. A refusal
 // is final for its id, so the job has to come back under another one.
 func (s *submission) changeID(refused *structs.Error) {
--- a/client/submit_test.go
+++ b/client/submit_test.go
@@ -197,6 +197,27 @@
 	g.Expect(ctx.Err()).NotTo(HaveOccurred())
 }
 
+// TestSubmitMovesOn has one entry that leaves and asks to come back later; the
+// other can take the job now. Only a second refusal is waited for.
+func TestSubmitMovesOn(t *testing.T) {
+	g := NewWithT(t)
+	later := func(w http.ResponseWriter, _ structs.JobID) {
+		writeJSON(w, http.StatusServiceUnavailable,
+			structs.Errorf(structs.CodeLeaving, structs.NotRun, "leaving").WithRetryAfter(time.Hour))
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	first, second := newFakeEntry(t, later), newFakeEntry(t, complete)
+	_, err := newClient(g, nil, first.URL, second.URL).Submit(ctx, job(1))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(first.seen()).To(HaveLen(1))
+
+	second = newFakeEntry(t, later)
+	_, err = newClient(g, nil, first.URL, second.URL).Submit(ctx, job(1))
+	g.Expect(client.Verdict(err)).To(Equal(structs.NotRun))
+	g.Expect(second.seen()).To(HaveLen(1))
+}
+
 func TestSubmitStaysInBudget(t *testing.T) {
 	g := NewWithT(t)
 	f := newFakeEntry(t, refuse(http.StatusServiceUnavailable, structs.CodeOverloaded, structs.NotRun))
