Client: ask each entry for a lost home before giving a job up

Cause: TestRollingReplacement failed once in 20 runs (4 at a time, GOMAXPROCS 2 to 8): a successor at a replaced entry's address did not know its predecessor's last word and said home_lost (may have run); the client asked it again in place of the other entry, which knew that the job was never taken.

Change: after home_lost the client turns at once to an entry that has not said so yet. It is final once each entry has said it, and three answers have.

Proof: TestSubmitAsksEachEntryForLostHome fails without the change.

--- a/client/endpoints.go
+++ b/client/endpoints.go
@@ -40,8 +40,7 @@
 	}
 	var first *endpoint
 	for range e.all {
-		p := e.all[e.next%len(e.all)]
-		e.next++
+		p := e.nextLocked()
 		if !now.Before(p.downUntil) {
 			return p
 		}
@@ -52,6 +51,24 @@
 	return first
 }
 
+// other returns an endpoint that is not among asked; nil if there is none.
+func (e *endpoints) other(asked map[*endpoint]bool) *endpoint {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for range e.all {
+		if p := e.nextLocked(); !asked[p] {
+			return p
+		}
+	}
+	return nil
+}
+
+func (e *endpoints) nextLocked() *endpoint {
+	p := e.all[e.next%len(e.all)]
+	e.next++
+	return p
+}
+
 // failed marks an endpoint as down for a while.
 func (e *endpoints) failed(now time.Time, p *endpoint) {
 	e.mu.Lock()
--- a/client/submission.go
+++ b/client/submission.go
@@ -11,7 +11,8 @@
 )
 
 // maxHomeLost is how many times entries may say that a job's home is lost
-// before that is final: another entry may still reach it.
+// before that is final, once each entry has said so: another one may still reach
+// the home, or know what became of the job.
 const maxHomeLost = 3
 
 // submission is one job on its way.
@@ -30,10 +31,11 @@
 	detached bool
 
 	attempts int
-	accepted bool // an entry has said that the job runs
-	lost     bool // a submission under this id got no usable answer
-	homeLost int  // answers in a row that said so
-	moved    bool // to another entry after a refusal of one alone
+	accepted bool               // an entry has said that the job runs
+	lost     bool               // a submission under this id got no usable answer
+	homeLost int                // answers under this id that said so
+	lostAt   map[*endpoint]bool // endpoints that gave them
+	moved    bool               // to another entry after a refusal of one alone
 	last     *endpoint
 }
 
@@ -141,6 +143,7 @@
 	s.accepted = true
 	s.lost = true
 	s.homeLost = 0
+	clear(s.lostAt)
 	s.retry.progressed()
 	if s.progress != nil {
 		s.progress(a)
@@ -182,12 +185,20 @@
 		return s.pinned || !(rep.again(refused) || closesID(refused.Code))
 	}
 	if refused.Code == structs.CodeHomeLost {
-		s.homeLost++
-		return s.homeLost >= maxHomeLost
+		return s.noteHomeLost()
 	}
 	return !rep.again(refused)
 }
 
+// noteHomeLost turns to an entry that has not said yet that the home is lost. It
+// reports whether there is no use in that any more.
+func (s *submission) noteHomeLost() bool {
+	s.homeLost++
+	s.lostAt[s.last] = true
+	s.via = s.c.endpoints.other(s.lostAt)
+	return s.via == nil && s.homeLost >= maxHomeLost
+}
+
 // closesID reports whether a code means that the job's home takes no more jobs
 // under the ids that it has given.
 func closesID(code structs.ErrorCode) bool {
@@ -199,9 +210,12 @@
 }
 
 // retryAfter returns the time that a refusal asks to wait. An entry that leaves,
-// or knows no backend server, speaks for itself: another one is asked once
-// without waiting.
+// knows no backend server, or does not reach a job's home speaks for itself:
+// another one is asked without waiting.
 func (s *submission) retryAfter(refused *structs.Error) time.Duration {
+	if refused.Code == structs.CodeHomeLost && s.via != nil {
+		return 0
+	}
 	alone := refused.Code == structs.CodeLeaving || refused.Code == structs.CodeUnavailable
 	if !alone || refused.Verdict != structs.NotRun || s.moved {
 		return refused.RetryAfter
@@ -221,7 +235,9 @@
 		s.c.ids.drop(s.id.Home)
 	}
 	s.id = structs.JobID{}
+	s.via = nil
 	s.lost, s.accepted, s.homeLost = false, false, 0
+	clear(s.lostAt)
 }
 
 // homeGone returns why a job failed if that is the loss of its home before
--- a/client/submit.go
+++ b/client/submit.go
@@ -52,7 +52,12 @@
 //
 // When ctx ends, Submit returns at once and the job goes on; Cancel stops it.
 func (c *Client) Submit(ctx context.Context, spec *structs.JobSpec, options ...SubmitOption) (*structs.JobAnswer, error) {
-	s := &submission{c: c, retry: c.newRetrier(), total: len(spec.Tasks)}
+	s := &submission{
+		c:      c,
+		retry:  c.newRetrier(),
+		total:  len(spec.Tasks),
+		lostAt: make(map[*endpoint]bool),
+	}
 	for _, o := range options {
 		o(s)
 	}
--- a/client/submit_test.go
+++ b/client/submit_test.go
@@ -197,6 +197,29 @@
 	g.Expect(ctx.Err()).NotTo(HaveOccurred())
 }
 
+// TestSubmitAsksEachEntryForLostHome has three entries of which only one knows
+// that the home never took the job.
+func TestSubmitAsksEachEntryForLostHome(t *testing.T) {
+	g := NewWithT(t)
+	unknown := func(w http.ResponseWriter, _ structs.JobID) {
+		writeJSON(w, http.StatusBadGateway,
+			structs.Errorf(structs.CodeHomeLost, structs.MayHaveRun, "not known here").WithRetryAfter(time.Hour))
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	knows := newFakeEntry(t, refuse(http.StatusGone, structs.CodeExpired, structs.NotRun), complete)
+	entries := []*fakeEntry{newFakeEntry(t, unknown, complete), newFakeEntry(t, unknown, complete), knows}
+	_, err := newClient(g, nil, entries[0].URL, entries[1].URL, entries[2].URL).Submit(ctx, job(1))
+	g.Expect(err).NotTo(HaveOccurred())
+
+	entries = []*fakeEntry{newFakeEntry(t, unknown), newFakeEntry(t, unknown), newFakeEntry(t, unknown)}
+	_, err = newClient(g, nil, entries[0].URL, entries[1].URL, entries[2].URL).Submit(ctx, job(1))
+	g.Expect(client.Verdict(err)).To(Equal(structs.MayHaveRun))
+	for _, f := range entries {
+		g.Expect(f.seen()).To(HaveLen(1), "each entry is asked")
+	}
+}
+
 // TestSubmitMovesOn has one entry that leaves and asks to come back later; the
 // other can take the job now. Only a second refusal is waited for.
 func TestSubmitMovesOn(t *testing.T) {
