Client: never take home_lost back into not run

Cause: an entry that says home_lost, may have run, may have passed the job on. The client counted that as a known answer, so that a later 'expired' or refused connection was taken as proof that nothing had been sent, and the job was submitted under another id: a second start was possible.

Change: a refusal that does not prove not run counts like a lost answer from then on. The entry turned to is asked even if it is marked down, after the wait.

Proof: TestSubmitHomeLostThenDown and two cases of TestSubmitSettles fail without the change.

--- a/client/endpoints.go
+++ b/client/endpoints.go
@@ -51,16 +51,17 @@
 	return first
 }
 
-// other returns an endpoint that is not among asked; nil if there is none.
-func (e *endpoints) other(asked map[*endpoint]bool) *endpoint {
+// other returns an endpoint that is not among asked, and whether it is down; nil
+// if there is none.
+func (e *endpoints) other(now time.Time, asked map[*endpoint]bool) (p *endpoint, down bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for range e.all {
 		if p := e.nextLocked(); !asked[p] {
-			return p
+			return p, now.Before(p.downUntil)
 		}
 	}
-	return nil
+	return nil, false
 }
 
 func (e *endpoints) nextLocked() *endpoint {
--- a/client/submission.go
+++ b/client/submission.go
@@ -26,7 +26,10 @@
 	id     structs.JobID
 	key    string    // idempotency key; empty for a reserved id
 	pinned bool      // the id or key is the caller's
-	via    *endpoint // preferred
+	via    *endpoint // preferred, unless it is down
+	turnTo *endpoint // the next to ask, even so
+	// turnNow says that turnTo need not be waited for.
+	turnNow bool
 	// detached says that the caller does not wait for the final answer.
 	detached bool
 
@@ -93,14 +96,19 @@
 // attempt submits the job, or asks for the answer of one that is known to run.
 // Either answer or refused is set.
 func (s *submission) attempt(ctx context.Context) (answer *structs.JobAnswer, refused *structs.Error, rep reply) {
-	to := s.c.endpoints.pick(time.Now(), s.via)
-	s.via, s.last = nil, to
+	to := s.turnTo
+	if to == nil {
+		to = s.c.endpoints.pick(time.Now(), s.via)
+	}
+	s.via, s.turnTo, s.last = nil, nil, to
 	s.attempts++
 	rep = s.c.send(ctx, to, s.request())
 	answer, refused = rep.answer(s.id, s.total)
 	if answer == nil {
 		s.noteLost(rep)
-		return nil, withVerdict(refused, s.verdict(rep, refused)), rep
+		refused = withVerdict(refused, s.verdict(rep, refused))
+		s.lost = s.lost || refused.Verdict != structs.NotRun
+		return nil, refused, rep
 	}
 	s.via = to
 	s.id = answer.ID
@@ -190,13 +198,15 @@
 	return !rep.again(refused)
 }
 
-// noteHomeLost turns to an entry that has not said yet that the home is lost. It
-// reports whether there is no use in that any more.
+// noteHomeLost turns to an entry that has not said yet that the home is lost, at
+// once unless that one is down. It reports whether there is no use in asking any
+// more.
 func (s *submission) noteHomeLost() bool {
 	s.homeLost++
 	s.lostAt[s.last] = true
-	s.via = s.c.endpoints.other(s.lostAt)
-	return s.via == nil && s.homeLost >= maxHomeLost
+	to, down := s.c.endpoints.other(time.Now(), s.lostAt)
+	s.turnTo, s.turnNow = to, to != nil && !down
+	return to == nil && s.homeLost >= maxHomeLost
 }
 
 // closesID reports whether a code means that the job's home takes no more jobs
@@ -213,7 +223,8 @@
 // knows no backend server, or does not reach a job's home speaks for itself:
 // another one is asked without waiting.
 func (s *submission) retryAfter(refused *structs.Error) time.Duration {
-	if refused.Code == structs.CodeHomeLost && s.via != nil {
+	if s.turnNow {
+		s.turnNow = false
 		return 0
 	}
 	alone := refused.Code == structs.CodeLeaving || refused.Code == structs.CodeUnavailable
@@ -235,7 +246,7 @@
 		s.c.ids.drop(s.id.Home)
 	}
 	s.id = structs.JobID{}
-	s.via = nil
+	s.via, s.turnTo = nil, nil
 	s.lost, s.accepted, s.homeLost = false, false, 0
 	clear(s.lostAt)
 }
--- a/client/submit_test.go
+++ b/client/submit_test.go
@@ -69,6 +69,9 @@
 			[]string{"PUT 1", "PUT 4"}},
 		{"home leaving", []step{refuse(503, structs.CodeLeaving, notRun), complete}, none, 0, []string{"PUT 1", "PUT 4"}},
 		{"home lost", []step{homeLost}, structs.CodeHomeLost, mayHaveRun, []string{"PUT 1", "PUT 1", "PUT 1"}},
+		{"expired after the home was lost", []step{homeLost, expired}, structs.CodeExpired, mayHaveRun, []string{"PUT 1", "PUT 1"}},
+		{"home lost, then not asked", []step{homeLost, notForwarded}, structs.CodeHomeLost, mayHaveRun,
+			[]string{"PUT 1", "PUT 1", "PUT 1"}},
 		{"home lost, found by another entry", []step{homeLost, complete}, none, 0, []string{"PUT 1", "PUT 1"}},
 		{"home lost, later proved not run", []step{lost, refuse(502, structs.CodeHomeLost, notRun), complete}, none, 0,
 			[]string{"PUT 1", "PUT 1", "PUT 4"}},
@@ -220,6 +223,17 @@
 	}
 }
 
+// TestSubmitHomeLostThenDown has an entry that may have passed the job on to a
+// home that is lost, and no other that listens: nothing proves that it did not
+// run.
+func TestSubmitHomeLostThenDown(t *testing.T) {
+	g := NewWithT(t)
+	f := newFakeEntry(t, refuse(http.StatusBadGateway, structs.CodeHomeLost, structs.MayHaveRun), complete)
+	_, err := newClient(g, func(o *client.Options) { o.MaxRetries = 1 }, f.URL, deadURL()).Submit(t.Context(), job(1))
+	g.Expect(client.Verdict(err)).To(Equal(structs.MayHaveRun), "%v", err)
+	g.Expect(f.seen()).To(Equal([]string{"PUT 1"}), "never under another id")
+}
+
 // TestSubmitMovesOn has one entry that leaves and asks to come back later; the
 // other can take the job now. Only a second refusal is waited for.
 func TestSubmitMovesOn(t *testing.T) {
