--- a/client/submit_test.go
+++ b/client/submit_test.go
@@ -69,6 +69,9 @@
 			[]string{"PUT 1", "PUT 4"}},
 		{"home leaving", []step{refuse(503, structs.CodeLeaving, notRun), complete}, none, 0, []string{"PUT 1", "PUT 4"}},
 		{"home lost", []step{homeLost}, structs.CodeHomeLost, mayHaveRun, []string{"PUT 1", "PUT 1", "PUT 1"}},
+		{"expired after the home was lost", []step{homeLost, expired}, structs.CodeExpired, mayHaveRun, []string{"PUT 1", "PUT 1"}},
+		{"home lost, then not asked", []step{homeLost, notForwarded}, structs.CodeHomeLost, mayHaveRun,
+			[]string{"PUT 1", "PUT 1", "PUT 1"}},
 		{"home lost, found by another entry", []step{homeLost, complete}, none, 0, []string{"PUT 1", "PUT 1"}},
 		{"home lost, later proved not run", []step{lost, refuse(502, structs.CodeHomeLost, notRun), complete}, none, 0,
 			[]string{"PUT 1", "PUT 1", "PUT 4"}},
@@ -197,6 +200,61 @@
 	g.Expect(ctx.Err()).NotTo(HaveOccurred())
 }
 
+// TestSubmitAsksEachEntryForLostHome has three entries of which only one knows
+// that the home never took the job.
+func TestSubmitAsksEachEntryForLostHome(t *testing.T) {
+	g := NewWithT(t)
+	unknown := func(w http.ResponseWriter, _ structs.JobID) {
+		writeJSON(w, http.StatusBadGateway,
+			structs.Errorf(structs.CodeHomeLost, structs.MayHaveRun, "not known here").WithRetryAfter(time.Hour))
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	knows := newFakeEntry(t, refuse(http.StatusGone, structs.CodeExpired, structs.NotRun), complete)
+	entries := []*fakeEntry{newFakeEntry(t, unknown, complete), newFakeEntry(t, unknown, complete), knows}
+	_, err := newClient(g, nil, entries[0].URL, entries[1].URL, entries[2].URL).Submit(ctx, job(1))
+	g.Expect(err).NotTo(HaveOccurred())
+
+	entries = []*fakeEntry{newFakeEntry(t, unknown), newFakeEntry(t, unknown), newFakeEntry(t, unknown)}
+	_, err = newClient(g, nil, entries[0].URL, entries[1].URL, entries[2].URL).Submit(ctx, job(1))
+	g.Expect(client.Verdict(err)).To(Equal(structs.MayHaveRun))
+	for _, f := range entries {
+		g.Expect(f.seen()).To(HaveLen(1), "each entry is asked")
+	}
+}
+
+// TestSubmitHomeLostThenDown has an entry that may have passed the job on to a
+// home that is lost, and no other that listens: nothing proves that it did not
+// run.
+func TestSubmitHomeLostThenDown(t *testing.T) {
+	g := NewWithT(t)
+	f := newFakeEntry(t, refuse(http.StatusBadGateway, structs.CodeHomeLost, structs.MayHaveRun), complete)
+	_, err := newClient(g, func(o *client.Options) { o.MaxRetries = 1 }, f.URL, deadURL()).Submit(t.Context(), job(1))
+	g.Expect(client.Verdict(err)).To(Equal(structs.MayHaveRun), "%v", err)
+	g.Expect(f.seen()).To(Equal([]string{"PUT 1"}), "never under another id")
+}
+
+// TestSubmitMovesOn has one entry that leaves and asks to come back later; the
+// other can take the job now. Only a second refusal is waited for.
+func TestSubmitMovesOn(t *testing.T) {
+	g := NewWithT(t)
+	later := func(w http.ResponseWriter, _ structs.JobID) {
+		writeJSON(w, http.StatusServiceUnavailable,
+			structs.Errorf(structs.CodeLeaving, structs.NotRun, "leaving").WithRetryAfter(time.Hour))
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	first, second := newFakeEntry(t, later), newFakeEntry(t, complete)
+	_, err := newClient(g, nil, first.URL, second.URL).Submit(ctx, job(1))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(first.seen()).To(HaveLen(1))
+
+	second = newFakeEntry(t, later)
+	_, err = newClient(g, nil, first.URL, second.URL).Submit(ctx, job(1))
+	g.Expect(client.Verdict(err)).To(Equal(structs.NotRun))
+	g.Expect(second.seen()).To(HaveLen(1))
+}
+
 func TestSubmitStaysInBudget(t *testing.T) {
 	g := NewWithT(t)
 	f := newFakeEntry(t, refuse(http.StatusServiceUnavailable, structs.CodeOverloaded, structs.NotRun))
