--- a/test/model/callers_test.go
+++ b/test/model/callers_test.go
@@ -179,15 +179,15 @@
 	})
 }
 
-// recoverJob asks the agents in place of a home that does not answer. Its
-// process is known to have ended only if that is so.
+// recoverJob asks the agents in place of a home that does not answer. With
+// wrongDeath its process is taken for ended although it may run.
 func (w *world) recoverJob(
 	e *entryNode, ef coordinator.Forward, home *entryNode, answer func(*structs.JobAnswer, *structs.Error),
 ) {
 	e.nextID++
 	e.waiting[e.nextID] = &reply{answer: answer, call: &pendingCall{what: "recovery"}}
 	ev := coordinator.RecoverCalled{Call: e.nextID, ID: ef.ID}
-	ev.Dead = !home.up || home.run != ef.Home.Incarnation
+	ev.Dead = !home.up || home.run != ef.Home.Incarnation || w.wrongDeath
 	if ef.Spec != nil {
 		ev.Service, ev.Tasks, ev.Spec = ef.Spec.Service, len(ef.Spec.Tasks), ef.Spec
 	}
--- a/test/model/model_test.go
+++ b/test/model/model_test.go
@@ -29,6 +29,7 @@
 		entries := rapid.IntRange(1, 3).Draw(t, "entries")
 		agents := rapid.IntRange(1, 3).Draw(t, "agents")
 		w := newWorld(entries, agents, &total)
+		w.wrongDeath = rapid.IntRange(0, 3).Draw(t, "wrong death") == 3
 		calm := rapid.SampledFrom([]int{2, 8, 40}).Draw(t, "calm")
 		d := &driver{t: t, w: w, calm: calm}
 		t.Repeat(d.actions())
@@ -64,6 +65,7 @@
 		"deliver rest":  d.deliverAll,
 		"lose":          d.lose,
 		"double":        d.double,
+		"double run":    d.doubleRun,
 		"break link":    d.breakLink,
 		"break call":    d.breakCall,
 		"cut":           d.cut,
@@ -147,6 +149,22 @@
 	d.w.send(&p)
 }
 
+// doubleRun doubles a dispatch, so that one of the two may come much later.
+func (d *driver) doubleRun(t *rapid.T) {
+	var runs []*packet
+	for _, p := range d.w.packets {
+		if strings.HasPrefix(p.label, "Run ") {
+			runs = append(runs, p)
+		}
+	}
+	if p, ok := pick(t, runs, "run"); ok {
+		q := *p
+		q.lost = nil
+		d.w.judge.total.Double++
+		d.w.send(&q)
+	}
+}
+
 func (d *driver) breakLink(t *rapid.T) {
 	d.w.sweep()
 	if c, ok := pick(t, d.w.calls, "call"); ok {
--- a/test/model/world_test.go
+++ b/test/model/world_test.go
@@ -28,6 +28,8 @@
 	byID    map[structs.JobID]*job
 	judge   *judge
 	record  structs.DocumentRecord // the newest revision
+	// wrongDeath has entries take a home that does not answer for dead.
+	wrongDeath bool
 }
 
 type entryNode struct {
