Hold an agent's process to its budgets of memory and processor

Cause: flooded over RPC with tasks of 256 KB, an agent's process was at 129 MB resident, over its 64 MB, though its tables were within their caps: the garbage collector lets the heap double. And processor time at the target's 20 tasks a second was 1.4 to 1.7 % of a core, close to the budget of 1.9 %.

Change: the daemon's agent role calls Options.LimitProcess, which sets Go's memory limit (setting memory_limit_mb) and one processor, unless the environment has GOMEMLIMIT or GOMAXPROCS. All-in-one and tests in one process don't call it. Lines of single tasks are logged as debug unless it is not known whether the task ran, so that refusals under load cost little; metrics count them.

Ruled out: a limit of 56 MB (65.6 MB resident in the flood, as the program's own pages are not in the limit).

--- a/agent/helpers_test.go
+++ b/agent/helpers_test.go
@@ -135,8 +135,12 @@
 }
 
 func (s *stack) runRequest(id structs.TaskID, payload string) *structs.RunRequest {
+	return newRunRequest(s.agent.Incarnation(), id, payload)
+}
+
+func newRunRequest(agent structs.Incarnation, id structs.TaskID, payload string) *structs.RunRequest {
 	return &structs.RunRequest{
-		Agent:   s.agent.Incarnation(),
+		Agent:   agent,
 		Task:    id,
 		Attempt: 1,
 		Spec:    structs.TaskSpec{Kind: "preview", ContentType: "application/json", Payload: []byte(payload)},
--- a/agent/options.go
+++ b/agent/options.go
@@ -19,8 +19,11 @@
 	BackendURL  string `toml:"backend_url" validate:"required,http_url"`
 	BalancerURL string `toml:"balancer_url" validate:"required,http_url"`
 
-	Slots    int    `toml:"slots" validate:"min=1,max=1024"` // tasks its backend server runs at once
-	LogLevel string `toml:"log_level" validate:"oneof=debug info warn error"`
+	Slots int `toml:"slots" validate:"min=1,max=1024"` // tasks its backend server runs at once
+	// MemoryLimit is what LimitProcess holds the process to, in MB; zero: no
+	// limit.
+	MemoryLimit int    `toml:"memory_limit_mb" validate:"min=0,max=65536"`
+	LogLevel    string `toml:"log_level" validate:"oneof=debug info warn error"`
 
 	// LookupInterval is how often the balancer is asked for entries.
 	LookupInterval settings.Duration `toml:"lookup_interval" validate:"min=1000000"`
@@ -40,6 +43,7 @@
 	return Options{
 		Region:          "local",
 		Slots:           8,
+		MemoryLimit:     48,
 		LogLevel:        "info",
 		LookupInterval:  settings.Duration(time.Minute),
 		SilenceTimeout:  settings.Duration(15 * time.Second),
--- a/agent/process_test.go
+++ b/agent/process_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -34,7 +35,9 @@
 
 func runProcess(urls string) {
 	balancer, backendURL, _ := strings.Cut(urls, " ")
-	a, err := agent.New(agentOptions(balancer, backendURL), log.NewNopLogger())
+	opts := agentOptions(balancer, backendURL)
+	opts.LimitProcess()
+	a, err := agent.New(opts, log.NewNopLogger())
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -47,6 +50,7 @@
 type process struct {
 	cmd    *exec.Cmd
 	client *rpc.Client
+	addr   string
 	id     structs.Incarnation
 }
 
@@ -70,7 +74,7 @@
 	line, err := bufio.NewReader(out).ReadString('\n')
 	g.Expect(err).NotTo(HaveOccurred())
 	addr, id, _ := strings.Cut(strings.TrimSpace(line), " ")
-	p := &process{cmd: cmd}
+	p := &process{cmd: cmd, addr: addr}
 	p.id, err = structs.ParseIncarnation(id)
 	g.Expect(err).NotTo(HaveOccurred())
 	p.client, err = rpc.Dial("tcp", addr)
@@ -142,16 +146,55 @@
 	b.ReportMetric(p.residentMB(b), "resident-MB")
 }
 
+// BenchmarkProcessFlood reports the resident memory of an agent that clients
+// flood with the largest tasks, from a new home each, and with questions about
+// unknown ones.
+//
+//	go test -run '^$' -bench ProcessFlood -benchtime 1x ./agent
+func BenchmarkProcessFlood(b *testing.B) {
+	const clients = 16
+	p := startProcess(b)
+	for b.Loop() {
+		var wg sync.WaitGroup
+		end := time.Now().Add(measured)
+		for i := range clients {
+			wg.Go(func() { p.flood(b, i, end) })
+		}
+		wg.Wait()
+		b.ReportMetric(p.residentMB(b), "resident-MB")
+	}
+}
+
+func (p *process) flood(b *testing.B, client int, end time.Time) {
+	c, err := rpc.Dial("tcp", p.addr)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	defer c.Close()
+	payload := make([]byte, structs.MaxPayloadBytes)
+	for n := 1; time.Now().Before(end); n++ {
+		home := structs.Incarnation(client<<32 | n)
+		id := structs.TaskID{Job: structs.JobID{Home: home, Seq: 1}}
+		req := p.request(id)
+		req.Spec.Payload = payload
+		c.Go("Agent.Run", req, new(structs.RunReply), make(chan *rpc.Call, 1))
+		id.Job.Seq = 2
+		settle := &structs.SettleRequest{Agent: p.id, Home: home, Tasks: []structs.TaskRef{{Task: id, Attempt: 1}}}
+		if err := c.Call("Agent.Settle", settle, new(structs.SettleReply)); err != nil {
+			b.Error(err)
+			return
+		}
+	}
+}
+
 // run sends a task and does not wait for its end.
 func (p *process) run(b *testing.B, seq uint64) {
-	p.client.Go("Agent.Run", &structs.RunRequest{
-		Agent:     p.id,
-		Task:      taskID(seq, 0),
-		Attempt:   1,
-		Spec:      structs.TaskSpec{Kind: "preview", ContentType: "application/json", Payload: []byte(`{"work_ms":50}`)},
-		Service:   "faq",
-		Team:      "shop",
-		Timeout:   10 * time.Second,
-		Watermark: max(seq, 100) - 99,
-	}, new(structs.RunReply), make(chan *rpc.Call, 1))
+	req := p.request(taskID(seq, 0))
+	req.Watermark = max(seq, 100) - 99
+	p.client.Go("Agent.Run", req, new(structs.RunReply), make(chan *rpc.Call, 1))
+}
+
+func (p *process) request(id structs.TaskID) *structs.RunRequest {
+	return newRunRequest(p.id, id, `{"work_ms":50}`)
 }
--- a/agent/step.go
+++ b/agent/step.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"github.com/chestnuthollow/chestnuthollow/executor"
@@ -109,9 +110,14 @@
 	if line.Detail != "" {
 		kv = append(kv, "detail", line.Detail)
 	}
-	if line.Event == "task_done" {
-		level.Debug(a.logger).Log(kv...)
-		return
+	a.leveled(line).Log(kv...)
+}
+
+// leveled returns the logger for an event: tasks are debug, unless it is not
+// known whether one has run.
+func (a *Agent) leveled(line *executor.LogEvent) log.Logger {
+	if line.Verdict != nil && *line.Verdict != structs.MayHaveRun {
+		return level.Debug(a.logger)
 	}
-	level.Info(a.logger).Log(kv...)
+	return level.Info(a.logger)
 }
--- a/command/daemon/agent.go
+++ b/command/daemon/agent.go
@@ -25,7 +25,10 @@
 				settings: &opts,
 				name:     func() string { return opts.Name },
 				logLevel: func() string { return opts.LogLevel },
-				start:    func(l log.Logger) (process, error) { return agent.New(opts, l) },
+				start: func(l log.Logger) (process, error) {
+					opts.LimitProcess()
+					return agent.New(opts, l)
+				},
 			}
 			return r.run(ctx, c)
 		},
