--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -22,6 +22,9 @@
 	poll     = 50 * time.Millisecond
 )
 
+// anyAddr takes a free port.
+const anyAddr = "127.0.0.1:0"
+
 // cluster is one system of separate processes.
 type cluster struct {
 	t       *testing.T
@@ -68,7 +71,7 @@
 func agentName(i int) string { return fmt.Sprintf("agent-%d", i+1) }
 
 func (c *cluster) startLog() {
-	c.log = &daemon{c: c, name: "log", httpAddr: "127.0.0.1:0"}
+	c.log = &daemon{c: c, name: "log", httpAddr: anyAddr}
 	c.log.launch = func(d *daemon) *process {
 		return c.standin(d, standinLog, d.httpAddr)
 	}
@@ -76,7 +79,7 @@
 }
 
 func (c *cluster) startServer(i int, slowness float64) {
-	s := &daemon{c: c, name: fmt.Sprintf("server-%d", i+1), httpAddr: "127.0.0.1:0"}
+	s := &daemon{c: c, name: fmt.Sprintf("server-%d", i+1), httpAddr: anyAddr}
 	s.launch = func(d *daemon) *process {
 		return c.standin(d, standinBackend, d.httpAddr, d.name, c.record, fmt.Sprint(slowness))
 	}
@@ -91,7 +94,7 @@
 }
 
 func (c *cluster) startEntry(i int) {
-	e := &daemon{c: c, name: fmt.Sprintf("entry-%d", i+1), httpAddr: "127.0.0.1:0", rpcAddr: "127.0.0.1:0"}
+	e := &daemon{c: c, name: fmt.Sprintf("entry-%d", i+1), httpAddr: anyAddr, rpcAddr: anyAddr}
 	e.launch = func(d *daemon) *process {
 		return c.chestnuthollowd(d, "entry", map[string]string{
 			"zone": "zone-a", "region": "region-1", "log_url": c.log.url(),
@@ -102,7 +105,7 @@
 }
 
 func (c *cluster) startAgent(i int) {
-	a := &daemon{c: c, name: agentName(i), httpAddr: "127.0.0.1:0", rpcAddr: "127.0.0.1:0"}
+	a := &daemon{c: c, name: agentName(i), httpAddr: anyAddr, rpcAddr: anyAddr}
 	a.launch = func(d *daemon) *process {
 		return c.chestnuthollowd(d, "agent", map[string]string{
 			"service": serviceName, "team": ownerTeam, "zone": "zone-a", "region": "region-1",
@@ -140,7 +143,7 @@
 	d.c.g.Eventually(func(g Gomega) {
 		line := startedLine(d.out.String())
 		g.Expect(line).NotTo(BeEmpty())
-		if d.httpAddr == "" {
+		if d.httpAddr == anyAddr {
 			d.learnAddrs(line)
 		}
 	}, patience, poll).Should(Succeed(), "%s has not started:\n%s", d.name, d.out)
