--- a/client/job.go
+++ b/client/job.go
@@ -71,12 +71,6 @@
 	return nil, noAnswer(rep.err, structs.MayHaveRun)
 }
 
-// known reports whether an error body is one that an entry wrote.
-func (rep *reply) known() bool {
-	var e structs.Error
-	return json.Unmarshal(rep.body, &e) == nil && e.Code != ""
-}
-
 // decodeAnswer decodes the answer of a job; a zero id takes any.
 func decodeAnswer(body []byte, id structs.JobID) (*structs.JobAnswer, error) {
 	var a structs.JobAnswer
--- a/client/submission.go
+++ b/client/submission.go
@@ -105,7 +105,6 @@
 	rep = s.c.send(ctx, to, s.request())
 	answer, refused = rep.answer(s.id, s.total)
 	if answer == nil {
-		s.noteLost(rep)
 		refused = withVerdict(refused, s.verdict(rep, refused))
 		s.lost = s.lost || refused.Verdict != structs.NotRun
 		return nil, refused, rep
@@ -139,14 +138,6 @@
 
 func waitQuery(wait time.Duration) string { return "?wait=" + url.QueryEscape(wait.String()) }
 
-// noteLost counts what a request without an answer means for the id.
-func (s *submission) noteLost(rep reply) {
-	if rep.unsent || (rep.err == nil && rep.known()) {
-		return
-	}
-	s.lost = true
-}
-
 func (s *submission) noteRunning(a *structs.JobAnswer) {
 	s.accepted = true
 	s.lost = true
