Stand-in log: close the listener after the server, not before

Change: the server first, then the listener, whose second close is no error. It still closes a listener that is not served yet. This package belongs to another hand; nothing else in it is touched.

--- a/standin/logserver/server.go
+++ b/standin/logserver/server.go
@@ -65,8 +65,12 @@
 
 // Close stops the server and cuts its connections.
 func (s *Server) Close() error {
-	s.listener.Close() // the server does so only once it serves
-	return s.http.Close()
+	err := s.http.Close()
+	// The server closes its listener only once it serves.
+	if e := s.listener.Close(); !errors.Is(e, net.ErrClosed) {
+		err = errors.Join(err, e)
+	}
+	return err
 }
 
 // SetFaults changes the faults for the requests to come.
