--- a/test/e2e/documents_test.go
+++ b/test/e2e/documents_test.go
@@ -95,6 +95,7 @@
 // edit is one edit of an operator.
 type edit struct {
 	id       string
+	base     uint64
 	accepted uint64 // revision; zero if it was not accepted
 	at       time.Time
 }
@@ -120,6 +121,7 @@
 	if code, _ := k.do(http.MethodGet, url, nil, &now); code != http.StatusOK {
 		return
 	}
+	ed.base = now.Revision
 	body := structs.Edit{EditID: ed.id, Base: now.Revision, Text: document(fmt.Sprintf("# %s\n", ed.id))}
 	code, _ := k.do(http.MethodPut, url, body, &next)
 	if code == http.StatusOK {
@@ -140,8 +142,7 @@
 // are replaced in a row. No process ever goes back, each revision is one edit
 // everywhere, and an accepted edit is in force everywhere within the target.
 func TestDocumentsNeverRevert(t *testing.T) {
-	clusterSlots <- struct{}{}
-	defer func() { <-clusterSlots }()
+	t.Parallel()
 	c := newSystem(t)
 	w := c.startWatch()
 	var edits []edit
@@ -220,12 +221,17 @@
 			first[s.process][s.revision] = s.at
 		}
 	}
+	based := make(map[uint64]string)
 	accepted, slowest := 0, time.Duration(0)
 	for _, e := range edits {
 		if e.accepted == 0 {
 			continue
 		}
 		accepted++
+		if other := based[e.base]; other != "" {
+			c.t.Errorf("%s and %s, both based on revision %d, were accepted", other, e.id, e.base)
+		}
+		based[e.base] = e.id
 		if id, ok := winners[e.accepted]; ok && id != e.id {
 			c.t.Errorf("%s was accepted as revision %d, which is %s", e.id, e.accepted, id)
 		}
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -145,8 +145,6 @@
 	for _, f := range faults {
 		t.Run(f.name, func(t *testing.T) {
 			t.Parallel()
-			clusterSlots <- struct{}{}
-			t.Cleanup(func() { <-clusterSlots })
 			prove(t, f)
 		})
 	}
--- a/test/e2e/path_test.go
+++ b/test/e2e/path_test.go
@@ -20,6 +20,8 @@
 // different speeds, and publishes the service's document.
 func newSystem(t *testing.T) *cluster {
 	t.Helper()
+	clusterSlots <- struct{}{}
+	t.Cleanup(func() { <-clusterSlots })
 	c := startCluster(t, 2, 1, 2, 4)
 	for _, e := range c.entries {
 		e.ready()
@@ -88,6 +90,7 @@
 // TestWholePath is the proof of issue 3: jobs of 1, 50 and 890 tasks through
 // each entry, by the command line and by the Go client.
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	c := newSystem(t)
 	h := &history{}
 	for i, e := range c.entries {
@@ -186,6 +189,7 @@
 // TestGracefulStopCutsNothing stops an agent and an entry under load: each job
 // completes.
 func TestGracefulStopCutsNothing(t *testing.T) {
+	t.Parallel()
 	c := newSystem(t)
 	h := &history{}
 	l := c.startLoad(h, 6, 5, 20)
