--- a/test/e2e/caller_test.go
+++ b/test/e2e/caller_test.go
@@ -101,10 +101,6 @@
 	return k.job(http.MethodPut, e, s, wait)
 }
 
-func (k *caller) get(e *daemon, s *submission, wait time.Duration) *observation {
-	return k.job(http.MethodGet, e, s, wait)
-}
-
 func (k *caller) cancel(e *daemon, s *submission) *observation {
 	return k.job(http.MethodDelete, e, s, 0)
 }
--- a/test/model/judge_test.go
+++ b/test/model/judge_test.go
@@ -17,7 +17,6 @@
 	byHome *structs.JobAnswer // the first final answer of the home
 	// recovered are the final answers that other entries got from agents.
 	recovered []*structs.JobAnswer
-	notRun    string // who said "not run" of the whole job, if anyone did
 }
 
 // judge checks what backend servers and callers see against the promises.
--- a/test/model/world_test.go
+++ b/test/model/world_test.go
@@ -357,7 +357,7 @@
 		func(m any) coordinator.Event {
 			return coordinator.RunReplied{Agent: ef.Agent, Ref: ef.Ref, Reply: *m.(*structs.RunReply)}
 		},
-		coordinator.RunBroken{Agent: ef.Agent, Ref: ef.Ref})
+		coordinator.RunBroken(ef))
 }
 
 func (w *world) settle(e *entryNode, ef coordinator.Settle) {
@@ -389,7 +389,7 @@
 				Call: ef.Call, Agent: ef.Agent, Ref: ef.Ref, Reply: *m.(*structs.RunReply),
 			}
 		},
-		coordinator.QueryFailed{Call: ef.Call, Agent: ef.Agent, Ref: ef.Ref})
+		coordinator.QueryFailed(ef))
 }
 
 func (w *world) heartbeat(e *entryNode, ef coordinator.Heartbeat) {
