--- a/coordinator/config.go
+++ b/coordinator/config.go
@@ -37,6 +37,8 @@
 	// MaxQueueWait is how long a job may be expected to wait for its turn
 	// behind others at admission.
 	MaxQueueWait time.Duration
+	// LogTasks emits a LogEvent for each placement and end of a task.
+	LogTasks bool
 	// NoRecall leaves tasks that wait at stragglers there.
 	NoRecall bool
 }
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -73,6 +73,7 @@
 	a.calls[ref] = c.now
 	a.service.drain.placed++
 	a.service.policy.Dispatched(c.now, a.info.Incarnation)
+	c.logTask("task_placed", a, ref, nil)
 	c.emit(Run{
 		Agent: a.info.Incarnation,
 		Request: structs.RunRequest{
@@ -125,6 +126,7 @@
 		o.Kind, o.Declared = spec.Kind, spec.Declared
 	}
 	a.release(c.now, ref, o)
+	c.logTask("task_ended", a, ref, r)
 	if j == nil {
 		return
 	}
@@ -144,6 +146,21 @@
 	c.endTask(j, t, result)
 }
 
+// logTask emits an event of one task, if asked to.
+func (c *Coordinator) logTask(event string, a *agent, ref structs.TaskRef, r *structs.TaskResult) {
+	if !c.cfg.LogTasks {
+		return
+	}
+	e := LogEvent{Event: event, Job: ref.Task.Job, Task: ref.Task.Index, Agent: a.info.Incarnation}
+	if r != nil {
+		e.Verdict = &r.Verdict
+	}
+	if r != nil && r.Error != nil {
+		e.Detail = r.Error.Error()
+	}
+	c.emit(e)
+}
+
 // taskFailed ends an attempt whose outcome the agent did not tell.
 func (c *Coordinator) taskFailed(a *agent, ref structs.TaskRef, err *structs.Error) {
 	a.release(c.now, ref, placement.Outcome{Failed: true})
@@ -151,6 +168,7 @@
 	if j == nil {
 		return
 	}
+	c.logTask("task_ended", a, ref, &structs.TaskResult{Verdict: err.Verdict, Error: err})
 	c.endTask(j, t, structs.TaskResult{Index: ref.Task.Index, Verdict: err.Verdict, Error: err})
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -88,6 +88,7 @@
 		MaxOpenTasks: opts.MaxOpenTasks,
 		NewPolicy:    opts.NewPolicy,
 		NoRecall:     opts.NoRecall,
+		LogTasks:     opts.LogLevel == "debug",
 	})
 	e.peers = newPeerTable(e.self)
 	docs, err := newDocuments(e)
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -125,7 +125,8 @@
 func (e *Entry) logEvent(f coordinator.LogEvent) {
 	metrics.GetOrRegisterCounter("events."+f.Event, e.metrics).Inc(1)
 	l := level.Info(e.log)
-	if f.Event == "job_admitted" {
+	switch f.Event {
+	case "job_admitted", "task_placed", "task_ended":
 		l = level.Debug(e.log)
 	}
 	kv := []any{"event", f.Event}
