--- a/entry/agentlink.go
+++ b/entry/agentlink.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/coordinator"
-	"github.com/chestnuthollow/chestnuthollow/internal/rpcconn"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -27,10 +26,8 @@
 	count func(method string)
 	queue chan *linkCall
 	quit  chan struct{}
-
-	mu     sync.Mutex
-	client *rpc.Client
-	closed bool
+	stop  sync.Once
+	conn  lazyClient
 }
 
 // linkCall is one message. Exactly one of notSent, broken and replied is
@@ -53,6 +50,7 @@
 		count: count,
 		queue: make(chan *linkCall, linkQueue),
 		quit:  make(chan struct{}),
+		conn:  lazyClient{addr: info.RPCAddr},
 	}
 	go l.run()
 	return l
@@ -80,7 +78,7 @@
 }
 
 func (l *agentLink) write(c *linkCall) {
-	client, err := l.connect()
+	client, err := l.conn.get()
 	if err != nil {
 		c.notSent()
 		return
@@ -90,7 +88,7 @@
 	if c.timeout > 0 {
 		// A peer that leaves control messages unanswered has lost the
 		// connection or is frozen: either way a new one is needed.
-		timer = time.AfterFunc(c.timeout, func() { l.breakClient(client) })
+		timer = time.AfterFunc(c.timeout, func() { l.conn.drop(client) })
 	}
 	call := client.Go(l.service(c.method), c.args, c.reply, make(chan *rpc.Call, 1))
 	go l.await(client, call, c, timer)
@@ -108,60 +106,15 @@
 		return
 	}
 	if _, ofServer := call.Error.(rpc.ServerError); !ofServer {
-		l.breakClient(client)
+		l.conn.drop(client)
 	}
 	c.broken()
 }
 
-// connect returns the present connection or makes one.
-func (l *agentLink) connect() (*rpc.Client, error) {
-	l.mu.Lock()
-	client, closed := l.client, l.closed
-	l.mu.Unlock()
-	if closed {
-		return nil, rpc.ErrShutdown
-	}
-	if client != nil {
-		return client, nil
-	}
-	client, err := rpcconn.Dial(l.info.RPCAddr, dialTimeout)
-	if err != nil {
-		return nil, err
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.closed {
-		client.Close()
-		return nil, rpc.ErrShutdown
-	}
-	l.client = client
-	return client, nil
-}
-
-// breakClient closes a connection; every call outstanding on it breaks.
-func (l *agentLink) breakClient(client *rpc.Client) {
-	l.mu.Lock()
-	if l.client == client {
-		l.client = nil
-	}
-	l.mu.Unlock()
-	client.Close()
-}
-
 // close ends the link for good.
 func (l *agentLink) close() {
-	l.mu.Lock()
-	client := l.client
-	l.client = nil
-	alreadyClosed := l.closed
-	l.closed = true
-	l.mu.Unlock()
-	if client != nil {
-		client.Close()
-	}
-	if !alreadyClosed {
-		close(l.quit)
-	}
+	l.conn.close()
+	l.stop.Do(func() { close(l.quit) })
 }
 
 // sendRun sends Agent.Run.
--- a/entry/peerlink.go
+++ b/entry/peerlink.go
@@ -3,10 +3,8 @@
 import (
 	"errors"
 	"net/rpc"
-	"sync"
 	"time"
 
-	"github.com/chestnuthollow/chestnuthollow/internal/rpcconn"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -18,16 +16,15 @@
 
 // peerLink is the connection to one peer, made at need.
 type peerLink struct {
-	addr string
-
-	mu     sync.Mutex
-	client *rpc.Client
+	conn lazyClient
 }
 
+func newPeerLink(addr string) *peerLink { return &peerLink{conn: lazyClient{addr: addr}} }
+
 // call runs one RPC within timeout. A connection that breaks or stays silent is
 // dropped, so that the next call makes a new one.
 func (l *peerLink) call(method string, args, reply any, timeout time.Duration) error {
-	client, err := l.connect()
+	client, err := l.conn.get()
 	if err != nil {
 		return err
 	}
@@ -42,40 +39,9 @@
 	}
 	var ofServer rpc.ServerError
 	if err != nil && !errors.As(err, &ofServer) {
-		l.drop(client)
+		l.conn.drop(client)
 	}
 	return err
 }
 
-func (l *peerLink) connect() (*rpc.Client, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.client != nil {
-		return l.client, nil
-	}
-	client, err := rpcconn.Dial(l.addr, dialTimeout)
-	if err != nil {
-		return nil, err
-	}
-	l.client = client
-	return client, nil
-}
-
-func (l *peerLink) drop(client *rpc.Client) {
-	l.mu.Lock()
-	if l.client == client {
-		l.client = nil
-	}
-	l.mu.Unlock()
-	client.Close()
-}
-
-func (l *peerLink) close() {
-	l.mu.Lock()
-	client := l.client
-	l.client = nil
-	l.mu.Unlock()
-	if client != nil {
-		client.Close()
-	}
-}
+func (l *peerLink) close() { l.conn.close() }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -53,7 +53,7 @@
 	}
 	p := t.peers[info.Incarnation]
 	if p == nil {
-		p = &peer{info: info, link: &peerLink{addr: info.RPCAddr}, added: time.Now()}
+		p = &peer{info: info, link: newPeerLink(info.RPCAddr), added: time.Now()}
 		t.peers[info.Incarnation] = p
 	}
 	return p
