--- a/agent/agent.go
+++ b/agent/agent.go
@@ -156,16 +156,21 @@
 func (a *Agent) serveHTTP() *http.Server {
 	e := ops.NewServer()
 	ops.Register(e, a, a.metrics.registry)
-	web := &http.Server{
-		Handler:           e,
+	web := newWebServer(e)
+	go web.Serve(a.httpListener)
+	return web
+}
+
+// newWebServer returns a server that slow and oversized requests cost little.
+func newWebServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
 		ReadHeaderTimeout: 5 * time.Second,
 		ReadTimeout:       10 * time.Second,
 		WriteTimeout:      10 * time.Second,
 		IdleTimeout:       time.Minute,
 		MaxHeaderBytes:    16 << 10,
 	}
-	go web.Serve(a.httpListener)
-	return web
 }
 
 func (a *Agent) tick(ctx context.Context) {
--- a/executor/flood_test.go
+++ b/executor/flood_test.go
@@ -1,6 +1,7 @@
 package executor_test
 
 import (
+	"encoding/json"
 	"math/rand/v2"
 	"runtime"
 	"testing"
@@ -16,6 +17,9 @@
 // flight outside the executor need a part of it.
 const memoryBudget = 64 << 20
 
+// maxDumpBytes is what a dump may cost an operator's terminal.
+const maxDumpBytes = 256 << 10
+
 // flood sends n hostile requests: more homes than are kept, whose jobs are never
 // settled, with results as large as allowed.
 func flood(exec *executor.Executor, n int) {
@@ -65,6 +69,9 @@
 	g.Expect(d.Jobs).To(BeNumerically("<=", opts.MaxJobs))
 	g.Expect(d.Fences).To(BeNumerically("<=", opts.MaxFences))
 	g.Expect(d.ResultBytes).To(BeNumerically("<=", opts.MaxResultBytes))
+	dump, err := json.Marshal(d)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(dump)).To(BeNumerically("<", maxDumpBytes))
 	g.Expect(heap() - before).To(BeNumerically("<", memoryBudget))
 	runtime.KeepAlive(exec)
 }
