--- a/agent/agent.go
+++ b/agent/agent.go
@@ -85,7 +85,7 @@
 	a.executor = executor.New(executorOptions(opts, incarnation))
 	a.metrics = newMetrics(a)
 	a.entries = newAnnouncer(a)
-	a.rpc = rpcserver.New(rpcserver.DefaultOptions(), structs.AgentService, func(conn context.Context) any {
+	a.rpc = rpcserver.New(rpcOptions(), structs.AgentService, func(conn context.Context) any {
 		context.AfterFunc(conn, a.entries.connectionLost)
 		return &receiver{agent: a, conn: conn}
 	})
@@ -101,6 +101,16 @@
 	return eo
 }
 
+// entryIdleTimeout is how long an entry may send nothing on a connection; its
+// heartbeats come more often.
+const entryIdleTimeout = time.Minute
+
+func rpcOptions() rpcserver.Options {
+	opts := rpcserver.DefaultOptions()
+	opts.IdleTimeout = entryIdleTimeout
+	return opts
+}
+
 func newIncarnation() (structs.Incarnation, error) {
 	var b [8]byte
 	for {
@@ -146,16 +156,21 @@
 func (a *Agent) serveHTTP() *http.Server {
 	e := ops.NewServer()
 	ops.Register(e, a, a.metrics.registry)
-	web := &http.Server{
-		Handler:           e,
+	web := newWebServer(e)
+	go web.Serve(a.httpListener)
+	return web
+}
+
+// newWebServer returns a server that slow and oversized requests cost little.
+func newWebServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
 		ReadHeaderTimeout: 5 * time.Second,
 		ReadTimeout:       10 * time.Second,
 		WriteTimeout:      10 * time.Second,
 		IdleTimeout:       time.Minute,
 		MaxHeaderBytes:    16 << 10,
 	}
-	go web.Serve(a.httpListener)
-	return web
 }
 
 func (a *Agent) tick(ctx context.Context) {
--- a/standin/logserver/server.go
+++ b/standin/logserver/server.go
@@ -64,7 +64,14 @@
 func (s *Server) URL() string { return "http://" + s.Addr() }
 
 // Close stops the server and cuts its connections.
-func (s *Server) Close() error { return s.http.Close() }
+func (s *Server) Close() error {
+	err := s.http.Close()
+	// The server closes its listener only once it serves.
+	if e := s.listener.Close(); !errors.Is(e, net.ErrClosed) {
+		err = errors.Join(err, e)
+	}
+	return err
+}
 
 // SetFaults changes the faults for the requests to come.
 func (s *Server) SetFaults(f Faults) {
