--- a/coordinator/bench_test.go
+++ b/coordinator/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -96,3 +97,37 @@
 		}
 	}
 }
+
+// BenchmarkMemory is the memory that an entry's reducer keeps per agent and per
+// open task.
+func BenchmarkMemory(b *testing.B) {
+	for _, agents := range []int{11, 100, 650} {
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) { measureState(b, agents, 0) })
+	}
+	for _, tasks := range []int{1000, 10_000, 40_000} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) { measureState(b, 11, tasks) })
+	}
+}
+
+func measureState(b *testing.B, agents, tasks int) {
+	for b.Loop() {
+		before := heapBytes()
+		s := &taskBench{b: b, c: New(Config{Self: structs.EntryInfo{Incarnation: home}, Seed: 1}), now: start}
+		s.step(DocumentChanged{Record: structs.DocumentRecord{Service: "booking", Revision: 1}, Document: &document.Document{}})
+		for i := range agents {
+			s.step(AgentAnnounced{Info: structs.AgentInfo{Incarnation: structs.Incarnation(i + 1), Service: "booking", Slots: 8}})
+		}
+		for n := 0; n < tasks; n += 50 {
+			s.submit(spec(50))
+		}
+		b.ReportMetric(float64(heapBytes()-before), "B/state")
+		runtime.KeepAlive(s)
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
