Revert the try to skip the look over agents for questions to send

The reducer's cost per task grows by about half from 11 to 650 agents, and each step looks over all agents for questions to send. Skipping that look when no agent has one: jobs of 1, 650 agents 15.0 and 17.1 us against 16.1 and 17.8 before, jobs of 50 5.7 and 5.9 against 6.6 and 5.4, in two runs on a busy machine (go test -run xxx -bench Task ./coordinator): no gain beyond noise. The growth lies elsewhere.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -26,7 +26,6 @@
 	calls map[structs.TaskRef]time.Time
 	// settle holds the attempts to ask about next, asked those under way.
 	settle   map[structs.TaskRef]structs.SettleMode
-	asking   *bool // the coordinator's, set when settle gets an attempt
 	asked    map[structs.TaskRef]structs.SettleMode
 	settleAt time.Time
 	recalled time.Time // when waiting tasks were last asked back
@@ -47,7 +46,6 @@
 		heard:   c.now,
 		calls:   make(map[structs.TaskRef]time.Time),
 		settle:  make(map[structs.TaskRef]structs.SettleMode),
-		asking:  &c.asking,
 		asked:   make(map[structs.TaskRef]structs.SettleMode),
 	}
 	a.state.Slots = info.Slots
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -28,7 +28,6 @@
 	openTasks int
 	heldBytes int
 	leaving   bool
-	asking    bool // some agent has attempts to be asked about
 	drained   bool
 	// documentsKnown says that a service without a document does not exist.
 	documentsKnown bool
--- a/coordinator/settle.go
+++ b/coordinator/settle.go
@@ -9,23 +9,14 @@
 func (a *agent) ask(ref structs.TaskRef, mode structs.SettleMode) {
 	if old, ok := a.settle[ref]; !ok || mode > old {
 		a.settle[ref] = mode
-		*a.asking = true
 	}
 }
 
 // sendSettles asks each agent about its noted attempts, one message per mode,
 // unless an answer is under way.
 func (c *Coordinator) sendSettles() {
-	if !c.asking {
-		return
-	}
-	c.asking = false
 	for _, a := range c.order {
-		if len(a.settle) == 0 {
-			continue
-		}
-		if len(a.asked) > 0 || c.now.Before(a.settleAt) {
-			c.asking = true
+		if len(a.settle) == 0 || len(a.asked) > 0 || c.now.Before(a.settleAt) {
 			continue
 		}
 		a.asked, a.settle = a.settle, a.asked
