Entry: ready once a peer has told its agents; say what was not forwarded; hand last words to newcomers

A newcomer was ready before it knew an agent and refused jobs that its peers could serve. A successor did not know which ids its predecessor never took. The client could not tell a submission that reached no home. Tokens are hidden in errors of the settings, and lines of the HTTP server become events.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,6 +15,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/chestnuthollow/chestnuthollow/executor"
+	"github.com/chestnuthollow/chestnuthollow/internal/logging"
 	"github.com/chestnuthollow/chestnuthollow/internal/ops"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcserver"
 	"github.com/chestnuthollow/chestnuthollow/structs"
@@ -157,6 +158,7 @@
 	e := ops.NewServer()
 	ops.Register(e, a, a.metrics.registry)
 	web := newWebServer(e)
+	web.ErrorLog = logging.Stdlib(a.logger, "http_server")
 	go web.Serve(a.httpListener)
 	return web
 }
--- a/coordinator/recovery.go
+++ b/coordinator/recovery.go
@@ -58,6 +58,15 @@
 	}
 }
 
+// Closed returns the last words of other entries, oldest first.
+func (c *Coordinator) Closed() []structs.ClosedReport {
+	var reports []structs.ClosedReport
+	for _, home := range c.closedBy {
+		reports = append(reports, c.closed[home])
+	}
+	return reports
+}
+
 // recoverJob starts a recovery, unless the home said that it never took the job.
 func (c *Coordinator) recoverJob(e RecoverCalled) {
 	if report, ok := c.closed[owner(e.ID)]; ok && report.Covers(e.ID.Seq) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/chestnuthollow/chestnuthollow/coordinator"
+	"github.com/chestnuthollow/chestnuthollow/internal/logging"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcserver"
 	"github.com/chestnuthollow/chestnuthollow/keybind"
 	"github.com/chestnuthollow/chestnuthollow/structs"
@@ -124,6 +125,7 @@
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          logging.Stdlib(e.log, "http_server"),
 	}
 	return nil
 }
@@ -188,7 +190,7 @@
 	if e.keys != nil {
 		go e.keys.Run(background)
 	}
-	go e.peers.run(background, e.postPeers, e.postAgent)
+	go e.peers.run(background, e)
 
 	<-ctx.Done()
 	level.Info(e.log).Log("event", "leaving")
@@ -251,9 +253,14 @@
 	e.mail.post(coordinator.PeersChanged{Entries: entries, Live: live})
 }
 
-// postAgent tells the coordinator of an agent that a peer named.
-func (e *Entry) postAgent(info structs.AgentInfo) {
-	e.mail.post(coordinator.AgentAnnounced{Info: info})
+// postMembers tells the coordinator what a peer knows.
+func (e *Entry) postMembers(m *structs.MembersReply) {
+	for _, info := range m.Agents {
+		e.mail.post(coordinator.AgentAnnounced{Info: info})
+	}
+	for _, report := range m.Closed {
+		e.mail.post(coordinator.HomeClosed{Report: report})
+	}
 }
 
 // Ready implements ops.Source.
@@ -261,7 +268,10 @@
 	if e.isLeaving() {
 		return errors.New("leaving")
 	}
-	return e.docs.ready()
+	if err := e.docs.ready(); err != nil {
+		return err
+	}
+	return e.peers.ready()
 }
 
 func (e *Entry) isLeaving() bool {
@@ -277,11 +287,20 @@
 
 // snapshot returns a copy of the coordinator's state, or false once stopped.
 func (e *Entry) snapshot() (coordinator.Dump, bool) {
-	result := make(chan coordinator.Dump, 1)
+	var d coordinator.Dump
+	ok := e.inspectLoop(func(c *coordinator.Coordinator) { d = c.Dump() })
+	return d, ok
+}
+
+// inspectLoop runs look in the loop and waits for it. It reports false, and does
+// nothing, once the loop has ended.
+func (e *Entry) inspectLoop(look func(*coordinator.Coordinator)) bool {
+	done := make(chan struct{})
 	select {
-	case e.inspect <- func(c *coordinator.Coordinator) { result <- c.Dump() }:
-		return <-result, true
+	case e.inspect <- func(c *coordinator.Coordinator) { look(c); close(done) }:
+		<-done
+		return true
 	case <-e.stopped:
-		return coordinator.Dump{}, false
+		return false
 	}
 }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -20,47 +20,69 @@
 	forwardPause    = 100 * time.Millisecond
 )
 
-// forward runs a request at the job's home. homeDead reports evidence that the
-// home's process has ended.
-func (t *peerTable) forward(ctx context.Context, f coordinator.Forward, wait time.Duration) (a *structs.JobAnswer, err *structs.Error, homeDead bool) {
+// forwarded is how a forwarded request ended.
+type forwarded struct {
+	answer *structs.JobAnswer
+	err    *structs.Error
+	// homeDead reports evidence that the home's process has ended.
+	homeDead bool
+	// sent says that the home may have seen the request.
+	sent bool
+}
+
+// forward runs a request at the job's home.
+func (t *peerTable) forward(ctx context.Context, f coordinator.Forward, wait time.Duration) forwarded {
 	deadline := time.Now().Add(wait)
 	req := &structs.ForwardRequest{Op: f.Op, ID: f.ID, Spec: f.Spec}
-	failures := 0
-	for ctx.Err() == nil {
+	out := forwarded{}
+	for failures := 0; ctx.Err() == nil; {
 		req.Wait = min(max(time.Until(deadline), 0), forwardRound)
 		var reply structs.ForwardReply
 		callErr := t.forwardOnce(f.Home.Incarnation, req, &reply)
-		switch {
-		case callErr != nil && gone(callErr):
-			return nil, homeLost(f.ID, callErr.Error()), true
-		case callErr != nil:
+		out.sent = out.sent || !notSent(callErr)
+		if callErr != nil {
 			failures++
-			if failures == forwardAttempts {
-				return nil, homeLost(f.ID, callErr.Error()), false
+			out.homeDead = gone(callErr)
+			out.err = homeLost(f.ID, callErr.Error())
+			if out.homeDead || failures == forwardAttempts {
+				return out
 			}
 			time.Sleep(forwardPause)
 			continue
-		case reply.Error != nil && reply.Error.Code == structs.CodeStaleIncarnation:
-			t.remove(f.Home.Incarnation)
-			return nil, homeLost(f.ID, reply.Error.Message), true
-		case reply.Error != nil:
-			return nil, reply.Error, false
-		case reply.Answer == nil:
-			return nil, structs.Errorf(structs.CodeInternal, structs.MayHaveRun, "empty answer of the home"), false
 		}
 		failures = 0
-		if reply.Answer.State.Final() || !time.Now().Before(deadline) {
-			return reply.Answer, nil, false
+		if t.settleForward(&out, f, &reply) || !time.Now().Before(deadline) {
+			return out
 		}
 		req = &structs.ForwardRequest{Op: structs.OpGet, ID: f.ID}
 	}
-	return nil, homeLost(f.ID, "the caller went"), false
+	out.err = homeLost(f.ID, "the caller went")
+	return out
+}
+
+// settleForward takes in a reply of the process at the home's address, and
+// reports whether it is the last word.
+func (t *peerTable) settleForward(out *forwarded, f coordinator.Forward, reply *structs.ForwardReply) bool {
+	out.answer, out.err = reply.Answer, reply.Error
+	switch {
+	case reply.Error != nil && reply.Error.Code == structs.CodeStaleIncarnation:
+		t.remove(f.Home.Incarnation)
+		out.err = homeLost(f.ID, reply.Error.Message)
+		out.homeDead = true
+		return true
+	case reply.Error != nil:
+		return true
+	case reply.Answer == nil:
+		out.err = structs.Errorf(structs.CodeInternal, structs.MayHaveRun, "empty answer of the home")
+		return true
+	}
+	return reply.Answer.State.Final()
 }
 
 func (t *peerTable) forwardOnce(home structs.Incarnation, req *structs.ForwardRequest, reply *structs.ForwardReply) error {
 	p, ok := t.get(home)
 	if !ok {
-		return errPeerSilent
+		return &connectError{errPeerUnknown}
 	}
 	return p.link.call("Forward", req, reply, req.Wait+forwardSlack)
 }
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -1,8 +1,11 @@
 package entry_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"testing"
 	"time"
@@ -197,3 +200,38 @@
 		return err
 	}, 30*time.Second, 50*time.Millisecond).Should(Succeed())
 }
+
+// Ids that a stopped entry never took are not run, whichever entry is asked, one
+// that started later included.
+func TestUnsubmittedIDsOfAStoppedEntry(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	s := newSite(t, 2, 1)
+	s.publish(ctx)
+	ids, err := s.client(0).ReserveN(ctx, 2)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.stopEntry(0)
+	s.startEntry("entry-9")
+	s.g.Eventually(s.entries[1].Ready, 30*time.Second, 50*time.Millisecond).Should(Succeed())
+	for i, id := range ids {
+		code, refused := s.put(i, id, job(1))
+		s.g.Expect(code).To(Equal(http.StatusGone))
+		s.g.Expect(refused.Verdict).To(Equal(structs.NotRun))
+	}
+	s.g.Expect(s.backends[0].Starts()).To(BeEmpty())
+}
+
+// put submits a job under an id, once, and returns the status code and refusal.
+func (s *site) put(i int, id structs.JobID, spec *structs.JobSpec) (int, structs.Error) {
+	body, err := json.Marshal(spec)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	url := "http://" + s.entries[i].HTTPAddr() + "/v1/jobs/" + id.String()
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
+	s.g.Expect(err).NotTo(HaveOccurred())
+	resp, err := http.DefaultClient.Do(req)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	var refused structs.Error
+	s.g.Expect(json.NewDecoder(resp.Body).Decode(&refused)).To(Succeed())
+	return resp.StatusCode, refused
+}
--- a/entry/peerlink.go
+++ b/entry/peerlink.go
@@ -10,10 +10,24 @@
 
 // Errors of a call to a peer.
 var (
-	errPeerSilent = errors.New("entry: the peer did not answer in time")
-	errNoPeerFold = errors.New("entry: no peer gave its fold")
+	errPeerSilent  = errors.New("entry: the peer did not answer in time")
+	errPeerUnknown = errors.New("entry: the peer is not known any more")
+	errNoPeerFold  = errors.New("entry: no peer gave its fold")
 )
 
+// connectError says that a message was certainly not sent.
+type connectError struct{ err error }
+
+func (e *connectError) Error() string { return e.err.Error() }
+
+func (e *connectError) Unwrap() error { return e.err }
+
+// notSent reports whether err shows that the message did not leave this process.
+func notSent(err error) bool {
+	var c *connectError
+	return errors.As(err, &c)
+}
+
 // peerLink is the connection to one peer, made at need.
 type peerLink struct {
 	conn lazyClient
@@ -26,7 +40,7 @@
 func (l *peerLink) call(method string, args, reply any, timeout time.Duration) error {
 	client, err := l.conn.get()
 	if err != nil {
-		return err
+		return &connectError{err}
 	}
 	call := client.Go(structs.EntryService+"."+method, args, reply, make(chan *rpc.Call, 1))
 	timer := time.NewTimer(timeout)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -32,6 +33,7 @@
 	added time.Time
 	heard time.Time // zero: never
 	asked bool      // for its members
+	mute  bool      // the last ping got no answer
 }
 
 func newPeerTable(self structs.EntryInfo) *peerTable {
@@ -65,6 +67,7 @@
 	defer t.mu.Unlock()
 	if p := t.addLocked(info); p != nil {
 		p.heard = time.Now()
+		p.mute = false
 	}
 }
 
@@ -92,11 +95,10 @@
 }
 
 func (p *peer) live(now time.Time) bool {
-	last := p.heard
-	if last.IsZero() {
-		last = p.added
+	if p.heard.IsZero() {
+		return !p.mute && now.Sub(p.added) <= peerLiveFor
 	}
-	return now.Sub(last) <= peerLiveFor
+	return now.Sub(p.heard) <= peerLiveFor
 }
 
 // list returns copies of all known peers in order of name and incarnation.
@@ -124,15 +126,22 @@
 	return *p, true
 }
 
-// run pings the peers until ctx ends. It tells post the known entries and how
-// many live, and learned the agents that a new peer names.
-func (t *peerTable) run(ctx context.Context, post func([]structs.EntryInfo, int), learned func(structs.AgentInfo)) {
+// peerListener is told what is learned of the other entries.
+type peerListener interface {
+	// postPeers is told the known entries and how many live.
+	postPeers(known []structs.EntryInfo, live int)
+	// postMembers is told what a peer knows that was met, or came back.
+	postMembers(*structs.MembersReply)
+}
+
+// run pings the peers until ctx ends.
+func (t *peerTable) run(ctx context.Context, to peerListener) {
 	ticker := time.NewTicker(pingInterval)
 	defer ticker.Stop()
 	for {
-		t.pingAll(learned)
+		t.pingAll(to)
 		t.forgetSilent()
-		post(t.known(), len(t.entries()))
+		to.postPeers(t.known(), len(t.entries()))
 		select {
 		case <-ctx.Done():
 			return
@@ -149,20 +158,20 @@
 	return known
 }
 
-func (t *peerTable) pingAll(learned func(structs.AgentInfo)) {
+func (t *peerTable) pingAll(to peerListener) {
 	var wg sync.WaitGroup
 	for _, p := range t.list() {
-		wg.Go(func() { t.ping(p, learned) })
+		wg.Go(func() { t.ping(p, to) })
 	}
 	wg.Wait()
 }
 
 // ping asks a peer for a sign of life. An answer of another run shows that this
 // one is gone.
-func (t *peerTable) ping(p peer, learned func(structs.AgentInfo)) {
+func (t *peerTable) ping(p peer, to peerListener) {
 	var info structs.EntryInfo
 	if err := p.link.call("Ping", &t.self, &info, controlTimeout); err != nil {
-		t.setAsked(p.info.Incarnation, p.asked && p.live(time.Now()))
+		t.missed(p)
 		return
 	}
 	t.heard(info)
@@ -171,25 +180,38 @@
 		return
 	}
 	if !p.asked {
-		t.askMembers(p, learned)
+		t.askMembers(p, to)
 	}
 }
 
-// askMembers learns agents and entries from a peer met for the first time.
-func (t *peerTable) askMembers(p peer, learned func(structs.AgentInfo)) {
+// askMembers learns from a peer what it knows.
+func (t *peerTable) askMembers(p peer, to peerListener) {
 	var reply structs.MembersReply
 	if err := p.link.call("Members", &t.self, &reply, controlTimeout); err != nil {
 		return
 	}
 	t.add(reply.Entries)
-	for _, a := range reply.Agents {
-		learned(a)
-	}
+	to.postMembers(&reply)
 	t.setAsked(p.info.Incarnation, true)
 }
 
-// setAsked notes whether the peer's members are known. A peer that was away is
-// asked again, for agents may have come and gone meanwhile.
+// ready returns nil once a peer has told its agents, or there is none that
+// could: a newcomer without agents would refuse jobs that its peers can serve.
+func (t *peerTable) ready() error {
+	now := time.Now()
+	for _, p := range t.list() {
+		if p.asked {
+			return nil
+		}
+	}
+	for _, p := range t.list() {
+		if p.live(now) {
+			return errors.New("no peer has told its agents yet")
+		}
+	}
+	return nil
+}
+
 func (t *peerTable) setAsked(id structs.Incarnation, asked bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -198,6 +220,17 @@
 	}
 }
 
+// missed notes a ping without an answer. A peer that was away is asked for its
+// members again, for agents may have come and gone meanwhile.
+func (t *peerTable) missed(p peer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known := t.peers[p.info.Incarnation]; known != nil {
+		known.mute = true
+		known.asked = known.asked && p.live(time.Now())
+	}
+}
+
 // fetchFold gets the encoded fold of the log from any live peer.
 func (t *peerTable) fetchFold(ctx context.Context) ([]byte, error) {
 	for _, p := range t.list() {
--- a/entry/request.go
+++ b/entry/request.go
@@ -76,20 +76,32 @@
 func (e *Entry) doAnywhere(ctx context.Context, r *jobRequest) (*structs.JobAnswer, *structs.Error) {
 	start := time.Now()
 	eff := e.do(ctx, r)
+	sent := false
 	if f, ok := eff.(coordinator.Forward); ok {
-		answer, err, homeDead := e.peers.forward(ctx, f, r.wait)
-		if err == nil || err.Code != structs.CodeHomeLost || ctx.Err() != nil {
-			return answer, err
+		out := e.peers.forward(ctx, f, r.wait)
+		if out.err == nil || out.err.Code != structs.CodeHomeLost || ctx.Err() != nil {
+			return out.answer, out.err
 		}
+		sent = out.sent
 		rest := max(r.wait-time.Since(start), minRecoveryWait)
-		eff = e.do(ctx, &jobRequest{op: r.op, id: r.id, spec: r.spec, wait: rest, lost: true, homeDead: homeDead})
+		eff = e.do(ctx, &jobRequest{op: r.op, id: r.id, spec: r.spec, wait: rest, lost: true, homeDead: out.homeDead})
 	}
 	if f, ok := eff.(coordinator.Reply); ok {
-		return f.Answer, f.Error
+		return f.Answer, withNotForwarded(f.Error, sent)
 	}
 	return nil, structs.Errorf(structs.CodeUnavailable, structs.MayHaveRun, "the entry stopped or the caller went")
 }
 
+// withNotForwarded adds to a home_lost error that this request reached no home.
+func withNotForwarded(err *structs.Error, sent bool) *structs.Error {
+	if err == nil || err.Code != structs.CodeHomeLost || sent {
+		return err
+	}
+	c := *err
+	c.NotForwarded = true
+	return &c
+}
+
 // reserve reserves job ids.
 func (e *Entry) reserve(ctx context.Context, count int) ([]structs.JobID, *structs.Error) {
 	call, reply := e.calls.open()
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -29,10 +29,12 @@
 	r.e.peers.heard(*from)
 	reply.Entries = r.e.peers.entries()
 	reply.Fold = r.e.docs.encodedFold()
-	d, _ := r.e.snapshot()
-	for _, a := range d.Agents {
-		reply.Agents = append(reply.Agents, a.Info)
-	}
+	r.e.inspectLoop(func(c *coordinator.Coordinator) {
+		reply.Closed = c.Closed()
+		for _, a := range c.Dump().Agents {
+			reply.Agents = append(reply.Agents, a.Info)
+		}
+	})
 	return nil
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -36,7 +36,7 @@
 	problems := make([]Problem, 0, len(fields))
 	for _, f := range fields {
 		_, key, _ := strings.Cut(f.Namespace(), ".")
-		problems = append(problems, Problem{Key: key, Value: f.Value(), Reason: reason(f)})
+		problems = append(problems, Problem{Key: key, Value: shownValue(key, f.Value()), Reason: reason(f)})
 	}
 	return problems
 }
@@ -67,3 +67,11 @@
 	must(err)
 	return d >= 0 && d <= int64(limit)
 }
+
+// shownValue keeps secrets out of error texts.
+func shownValue(key string, value any) any {
+	if strings.Contains(key, "token") {
+		return "(hidden)"
+	}
+	return value
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -37,3 +37,14 @@
 	g.Expect(settings.Parse("x.toml", "name = 'a'\naddr = '127.0.0.1:80'\n", &s)).To(Succeed())
 	g.Expect(s.Rate).To(Equal(5))
 }
+
+func TestProblemsHideTokens(t *testing.T) {
+	g := NewWithT(t)
+	type secret struct {
+		Token string `toml:"publish_token" validate:"min=16"`
+	}
+	var s secret
+	err := settings.Parse("x.toml", "publish_token = 'open-sesame'\n", &s)
+	g.Expect(err).To(MatchError(ContainSubstring("publish_token = (hidden)")))
+	g.Expect(err).NotTo(MatchError(ContainSubstring("open-sesame")))
+}
--- a/structs/rpc.go
+++ b/structs/rpc.go
@@ -179,6 +179,8 @@
 	Agents  []AgentInfo
 	// Fold is an encoded fold of the log, see package fold; nil if none.
 	Fold []byte
+	// Closed are the last words of entries that ended gracefully.
+	Closed []ClosedReport
 }
 
 // SeqRange is a range of a home's sequence numbers, both ends included.
