--- a/coordinator/dump.go
+++ b/coordinator/dump.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/chestnuthollow/chestnuthollow/retry"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -35,6 +36,13 @@
 	Revision uint64 `json:"revision"`
 	Queued   int    `json:"queued"`
 	Agents   int    `json:"agents"`
+	// Ejected counts agents that get no tasks because their servers fail.
+	Ejected int `json:"ejected"`
+	// Delayed counts tasks that wait for the retry budget.
+	Delayed int          `json:"delayed"`
+	Retries retry.Counts `json:"retries"`
+	// TasksPerSecond is the measured rate at which tasks end; zero if unknown.
+	TasksPerSecond float64 `json:"tasks_per_second"`
 }
 
 // AgentDump is what the entry knows of one agent.
@@ -102,6 +110,11 @@
 		Revision: s.record.Revision,
 		Queued:   s.queue.Len(),
 		Agents:   len(s.agents),
+		Ejected:  s.policy.Out(),
+		Delayed:  len(s.delayed),
+		Retries:  s.retries.Counts(),
+
+		TasksPerSecond: s.drain.rate,
 	}
 	if s.doc != nil {
 		d.Owner = s.doc.Owner
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -28,6 +28,8 @@
 	// SetWaiting says as which of the tasks that this entry holds back, from 1
 	// on, the one to be picked for would wait.
 	SetWaiting(n int)
+	// Out returns the number of agents ejected for failing.
+	Out() int
 	// Observe takes in the agent's state as of now; it follows the Finished of
 	// the reply that the state came with.
 	Observe(now time.Time, agent structs.Incarnation, s structs.AgentState)
--- a/placement/table.go
+++ b/placement/table.go
@@ -122,7 +122,7 @@
 	t.update(a)
 }
 
-// Out returns the number of ejected agents.
+// Out implements Policy.
 func (t *table) Out() int { return t.out }
 
 func (t *table) block(now time.Time, a *agent) {
