Heartbeats every 15 s, agents lost by an unanswered one; hold at most 16 MB before refusing

Loss was counted from the last sign of life, which 15 s between heartbeats would have reached by itself; it now counts from the first heartbeat that stays unanswered, so the time to give an agent's tasks up stays 15 s. Agents look for entries out of turn after 40 s of silence, or a second after a connection ends.

--- a/agent/options.go
+++ b/agent/options.go
@@ -46,7 +46,7 @@
 		MemoryLimit:     48,
 		LogLevel:        "info",
 		LookupInterval:  settings.Duration(time.Minute),
-		SilenceTimeout:  settings.Duration(15 * time.Second),
+		SilenceTimeout:  settings.Duration(40 * time.Second),
 		AnnounceTimeout: settings.Duration(2 * time.Second),
 		StopLinger:      settings.Duration(500 * time.Millisecond),
 	}
--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -13,6 +13,9 @@
 	service *service
 	state   structs.AgentState
 	heard   time.Time // last sign of life
+	// unanswered is when the oldest heartbeat was sent that no sign of life has
+	// followed; zero if there is none.
+	unanswered time.Time
 	// suspect says that the last heartbeat failed.
 	suspect   bool
 	fenced    bool // it takes nothing of this home any more
@@ -87,6 +90,7 @@
 		return false
 	}
 	a.heard = c.now
+	a.unanswered = time.Time{}
 	a.suspect = false
 	if s.Seq <= a.state.Seq {
 		c.refreshAgent(a)
@@ -118,6 +122,9 @@
 	}
 	a.beating = true
 	a.heartbeat = c.now
+	if a.unanswered.IsZero() {
+		a.unanswered = c.now
+	}
 	c.emit(Heartbeat{
 		Agent:     a.info.Incarnation,
 		Watermark: c.ids.watermark,
@@ -142,7 +149,7 @@
 		c.dropAgent(a, "replaced")
 		return
 	}
-	if c.now.Sub(a.heard) > c.cfg.AgentLostAfter {
+	if !a.unanswered.IsZero() && c.now.Sub(a.unanswered) > c.cfg.AgentLostAfter {
 		c.dropAgent(a, "lost")
 		return
 	}
--- a/coordinator/config.go
+++ b/coordinator/config.go
@@ -21,7 +21,7 @@
 	MaxTimeout      time.Duration // of any job
 	HeartbeatEvery  time.Duration // to an agent that is otherwise quiet
 	ProbeAfter      time.Duration // silence of an agent with outstanding tasks
-	AgentLostAfter  time.Duration // silence after which its tasks are given up
+	AgentLostAfter  time.Duration // silence since an unanswered heartbeat after which its tasks are given up
 	SettleRetry     time.Duration // between attempts to settle with an agent
 	FailSettleBound time.Duration // how long a failing job waits to learn its tasks' verdicts
 	WatermarkLag    time.Duration // how long agents keep what they know of a final job
@@ -49,7 +49,7 @@
 	defaultAnswerTTL       = 2 * time.Minute
 	defaultTimeout         = 30 * time.Second
 	defaultMaxTimeout      = 10 * time.Minute
-	defaultHeartbeatEvery  = 10 * time.Second
+	defaultHeartbeatEvery  = 15 * time.Second
 	defaultProbeAfter      = time.Second
 	defaultAgentLostAfter  = 15 * time.Second
 	defaultSettleRetry     = 500 * time.Millisecond
@@ -62,7 +62,7 @@
 	defaultMaxOpenJobs     = 10_000
 	defaultMaxOpenTasks    = 50_000
 	defaultMaxAnswers      = 20_000
-	defaultMaxHeldBytes    = 32 << 20
+	defaultMaxHeldBytes    = 16 << 20
 	defaultMaxAttempts     = 16
 )
 
--- a/coordinator/pause.go
+++ b/coordinator/pause.go
@@ -15,6 +15,9 @@
 	}
 	for _, a := range c.order {
 		a.heard = a.heard.Add(gap)
+		if !a.unanswered.IsZero() {
+			a.unanswered = a.unanswered.Add(gap)
+		}
 	}
 	for _, j := range c.open {
 		if j.failure != nil {
