--- a/entry/peerlink.go
+++ b/entry/peerlink.go
@@ -3,33 +3,44 @@
 import (
 	"errors"
 	"net/rpc"
-	"sync"
 	"time"
 
-	"github.com/chestnuthollow/chestnuthollow/internal/rpcconn"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
 // Errors of a call to a peer.
 var (
-	errPeerSilent = errors.New("entry: the peer did not answer in time")
-	errNoPeerFold = errors.New("entry: no peer gave its fold")
+	errPeerSilent  = errors.New("entry: the peer did not answer in time")
+	errPeerUnknown = errors.New("entry: the peer is not known any more")
+	errNoPeerFold  = errors.New("entry: no peer gave its fold")
 )
 
+// connectError says that a message was certainly not sent.
+type connectError struct{ err error }
+
+func (e *connectError) Error() string { return e.err.Error() }
+
+func (e *connectError) Unwrap() error { return e.err }
+
+// notSent reports whether err shows that the message did not leave this process.
+func notSent(err error) bool {
+	var c *connectError
+	return errors.As(err, &c)
+}
+
 // peerLink is the connection to one peer, made at need.
 type peerLink struct {
-	addr string
-
-	mu     sync.Mutex
-	client *rpc.Client
+	conn lazyClient
 }
 
+func newPeerLink(addr string) *peerLink { return &peerLink{conn: lazyClient{addr: addr}} }
+
 // call runs one RPC within timeout. A connection that breaks or stays silent is
 // dropped, so that the next call makes a new one.
 func (l *peerLink) call(method string, args, reply any, timeout time.Duration) error {
-	client, err := l.connect()
+	client, err := l.conn.get()
 	if err != nil {
-		return err
+		return &connectError{err}
 	}
 	call := client.Go(structs.EntryService+"."+method, args, reply, make(chan *rpc.Call, 1))
 	timer := time.NewTimer(timeout)
@@ -42,40 +53,9 @@
 	}
 	var ofServer rpc.ServerError
 	if err != nil && !errors.As(err, &ofServer) {
-		l.drop(client)
+		l.conn.drop(client)
 	}
 	return err
 }
 
-func (l *peerLink) connect() (*rpc.Client, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.client != nil {
-		return l.client, nil
-	}
-	client, err := rpcconn.Dial(l.addr, dialTimeout)
-	if err != nil {
-		return nil, err
-	}
-	l.client = client
-	return client, nil
-}
-
-func (l *peerLink) drop(client *rpc.Client) {
-	l.mu.Lock()
-	if l.client == client {
-		l.client = nil
-	}
-	l.mu.Unlock()
-	client.Close()
-}
-
-func (l *peerLink) close() {
-	l.mu.Lock()
-	client := l.client
-	l.client = nil
-	l.mu.Unlock()
-	if client != nil {
-		client.Close()
-	}
-}
+func (l *peerLink) close() { l.conn.close() }
--- a/test/model/world_test.go
+++ b/test/model/world_test.go
@@ -28,6 +28,8 @@
 	byID    map[structs.JobID]*job
 	judge   *judge
 	record  structs.DocumentRecord // the newest revision
+	// wrongDeath has entries take a home that does not answer for dead.
+	wrongDeath bool
 }
 
 type entryNode struct {
@@ -355,7 +357,7 @@
 		func(m any) coordinator.Event {
 			return coordinator.RunReplied{Agent: ef.Agent, Ref: ef.Ref, Reply: *m.(*structs.RunReply)}
 		},
-		coordinator.RunBroken{Agent: ef.Agent, Ref: ef.Ref})
+		coordinator.RunBroken(ef))
 }
 
 func (w *world) settle(e *entryNode, ef coordinator.Settle) {
@@ -387,7 +389,7 @@
 				Call: ef.Call, Agent: ef.Agent, Ref: ef.Ref, Reply: *m.(*structs.RunReply),
 			}
 		},
-		coordinator.QueryFailed{Call: ef.Call, Agent: ef.Agent, Ref: ef.Ref})
+		coordinator.QueryFailed(ef))
 }
 
 func (w *world) heartbeat(e *entryNode, ef coordinator.Heartbeat) {
