--- a/test/control/control_test.go
+++ b/test/control/control_test.go
@@ -32,8 +32,8 @@
 	patience = 2 * time.Minute
 	// settleTime passes after the start, quietTime while traffic is counted:
 	// three of the heartbeats' intervals.
-	settleTime   = 12 * time.Second
-	quietTime    = 30 * time.Second
+	settleTime   = 17 * time.Second
+	quietTime    = 45 * time.Second
 	maxEditPause = 2 * time.Second
 )
 
