Reducer tests: a server that fails slowly; declared times wrong by ten both ways

First failed with faults put in: service times learned only where the declared time is near (right and too short fail), failures not counted (fails at once and fails slowly fail). Not caught: slowness measured against the declared time, which keeps the servers' order.

--- a/coordinator/policy_test.go
+++ b/coordinator/policy_test.go
@@ -18,6 +18,7 @@
 	slots    int
 	takes    time.Duration
 	failing  bool // answers with an error at once
+	errs     bool // answers with an error when it is done
 	declines bool // refuses everything as not run
 	stalled  bool
 	running  []fakeTask
@@ -163,7 +164,7 @@
 	switch {
 	case s.declines:
 		result = structs.TaskResult{Verdict: structs.NotRun, Error: structs.Errorf(structs.CodeOverloaded, structs.NotRun, "declined")}
-	case s.failing:
+	case s.failing, s.errs:
 		result.Error = structs.Errorf(structs.CodeBackend, structs.Ran, "failed")
 	}
 	reply := structs.RunReply{Result: result, State: s.state(f)}
@@ -399,6 +400,7 @@
 	faults := map[string]func(*fakeServer){
 		"ten times slower": func(s *fakeServer) { s.takes *= 10 },
 		"fails at once":    func(s *fakeServer) { s.failing = true },
+		"fails slowly":     func(s *fakeServer) { s.errs, s.takes = true, 3*s.takes },
 		"stalls":           func(s *fakeServer) { s.stalled = true },
 	}
 	for name, fault := range faults {
@@ -416,6 +418,39 @@
 	}
 }
 
+// What counts of a server is learned from its answers, whether declared times
+// are right, ten times too short, ten times too long, or both in turn. Half of
+// the servers are five times slower; they have a sixth of the capacity, and get
+// less than that of a load which the others could carry.
+func TestDeclaredTimesDoNotMislead(t *testing.T) {
+	for name, declared := range map[string][]time.Duration{
+		"right":     {100 * time.Millisecond},
+		"too short": {10 * time.Millisecond},
+		"too long":  {time.Second},
+		"both":      {10 * time.Millisecond, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			servers := equalServers(8)
+			for _, s := range servers[:4] {
+				s.takes *= 5
+			}
+			f := newFleet(nil, servers...)
+			jobs := 0
+			f.run(10*time.Second, func() {
+				sp := spec(1)
+				sp.Tasks[0].Declared = declared[jobs%len(declared)]
+				f.submitSpec(sp)
+				jobs++
+			})
+			slow := 0
+			for _, s := range servers[:4] {
+				slow += s.runs
+			}
+			NewWithT(t).Expect(slow).To(BeNumerically("<", jobs/6))
+		})
+	}
+}
+
 func TestQueuedTasksAreRecalledFromStraggler(t *testing.T) {
 	g := NewWithT(t)
 	servers := equalServers(2)
