--- a/load/deployment/compare.go
+++ b/load/deployment/compare.go
@@ -15,6 +15,8 @@
 	Name      string
 	NewPolicy func(seed uint64) placement.Policy
 	NoRecall  bool
+	// Policy is the [policy] table of the service's document.
+	Policy string
 }
 
 // Variants returns the ways to place, by name.
@@ -23,6 +25,7 @@
 	return []Variant{
 		{Name: "finish", NewPolicy: policy, NoRecall: true},
 		{Name: "finish+recall", NewPolicy: policy},
+		{Name: "finish+recall+messages", NewPolicy: policy, Policy: "message_weight = 1.0\n"},
 	}
 }
 
@@ -45,6 +48,9 @@
 func (r Run) Measure(ctx context.Context, v Variant) (*load.Report, error) {
 	opts := r.Deployment
 	opts.NewPolicy, opts.NoRecall = v.NewPolicy, v.NoRecall
+	if v.Policy != "" {
+		opts.Document = opts.plainDocument() + "[policy]\n" + v.Policy
+	}
 	faults, err := opts.Faults(r.Fault, r.Workload.Duration)
 	if err != nil {
 		return nil, err
--- a/load/deployment/deployment.go
+++ b/load/deployment/deployment.go
@@ -46,6 +46,11 @@
 	Log log.Logger
 }
 
+// plainDocument returns a document without limits.
+func (o *Options) plainDocument() string {
+	return fmt.Sprintf("service = %q\nowner = %q\n", o.Service, owner)
+}
+
 // Deployment is a running system.
 type Deployment struct {
 	opts     Options
@@ -154,7 +159,7 @@
 func (d *Deployment) publish(ctx context.Context) error {
 	text := d.opts.Document
 	if text == "" {
-		text = fmt.Sprintf("service = %q\nowner = %q\n", d.opts.Service, owner)
+		text = d.opts.plainDocument()
 	}
 	c, err := client.New(client.Options{Entries: d.URLs()})
 	if err != nil {
