An entry that another one has fenced ends, to be replaced

It left, refused every job and was not ready, but its process stayed until the platform stopped it. Run now returns ErrFenced once it has drained, and the daemon exits with an error. The spec times out without the change.

--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/rpc"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -64,6 +65,26 @@
 		}, 30*time.Second, 50*time.Millisecond).Should(Succeed())
 	})
 
+	It("stops, to be replaced, when it has been fenced", func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		s := newSite(1, 1)
+		s.publish(ctx)
+		status, err := s.client(0).Status(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		agent := status.Agents[0].Info
+		conn, err := rpc.Dial("tcp", agent.RPCAddr)
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		home := status.Entry.Incarnation
+		fence := structs.FenceRequest{Agent: agent.Incarnation, Job: structs.JobID{Home: home, Seq: 1}, Close: true}
+		Expect(conn.Call("Agent.Fence", &fence, new(structs.SettleReply))).To(Succeed())
+		_, err = s.client(0).Submit(ctx, job(1))
+		Expect(err).To(HaveOccurred())
+		Eventually(s.ended[0], 30*time.Second).Should(Receive(MatchError(entry.ErrFenced)))
+		Expect(s.backends[0].Starts()).To(BeEmpty())
+	})
+
 	It("says not run of ids that a stopped entry never took, also at a newcomer", func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		defer cancel()
--- a/entry/run.go
+++ b/entry/run.go
@@ -13,7 +13,7 @@
 
 // Run serves until ctx is canceled, then stops gracefully: it refuses new jobs,
 // finishes the open ones and returns. It returns an error if the drain timeout
-// cut that short.
+// cut that short, or if it stopped because another entry has fenced it.
 func (e *Entry) Run(ctx context.Context) error {
 	level.Info(e.log).Log("event", "started", "incarnation", e.self.Incarnation,
 		"http_addr", e.HTTPAddr(), "rpc_addr", e.RPCAddr(), "zone", e.self.Zone)
@@ -28,14 +28,13 @@
 	}
 	go e.peers.run(background, e)
 
-	<-ctx.Done()
-	level.Info(e.log).Log("event", "leaving")
-	e.mail.post(coordinator.LeaveRequested{})
+	err := e.awaitStop(ctx)
 	e.docs.leave()
-	err := e.awaitDrained()
-	if err == nil {
+	if drainErr := e.awaitDrained(); drainErr == nil {
 		e.peers.tellClosed(&e.closing)
 		e.linger()
+	} else {
+		err = drainErr
 	}
 	e.shutdown()
 	cancel()
@@ -44,6 +43,23 @@
 	return err
 }
 
+// ErrFenced says that another entry took this one for dead and fenced it.
+var ErrFenced = errors.New("entry: fenced by another entry")
+
+// awaitStop waits until the process is told to stop, or has drained by itself
+// because it was fenced.
+func (e *Entry) awaitStop(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		level.Info(e.log).Log("event", "leaving")
+		e.mail.post(coordinator.LeaveRequested{})
+		return nil
+	case <-e.drained:
+		level.Error(e.log).Log("event", "leaving", "err", ErrFenced)
+		return ErrFenced
+	}
+}
+
 func (e *Entry) awaitDrained() error {
 	select {
 	case <-e.drained:
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -34,7 +34,8 @@
 	logs     *logserver.Server
 	keyLogs  *logserver.Server
 	entries  []*entry.Entry
-	stops    []func() // of entries
+	stops    []func()     // of entries
+	ended    []chan error // results of the entries' Run
 	backends []*backend.Server
 }
 
@@ -85,6 +86,7 @@
 	s.stops[i]()
 	s.entries = append(s.entries[:i], s.entries[i+1:]...)
 	s.stops = append(s.stops[:i], s.stops[i+1:]...)
+	s.ended = append(s.ended[:i], s.ended[i+1:]...)
 }
 
 func (s *site) startEntry(name string) { s.startEntryWith(name, func(*entry.Options) {}) }
@@ -99,7 +101,13 @@
 	e, err := entry.New(opts, testLogger(name))
 	Expect(err).NotTo(HaveOccurred())
 	s.entries = append(s.entries, e)
-	s.stops = append(s.stops, s.run(e.Run))
+	ended := make(chan error, 1)
+	s.ended = append(s.ended, ended)
+	s.stops = append(s.stops, s.run(func(ctx context.Context) error {
+		err := e.Run(ctx)
+		ended <- err
+		return err
+	}))
 }
 
 func (s *site) startAgent(name string) {
