--- a/entry/entry.go
+++ b/entry/entry.go
@@ -89,6 +89,7 @@
 		NoRecall:     opts.NoRecall,
 		LogTasks:     opts.LogLevel == "debug",
 	})
+	e.registerGauges()
 	e.peers = newPeerTable(e.self)
 	docs, err := newDocuments(e)
 	if err != nil {
--- /dev/null
+++ b/entry/gauges.go
@@ -0,0 +1,26 @@
+package entry
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/chestnuthollow/chestnuthollow/coordinator"
+)
+
+// registerGauges adds what the entry holds now to its metrics.
+func (e *Entry) registerGauges() {
+	for name, value := range map[string]func(*coordinator.Dump) int{
+		"jobs_open":    func(d *coordinator.Dump) int { return d.OpenJobs },
+		"tasks_open":   func(d *coordinator.Dump) int { return d.OpenTasks },
+		"answers_kept": func(d *coordinator.Dump) int { return d.Answers },
+		"bytes_held":   func(d *coordinator.Dump) int { return d.HeldBytes },
+		"ids_reserved": func(d *coordinator.Dump) int { return d.Reserved },
+		"agents_known": func(d *coordinator.Dump) int { return len(d.Agents) },
+	} {
+		gauge := metrics.NewFunctionalGauge(func() int64 {
+			d, _ := e.snapshot()
+			return int64(value(&d))
+		})
+		// A name is registered once for each entry.
+		_ = e.metrics.Register(name, gauge)
+	}
+}
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/rpc"
 	"time"
@@ -103,3 +104,18 @@
 		Expect(s.backends[0].Starts()).To(BeEmpty())
 	})
 })
+
+var _ = Describe("The metrics of an entry", func() {
+	It("tell what it holds", func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		s := newSite(1, 2)
+		s.publish(ctx)
+		resp, err := http.Get("http://" + s.entries[0].HTTPAddr() + "/metrics")
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		var all map[string]map[string]float64
+		Expect(json.NewDecoder(resp.Body).Decode(&all)).To(Succeed())
+		Expect(all["agents_known"]["value"]).To(BeEquivalentTo(2))
+	})
+})
