--- a/test/e2e/callers_test.go
+++ b/test/e2e/callers_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -137,3 +138,52 @@
 	close(l.stop)
 	l.wait.Wait()
 }
+
+// Tasks of a job in a wave: long enough to be still open when it comes.
+const (
+	waveTasks  = 4
+	waveWorkMS = 500
+)
+
+// cancelWave submits jobs, and then cancels all of them at once, each through
+// another entry than it came by. It takes fewer settle messages than jobs.
+func (l *callers) cancelWave(jobs int) {
+	l.c.t.Helper()
+	k := newCaller(l.c, l.history)
+	settled := l.c.settleMessages(k)
+	var wave []*submission
+	for i := range jobs {
+		s := newSubmission(fmt.Sprintf("wave-%d", i), waveTasks, waveWorkMS)
+		var ok bool
+		s.id, ok = k.reserve(l.c.entries[i%len(l.c.entries)])
+		l.c.g.Expect(ok).To(BeTrue())
+		k.submit(l.c.entries[i%len(l.c.entries)], s, 0)
+		wave = append(wave, s)
+	}
+	var wait sync.WaitGroup
+	for i, s := range wave {
+		wait.Go(func() {
+			o := k.cancel(l.c.entries[(i+1)%len(l.c.entries)], s)
+			if o == nil || o.answer != nil && !o.answer.State.Final() {
+				l.c.t.Errorf("cancel of %s got no final answer: %+v", s.name, o)
+			}
+		})
+	}
+	wait.Wait()
+	l.c.g.Expect(l.c.settleMessages(k) - settled).To(BeNumerically("<", jobs))
+}
+
+// settleMessages counts the settle messages of all entries.
+func (c *cluster) settleMessages(k *caller) int {
+	c.t.Helper()
+	sum := 0
+	for _, e := range c.entries {
+		var all map[string]struct {
+			Count int `json:"count"`
+		}
+		status, _ := k.do(http.MethodGet, e.url()+"/metrics", nil, &all)
+		c.g.Expect(status).To(Equal(http.StatusOK))
+		sum += all["messages.sent.Settle"].Count
+	}
+	return sum
+}
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -36,6 +36,7 @@
 var faults = []fault{
 	{name: "none", harmless: true, inflict: func(*cluster, *callers) {}},
 	{name: "cancel", cancels: true, inflict: func(_ *cluster, l *callers) { l.more(60) }},
+	{name: "cancel wave", cancels: true, inflict: func(_ *cluster, l *callers) { l.cancelWave(300) }},
 	{name: "kill agent", inflict: func(c *cluster, _ *callers) { c.agents[0].restart() }},
 	{name: "kill entry", inflict: func(c *cluster, _ *callers) { c.entries[0].restart() }},
 	{name: "kill backend server", inflict: func(c *cluster, _ *callers) { c.servers[0].restart() }},
