--- a/coordinator/caps_test.go
+++ b/coordinator/caps_test.go
@@ -77,6 +77,7 @@
 func TestForgottenAnswersNeverStartAgain(t *testing.T) {
 	g := NewWithT(t)
 	s := cappedSession()
+	s.c.cfg.MaxHeldBytes = 1 << 20
 	for seq := uint64(1); seq <= 3; seq++ {
 		s.step(SubmitCalled{Call: CallID(seq), Spec: spec(1)})
 		s.ran(agentA, refOf(seq, 0, 1))
