--- a/test/e2e/documents_test.go
+++ b/test/e2e/documents_test.go
@@ -16,6 +16,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/chestnuthollow/chestnuthollow/client"
+	"github.com/chestnuthollow/chestnuthollow/fold"
+	"github.com/chestnuthollow/chestnuthollow/platformlog"
 	"github.com/chestnuthollow/chestnuthollow/standin/logserver"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
@@ -298,6 +300,43 @@
 	c.g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
 }
 
+func (c *cluster) logClient() *platformlog.Client {
+	c.t.Helper()
+	l, err := platformlog.NewClient(c.log.url(), 0)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	return l
+}
+
+// awaitCheckpoint waits for a checkpoint on the log and returns its data.
+func (c *cluster) awaitCheckpoint() []byte {
+	c.t.Helper()
+	l := c.logClient()
+	defer l.Close()
+	var found []byte
+	c.g.Eventually(func(g Gomega) {
+		earliest, _, err := l.Bounds(context.Background())
+		g.Expect(err).NotTo(HaveOccurred())
+		records, err := l.Read(context.Background(), earliest, 512)
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, rec := range records {
+			if r, err := fold.DecodeRecord(rec.Data); err == nil && r.Type == fold.TypeCheckpoint {
+				found = rec.Data
+			}
+		}
+		g.Expect(found).NotTo(BeNil())
+	}, patience, poll).Should(Succeed())
+	return found
+}
+
+// appendToLog appends data as a paused process would that resumes.
+func (c *cluster) appendToLog(data []byte) {
+	c.t.Helper()
+	l := c.logClient()
+	defer l.Close()
+	_, err := l.Append(context.Background(), data)
+	c.g.Expect(err).NotTo(HaveOccurred())
+}
+
 // startEntryThrough starts an entry whose way to the log is the forwarder.
 func (c *cluster) startEntryThrough(f *forwarder) *daemon {
 	e := &daemon{c: c, name: fmt.Sprintf("entry-%d", len(c.entries)+1), httpAddr: "127.0.0.1:0", rpcAddr: "127.0.0.1:0"}
@@ -348,6 +387,13 @@
 		c.entries[0].resume()
 		e.disturbed(c.entries[0])
 	}},
+	{"stale checkpoint arrives late", func(c *cluster, e *editing, _ *forwarder) {
+		c.setLog(logserver.Faults{KeepRecords: 40})
+		stale := c.awaitCheckpoint()
+		e.more(20)
+		c.appendToLog(stale)
+		e.replace(c.entries[0], func() { c.g.Expect(c.entries[0].stop()).To(Succeed()) })
+	}},
 	{"entry cut from the log", func(c *cluster, e *editing, toLog *forwarder) {
 		toLog.refuseNew(true)
 		toLog.cut()
