Derive what a recovery asks from the submission; draw incarnations in one place

RecoverCalled carried the service and number of tasks beside the submission that holds both, copied at three places. Entry and agent drew their incarnations each by its own loop. Coordinator.Watermark had no caller.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"net"
@@ -17,6 +15,7 @@
 	"github.com/chestnuthollow/chestnuthollow/executor"
 	"github.com/chestnuthollow/chestnuthollow/internal/logging"
 	"github.com/chestnuthollow/chestnuthollow/internal/ops"
+	"github.com/chestnuthollow/chestnuthollow/internal/random"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcserver"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
@@ -50,10 +49,7 @@
 
 // New binds the agent's addresses; port 0 takes a free one.
 func New(opts Options, logger log.Logger) (*Agent, error) {
-	incarnation, err := newIncarnation()
-	if err != nil {
-		return nil, fmt.Errorf("agent: %w", err)
-	}
+	incarnation := structs.Incarnation(random.NonZero())
 	rpcListener, err := net.Listen("tcp", opts.RPCAddr)
 	if err != nil {
 		return nil, fmt.Errorf("agent: %w", err)
@@ -112,18 +108,6 @@
 	return opts
 }
 
-func newIncarnation() (structs.Incarnation, error) {
-	var b [8]byte
-	for {
-		if _, err := rand.Read(b[:]); err != nil {
-			return 0, err
-		}
-		if v := binary.BigEndian.Uint64(b[:]); v != 0 {
-			return structs.Incarnation(v), nil
-		}
-	}
-}
-
 // RPCAddr returns the address for entries.
 func (a *Agent) RPCAddr() string { return a.rpcListener.Addr().String() }
 
--- a/coordinator/finish.go
+++ b/coordinator/finish.go
@@ -219,8 +219,5 @@
 	}
 }
 
-// Watermark returns the sequence below which every job is settled.
-func (c *Coordinator) Watermark() uint64 { return c.ids.watermark }
-
 // TickInterval is how often the caller should send Ticked.
 const TickInterval = 100 * time.Millisecond
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -86,10 +86,8 @@
 	// entry, cannot be reached. The reply is as for GetCalled with Wait. Dead
 	// says that the home's process is known to have ended.
 	RecoverCalled struct {
-		Call    CallID
-		ID      structs.JobID
-		Service string // zero: unknown
-		Tasks   int    // of the job; zero: unknown
+		Call CallID
+		ID   structs.JobID
 		// Spec is the submission that is repeated, or nil. If the agents know
 		// other content under the id, the reply is CodeConflict.
 		Spec *structs.JobSpec
--- a/coordinator/recovery.go
+++ b/coordinator/recovery.go
@@ -74,7 +74,7 @@
 			"the entry that reserved job %s has left without having taken it", e.ID))
 		return
 	}
-	agents := c.agentsOf(e.Service)
+	agents := c.agentsOf(e.Spec)
 	if len(agents) == 0 {
 		c.replyError(e.Call, homeLost(e.ID))
 		return
@@ -86,13 +86,13 @@
 	r := &recovery{
 		call:    e.Call,
 		id:      e.ID,
-		tasks:   e.Tasks,
 		dead:    e.Dead,
 		pending: make(map[structs.Incarnation]struct{}, len(agents)),
 		awaited: make(map[structs.TaskRef]struct{}),
 		known:   make(map[int]structs.TaskStatus),
 	}
 	if e.Spec != nil {
+		r.tasks = len(e.Spec.Tasks)
 		r.content = fingerprint(e.Spec)
 	}
 	c.recovers[e.Call] = r
@@ -108,11 +108,11 @@
 }
 
 // agentsOf returns the agents of a service, or all if it is not named.
-func (c *Coordinator) agentsOf(name string) []*agent {
-	if name == "" {
+func (c *Coordinator) agentsOf(spec *structs.JobSpec) []*agent {
+	if spec == nil || spec.Service == "" {
 		return c.order
 	}
-	if svc := c.services[name]; svc != nil {
+	if svc := c.services[spec.Service]; svc != nil {
 		return svc.agents
 	}
 	return nil
--- a/coordinator/recovery_test.go
+++ b/coordinator/recovery_test.go
@@ -24,7 +24,8 @@
 func recoverTwo(dead bool) *session {
 	s := newSession()
 	s.service(agentA, agentB)
-	s.step(RecoverCalled{Call: 1, ID: lostRef(0).Task.Job, Service: "booking", Tasks: 2, Dead: dead})
+	submitted := spec(2)
+	s.step(RecoverCalled{Call: 1, ID: lostRef(0).Task.Job, Spec: &submitted, Dead: dead})
 	return s
 }
 
--- a/coordinator/submit.go
+++ b/coordinator/submit.go
@@ -149,11 +149,7 @@
 func (c *Coordinator) forward(call CallID, op structs.JobOp, id structs.JobID, spec *structs.JobSpec) {
 	home, ok := c.peers[owner(id)]
 	if !ok {
-		ev := RecoverCalled{Call: call, ID: id}
-		if spec != nil {
-			ev.Service, ev.Tasks, ev.Spec = spec.Service, len(spec.Tasks), spec
-		}
-		c.recoverJob(ev)
+		c.recoverJob(RecoverCalled{Call: call, ID: id, Spec: spec})
 		return
 	}
 	c.emit(Forward{Call: call, Home: home, Op: op, ID: id, Spec: spec})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"net"
@@ -18,6 +16,7 @@
 
 	"github.com/chestnuthollow/chestnuthollow/coordinator"
 	"github.com/chestnuthollow/chestnuthollow/internal/logging"
+	"github.com/chestnuthollow/chestnuthollow/internal/random"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcserver"
 	"github.com/chestnuthollow/chestnuthollow/keybind"
 	"github.com/chestnuthollow/chestnuthollow/structs"
@@ -74,7 +73,7 @@
 	}
 	e.self = structs.EntryInfo{
 		Name:        opts.Name,
-		Incarnation: structs.Incarnation(randomUint64()),
+		Incarnation: structs.Incarnation(random.NonZero()),
 		Zone:        opts.Zone,
 		Region:      opts.Region,
 		RPCAddr:     e.RPCAddr(),
@@ -151,18 +150,7 @@
 	if e.opts.Seed != 0 {
 		return e.opts.Seed
 	}
-	return randomUint64()
-}
-
-// randomUint64 returns a random number that is not zero.
-func randomUint64() uint64 {
-	var b [8]byte
-	for {
-		rand.Read(b[:])
-		if v := binary.BigEndian.Uint64(b[:]); v != 0 {
-			return v
-		}
-	}
+	return random.NonZero()
 }
 
 // HTTPAddr returns the bound address for callers.
--- a/entry/request.go
+++ b/entry/request.go
@@ -23,11 +23,7 @@
 
 func (r *jobRequest) event(call coordinator.CallID) coordinator.Event {
 	if r.lost {
-		ev := coordinator.RecoverCalled{Call: call, ID: r.id, Dead: r.homeDead}
-		if r.spec != nil {
-			ev.Service, ev.Tasks, ev.Spec = r.spec.Service, len(r.spec.Tasks), r.spec
-		}
-		return ev
+		return coordinator.RecoverCalled{Call: call, ID: r.id, Spec: r.spec, Dead: r.homeDead}
 	}
 	switch r.op {
 	case structs.OpSubmit:
--- a/test/model/callers_test.go
+++ b/test/model/callers_test.go
@@ -186,11 +186,8 @@
 ) {
 	e.nextID++
 	e.waiting[e.nextID] = &reply{answer: answer, call: &pendingCall{what: "recovery"}}
-	ev := coordinator.RecoverCalled{Call: e.nextID, ID: ef.ID}
+	ev := coordinator.RecoverCalled{Call: e.nextID, ID: ef.ID, Spec: ef.Spec}
 	ev.Dead = !home.up || home.run != ef.Home.Incarnation || w.wrongDeath
-	if ef.Spec != nil {
-		ev.Service, ev.Tasks, ev.Spec = ef.Spec.Service, len(ef.Spec.Tasks), ef.Spec
-	}
 	w.logf("%s recovers %v, dead: %v", e.name, ef.ID, ev.Dead)
 	w.send(&packet{
 		label: fmt.Sprintf("recovery of %v to %s", ef.ID, e.name), to: &e.node, local: e.run, single: true,
