The refusal of another run of an agent is no evidence

Found by TestInterleavings: a doubled dispatch reached the agent's old run, which started the task, and its successor, which refused the copy as not run; the home told its caller not_run of a task that ran. Cause: the new run's refusal was taken for the word of the run addressed. It is now may_have_run. Ruled out: keeping it for our own transport, which does not double messages, since the promise is shown under doubled ones. Cost: a dispatch that reaches a restarted agent before its entry has noticed fails its job, which may say may_have_run of a task that never started.

--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -110,10 +110,17 @@
 // runReplied takes in the outcome of a Run or Await.
 func (c *Coordinator) runReplied(e RunReplied) {
 	a := c.agents[e.Agent]
-	if a != nil {
+	if a == nil {
+		return
+	}
+	if e.Reply.State.Incarnation != e.Agent {
+		// Another run answers. It has not started the task, but a copy of the
+		// message may have reached the run it was meant for.
+		c.taskFailed(a, e.Ref, replacedError(a))
+	} else {
 		c.taskEnded(a, e.Ref, &e.Reply.Result, placement.Outcome{Service: e.Reply.ServiceTime})
-		c.observe(a, e.Reply.State)
 	}
+	c.observe(a, e.Reply.State)
 }
 
 // taskEnded takes in the final word of the agent on an attempt.
