--- /dev/null
+++ b/command/daemon/platform.go
@@ -0,0 +1,117 @@
+package daemon
+
+import (
+	"context"
+	"io"
+
+	"github.com/go-kit/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/chestnuthollow/chestnuthollow/gateway"
+	"github.com/chestnuthollow/chestnuthollow/platform"
+	"github.com/chestnuthollow/chestnuthollow/sidecar"
+)
+
+// platformCommand holds the roles as they run on the users' platform.
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "run a role on the users' platform",
+		Commands: []*cli.Command{
+			platformEntryCommand(),
+			platformAgentCommand(),
+		},
+	}
+}
+
+type platformEntrySettings struct {
+	gateway.Options
+	Platform platform.Settings `toml:"platform" validate:"required"`
+}
+
+func platformEntryCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "entry",
+		Usage: "take callers' jobs from the platform's balancer and place their tasks",
+		Flags: platformFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			opts := platformEntrySettings{Options: gateway.DefaultOptions()}
+			return platformRole(ctx, c, &role{
+				settings: &opts,
+				again: func(p process) (any, func()) {
+					changed := &platformEntrySettings{Options: gateway.DefaultOptions()}
+					return changed, func() { p.(*gateway.Gateway).Reload(changed.Options) }
+				},
+				name:     func() string { return opts.Name },
+				logLevel: func() string { return opts.LogLevel },
+				start: func(l log.Logger) (process, error) {
+					limitMemory(opts.MemoryMB)
+					return gateway.New(opts.Options, gateway.Platform{
+						Store:        platform.NewStore(opts.Platform.StoreAddr),
+						ConfigTopic:  platform.ConfigTopic,
+						ConfigKey:    platform.ConfigKey,
+						MembersTopic: platform.MembersTopic,
+						DecodeConfig: platform.DecodeConfig,
+						Jobs:         platform.JobsHandler,
+						Ready:        platform.ReadyHandler,
+					}, l)
+				},
+			})
+		},
+	}
+}
+
+type platformAgentSettings struct {
+	sidecar.Options
+	Platform platform.Settings `toml:"platform" validate:"required"`
+}
+
+func platformAgentCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "agent",
+		Usage: "guard one backend server whose tasks run under a lease",
+		Flags: platformFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			opts := platformAgentSettings{Options: sidecar.DefaultOptions()}
+			return platformRole(ctx, c, &role{
+				settings: &opts,
+				again: func(p process) (any, func()) {
+					changed := &platformAgentSettings{Options: sidecar.DefaultOptions()}
+					return changed, func() { p.(*sidecar.Sidecar).Reload(changed.Options) }
+				},
+				name:     func() string { return opts.Name },
+				logLevel: func() string { return opts.LogLevel },
+				start: func(l log.Logger) (process, error) {
+					limitMemory(opts.MemoryMB)
+					return sidecar.New(opts.Options, sidecar.Platform{
+						Store:        platform.NewStore(opts.Platform.StoreAddr),
+						MembersTopic: platform.MembersTopic,
+						Server:       platform.NewServer(opts.Platform.ServerAddr),
+						Heartbeats:   platform.HeartbeatHandler,
+					}, l)
+				},
+			})
+		},
+	}
+}
+
+func platformFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: flagConfig, Usage: "settings `FILE` in TOML; the platform's place if not given", TakesFile: true},
+		&cli.BoolFlag{Name: flagCheck, Usage: "only check the settings"},
+	}
+}
+
+// platformRole runs a role with its logs on standard output, which the platform
+// collects.
+func platformRole(ctx context.Context, c *cli.Command, r *role) error {
+	if err := checkNoArgs(c); err != nil {
+		return err
+	}
+	r.file = c.String(flagConfig)
+	if r.file == "" {
+		r.file = platform.SettingsPath()
+	}
+	r.logTo = func(root *cli.Command) io.Writer { return root.Writer }
+	return r.run(ctx, c)
+}
--- a/command/daemon/root.go
+++ b/command/daemon/root.go
@@ -30,6 +30,7 @@
 			entryCommand(),
 			agentCommand(),
 			allInOneCommand(),
+			platformCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/dispatch/agent.go
@@ -0,0 +1,152 @@
+package dispatch
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+	"github.com/chestnuthollow/chestnuthollow/timeline"
+)
+
+// agent is a session with an agent and what it told last.
+type agent struct {
+	id        AgentID
+	name      string
+	zone      string
+	state     session.State
+	stateAt   time.Time
+	lastOrder uint64
+	// pending are the placements that the state does not show yet.
+	pending map[uint64]*placement
+}
+
+// knownSpeed is what is remembered of a server beyond a session.
+type knownSpeed struct {
+	slowness int
+	samples  int
+}
+
+func (d *Dispatcher) agentUp(e AgentUp) {
+	for _, old := range d.agents {
+		if old.name == e.Agent {
+			d.dropAgent(old, "a new session was opened")
+		}
+	}
+	a := &agent{id: e.ID, name: e.Agent, zone: e.Zone, state: e.State, stateAt: d.now, pending: make(map[uint64]*placement)}
+	d.agents[e.ID] = a
+	i, _ := slices.BinarySearchFunc(d.order, a, func(x, y *agent) int { return cmp.Compare(x.name, y.name) })
+	d.order = slices.Insert(d.order, i, a)
+	d.emit(LogEvent{Event: "agent_joined", Agent: a.name, Detail: fmt.Sprintf("server=%s ready=%t capacity=%d", a.state.Server, a.state.Ready, a.state.Capacity)})
+	for _, p := range d.sortedPlacements(func(p *placement) bool { return p.agent.name == e.Agent && p.agent != a }) {
+		d.ended(p, session.Report{ID: p.id, Outcome: session.Lost, Reason: "its session ended"})
+	}
+}
+
+// agentDown puts what the agent held in doubt until it must have ended.
+func (d *Dispatcher) agentDown(e AgentDown) {
+	a := d.agents[e.ID]
+	if a == nil {
+		return
+	}
+	d.dropAgent(a, e.Reason)
+	until := e.LastWord.Add(d.opts.DoubtTime)
+	for _, p := range d.sortedPlacements(func(p *placement) bool { return p.agent == a }) {
+		p.doubtEnds = until
+		if j := p.job; !j.answered && !until.Add(d.expect(a, j.Estimate)).Before(j.deadline) {
+			d.giveUp(j, structs.CodeAgentLost, "agent "+a.name+" is gone, and the task cannot end in time elsewhere")
+		}
+	}
+}
+
+func (d *Dispatcher) dropAgent(a *agent, reason string) {
+	delete(d.agents, a.id)
+	delete(d.orders, a.id)
+	if i := slices.Index(d.order, a); i >= 0 {
+		d.order = slices.Delete(d.order, i, i+1)
+	}
+	d.emit(LogEvent{Event: "agent_lost", Agent: a.name, Detail: fmt.Sprintf("reason=%q", reason)})
+}
+
+func (d *Dispatcher) orderReplied(e OrderReplied) {
+	a := d.agents[e.ID]
+	if a == nil {
+		return
+	}
+	for id, p := range a.pending {
+		if p.number <= e.Number {
+			delete(a.pending, id)
+		}
+	}
+	d.observe(a, e.State)
+}
+
+func (d *Dispatcher) polled(e Polled) {
+	a := d.agents[e.ID]
+	if a == nil {
+		return
+	}
+	d.observe(a, e.Reply.State)
+	for _, r := range e.Reply.Reports {
+		if p := d.placements[r.ID]; p != nil {
+			d.ended(p, r)
+		}
+	}
+}
+
+// observe takes in a state, unless a newer one is known.
+func (d *Dispatcher) observe(a *agent, s session.State) {
+	if s.Seq <= a.state.Seq {
+		return
+	}
+	if s.Ready != a.state.Ready || s.Server != a.state.Server {
+		d.emit(LogEvent{Event: "agent_changed", Agent: a.name, Detail: fmt.Sprintf("server=%s ready=%t capacity=%d", s.Server, s.Ready, s.Capacity)})
+	}
+	a.state = s
+	a.stateAt = d.now
+	if s.Samples >= fewSamples {
+		d.known[s.Server] = knownSpeed{slowness: s.Slowness, samples: s.Samples}
+	}
+}
+
+// expect returns the run time of a task at an agent.
+func (d *Dispatcher) expect(a *agent, estimate time.Duration) time.Duration {
+	slow := a.state.Slowness
+	if a.state.Samples < fewSamples {
+		if k, ok := d.known[a.state.Server]; ok {
+			slow = k.slowness
+		}
+	}
+	return estimate * time.Duration(slow) / 1000
+}
+
+// timeline returns when the agent has room for a task that must start within
+// the time: after what runs, and after what waits more urgently.
+func (d *Dispatcher) timeline(a *agent, within time.Duration) *timeline.Timeline {
+	age := d.now.Sub(a.stateAt)
+	spans := make([]timeline.Span, 0, len(a.state.Running))
+	for _, r := range a.state.Running {
+		spans = append(spans, timeline.Span{At: time.Duration(r.Ms)*time.Millisecond - age, CPU: r.CPU})
+	}
+	t := timeline.New(a.state.FreeCPU, spans)
+	for _, q := range a.state.Queue {
+		if time.Duration(q.StartWithin)*time.Millisecond-age <= within {
+			t.Take(q.CPU, time.Duration(q.Ms)*time.Millisecond)
+		}
+	}
+	for _, p := range sortedPending(a) {
+		t.Take(p.job.CPU, d.expect(a, p.job.Estimate))
+	}
+	return t
+}
+
+func sortedPending(a *agent) []*placement {
+	list := make([]*placement, 0, len(a.pending))
+	for _, p := range a.pending {
+		list = append(list, p)
+	}
+	slices.SortFunc(list, func(x, y *placement) int { return cmp.Compare(x.id, y.id) })
+	return list
+}
--- /dev/null
+++ b/dispatch/dump.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import "time"
+
+// maxDumpRows bounds the jobs in a dump.
+const maxDumpRows = 200
+
+// Dump is the state of a Dispatcher for operators.
+type Dump struct {
+	Jobs       int         `json:"jobs"`
+	Placements int         `json:"placements"`
+	Doubtful   int         `json:"doubtful_placements"`
+	Agents     []AgentDump `json:"agents"`
+	Open       []JobDump   `json:"open"`
+}
+
+// AgentDump is one agent in session.
+type AgentDump struct {
+	Name     string `json:"name"`
+	Zone     string `json:"zone"`
+	Server   string `json:"server"`
+	Ready    bool   `json:"ready"`
+	Capacity int    `json:"capacity"`
+	FreeCPU  int    `json:"free_cpu"`
+	Slowness int    `json:"slowness"`
+	Failing  int    `json:"failing"`
+	Running  int    `json:"running"`
+	Waiting  int    `json:"waiting"`
+	AgeMs    int64  `json:"state_age_ms"`
+}
+
+// JobDump is one job under way.
+type JobDump struct {
+	Name     string `json:"name"`
+	Queue    string `json:"queue"`
+	Tasks    int    `json:"tasks"`
+	Left     int    `json:"left"`
+	Answered bool   `json:"answered"`
+	AgeMs    int64  `json:"age_ms"`
+}
+
+// Dump returns the state at a time, bounded in size.
+func (d *Dispatcher) Dump(now time.Time) Dump {
+	out := Dump{Jobs: len(d.jobs), Placements: len(d.placements)}
+	for _, p := range d.placements {
+		if !p.doubtEnds.IsZero() {
+			out.Doubtful++
+		}
+	}
+	for _, a := range d.order {
+		out.Agents = append(out.Agents, AgentDump{
+			Name: a.name, Zone: a.zone, Server: a.state.Server, Ready: a.state.Ready, Capacity: a.state.Capacity,
+			FreeCPU: a.state.FreeCPU, Slowness: a.state.Slowness, Failing: a.state.Failing,
+			Running: len(a.state.Running), Waiting: len(a.state.Queue), AgeMs: now.Sub(a.stateAt).Milliseconds(),
+		})
+	}
+	for _, j := range d.sortedJobs(func(*job) bool { return true }) {
+		if len(out.Open) >= maxDumpRows {
+			break
+		}
+		out.Open = append(out.Open, JobDump{
+			Name: j.Name, Queue: j.Queue.Name, Tasks: j.Tasks, Left: j.left, Answered: j.answered, AgeMs: now.Sub(j.arrived).Milliseconds(),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/dispatch/job.go
@@ -0,0 +1,264 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// job is a submission under way.
+type job struct {
+	Job
+	arrived   time.Time
+	deadline  time.Time // when the caller goes or the answer is worth nothing
+	objective time.Time // when it should end
+	calls     []CallID
+	tasks     []task
+	left      int  // tasks not done
+	begun     bool // a placement was sent and not reported as not started
+	answered  bool
+	live      int // placements that have not ended
+	// successor is a copy of the submission that came after the answer while
+	// tasks were still being stopped.
+	successor *SubmitCalled
+}
+
+// task is one task of a job.
+type task struct {
+	done       bool
+	mayHaveRun bool // some placement was not reported as not started
+	failures   int
+	placed     int // placements so far
+	current    *placement
+	avoid      []string // agents at which it failed
+}
+
+// placement is one attempt to run a task at an agent.
+type placement struct {
+	id        uint64
+	job       *job
+	index     int
+	agent     *agent
+	number    uint64    // of the order
+	sentAt    time.Time // when it was ordered
+	doubtEnds time.Time // when it must have ended though its agent is silent; zero while in session
+}
+
+// submit takes a job in, joins a copy of it, or refuses it.
+func (d *Dispatcher) submit(e SubmitCalled) {
+	if j := d.jobs[e.Job.Name]; j != nil {
+		d.join(j, e)
+		return
+	}
+	if s, ok := d.remembered[e.Job.Name]; ok {
+		d.emit(Answered{Call: e.Call, Status: s})
+		return
+	}
+	j := &job{Job: e.Job, arrived: d.now, left: e.Job.Tasks, tasks: make([]task, e.Job.Tasks)}
+	objective := j.Queue.Objective(j.Estimate)
+	j.objective = d.now.Add(objective)
+	j.deadline = d.now.Add(lateFactor * objective)
+	if j.Timeout > 0 && j.Timeout < lateFactor*objective {
+		j.deadline = d.now.Add(j.Timeout)
+	}
+	plan, err := d.plan(j, j.allTasks())
+	if err != nil {
+		d.refuse(j, e.Call, err)
+		return
+	}
+	j.calls = []CallID{e.Call}
+	d.calls[e.Call] = j
+	d.jobs[j.Name] = j
+	d.logPlan("job_admitted", j, plan)
+	d.carryOut(j, plan)
+}
+
+// join attaches a copy of a submission to the job that is under way.
+func (d *Dispatcher) join(j *job, e SubmitCalled) {
+	d.emit(LogEvent{Event: "job_joined", Job: j.Name, Queue: j.Queue.Name, Detail: fmt.Sprintf("answered=%t live=%d", j.answered, j.live)})
+	if j.answered {
+		if old := j.successor; old != nil {
+			d.emit(Refused{Call: old.Call, Error: structs.Errorf(structs.CodeConflict, structs.NotRun, "replaced by a newer copy")})
+		}
+		j.successor = &e
+		d.calls[e.Call] = j
+		return
+	}
+	j.calls = append(j.calls, e.Call)
+	d.calls[e.Call] = j
+}
+
+func (j *job) allTasks() []int {
+	all := make([]int, j.Tasks)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+func (d *Dispatcher) refuse(j *job, call CallID, err *structs.Error) {
+	d.emit(LogEvent{Event: "job_refused", Job: j.Name, Queue: j.Queue.Name, Verdict: &err.Verdict,
+		Detail: fmt.Sprintf("code=%s reason=%q retry_after_ms=%d waited_ms=%d", err.Code, err.Message, err.RetryAfter.Milliseconds(), d.now.Sub(j.arrived).Milliseconds())})
+	d.emit(Measured{Queue: j.Queue.Name, Took: d.now.Sub(j.arrived)})
+	d.emit(Refused{Call: call, Error: err})
+}
+
+// callGone forgets a caller. A job that nobody waits for is stopped.
+func (d *Dispatcher) callGone(call CallID) {
+	j := d.calls[call]
+	if j == nil {
+		return
+	}
+	delete(d.calls, call)
+	if j.successor != nil && j.successor.Call == call {
+		j.successor = nil
+		return
+	}
+	for i, c := range j.calls {
+		if c == call {
+			j.calls = append(j.calls[:i], j.calls[i+1:]...)
+			break
+		}
+	}
+	if len(j.calls) == 0 && !j.answered {
+		d.emit(LogEvent{Event: "job_abandoned", Job: j.Name, Queue: j.Queue.Name,
+			Detail: fmt.Sprintf("waited_ms=%d left=%d", d.now.Sub(j.arrived).Milliseconds(), j.left)})
+		d.close(j)
+	}
+}
+
+func (d *Dispatcher) cancel(e CancelCalled) {
+	j := d.jobs[e.Name]
+	if j == nil || j.answered {
+		_, known := d.remembered[e.Name]
+		d.emit(CancelReplied{Call: e.Call, Known: known})
+		return
+	}
+	d.answer(j, Canceled, "canceled by the caller")
+	d.emit(CancelReplied{Call: e.Call, Known: true})
+}
+
+// answer gives the final answer of a job and stops what is left of it.
+func (d *Dispatcher) answer(j *job, s Status, reason string) {
+	took := d.now.Sub(j.arrived)
+	late := d.now.After(j.objective)
+	d.emit(LogEvent{Event: "job_answered", Job: j.Name, Queue: j.Queue.Name,
+		Detail: fmt.Sprintf("status=%s reason=%q took_ms=%d objective_ms=%d tasks=%d left=%d", s, reason,
+			took.Milliseconds(), j.objective.Sub(j.arrived).Milliseconds(), j.Tasks, j.left)})
+	d.emit(Measured{Queue: j.Queue.Name, Status: s, Took: took, Late: late})
+	for _, call := range j.calls {
+		delete(d.calls, call)
+		d.emit(Answered{Call: call, Status: s})
+	}
+	j.calls = nil
+	d.remembered[j.Name] = s
+	d.forget = append(d.forget, remembered{name: j.Name, at: d.now})
+	d.close(j)
+}
+
+// giveUp ends a job that cannot be done in time. Only if no task has started
+// does the answer say that it has not run.
+func (d *Dispatcher) giveUp(j *job, code structs.ErrorCode, reason string) {
+	verdict := structs.NotRun
+	if j.begun {
+		verdict = structs.MayHaveRun
+	}
+	err := structs.Errorf(code, verdict, "%s", reason).WithRetryAfter(d.retryAfter(j))
+	for _, call := range j.calls {
+		delete(d.calls, call)
+		d.refuse(j, call, err)
+	}
+	j.calls = nil
+	d.close(j)
+}
+
+// close stops the placements of a job that has its answer, or needs none.
+func (d *Dispatcher) close(j *job) {
+	j.answered = true
+	for i := range j.tasks {
+		if p := j.tasks[i].current; p != nil && p.doubtEnds.IsZero() {
+			o := d.orderTo(p.agent)
+			o.Stop = append(o.Stop, p.id)
+		}
+	}
+	d.releaseIfEnded(j)
+}
+
+// releaseIfEnded forgets a closed job once none of its tasks can run, and takes
+// in the copy that came meanwhile.
+func (d *Dispatcher) releaseIfEnded(j *job) {
+	if !j.answered || j.live > 0 || d.jobs[j.Name] != j {
+		return
+	}
+	delete(d.jobs, j.Name)
+	if next := j.successor; next != nil {
+		delete(d.calls, next.Call)
+		d.submit(*next)
+	}
+}
+
+// ended takes in the end of a placement.
+func (d *Dispatcher) ended(p *placement, r session.Report) {
+	delete(d.placements, p.id)
+	delete(p.agent.pending, p.id)
+	j := p.job
+	t := &j.tasks[p.index]
+	j.live--
+	if t.current == p {
+		t.current = nil
+	}
+	if j.answered {
+		d.releaseIfEnded(j)
+		return
+	}
+	t.mayHaveRun = t.mayHaveRun || r.Outcome != session.NotStarted
+	switch r.Outcome {
+	case session.Done:
+		t.done = true
+		j.left--
+		if j.left == 0 {
+			d.answer(j, Completed, "")
+		}
+		return
+	case session.Failed:
+		t.failures++
+		t.avoid = append(t.avoid, p.agent.name)
+		if t.failures >= max(j.Queue.Attempts, 1) {
+			d.answer(j, Failed, fmt.Sprintf("task %d failed %d times", p.index, t.failures))
+			return
+		}
+	case session.NotStarted:
+		j.begun = j.anyBegun()
+	default:
+		t.avoid = append(t.avoid, p.agent.name)
+	}
+	d.placeAgain(j, p, r.Outcome.String()+": "+r.Reason)
+}
+
+// anyBegun reports whether a task of the job has run, or may.
+func (j *job) anyBegun() bool {
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.mayHaveRun || t.current != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// placeAgain places a task whose last placement has ended, or gives the job up.
+func (d *Dispatcher) placeAgain(j *job, p *placement, why string) {
+	if j.tasks[p.index].placed >= maxPlacements {
+		d.giveUp(j, structs.CodeUnavailable, "task placed too often, last "+why)
+		return
+	}
+	plan, err := d.plan(j, []int{p.index})
+	if err != nil {
+		d.giveUp(j, err.Code, err.Message+"; after "+why)
+		return
+	}
+	d.emit(LogEvent{Event: "task_placed_again", Job: j.Name, Queue: j.Queue.Name, Agent: p.agent.name,
+		Detail: fmt.Sprintf("task=%d why=%q to=%s", p.index, why, plan[0].agent.name)})
+	d.carryOut(j, plan)
+}
--- /dev/null
+++ b/dispatch/options.go
@@ -0,0 +1,57 @@
+// Package dispatch is the state machine of an entry for jobs that their callers
+// name and that are answered when they have ended. It decides what to take and
+// where tasks go, repeats what failed, and stops what nobody waits for.
+//
+// A job lives at the entry that got it. Its tasks are placed under sessions
+// (package session) with agents; a task is placed again only after a report
+// that its last placement has ended, or when that placement must have ended
+// because its session did.
+package dispatch
+
+import (
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// Options are the settings of a Dispatcher.
+type Options struct {
+	Entry       string
+	Incarnation structs.Incarnation
+	Zone        string
+	// DoubtTime is how long a placement may still run after the last word of
+	// its agent: the life of a session, and of a lease that was renewed last
+	// under it.
+	DoubtTime time.Duration
+	// Remember is how long the answer of an ended job is kept for a copy of
+	// its submission.
+	Remember time.Duration
+}
+
+// DefaultRemember covers copies that arrive seconds after the answer.
+const DefaultRemember = 15 * time.Second
+
+const (
+	// lateFactor times its objective is when the answer of a job is worth
+	// nothing any more, by the platform's terms.
+	lateFactor = 3
+	// hopOverhead is the expected time that a job takes beside the work: both
+	// ways between entry, agent and server, as measured on a calm day.
+	hopOverhead = 8 * time.Millisecond
+	// crossZone is the expected extra time to an agent of another availability
+	// zone and back.
+	crossZone = 3 * time.Millisecond
+	// answerMargin is left between the expected end of a job and the caller's
+	// deadline.
+	answerMargin = 10 * time.Millisecond
+	// maxPlacements bounds how often one task is placed.
+	maxPlacements = 12
+	// maxRemembered bounds the answers kept.
+	maxRemembered = 20000
+	// failingShare is the share of failures, in thousandths, from which on an
+	// agent is used only if no other is left.
+	failingShare = 400
+	// fewSamples is how many runs make a learned slowness worth more than the
+	// one that was known before.
+	fewSamples = 3
+)
--- /dev/null
+++ b/dispatch/plan.go
@@ -0,0 +1,197 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+	"github.com/chestnuthollow/chestnuthollow/timeline"
+)
+
+// assignment is the choice of an agent for a task.
+type assignment struct {
+	index  int
+	agent  *agent
+	finish time.Duration // expected, from now
+	runs   time.Duration // expected run time
+}
+
+// candidate is an agent that may run tasks of a job.
+type candidate struct {
+	agent *agent
+	line  *timeline.Timeline
+	runs  time.Duration
+	extra time.Duration // on the way
+	taken int
+}
+
+// finish returns when another task of the size would end there.
+func (c *candidate) finish(cpu int) (time.Duration, bool) {
+	start, ok := c.line.Start(cpu)
+	return start + c.runs + c.extra, ok
+}
+
+// plan chooses an agent for each of the tasks, or says why the job cannot be
+// done in time.
+func (d *Dispatcher) plan(j *job, tasks []int) ([]assignment, *structs.Error) {
+	candidates := d.candidates(j, tasks)
+	if len(candidates) == 0 {
+		return nil, structs.Errorf(structs.CodeUnavailable, structs.NotRun, "no agent of service %s takes orders", j.Queue.Service).
+			WithRetryAfter(retryUnavailable)
+	}
+	plan := make([]assignment, 0, len(tasks))
+	for _, index := range tasks {
+		best, finish := pick(candidates, j)
+		if best == nil {
+			return nil, structs.Errorf(structs.CodeOverloaded, structs.NotRun, "no server has room for a task of %d thousandths of a core", j.CPU).
+				WithRetryAfter(d.retryAfter(j))
+		}
+		best.line.Take(j.CPU, best.runs)
+		best.taken++
+		plan = append(plan, assignment{index: index, agent: best.agent, finish: finish, runs: best.runs})
+	}
+	last := slices.MaxFunc(plan, func(a, b assignment) int { return int(a.finish - b.finish) })
+	if d.now.Add(last.finish + answerMargin).After(j.deadline) {
+		return nil, structs.Errorf(structs.CodeOverloaded, structs.NotRun,
+			"expected to end in %d ms, the deadline is in %d ms", last.finish.Milliseconds(), j.deadline.Sub(d.now).Milliseconds()).
+			WithRetryAfter(d.retryAfter(j))
+	}
+	return plan, nil
+}
+
+// retryUnavailable is when to come back if no server is known: sessions and
+// heartbeats are back in about two seconds.
+const retryUnavailable = 2 * time.Second
+
+// retryAfter returns when the job's service is expected to have room.
+func (d *Dispatcher) retryAfter(j *job) time.Duration {
+	wait := time.Second
+	if c := d.candidates(j, nil); len(c) > 0 {
+		if best, finish := pick(c, j); best != nil {
+			wait = max(wait, finish-best.runs)
+		}
+	}
+	return wait
+}
+
+func pick(candidates []*candidate, j *job) (*candidate, time.Duration) {
+	var best *candidate
+	var earliest time.Duration
+	for _, c := range candidates {
+		if j.MaxPerServer > 0 && c.taken >= j.MaxPerServer {
+			continue
+		}
+		if f, ok := c.finish(j.CPU); ok && (best == nil || f < earliest) {
+			best, earliest = c, f
+		}
+	}
+	return best, earliest
+}
+
+// candidates returns the agents that may run the tasks. Agents that fail their
+// tasks, or failed one of these, are left out while others are there.
+func (d *Dispatcher) candidates(j *job, tasks []int) []*candidate {
+	var sound, rest []*candidate
+	for _, a := range d.order {
+		s := &a.state
+		if !s.Ready || s.Service != j.Queue.Service || j.CPU > s.Capacity || j.Needs != "" && !slices.Contains(s.Labels, j.Needs) {
+			continue
+		}
+		runs := d.expect(a, j.Estimate)
+		c := &candidate{agent: a, line: d.timeline(a, j.objective.Sub(d.now)-runs), runs: runs, extra: hopOverhead, taken: d.tasksAt(j, a)}
+		if a.zone != d.opts.Zone {
+			c.extra += crossZone
+		}
+		if s.Failing >= failingShare || avoids(j, tasks, a.name) {
+			rest = append(rest, c)
+		} else {
+			sound = append(sound, c)
+		}
+	}
+	if len(sound) > 0 {
+		return sound
+	}
+	return rest
+}
+
+func (d *Dispatcher) tasksAt(j *job, a *agent) int {
+	n := 0
+	for i := range j.tasks {
+		if p := j.tasks[i].current; p != nil && p.agent == a {
+			n++
+		}
+	}
+	return n
+}
+
+func avoids(j *job, tasks []int, name string) bool {
+	for _, i := range tasks {
+		if slices.Contains(j.tasks[i].avoid, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// carryOut orders the planned tasks.
+func (d *Dispatcher) carryOut(j *job, plan []assignment) {
+	limit := j.objective
+	for _, as := range plan {
+		if d.now.Add(as.finish).After(limit) {
+			limit = j.deadline
+		}
+	}
+	for _, as := range plan {
+		t := &j.tasks[as.index]
+		t.placed++
+		d.lastID++
+		o := d.orderTo(as.agent)
+		p := &placement{id: d.lastID, job: j, index: as.index, agent: as.agent, number: o.Number, sentAt: d.now}
+		t.current = p
+		d.placements[p.id] = p
+		as.agent.pending[p.id] = p
+		j.live++
+		within := limit.Sub(d.now) - as.runs - as.agent.extraFrom(d)
+		addToOrder(o, j, session.Placement{ID: p.id, Index: as.index, Attempt: t.placed}, max(within, time.Millisecond))
+	}
+	j.begun = true
+}
+
+func (a *agent) extraFrom(d *Dispatcher) time.Duration {
+	if a.zone != d.opts.Zone {
+		return hopOverhead + crossZone
+	}
+	return hopOverhead
+}
+
+// addToOrder adds a task to the part of its job.
+func addToOrder(o *Order, j *job, p session.Placement, within time.Duration) {
+	for i := range o.Start {
+		if o.Start[i].Job == j.Name {
+			o.Start[i].Tasks = append(o.Start[i].Tasks, p)
+			return
+		}
+	}
+	o.Start = append(o.Start, session.JobPart{
+		Job: j.Name, Spec: j.Spec, Service: j.Queue.Service, CPU: j.CPU, MemMB: j.MemMB, GPU: j.GPU,
+		Estimate: j.Estimate, StartWithin: within, Tasks: []session.Placement{p},
+	})
+}
+
+func (d *Dispatcher) logPlan(event string, j *job, plan []assignment) {
+	var to strings.Builder
+	var last time.Duration
+	for i, as := range plan {
+		if i > 0 {
+			to.WriteByte(',')
+		}
+		to.WriteString(as.agent.name)
+		last = max(last, as.finish)
+	}
+	d.emit(LogEvent{Event: event, Job: j.Name, Queue: j.Queue.Name,
+		Detail: fmt.Sprintf("tasks=%d cpu=%d estimate_ms=%d expected_ms=%d objective_ms=%d deadline_ms=%d to=%s", j.Tasks, j.CPU,
+			j.Estimate.Milliseconds(), last.Milliseconds(), j.objective.Sub(j.arrived).Milliseconds(), j.deadline.Sub(j.arrived).Milliseconds(), to.String())})
+}
--- /dev/null
+++ b/gateway/config.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/chestnuthollow/chestnuthollow/keyedlog"
+	"github.com/chestnuthollow/chestnuthollow/routing"
+	"github.com/chestnuthollow/chestnuthollow/session"
+)
+
+// configuration is the newest version of the operators' configuration. It only
+// moves to higher versions.
+type configuration struct {
+	table atomic.Pointer[routing.Table]
+
+	mu   sync.Mutex
+	text session.Config
+}
+
+// raw returns the configuration as the store holds it.
+func (c *configuration) raw() session.Config {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.text
+}
+
+// takeConfig puts a version in force if it is newer. Source says where it came
+// from, for the log.
+func (g *Gateway) takeConfig(cfg session.Config, source string) {
+	if len(cfg.Text) == 0 {
+		return
+	}
+	t, err := g.platform.DecodeConfig(cfg.Text)
+	if err != nil {
+		g.metrics.configErrors.Inc(1)
+		level.Warn(g.logger).Log("event", "config_unreadable", "source", source, "reason", err)
+		return
+	}
+	g.config.mu.Lock()
+	defer g.config.mu.Unlock()
+	if t.Version <= g.config.text.Version {
+		return
+	}
+	level.Info(g.logger).Log("event", "config_in_force", "version", t.Version, "before", g.config.text.Version,
+		"source", source, "queues", len(t.Queues))
+	g.config.text = session.Config{Version: t.Version, Text: cfg.Text}
+	g.config.table.Store(t)
+	g.metrics.configVersion.Update(t.Version)
+}
+
+func (g *Gateway) followConfig() {
+	keyedlog.Follow(g.background, g.platform.Store, g.platform.ConfigTopic, &configHandler{gateway: g})
+}
+
+// configHandler takes in the records of the configuration's topic.
+type configHandler struct {
+	gateway *Gateway
+	lostAt  time.Time
+}
+
+// Read implements keyedlog.Handler.
+func (h *configHandler) Read(records []keyedlog.Record) {
+	for _, r := range records {
+		if r.Key == h.gateway.platform.ConfigKey && len(r.Value) > 0 {
+			h.gateway.takeConfig(session.Config{Text: r.Value}, fmt.Sprintf("store offset %d", r.Offset))
+		}
+	}
+}
+
+// Lost implements keyedlog.Handler.
+func (h *configHandler) Lost(err error) {
+	h.lostAt = time.Now()
+	h.gateway.storeOut.Store(true)
+	h.gateway.metrics.storeLost.Inc(1)
+	level.Warn(h.gateway.logger).Log("event", "store_lost", "topic", h.gateway.platform.ConfigTopic, "reason", err)
+}
+
+// Regained implements keyedlog.Handler.
+func (h *configHandler) Regained() {
+	h.gateway.storeOut.Store(false)
+	level.Info(h.gateway.logger).Log("event", "store_regained", "topic", h.gateway.platform.ConfigTopic, "away", time.Since(h.lostAt))
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,262 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/chestnuthollow/chestnuthollow/dispatch"
+	"github.com/chestnuthollow/chestnuthollow/guard"
+	"github.com/chestnuthollow/chestnuthollow/internal/logging"
+	"github.com/chestnuthollow/chestnuthollow/internal/ops"
+	"github.com/chestnuthollow/chestnuthollow/internal/random"
+	"github.com/chestnuthollow/chestnuthollow/internal/rpcserver"
+	"github.com/chestnuthollow/chestnuthollow/roster"
+	"github.com/chestnuthollow/chestnuthollow/routing"
+	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+const (
+	// leaveNotice is how long a leaving entry serves on at least: the balancer
+	// takes it out after two misses, a second apart.
+	leaveNotice = 2500 * time.Millisecond
+	// stopReserve is what is left of the grace for closing connections.
+	stopReserve = 700 * time.Millisecond
+	// leavePoll is how often a leaving entry looks whether it is done.
+	leavePoll = 50 * time.Millisecond
+)
+
+// Gateway is one run of an entry.
+type Gateway struct {
+	opts     Options
+	platform Platform
+	logger   log.Logger
+	self     session.Process
+	roster   *roster.Roster
+	metrics  *gatewayMetrics
+	config   configuration
+	leaving  atomic.Bool
+	storeOut atomic.Bool // the store does not answer this process
+
+	listeners []net.Listener
+	servers   []*http.Server
+	rpc       *rpcserver.Server
+
+	background context.Context // ends when the process stops
+	stop       context.CancelFunc
+
+	linksMu sync.Mutex
+	links   map[string]*link // by address
+
+	mu         sync.Mutex
+	dispatcher *dispatch.Dispatcher
+	nextCall   dispatch.CallID
+	nextAgent  dispatch.AgentID
+	calls      map[dispatch.CallID]chan Outcome
+	sessions   map[dispatch.AgentID]*agentSession
+	timer      *time.Timer
+}
+
+// Outcome is the final answer to a submission.
+type Outcome struct {
+	Status  dispatch.Status // zero if Refused is set
+	Refused *structs.Error
+}
+
+// New binds the entry's addresses.
+func New(opts Options, p Platform, logger log.Logger) (*Gateway, error) {
+	g := &Gateway{
+		opts:     opts,
+		platform: p,
+		logger:   logger,
+		roster:   roster.New(opts.PeerAddr),
+		links:    make(map[string]*link),
+		calls:    make(map[dispatch.CallID]chan Outcome),
+		sessions: make(map[dispatch.AgentID]*agentSession),
+	}
+	g.self = session.Process{
+		Name: opts.Name, Role: session.RoleEntry, Addr: opts.PeerAddr, Incarnation: structs.Incarnation(random.NonZero()),
+	}
+	g.dispatcher = dispatch.New(dispatch.Options{
+		Entry: opts.Name, Incarnation: g.self.Incarnation, Zone: opts.Zone,
+		DoubtTime: guard.DoubtTime(opts.LeaseMax.D(), opts.StopTimeout.D()), Remember: dispatch.DefaultRemember,
+	})
+	g.metrics = newMetrics(g)
+	g.background, g.stop = context.WithCancel(context.Background())
+	g.timer = time.AfterFunc(time.Hour, func() { g.step(dispatch.Ticked{}) })
+	for _, addr := range []string{opts.JobsAddr, opts.ReadyAddr, opts.OpsAddr, opts.PeerAddr} {
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			g.closeListeners()
+			return nil, fmt.Errorf("entry: %w", err)
+		}
+		g.listeners = append(g.listeners, l)
+	}
+	g.rpc = rpcserver.New(rpcserver.DefaultOptions(), structs.EntryService, func(context.Context) any {
+		return &peerReceiver{gateway: g}
+	})
+	return g, nil
+}
+
+func (g *Gateway) closeListeners() {
+	for _, l := range g.listeners {
+		l.Close()
+	}
+}
+
+// Run serves until ctx is canceled, and then stops gracefully: the balancer is
+// told, open jobs are finished, and open connections are served meanwhile.
+func (g *Gateway) Run(ctx context.Context) error {
+	level.Info(g.logger).Log("event", "started", "incarnation", g.self.Incarnation, "zone", g.opts.Zone,
+		"jobs_addr", g.opts.JobsAddr, "peer_addr", g.opts.PeerAddr, "seeds", fmt.Sprint(g.opts.Seeds))
+	g.serve(0, g.platform.Jobs(g))
+	g.serve(1, g.platform.Ready(g))
+	e := ops.NewServer()
+	ops.Register(e, g, g.metrics.registry)
+	g.serve(2, e)
+	go g.rpc.Serve(g.listeners[3])
+	go g.followConfig()
+	go g.followMembers()
+	go g.exchange()
+
+	<-ctx.Done()
+	started := time.Now()
+	level.Info(g.logger).Log("event", "stopping", "open_jobs", g.openJobs(), "grace", g.opts.Grace.D())
+	g.leaving.Store(true)
+	g.step(dispatch.LeaveRequested{})
+	for time.Since(started) < g.opts.Grace.D()-stopReserve && (time.Since(started) < leaveNotice || g.openJobs() > 0) {
+		time.Sleep(leavePoll)
+	}
+	return g.shutdown(started)
+}
+
+func (g *Gateway) shutdown(started time.Time) error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopReserve/2)
+	defer cancel()
+	var err error
+	for _, s := range g.servers {
+		err = errors.Join(err, s.Shutdown(ctx))
+	}
+	open := g.openJobs()
+	g.stop()
+	g.closeListeners()
+	g.timer.Stop()
+	level.Info(g.logger).Log("event", "stopped", "open_jobs", open, "took", time.Since(started))
+	return err
+}
+
+// serve starts an HTTP server on the listener with the index.
+func (g *Gateway) serve(listener int, h http.Handler) {
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: 3 * time.Second,
+		ReadTimeout:       10 * time.Second,
+		IdleTimeout:       time.Minute,
+		MaxHeaderBytes:    16 << 10,
+		ErrorLog:          logging.Stdlib(g.logger, "http_server"),
+	}
+	g.servers = append(g.servers, s)
+	go s.Serve(g.listeners[listener])
+}
+
+// Table returns the configuration in force; nil if none is known yet.
+func (g *Gateway) Table() *routing.Table { return g.config.table.Load() }
+
+// Leaving reports whether the entry is stopping.
+func (g *Gateway) Leaving() bool { return g.leaving.Load() }
+
+// Ready implements ops.Source: an entry is ready while it knows the
+// configuration and an agent takes orders.
+func (g *Gateway) Ready() error {
+	if g.Leaving() {
+		return errors.New("leaving")
+	}
+	t := g.Table()
+	if t == nil {
+		return errors.New("no configuration yet")
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range t.ServiceNames() {
+		if g.dispatcher.Serving(s) > 0 {
+			return nil
+		}
+	}
+	return errors.New("no agent takes orders")
+}
+
+// Submit runs a job and returns its final answer. If ctx ends first, the job is
+// stopped and the answer is of no use.
+func (g *Gateway) Submit(ctx context.Context, j dispatch.Job) Outcome {
+	ch := make(chan Outcome, 1)
+	g.mu.Lock()
+	g.nextCall++
+	call := g.nextCall
+	g.calls[call] = ch
+	g.mu.Unlock()
+	g.step(dispatch.SubmitCalled{Call: call, Job: j})
+	select {
+	case o := <-ch:
+		return o
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	delete(g.calls, call)
+	g.mu.Unlock()
+	g.step(dispatch.CallGone{Call: call})
+	return Outcome{Status: dispatch.Canceled}
+}
+
+// Cancel ends a job. It reports whether this entry knows it.
+func (g *Gateway) Cancel(name string) bool {
+	var known bool
+	for _, ef := range g.step(dispatch.CancelCalled{Name: name}) {
+		if r, ok := ef.(dispatch.CancelReplied); ok {
+			known = r.Known
+		}
+	}
+	return known
+}
+
+// StatusOf returns the state of a job that this entry knows.
+func (g *Gateway) StatusOf(name string) (dispatch.Status, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dispatcher.StatusOf(name)
+}
+
+// Pending returns how many jobs of a queue wait here with no task begun.
+func (g *Gateway) Pending(queue string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dispatcher.Pending(queue)
+}
+
+func (g *Gateway) openJobs() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dispatcher.OpenJobs()
+}
+
+// Rejected notes a submission that was turned away before it was considered.
+func (g *Gateway) Rejected(job, queue string, err error) {
+	g.metrics.rejected.Inc(1)
+	level.Info(g.logger).Log("event", "job_rejected", "job", job, "queue", queue, "verdict", structs.NotRun, "reason", err)
+}
+
+// Reload takes in changed settings: new seeds. Addresses and limits need a
+// restart.
+func (g *Gateway) Reload(opts Options) {
+	for _, addr := range opts.Seeds {
+		g.roster.Add(time.Now(), session.Process{Name: "seed", Role: session.RoleEntry, Addr: addr})
+	}
+}
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/chestnuthollow/chestnuthollow/dispatch"
+	"github.com/chestnuthollow/chestnuthollow/internal/rpcconn"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// Size of the samples from which latency histograms are taken.
+const (
+	sampleSize  = 512
+	sampleAlpha = 0.015 // favors the last five minutes
+)
+
+// gatewayMetrics are the metrics of an entry. Times are in microseconds.
+type gatewayMetrics struct {
+	registry      metrics.Registry
+	configVersion metrics.Gauge
+	configErrors  metrics.Counter
+	storeLost     metrics.Counter
+	rejected      metrics.Counter
+}
+
+func newMetrics(g *Gateway) *gatewayMetrics {
+	r := metrics.NewRegistry()
+	m := &gatewayMetrics{
+		registry:      r,
+		configVersion: metrics.NewRegisteredGauge("config.version", r),
+		configErrors:  metrics.NewRegisteredCounter("config.unreadable", r),
+		storeLost:     metrics.NewRegisteredCounter("store.lost", r),
+		rejected:      metrics.NewRegisteredCounter("jobs.rejected", r),
+	}
+	r.Register("jobs.open", metrics.NewFunctionalGauge(func() int64 { return int64(g.openJobs()) }))
+	r.Register("bytes.sent", metrics.NewFunctionalGauge(func() int64 { return rpcconn.Carried().BytesSent }))
+	r.Register("sessions", metrics.NewFunctionalGauge(func() int64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return int64(len(g.sessions))
+	}))
+	return m
+}
+
+// measured counts a finished job by queue and outcome.
+func (m *gatewayMetrics) measured(e *dispatch.Measured) {
+	outcome := "refused"
+	if e.Status != 0 {
+		outcome = e.Status.String()
+	}
+	name := "jobs." + e.Queue + "." + outcome
+	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
+	if e.Late && e.Status == dispatch.Completed {
+		metrics.GetOrRegisterCounter("jobs."+e.Queue+".late", m.registry).Inc(1)
+	}
+	h, ok := m.registry.Get(name + ".time").(metrics.Histogram)
+	if !ok {
+		h = metrics.NewRegisteredHistogram(name+".time", m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}
+	h.Update(e.Took.Microseconds())
+}
+
+// Dump implements ops.Source.
+func (g *Gateway) Dump() any {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return struct {
+		Name        string              `json:"name"`
+		Incarnation structs.Incarnation `json:"incarnation"`
+		Config      int64               `json:"config_version"`
+		Leaving     bool                `json:"leaving"`
+		State       any                 `json:"state"`
+	}{g.opts.Name, g.self.Incarnation, g.config.raw().Version, g.leaving.Load(), g.dispatcher.Dump(time.Now())}
+}
--- /dev/null
+++ b/gateway/step.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/chestnuthollow/chestnuthollow/dispatch"
+)
+
+// step feeds the dispatcher one event and carries its effects out, in order. No
+// effect blocks.
+func (g *Gateway) step(ev dispatch.Event) []dispatch.Effect {
+	g.mu.Lock()
+	now := time.Now()
+	effects := g.dispatcher.Step(now, ev)
+	for _, ef := range effects {
+		g.carryOut(ef)
+	}
+	if wake := g.dispatcher.NextWake(); !wake.IsZero() {
+		g.timer.Reset(max(wake.Sub(now), time.Millisecond))
+	}
+	g.mu.Unlock()
+	for _, ef := range effects {
+		switch ef := ef.(type) {
+		case dispatch.LogEvent:
+			g.log(&ef)
+		case dispatch.Measured:
+			g.metrics.measured(&ef)
+		}
+	}
+	return effects
+}
+
+// carryOut is called with g.mu held.
+func (g *Gateway) carryOut(ef dispatch.Effect) {
+	switch ef := ef.(type) {
+	case dispatch.Order:
+		if s := g.sessions[ef.ID]; s != nil {
+			s.send(ef)
+		}
+	case dispatch.Answered:
+		g.deliver(ef.Call, Outcome{Status: ef.Status})
+	case dispatch.Refused:
+		g.deliver(ef.Call, Outcome{Refused: ef.Error})
+	}
+}
+
+// deliver is called with g.mu held.
+func (g *Gateway) deliver(call dispatch.CallID, o Outcome) {
+	if ch := g.calls[call]; ch != nil {
+		delete(g.calls, call)
+		ch <- o
+	}
+}
+
+func (g *Gateway) log(line *dispatch.LogEvent) {
+	kv := []any{"event", line.Event}
+	if line.Job != "" {
+		kv = append(kv, "job", line.Job)
+	}
+	if line.Queue != "" {
+		kv = append(kv, "queue", line.Queue)
+	}
+	if line.Agent != "" {
+		kv = append(kv, "agent", line.Agent)
+	}
+	if line.Verdict != nil {
+		kv = append(kv, "verdict", line.Verdict)
+	}
+	if line.Detail != "" {
+		kv = append(kv, "detail", line.Detail)
+	}
+	level.Info(g.logger).Log(kv...)
+}
--- /dev/null
+++ b/guard/options.go
@@ -0,0 +1,85 @@
+// Package guard is the state machine of an agent that guards one backend server
+// whose tasks run under a lease. It is the last place that decides whether a
+// task starts: it holds the server's capacity, ends the tasks of sessions that
+// have gone, and renews the lease while all is well.
+//
+// Safety rests on the server's own clock. Every start and renewal carries an
+// absolute end of the lease, counted from the last clock reading that the
+// server gave. A call that is delayed, or that an agent makes after it was
+// suspended, carries an end that has passed and does nothing.
+package guard
+
+import (
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// Options are the settings of a Guard.
+type Options struct {
+	Agent       string
+	Incarnation structs.Incarnation
+	Zone        string
+	Service     string
+	// Token is the first fencing token to try; a higher one is taken if the
+	// server has seen a higher one.
+	Token int64
+	// Lease is what a renewal grants from the last clock reading.
+	Lease time.Duration
+	// SessionTTL is how long a session lives without a fresh message.
+	SessionTTL time.Duration
+	// LookWait is how long the server may hold back the answer to a look.
+	LookWait time.Duration
+	// PollWait is how long a poll without reports is held back.
+	PollWait time.Duration
+	// StopTimeout is the longest time the server takes to end a stopped task.
+	StopTimeout time.Duration
+}
+
+// Defaults; together they keep a task of a lost entry from running longer than
+// SessionTTL + LookWait + Lease, which must stay below the 1,300 ms after which
+// a caller may submit the job elsewhere.
+const (
+	DefaultLease      = 500 * time.Millisecond
+	DefaultSessionTTL = 550 * time.Millisecond
+	DefaultLookWait   = 100 * time.Millisecond
+	DefaultPollWait   = 120 * time.Millisecond
+)
+
+// DoubtTime returns how long a task may run after the last word of its agent:
+// until its session has expired and the stop was carried out or, should the
+// agent have gone as well, the last lease has lapsed. LeaseMax is the platform's
+// bound of a lease, stopTimeout that of a stop.
+func DoubtTime(leaseMax, stopTimeout time.Duration) time.Duration {
+	longest := DefaultSessionTTL + DefaultLookWait + min(DefaultLease, leaseMax) + stopTimeout
+	return time.Duration(float64(longest) * (1 + clockDrift))
+}
+
+const (
+	// clockDrift is how much slower than real time a server's clock may run:
+	// the platform's bound of 2 %.
+	clockDrift = 0.02
+	// lookRetry is the pause after a look that failed; a tenth of the lease
+	// leaves several tries before it ends.
+	lookRetry = 50 * time.Millisecond
+	// stallAfter is how long a running task may show no progress before it is
+	// stopped: over two looks, well under the second within which hanging
+	// servers should be found.
+	stallAfter = 300 * time.Millisecond
+	// tokenStep is added to a fencing token that was refused, in ms: more than
+	// the clock steps of the platform.
+	tokenStep = 10_000
+	// maxRunTries bounds the run numbers tried for one start.
+	maxRunTries = 8
+	// failureWeight is the weight of the newest outcome in the share of
+	// failures; five outcomes then decide.
+	failureWeight = 0.2
+	// suspectShare is the share of failures from which on a server runs one
+	// task at a time, as a probe.
+	suspectShare = 0.5
+	// slownessWeight is the weight of the newest run time in the learned
+	// slowness: estimates are off by 40 %, so some twenty runs are averaged.
+	slownessWeight = 0.08
+	// minWarmSamples is how many runs replace the initial slowness by a mean.
+	minWarmSamples = 12
+)
--- /dev/null
+++ b/guard/run.go
@@ -0,0 +1,217 @@
+package guard
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/session"
+)
+
+type phase uint8
+
+const (
+	waiting  phase = iota // in the queue
+	starting              // StartRun is out
+	running               // the start was acknowledged
+	stopping              // StopRun is out, or acknowledged and not yet listed
+)
+
+var phaseNames = [...]string{"waiting", "starting", "running", "stopping"}
+
+// run is one placement of a task at this agent.
+type run struct {
+	key      RunKey
+	id       uint64 // placement
+	session  *entrySession
+	spec     string
+	cpu, mem int
+	gpu      int
+	estimate time.Duration
+	startBy  time.Time
+	phase    phase
+	runTries int
+
+	startedAt  time.Time // of the acknowledgement
+	confirmed  bool      // the start was acknowledged or seen
+	percent    int
+	progressAt time.Time // of the last change of percent
+	stopAcked  time.Time // zero if not yet
+	outcome    session.Outcome
+	reason     string
+}
+
+// finish takes a run out and reports its outcome to its session.
+func (g *Guard) finish(r *run, o session.Outcome, reason string) {
+	if g.runs[r.key.TaskKey] == r {
+		delete(g.runs, r.key.TaskKey)
+	}
+	if i := slices.Index(g.queue, r); i >= 0 {
+		g.queue = slices.Delete(g.queue, i, i+1)
+	}
+	rep := session.Report{ID: r.id, Outcome: o, Reason: reason}
+	if r.confirmed {
+		rep.Ran = g.now.Sub(r.startedAt)
+	}
+	g.emit(LogEvent{
+		Event: "task_ended", Job: r.key.String(), Entry: r.session.entry,
+		Detail: fmt.Sprintf("outcome=%s reason=%q ran_ms=%d clock_ms=%d", o, reason, rep.Ran.Milliseconds(), g.clock.Milliseconds()),
+	})
+	r.session.report(rep)
+}
+
+// loseRuns ends the runs that match, which are known to run no more.
+func (g *Guard) loseRuns(reason string, match func(*run) bool) {
+	for _, r := range g.sortedRuns() {
+		if match(r) {
+			g.finish(r, session.Lost, reason)
+		}
+	}
+}
+
+// sortedRuns returns the runs in a fixed order, so that equal states give equal
+// effects.
+func (g *Guard) sortedRuns() []*run {
+	list := make([]*run, 0, len(g.runs))
+	for _, r := range g.runs {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *run) int { return int(int64(a.id) - int64(b.id)) })
+	return list
+}
+
+// used returns what runs and what is being stopped still take.
+func (g *Guard) used() (cpu, mem, gpu int) {
+	for _, r := range g.runs {
+		if r.phase != waiting {
+			cpu += r.cpu
+			mem += r.mem
+			gpu += r.gpu
+		}
+	}
+	return cpu, mem, gpu
+}
+
+// fits reports whether a task has room now. A server that fails its tasks gets
+// one at a time, as a probe.
+func (g *Guard) fits(r *run) bool {
+	cpu, mem, gpu := g.used()
+	if g.health.suspect() && cpu > 0 {
+		return false
+	}
+	return cpu+r.cpu <= g.server.CPU && mem+r.mem <= g.server.MemMB && gpu+r.gpu <= g.server.GPU
+}
+
+// startQueued starts waiting tasks that have room, the most urgent first.
+func (g *Guard) startQueued() {
+	if !g.active() {
+		return
+	}
+	for _, r := range slices.Clone(g.queue) {
+		if !r.session.fresh(g) {
+			continue
+		}
+		if g.fits(r) {
+			g.queue = slices.DeleteFunc(g.queue, func(q *run) bool { return q == r })
+			g.start(r)
+		}
+	}
+}
+
+func (g *Guard) start(r *run) {
+	r.phase = starting
+	g.emit(StartRun{Key: r.key, Spec: r.spec, Until: min(g.leaseEnd(), r.session.echo.Clock+g.opts.SessionTTL), Token: g.token, Server: g.server.ID})
+}
+
+// stop ends a run early; outcome is what it is reported as when it has ended.
+func (g *Guard) stop(r *run, o session.Outcome, reason string) {
+	switch r.phase {
+	case waiting:
+		g.finish(r, session.NotStarted, reason)
+		return
+	case stopping:
+		return
+	}
+	r.phase = stopping
+	r.outcome, r.reason = o, reason
+	g.emit(StopRun{Key: r.key, Token: g.token, Server: g.server.ID})
+}
+
+func (g *Guard) startReplied(e StartReplied) {
+	g.readClock(e.Server, e.Clock)
+	r := g.runs[e.Key.TaskKey]
+	if r == nil || r.key != e.Key {
+		return
+	}
+	if e.Result == StartAccepted && !r.confirmed {
+		r.confirmed = true
+		r.startedAt = g.now
+		r.progressAt = g.now
+	}
+	if r.phase != starting {
+		return
+	}
+	switch e.Result {
+	case StartAccepted:
+		r.phase = running
+		g.emit(LogEvent{Event: "task_started", Job: r.key.String(), Entry: r.session.entry,
+			Detail: fmt.Sprintf("cpu=%d estimate_ms=%d clock_ms=%d", r.cpu, r.estimate.Milliseconds(), g.clock.Milliseconds())})
+	case StartOld:
+		g.retryNumber(r)
+	case StartFenced:
+		g.raiseToken()
+		g.finish(r, session.NotStarted, "fenced")
+	case StartUnknown:
+		g.health.failed()
+		g.stop(r, session.NotStarted, "start without an answer")
+	case StartDeclined:
+		g.health.failed()
+		g.finish(r, session.NotStarted, e.Result.String())
+	default:
+		g.finish(r, session.NotStarted, e.Result.String())
+	}
+}
+
+// retryNumber starts a task again under a higher run number: the server knows
+// an ended run of it, ordered by another session.
+func (g *Guard) retryNumber(r *run) {
+	r.runTries++
+	if r.runTries >= maxRunTries {
+		g.finish(r, session.NotStarted, "no unused run number")
+		return
+	}
+	r.key.Number += r.runTries
+	g.start(r)
+}
+
+func (g *Guard) stopReplied(e StopReplied) {
+	g.readClock(0, e.Clock)
+	r := g.runs[e.Key.TaskKey]
+	if r == nil || r.key != e.Key || r.phase != stopping {
+		return
+	}
+	if !e.OK {
+		g.emit(StopRun{Key: r.key, Token: g.token, Server: g.server.ID})
+		return
+	}
+	if r.stopAcked.IsZero() {
+		r.stopAcked = g.now
+		g.lookNow()
+	}
+}
+
+// dropQueued refuses all that waits.
+func (g *Guard) dropQueued(reason string) {
+	for _, r := range slices.Clone(g.queue) {
+		g.finish(r, session.NotStarted, reason)
+	}
+}
+
+// dropLateQueued refuses what has waited too long.
+func (g *Guard) dropLateQueued() {
+	for _, r := range slices.Clone(g.queue) {
+		if g.now.After(r.startBy) {
+			g.finish(r, session.NotStarted, "no room in time")
+		}
+	}
+}
--- /dev/null
+++ b/guard/server.go
@@ -0,0 +1,225 @@
+package guard
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/session"
+)
+
+// serverReported takes in a heartbeat. One of an earlier run, or older than the
+// newest of its run, is ignored.
+func (g *Guard) serverReported(info ServerInfo) {
+	if info.Run < g.server.Run || info.Run < g.clockRun || info.Run == g.server.Run && info.Seq <= g.server.Seq {
+		return
+	}
+	old := g.server
+	g.server = info
+	if info.Run != old.Run {
+		g.log("server_registered", fmt.Sprintf("server=%s run=%d cpu=%d mem_mb=%d", info.ID, info.Run, info.CPU, info.MemMB))
+		g.lookNow()
+		g.wakePolls()
+	}
+	if info.Draining && !old.Draining {
+		g.log("server_draining", "server="+info.ID)
+		g.dropQueued("the backend server is leaving")
+		g.wakePolls()
+	}
+}
+
+func (g *Guard) serverLeft(id string) {
+	if id != g.server.ID {
+		return
+	}
+	g.log("server_left", "server="+id)
+	g.server.Draining = true
+	g.dropQueued("the backend server has left")
+	g.wakePolls()
+}
+
+// sendLook keeps one look outstanding.
+func (g *Guard) sendLook() {
+	if g.look != nil || g.now.Before(g.nextLook) {
+		return
+	}
+	g.lookID++
+	l := Look{ID: g.lookID, Token: g.token, Seen: g.seenEnd, Wait: g.opts.LookWait}
+	if g.clean && g.clockRun != 0 && !g.fenced {
+		l.Until = g.leaseEnd()
+	} else {
+		l.Wait = 0
+	}
+	if g.server.Run == g.clockRun {
+		l.Server = g.server.ID
+	}
+	g.look = &pendingLook{id: l.ID, sentAt: g.now}
+	g.emit(l)
+}
+
+// lookNow sends another look without waiting for the one that is out.
+func (g *Guard) lookNow() {
+	g.look = nil
+	g.nextLook = g.now
+}
+
+func (g *Guard) lookReplied(e LookReplied) {
+	p := g.look
+	if p == nil || p.id != e.ID {
+		p = nil // superseded: its ends count, its absences do not
+	} else {
+		g.look = nil
+		g.nextLook = g.now
+	}
+	if !e.OK {
+		g.lookFailedWith(e)
+		return
+	}
+	if g.lookFailed {
+		g.lookFailed = false
+		g.log("server_regained", fmt.Sprintf("run=%d", e.Server))
+	}
+	if e.Server < g.clockRun || e.Server < g.server.Run {
+		g.nextLook = g.now.Add(lookRetry)
+		return // an earlier run answered late
+	}
+	if e.Server != g.clockRun {
+		g.serverReplaced(e)
+	}
+	g.fenced = false
+	g.readClock(e.Server, e.Clock)
+	g.takeEnds(e.Ended)
+	g.takeRunning(e.Running, p)
+}
+
+func (g *Guard) lookFailedWith(e LookReplied) {
+	if e.Fenced {
+		g.raiseToken()
+		return
+	}
+	g.nextLook = g.now.Add(lookRetry)
+	if !g.lookFailed {
+		g.lookFailed = true
+		g.log("server_lost", "reason="+e.Reason)
+	}
+}
+
+// raiseToken takes a higher fencing token: an earlier agent used one as high.
+func (g *Guard) raiseToken() {
+	g.token += tokenStep
+	g.fenced = true
+	g.log("token_raised", fmt.Sprintf("token=%d", g.token))
+	g.lookNow()
+}
+
+// serverReplaced starts anew with another run of the server, at which nothing
+// of the earlier one runs.
+func (g *Guard) serverReplaced(e LookReplied) {
+	g.log("server_run_changed", fmt.Sprintf("from=%d to=%d", g.clockRun, e.Server))
+	g.loseRuns("the backend server was replaced", func(r *run) bool { return r.phase != waiting })
+	g.clockRun = e.Server
+	g.clock = 0
+	g.clean = false
+	g.seenEnd = 0
+	g.health = newHealth()
+	g.wakePolls()
+}
+
+func (g *Guard) takeEnds(ends []EndRow) {
+	for _, end := range ends {
+		if end.N <= g.seenEnd {
+			continue
+		}
+		g.seenEnd = end.N
+		r := g.runs[end.Key.TaskKey]
+		if r == nil || r.key != end.Key {
+			continue
+		}
+		g.takeEnd(r, end.How)
+	}
+}
+
+func (g *Guard) takeEnd(r *run, how EndHow) {
+	if !r.confirmed {
+		r.confirmed = true
+		r.startedAt = g.now
+	}
+	switch how {
+	case EndDone:
+		g.health.done()
+		g.health.learn(r.estimate, g.now.Sub(r.startedAt))
+		g.finish(r, session.Done, "")
+	case EndFailed:
+		g.health.failed()
+		g.finish(r, session.Failed, "the backend server reported a failure")
+	default:
+		if r.phase == stopping && r.outcome != session.NotStarted {
+			g.finish(r, r.outcome, r.reason)
+			return
+		}
+		g.finish(r, session.Lost, "ended without a result")
+	}
+}
+
+// takeRunning compares what the server runs with what it should run.
+func (g *Guard) takeRunning(rows []RunningRow, p *pendingLook) {
+	seen := make(map[RunKey]bool, len(rows))
+	foreign := 0
+	for _, row := range rows {
+		seen[row.Key] = true
+		r := g.runs[row.Key.TaskKey]
+		if r == nil || r.key != row.Key || r.phase == waiting {
+			foreign++
+			g.stopForeign(row.Key)
+			continue
+		}
+		g.noteProgress(r, row.Percent)
+	}
+	if !g.clean && foreign == 0 {
+		g.clean = true
+		g.log("server_ready", fmt.Sprintf("run=%d clock_ms=%d token=%d", g.clockRun, g.clock.Milliseconds(), g.token))
+		g.wakePolls()
+		g.lookNow()
+	} else if !g.clean {
+		g.nextLook = g.now.Add(lookRetry)
+	}
+	if p != nil {
+		g.takeAbsent(seen, p.sentAt)
+	}
+}
+
+// stopForeign stops a run that an earlier agent started. The server ignores a
+// stop of a run that has ended.
+func (g *Guard) stopForeign(key RunKey) {
+	g.emit(LogEvent{Event: "foreign_run_stopped", Job: key.String()})
+	g.emit(StopRun{Key: key, Token: g.token, Server: g.server.ID})
+}
+
+func (g *Guard) noteProgress(r *run, percent int) {
+	if !r.confirmed {
+		r.confirmed = true
+		r.startedAt, r.progressAt = g.now, g.now
+	}
+	if percent != r.percent {
+		r.percent = percent
+		r.progressAt = g.now
+	}
+	if r.phase == running && g.now.Sub(r.progressAt) > stallAfter {
+		g.health.failed()
+		g.stop(r, session.Lost, fmt.Sprintf("no progress at %d %% for %v", percent, g.now.Sub(r.progressAt)))
+	}
+}
+
+// takeAbsent ends the runs that a look should have shown and did not.
+func (g *Guard) takeAbsent(seen map[RunKey]bool, sentAt time.Time) {
+	for _, r := range g.sortedRuns() {
+		if seen[r.key] {
+			continue
+		}
+		switch {
+		case r.phase == stopping && !r.stopAcked.IsZero() && !sentAt.Before(r.stopAcked):
+			g.finish(r, r.outcome, r.reason)
+		case r.phase == running && sentAt.After(r.startedAt):
+			g.finish(r, session.Lost, "the backend server does not know it")
+		}
+	}
+}
--- a/internal/rpcserver/server.go
+++ b/internal/rpcserver/server.go
@@ -80,9 +80,20 @@
 	return s.closing
 }
 
+// connKey is the context key of a connection's codec.
+type connKey struct{}
+
+// CloseConn ends the connection that a receiver's context stands for.
+func CloseConn(conn context.Context) {
+	if c, ok := conn.Value(connKey{}).(*codec); ok {
+		c.Close()
+	}
+}
+
 func (s *Server) accept(conn net.Conn) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := newCodec(s, conn, cancel)
+	ctx = context.WithValue(ctx, connKey{}, c)
 	if !s.add(c) {
 		c.Close()
 		return
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,96 @@
+// Package roster keeps the processes of the system that a process has heard of,
+// from the platform's store and from other processes. It says whom to dial; who
+// is alive, connections tell.
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/session"
+)
+
+// forgetAfter is how long a process is kept that cannot be reached: longer than
+// the outages after which machines come back at their addresses.
+const forgetAfter = 60 * time.Second
+
+// Roster is a set of processes by address. It is safe for concurrent use.
+type Roster struct {
+	self string // own address, never listed
+
+	mu      sync.Mutex
+	members map[string]*member
+}
+
+type member struct {
+	process session.Process
+	heard   time.Time // when it was last reached, or told of by another process
+}
+
+// New returns a Roster of the process at the address self.
+func New(self string) *Roster {
+	return &Roster{self: self, members: make(map[string]*member)}
+}
+
+// Add takes in processes that were told of and reports whether any is new.
+func (r *Roster) Add(now time.Time, list ...session.Process) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	added := false
+	for _, p := range list {
+		if p.Addr == "" || p.Addr == r.self {
+			continue
+		}
+		m := r.members[p.Addr]
+		if m == nil {
+			r.members[p.Addr] = &member{process: p, heard: now}
+			added = true
+		} else if p.Incarnation != 0 && p.Incarnation != m.process.Incarnation {
+			m.process = p
+			m.heard = now
+		}
+	}
+	return added
+}
+
+// Reached notes that the process at the address answers.
+func (r *Roster) Reached(now time.Time, addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.members[addr]; m != nil {
+		m.heard = now
+	}
+}
+
+// Unreachable notes that the process at the address does not answer, and
+// forgets it if that has lasted. It reports whether it was forgotten.
+func (r *Roster) Unreachable(now time.Time, addr string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.members[addr]
+	if m == nil {
+		return true
+	}
+	if now.Sub(m.heard) < forgetAfter {
+		return false
+	}
+	delete(r.members, addr)
+	return true
+}
+
+// List returns the processes of a role, or of all roles if it is empty, by
+// address.
+func (r *Roster) List(role string) []session.Process {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []session.Process
+	for _, m := range r.members {
+		if role == "" || m.process.Role == role {
+			list = append(list, m.process)
+		}
+	}
+	slices.SortFunc(list, func(a, b session.Process) int { return cmp.Compare(a.Addr, b.Addr) })
+	return list
+}
--- /dev/null
+++ b/sidecar/metrics.go
@@ -0,0 +1,45 @@
+package sidecar
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// Size of the samples from which latency histograms are taken.
+const (
+	sampleSize  = 512
+	sampleAlpha = 0.015 // favors the last five minutes
+)
+
+// sidecarMetrics are the metrics of an agent. Times are in microseconds.
+type sidecarMetrics struct {
+	registry  metrics.Registry
+	starts    metrics.Counter
+	stops     metrics.Counter
+	startTime metrics.Histogram
+}
+
+func newMetrics(s *Sidecar) *sidecarMetrics {
+	r := metrics.NewRegistry()
+	r.Register("sessions", metrics.NewFunctionalGauge(func() int64 { return int64(s.sessions()) }))
+	return &sidecarMetrics{
+		registry:  r,
+		starts:    metrics.NewRegisteredCounter("tasks.start_orders", r),
+		stops:     metrics.NewRegisteredCounter("tasks.stop_orders", r),
+		startTime: metrics.NewRegisteredHistogram("tasks.start_order.time", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+	}
+}
+
+// Dump implements ops.Source.
+func (s *Sidecar) Dump() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return struct {
+		Name        string              `json:"name"`
+		Incarnation structs.Incarnation `json:"incarnation"`
+		State       any                 `json:"state"`
+	}{s.opts.Name, s.self.Incarnation, s.guard.Dump(time.Now())}
+}
--- /dev/null
+++ b/sidecar/sidecar.go
@@ -0,0 +1,253 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/chestnuthollow/chestnuthollow/gateway"
+	"github.com/chestnuthollow/chestnuthollow/guard"
+	"github.com/chestnuthollow/chestnuthollow/internal/logging"
+	"github.com/chestnuthollow/chestnuthollow/internal/ops"
+	"github.com/chestnuthollow/chestnuthollow/internal/random"
+	"github.com/chestnuthollow/chestnuthollow/internal/rpcserver"
+	"github.com/chestnuthollow/chestnuthollow/keyedlog"
+	"github.com/chestnuthollow/chestnuthollow/roster"
+	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+const (
+	// stopReserve is what is left of the grace for closing connections.
+	stopReserve = 500 * time.Millisecond
+	// lastReports is how long a drained agent waits for entries to fetch its
+	// last reports: a few round trips.
+	lastReports = 50 * time.Millisecond
+	// meetEvery is the pause between announcements to entries without a
+	// session, meetRarely that while all known entries have one.
+	meetEvery  = 500 * time.Millisecond
+	meetRarely = 5 * time.Second
+)
+
+// Sidecar is one run of an agent.
+type Sidecar struct {
+	opts     Options
+	platform Platform
+	logger   log.Logger
+	self     session.Process
+	roster   *roster.Roster
+	metrics  *sidecarMetrics
+
+	listeners []net.Listener
+	servers   []*http.Server
+	rpc       *rpcserver.Server
+
+	background context.Context // ends when the process stops
+	stop       context.CancelFunc
+	drained    chan struct{}
+
+	mu       sync.Mutex
+	guard    *guard.Guard
+	nextCall guard.CallID
+	calls    map[guard.CallID]chan any
+	conns    map[uint64]context.Context // of sessions
+	lastConn uint64
+	timer    *time.Timer
+}
+
+// New binds the agent's addresses.
+func New(opts Options, p Platform, logger log.Logger) (*Sidecar, error) {
+	s := &Sidecar{
+		opts:     opts,
+		platform: p,
+		logger:   logger,
+		roster:   roster.New(opts.PeerAddr),
+		drained:  make(chan struct{}),
+		calls:    make(map[guard.CallID]chan any),
+		conns:    make(map[uint64]context.Context),
+	}
+	s.self = session.Process{
+		Name: opts.Name, Role: session.RoleAgent, Addr: opts.PeerAddr, Incarnation: structs.Incarnation(random.NonZero()),
+	}
+	s.guard = guard.New(guard.Options{
+		Agent: opts.Name, Incarnation: s.self.Incarnation, Zone: opts.Zone, Service: opts.Service,
+		Token:      time.Now().UnixMilli(),
+		Lease:      min(guard.DefaultLease, opts.LeaseMax.D()),
+		SessionTTL: guard.DefaultSessionTTL, LookWait: guard.DefaultLookWait, PollWait: guard.DefaultPollWait,
+		StopTimeout: opts.StopTimeout.D(),
+	})
+	s.metrics = newMetrics(s)
+	s.background, s.stop = context.WithCancel(context.Background())
+	s.timer = time.AfterFunc(time.Hour, func() { s.step(guard.Ticked{}) })
+	for _, addr := range []string{opts.HeartbeatAddr, opts.OpsAddr, opts.PeerAddr} {
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			s.closeListeners()
+			return nil, fmt.Errorf("agent: %w", err)
+		}
+		s.listeners = append(s.listeners, l)
+	}
+	s.rpc = rpcserver.New(rpcserver.DefaultOptions(), structs.AgentService, s.receiverFor)
+	return s, nil
+}
+
+func (s *Sidecar) closeListeners() {
+	for _, l := range s.listeners {
+		l.Close()
+	}
+}
+
+// Run serves until ctx is canceled, and then stops gracefully: no task starts
+// any more, and those that run are finished.
+func (s *Sidecar) Run(ctx context.Context) error {
+	level.Info(s.logger).Log("event", "started", "incarnation", s.self.Incarnation, "zone", s.opts.Zone,
+		"service", s.opts.Service, "peer_addr", s.opts.PeerAddr, "seeds", fmt.Sprint(s.opts.Seeds))
+	s.serve(0, s.platform.Heartbeats(s))
+	e := ops.NewServer()
+	ops.Register(e, s, s.metrics.registry)
+	s.serve(1, e)
+	go s.rpc.Serve(s.listeners[2])
+	go s.announce()
+	go s.meet()
+	s.step(guard.Ticked{})
+
+	<-ctx.Done()
+	started := time.Now()
+	level.Info(s.logger).Log("event", "stopping", "grace", s.opts.Grace.D())
+	s.step(guard.LeaveRequested{})
+	grace := time.NewTimer(s.opts.Grace.D() - stopReserve)
+	defer grace.Stop()
+	select {
+	case <-s.drained:
+		time.Sleep(lastReports)
+	case <-grace.C:
+	}
+	return s.shutdown(started)
+}
+
+func (s *Sidecar) shutdown(started time.Time) error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopReserve/2)
+	defer cancel()
+	s.stop()
+	s.timer.Stop()
+	s.closeListeners()
+	var err error
+	for _, srv := range s.servers {
+		err = errors.Join(err, srv.Shutdown(ctx))
+	}
+	level.Info(s.logger).Log("event", "stopped", "took", time.Since(started))
+	return err
+}
+
+func (s *Sidecar) serve(listener int, h http.Handler) {
+	srv := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: 3 * time.Second,
+		ReadTimeout:       10 * time.Second,
+		IdleTimeout:       time.Minute,
+		MaxHeaderBytes:    16 << 10,
+		ErrorLog:          logging.Stdlib(s.logger, "http_server"),
+	}
+	s.servers = append(s.servers, srv)
+	go srv.Serve(s.listeners[listener])
+}
+
+// announce writes the agent's address to the store, once.
+func (s *Sidecar) announce() {
+	value, err := json.Marshal(s.self)
+	if err != nil {
+		level.Error(s.logger).Log("event", "announce_failed", "reason", err)
+		return
+	}
+	lost := false
+	record := keyedlog.Record{Key: s.opts.Name, Value: value}
+	done := keyedlog.Put(s.background, s.platform.Store, s.platform.MembersTopic, record, func(err error) {
+		if !lost {
+			lost = true
+			level.Warn(s.logger).Log("event", "store_lost", "topic", s.platform.MembersTopic, "reason", err)
+		}
+	})
+	if done {
+		level.Info(s.logger).Log("event", "announced", "topic", s.platform.MembersTopic, "store_was_lost", lost)
+	}
+}
+
+// meet tells the entries of this agent, so that they open sessions.
+func (s *Sidecar) meet() {
+	for _, addr := range s.opts.Seeds {
+		s.roster.Add(time.Now(), session.Process{Name: "seed", Role: session.RoleEntry, Addr: addr})
+	}
+	for s.background.Err() == nil {
+		entries := s.roster.List(session.RoleEntry)
+		pause := meetEvery
+		if s.sessions() >= len(entries) {
+			pause = meetRarely
+		}
+		for _, p := range entries {
+			go s.meetEntry(p)
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-timer.C:
+		case <-s.background.Done():
+		}
+		timer.Stop()
+	}
+}
+
+func (s *Sidecar) meetEntry(p session.Process) {
+	reply, err := gateway.Exchange(p.Addr, session.ExchangeRequest{From: s.self})
+	now := time.Now()
+	if err != nil {
+		if s.roster.Unreachable(now, p.Addr) {
+			level.Info(s.logger).Log("event", "peer_forgotten", "peer", p.Name, "addr", p.Addr, "reason", err)
+		}
+		return
+	}
+	s.roster.Reached(now, p.Addr)
+	s.roster.Add(now, reply.Known...)
+	s.step(guard.ConfigReceived{Config: reply.Config})
+}
+
+func (s *Sidecar) sessions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Heartbeat takes in what the backend server says of itself.
+func (s *Sidecar) Heartbeat(info guard.ServerInfo) { s.step(guard.ServerReported{Info: info}) }
+
+// ServerLeft takes in that the backend server has ended.
+func (s *Sidecar) ServerLeft(id string) { s.step(guard.ServerLeft{ID: id}) }
+
+// Ready implements ops.Source.
+func (s *Sidecar) Ready() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.guard.Active() {
+		return errors.New("the backend server takes no tasks")
+	}
+	return nil
+}
+
+// HeartbeatUnreadable notes a heartbeat that could not be read.
+func (s *Sidecar) HeartbeatUnreadable(id string, err error) {
+	level.Warn(s.logger).Log("event", "heartbeat_unreadable", "server", id, "reason", err)
+}
+
+// Reload takes in changed settings: new seeds. Addresses and limits need a
+// restart.
+func (s *Sidecar) Reload(opts Options) {
+	for _, addr := range opts.Seeds {
+		s.roster.Add(time.Now(), session.Process{Name: "seed", Role: session.RoleEntry, Addr: addr})
+	}
+}
