Learn a server's speed by its own clock; let it fade; answer give-ups truly

Jobs given up on while all their tasks waited in queues were answered 504 though none had run.

Change: run times are taken between clock readings of the server, weighted by their length, against a prior, and fade with 3 s. A job that is given up on is stopped first, up to 60 ms, and refused as not run if no task had started.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -25,8 +26,8 @@
 	remembered map[string]Status
 	forget     []remembered // oldest first
 
-	orders  map[AgentID]*Order // to be sent at the end of the step
-	leaving bool
+	orders     map[AgentID]*Order // to be sent at the end of the step
+	leaveUntil time.Time          // the end of a graceful stop; zero if none
 }
 
 type remembered struct {
@@ -68,8 +69,7 @@
 	case Polled:
 		d.polled(e)
 	case LeaveRequested:
-		d.leaving = true
-		d.emit(LogEvent{Event: "leave_started"})
+		d.leave(e.Until)
 	}
 	d.expire()
 	d.sendOrders()
@@ -111,7 +111,7 @@
 func (d *Dispatcher) Pending(queue string) int {
 	n := 0
 	for _, j := range d.jobs {
-		if !j.answered && j.Queue.Name == queue && !j.begun {
+		if !j.answered && j.Queue.Name == queue && j.live == 0 {
 			n++
 		}
 	}
@@ -121,7 +121,7 @@
 // StatusOf returns the state of a job that this entry knows.
 func (d *Dispatcher) StatusOf(name string) (Status, bool) {
 	if j := d.jobs[name]; j != nil && !j.answered {
-		if j.begun {
+		if j.live > 0 {
 			return Running, true
 		}
 		return Queued, true
@@ -141,6 +141,19 @@
 	return n
 }
 
+// leave lets no job run past the time.
+func (d *Dispatcher) leave(until time.Time) {
+	d.leaveUntil = until
+	open := 0
+	for _, j := range d.jobs {
+		if !j.answered {
+			open++
+			j.limitTo(until)
+		}
+	}
+	d.emit(LogEvent{Event: "leave_started", Detail: fmt.Sprintf("open_jobs=%d until_ms=%d", open, until.Sub(d.now).Milliseconds())})
+}
+
 func (d *Dispatcher) emit(e Effect) { d.out = append(d.out, e) }
 
 // expire ends doubts and jobs whose time has passed.
@@ -149,7 +162,11 @@
 		d.ended(p, session.Report{ID: p.id, Outcome: session.Lost, Reason: "its agent is gone"})
 	}
 	for _, j := range d.sortedJobs(func(j *job) bool { return !j.answered && !d.now.Before(j.deadline) }) {
-		d.giveUp(j, structs.CodeTimeout, "the caller's deadline has passed")
+		if j.ending != nil {
+			d.endRefused(j)
+		} else {
+			d.giveUp(j, structs.CodeTimeout, "the caller's deadline has passed")
+		}
 	}
 	for len(d.forget) > 0 && (d.now.Sub(d.forget[0].at) > d.opts.Remember || len(d.forget) > maxRemembered) {
 		delete(d.remembered, d.forget[0].name)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -11,15 +11,16 @@
 // job is a submission under way.
 type job struct {
 	Job
-	arrived   time.Time
-	deadline  time.Time // when the caller goes or the answer is worth nothing
-	objective time.Time // when it should end
-	calls     []CallID
-	tasks     []task
-	left      int  // tasks not done
-	begun     bool // a placement was sent and not reported as not started
-	answered  bool
-	live      int // placements that have not ended
+	arrived    time.Time
+	deadline   time.Time // when the caller goes or the answer is worth nothing
+	objective  time.Time // when it should end
+	calls      []CallID
+	tasks      []task
+	left       int            // tasks not done
+	mayHaveRun bool           // a placement ended otherwise than not started
+	ending     *structs.Error // why it was given up on, while its tasks are stopped
+	answered   bool
+	live       int // placements that have not ended
 	// successor is a copy of the submission that came after the answer while
 	// tasks were still being stopped.
 	successor *SubmitCalled
@@ -27,12 +28,11 @@
 
 // task is one task of a job.
 type task struct {
-	done       bool
-	mayHaveRun bool // some placement was not reported as not started
-	failures   int
-	placed     int // placements so far
-	current    *placement
-	avoid      []string // agents at which it failed
+	done     bool
+	failures int
+	placed   int // placements so far
+	current  *placement
+	avoid    []string // agents at which it failed
 }
 
 // placement is one attempt to run a task at an agent.
@@ -42,6 +42,7 @@
 	index     int
 	agent     *agent
 	number    uint64    // of the order
+	stopped   bool      // its stop was ordered
 	sentAt    time.Time // when it was ordered
 	doubtEnds time.Time // when it must have ended though its agent is silent; zero while in session
 }
@@ -63,6 +64,9 @@
 	if j.Timeout > 0 && j.Timeout < lateFactor*objective {
 		j.deadline = d.now.Add(j.Timeout)
 	}
+	if !d.leaveUntil.IsZero() {
+		j.limitTo(d.leaveUntil)
+	}
 	plan, err := d.plan(j, j.allTasks())
 	if err != nil {
 		d.refuse(j, e.Call, err)
@@ -90,6 +94,13 @@
 	d.calls[e.Call] = j
 }
 
+// limitTo brings a job's deadline forward.
+func (j *job) limitTo(t time.Time) {
+	if t.Before(j.deadline) {
+		j.deadline = t
+	}
+}
+
 func (j *job) allTasks() []int {
 	all := make([]int, j.Tasks)
 	for i := range all {
@@ -158,31 +169,53 @@
 	d.close(j)
 }
 
-// giveUp ends a job that cannot be done in time. Only if no task has started
-// does the answer say that it has not run.
+// giveUp ends a job that cannot be done in time. While a placement may or may
+// not have started, its tasks are stopped first, for a short time, so that the
+// answer can say whether the job has run.
 func (d *Dispatcher) giveUp(j *job, code structs.ErrorCode, reason string) {
-	verdict := structs.NotRun
-	if j.begun {
-		verdict = structs.MayHaveRun
+	if j.ending != nil {
+		return
+	}
+	err := structs.Errorf(code, structs.MayHaveRun, "%s", reason).WithRetryAfter(d.retryAfter(j))
+	j.ending = err
+	if j.live == 0 || j.mayHaveRun {
+		d.endRefused(j)
+		return
+	}
+	j.deadline = d.now.Add(verdictWait)
+	d.stopTasks(j)
+}
+
+// endRefused gives the final answer of a job that was given up on. Only if no
+// task has started does it say that the job has not run.
+func (d *Dispatcher) endRefused(j *job) {
+	err := *j.ending
+	if j.live == 0 && !j.mayHaveRun {
+		err.Verdict = structs.NotRun
 	}
-	err := structs.Errorf(code, verdict, "%s", reason).WithRetryAfter(d.retryAfter(j))
 	for _, call := range j.calls {
 		delete(d.calls, call)
-		d.refuse(j, call, err)
+		d.refuse(j, call, &err)
 	}
 	j.calls = nil
 	d.close(j)
 }
 
-// close stops the placements of a job that has its answer, or needs none.
-func (d *Dispatcher) close(j *job) {
-	j.answered = true
+// stopTasks stops the placements of a job.
+func (d *Dispatcher) stopTasks(j *job) {
 	for i := range j.tasks {
-		if p := j.tasks[i].current; p != nil && p.doubtEnds.IsZero() {
+		if p := j.tasks[i].current; p != nil && p.doubtEnds.IsZero() && !p.stopped {
+			p.stopped = true
 			o := d.orderTo(p.agent)
 			o.Stop = append(o.Stop, p.id)
 		}
 	}
+}
+
+// close stops the placements of a job that has its answer, or needs none.
+func (d *Dispatcher) close(j *job) {
+	j.answered = true
+	d.stopTasks(j)
 	d.releaseIfEnded(j)
 }
 
@@ -213,7 +246,13 @@
 		d.releaseIfEnded(j)
 		return
 	}
-	t.mayHaveRun = t.mayHaveRun || r.Outcome != session.NotStarted
+	j.mayHaveRun = j.mayHaveRun || r.Outcome != session.NotStarted
+	if j.ending != nil {
+		if j.live == 0 || j.mayHaveRun {
+			d.endRefused(j)
+		}
+		return
+	}
 	switch r.Outcome {
 	case session.Done:
 		t.done = true
@@ -230,23 +269,12 @@
 			return
 		}
 	case session.NotStarted:
-		j.begun = j.anyBegun()
 	default:
 		t.avoid = append(t.avoid, p.agent.name)
 	}
 	d.placeAgain(j, p, r.Outcome.String()+": "+r.Reason)
 }
 
-// anyBegun reports whether a task of the job has run, or may.
-func (j *job) anyBegun() bool {
-	for i := range j.tasks {
-		if t := &j.tasks[i]; t.mayHaveRun || t.current != nil {
-			return true
-		}
-	}
-	return false
-}
-
 // placeAgain places a task whose last placement has ended, or gives the job up.
 func (d *Dispatcher) placeAgain(j *job, p *placement, why string) {
 	if j.tasks[p.index].placed >= maxPlacements {
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -93,8 +93,9 @@
 		ID    AgentID
 		Reply session.PollReply
 	}
-	// LeaveRequested starts a graceful stop.
-	LeaveRequested struct{}
+	// LeaveRequested starts a graceful stop: jobs are taken as long as they can
+	// end before Until, and all have their answer then.
+	LeaveRequested struct{ Until time.Time }
 	// Ticked lets time pass.
 	Ticked struct{}
 )
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -44,6 +44,9 @@
 	// answerMargin is left between the expected end of a job and the caller's
 	// deadline.
 	answerMargin = 10 * time.Millisecond
+	// verdictWait bounds how long the answer of a job that was given up on waits
+	// for the agents to say whether a task has started: some round trips.
+	verdictWait = 60 * time.Millisecond
 	// maxPlacements bounds how often one task is placed.
 	maxPlacements = 12
 	// maxRemembered bounds the answers kept.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -157,7 +157,6 @@
 		within := limit.Sub(d.now) - as.runs - as.agent.extraFrom(d)
 		addToOrder(o, j, session.Placement{ID: p.id, Index: as.index, Attempt: t.placed}, max(within, time.Millisecond))
 	}
-	j.begun = true
 }
 
 func (a *agent) extraFrom(d *Dispatcher) time.Duration {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,8 +132,9 @@
 	started := time.Now()
 	level.Info(g.logger).Log("event", "stopping", "open_jobs", g.openJobs(), "grace", g.opts.Grace.D())
 	g.leaving.Store(true)
-	g.step(dispatch.LeaveRequested{})
-	for time.Since(started) < g.opts.Grace.D()-stopReserve && (time.Since(started) < leaveNotice || g.openJobs() > 0) {
+	until := started.Add(g.opts.Grace.D() - stopReserve)
+	g.step(dispatch.LeaveRequested{Until: until})
+	for time.Now().Before(until) && (time.Since(started) < leaveNotice || g.openJobs() > 0) {
 		time.Sleep(leavePoll)
 	}
 	return g.shutdown(started)
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -48,7 +48,6 @@
 		token:    opts.Token,
 		sessions: make(map[uint64]*entrySession),
 		runs:     make(map[TaskKey]*run),
-		health:   newHealth(),
 	}
 }
 
@@ -56,6 +55,7 @@
 func (g *Guard) Step(now time.Time, ev Event) []Effect {
 	g.now = now
 	g.out = nil
+	g.health.decay(now)
 	g.expire()
 	switch e := ev.(type) {
 	case HelloCalled:
--- a/guard/options.go
+++ b/guard/options.go
@@ -77,9 +77,11 @@
 	// suspectShare is the share of failures from which on a server runs one
 	// task at a time, as a probe.
 	suspectShare = 0.5
-	// slownessWeight is the weight of the newest run time in the learned
-	// slowness: estimates are off by 40 %, so some twenty runs are averaged.
-	slownessWeight = 0.08
-	// minWarmSamples is how many runs replace the initial slowness by a mean.
-	minWarmSamples = 12
+	// slownessMemory is the time in which what was learned of a server's speed
+	// fades to a third: long enough to average some twenty run times, whose
+	// estimates are off by 40 %, and short against the faults that slow a server.
+	slownessMemory = 3 * time.Second
+	// slownessPrior is the weight of an ordinary speed among the run times
+	// learned: a few short tasks.
+	slownessPrior = 200 * time.Millisecond
 )
--- a/guard/run.go
+++ b/guard/run.go
@@ -32,8 +32,9 @@
 	phase    phase
 	runTries int
 
-	startedAt  time.Time // of the acknowledgement
-	confirmed  bool      // the start was acknowledged or seen
+	startedAt  time.Time     // of the acknowledgement
+	startClock time.Duration // the server's clock then; zero if unknown
+	confirmed  bool          // the start was acknowledged or seen
 	percent    int
 	progressAt time.Time // of the last change of percent
 	stopAcked  time.Time // zero if not yet
@@ -146,6 +147,7 @@
 	if e.Result == StartAccepted && !r.confirmed {
 		r.confirmed = true
 		r.startedAt = g.now
+		r.startClock = e.Clock
 		r.progressAt = g.now
 	}
 	if r.phase != starting {
--- a/guard/server.go
+++ b/guard/server.go
@@ -87,7 +87,7 @@
 	}
 	g.fenced = false
 	g.readClock(e.Server, e.Clock)
-	g.takeEnds(e.Ended)
+	g.takeEnds(e.Ended, e.Clock)
 	g.takeRunning(e.Running, p)
 }
 
@@ -120,11 +120,12 @@
 	g.clock = 0
 	g.clean = false
 	g.seenEnd = 0
-	g.health = newHealth()
+	g.health = health{}
 	g.wakePolls()
 }
 
-func (g *Guard) takeEnds(ends []EndRow) {
+// takeEnds takes in the ends that a look at the clock reading showed.
+func (g *Guard) takeEnds(ends []EndRow, clock time.Duration) {
 	for _, end := range ends {
 		if end.N <= g.seenEnd {
 			continue
@@ -134,11 +135,11 @@
 		if r == nil || r.key != end.Key {
 			continue
 		}
-		g.takeEnd(r, end.How)
+		g.takeEnd(r, end.How, clock)
 	}
 }
 
-func (g *Guard) takeEnd(r *run, how EndHow) {
+func (g *Guard) takeEnd(r *run, how EndHow, clock time.Duration) {
 	if !r.confirmed {
 		r.confirmed = true
 		r.startedAt = g.now
@@ -146,7 +147,9 @@
 	switch how {
 	case EndDone:
 		g.health.done()
-		g.health.learn(r.estimate, g.now.Sub(r.startedAt))
+		if r.startClock > 0 && clock > r.startClock {
+			g.health.learn(g.now, r.estimate, clock-r.startClock)
+		}
 		g.finish(r, session.Done, "")
 	case EndFailed:
 		g.health.failed()
