Send unanswered looks and starts again soon

A start without an answer cost 250 ms and a new placement.

Change: a look that is 20 ms overdue gets another beside it; looks wait 50 ms; a start without an answer in 60 ms is sent again as the same run, which the server starts once.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -23,13 +23,13 @@
 	fenced     bool // this agent must look under a higher token first
 	clean      bool // nothing of an earlier agent runs at the server
 	clock      time.Duration
-	clockRun   int64     // run of the server that clock belongs to
-	clockAt    time.Time // when clock was learned
-	look       *pendingLook
+	clockRun   int64         // run of the server that clock belongs to
+	clockAt    time.Time     // when clock was learned
+	looks      []pendingLook // without an answer yet, oldest first
 	lookID     uint64
-	nextLook   time.Time
-	lookFailed bool
-	seenEnd    int64 // newest end taken note of
+	nextLook   time.Time // no look is sent before
+	serverLost bool      // looks have failed for longer than a lease
+	seenEnd    int64     // newest end taken note of
 
 	stateSeq uint64
 	leaving  bool
@@ -37,8 +37,9 @@
 }
 
 type pendingLook struct {
-	id     uint64
-	sentAt time.Time
+	id      uint64
+	sentAt  time.Time
+	overdue time.Time // when another is sent without waiting for it
 }
 
 // New returns a Guard that knows no server and no session.
@@ -99,7 +100,9 @@
 			wake = t
 		}
 	}
-	if g.look == nil {
+	if n := len(g.looks); n > 0 {
+		earlier(g.looks[n-1].overdue)
+	} else {
 		earlier(g.nextLook)
 	}
 	for _, s := range g.sessions {
--- a/guard/options.go
+++ b/guard/options.go
@@ -42,7 +42,7 @@
 const (
 	DefaultLease      = 500 * time.Millisecond
 	DefaultSessionTTL = 550 * time.Millisecond
-	DefaultLookWait   = 100 * time.Millisecond
+	DefaultLookWait   = 50 * time.Millisecond
 	DefaultPollWait   = 120 * time.Millisecond
 )
 
@@ -59,6 +59,15 @@
 	// clockDrift is how much slower than real time a server's clock may run:
 	// the platform's bound of 2 %.
 	clockDrift = 0.02
+	// lookPatience is how much longer than its wait a look may take before
+	// another is sent: the server answers within a few ms.
+	lookPatience = 20 * time.Millisecond
+	// lookForget is when a look without an answer is forgotten: no call to the
+	// server is waited for as long.
+	lookForget = time.Second
+	// maxStartTries bounds how often a start without an answer is sent again.
+	// Sending the same run twice starts it once.
+	maxStartTries = 3
 	// lookRetry is the pause after a look that failed; a tenth of the lease
 	// leaves several tries before it ends.
 	lookRetry = 50 * time.Millisecond
--- a/guard/run.go
+++ b/guard/run.go
@@ -30,7 +30,8 @@
 	estimate time.Duration
 	startBy  time.Time
 	phase    phase
-	runTries int
+	// runTries counts run numbers, startTries starts without an answer.
+	runTries, startTries int
 
 	startedAt  time.Time     // of the acknowledgement
 	startClock time.Duration // the server's clock then; zero if unknown
@@ -164,8 +165,7 @@
 		g.raiseToken()
 		g.finish(r, session.NotStarted, "fenced")
 	case StartUnknown:
-		g.health.failed()
-		g.stop(r, session.NotStarted, "start without an answer")
+		g.startUnanswered(r)
 	case StartDeclined:
 		g.health.failed()
 		g.finish(r, session.NotStarted, e.Result.String())
@@ -174,6 +174,18 @@
 	}
 }
 
+// startUnanswered sends a start again. The first one may still be carried out
+// later: as the same run it changes nothing.
+func (g *Guard) startUnanswered(r *run) {
+	r.startTries++
+	if r.startTries < maxStartTries && r.session.fresh(g) && !g.leaseLapsed() {
+		g.start(r)
+		return
+	}
+	g.health.failed()
+	g.stop(r, session.NotStarted, "start without an answer")
+}
+
 // retryNumber starts a task again under a higher run number: the server knows
 // an ended run of it, ordered by another session.
 func (g *Guard) retryNumber(r *run) {
--- a/guard/server.go
+++ b/guard/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/session"
@@ -37,11 +38,13 @@
 	g.wakePolls()
 }
 
-// sendLook keeps one look outstanding.
+// sendLook keeps one look outstanding. One that is overdue gets another beside
+// it: some calls are never answered.
 func (g *Guard) sendLook() {
-	if g.look != nil || g.now.Before(g.nextLook) {
+	if n := len(g.looks); n > 0 && g.now.Before(g.looks[n-1].overdue) || g.now.Before(g.nextLook) {
 		return
 	}
+	g.looks = slices.DeleteFunc(g.looks, func(p pendingLook) bool { return g.now.Sub(p.sentAt) > lookForget })
 	g.lookID++
 	l := Look{ID: g.lookID, Token: g.token, Seen: g.seenEnd, Wait: g.opts.LookWait}
 	if g.clean && g.clockRun != 0 && !g.fenced {
@@ -52,30 +55,37 @@
 	if g.server.Run == g.clockRun {
 		l.Server = g.server.ID
 	}
-	g.look = &pendingLook{id: l.ID, sentAt: g.now}
+	g.looks = append(g.looks, pendingLook{id: l.ID, sentAt: g.now, overdue: g.now.Add(l.Wait + lookPatience)})
 	g.emit(l)
 }
 
 // lookNow sends another look without waiting for the one that is out.
 func (g *Guard) lookNow() {
-	g.look = nil
+	if n := len(g.looks); n > 0 {
+		g.looks[n-1].overdue = g.now
+	}
 	g.nextLook = g.now
 }
 
-func (g *Guard) lookReplied(e LookReplied) {
-	p := g.look
-	if p == nil || p.id != e.ID {
-		p = nil // superseded: its ends count, its absences do not
-	} else {
-		g.look = nil
-		g.nextLook = g.now
+// takeLook takes a look out of the outstanding ones.
+func (g *Guard) takeLook(id uint64) (pendingLook, bool) {
+	i := slices.IndexFunc(g.looks, func(p pendingLook) bool { return p.id == id })
+	if i < 0 {
+		return pendingLook{}, false
 	}
+	p := g.looks[i]
+	g.looks = slices.Delete(g.looks, i, i+1)
+	return p, true
+}
+
+func (g *Guard) lookReplied(e LookReplied) {
+	p, known := g.takeLook(e.ID)
 	if !e.OK {
-		g.lookFailedWith(e)
+		g.lookFailed(e)
 		return
 	}
-	if g.lookFailed {
-		g.lookFailed = false
+	if g.serverLost {
+		g.serverLost = false
 		g.log("server_regained", fmt.Sprintf("run=%d", e.Server))
 	}
 	if e.Server < g.clockRun || e.Server < g.server.Run {
@@ -88,18 +98,22 @@
 	g.fenced = false
 	g.readClock(e.Server, e.Clock)
 	g.takeEnds(e.Ended, e.Clock)
-	g.takeRunning(e.Running, p)
+	g.takeRunning(e.Running)
+	if known {
+		g.takeAbsent(e.Running, p.sentAt)
+	}
 }
 
-func (g *Guard) lookFailedWith(e LookReplied) {
+func (g *Guard) lookFailed(e LookReplied) {
 	if e.Fenced {
 		g.raiseToken()
 		return
 	}
 	g.nextLook = g.now.Add(lookRetry)
-	if !g.lookFailed {
-		g.lookFailed = true
-		g.log("server_lost", "reason="+e.Reason)
+	if !g.serverLost && g.now.Sub(g.clockAt) > g.opts.Lease {
+		g.serverLost = true
+		g.log("server_lost", fmt.Sprintf("reason=%q last_answer_ms=%d", e.Reason, g.now.Sub(g.clockAt).Milliseconds()))
+		g.wakePolls()
 	}
 }
 
@@ -164,11 +178,9 @@
 }
 
 // takeRunning compares what the server runs with what it should run.
-func (g *Guard) takeRunning(rows []RunningRow, p *pendingLook) {
-	seen := make(map[RunKey]bool, len(rows))
+func (g *Guard) takeRunning(rows []RunningRow) {
 	foreign := 0
 	for _, row := range rows {
-		seen[row.Key] = true
 		r := g.runs[row.Key.TaskKey]
 		if r == nil || r.key != row.Key || r.phase == waiting {
 			foreign++
@@ -185,9 +197,6 @@
 	} else if !g.clean {
 		g.nextLook = g.now.Add(lookRetry)
 	}
-	if p != nil {
-		g.takeAbsent(seen, p.sentAt)
-	}
 }
 
 // stopForeign stops a run that an earlier agent started. The server ignores a
@@ -212,8 +221,13 @@
 	}
 }
 
-// takeAbsent ends the runs that a look should have shown and did not.
-func (g *Guard) takeAbsent(seen map[RunKey]bool, sentAt time.Time) {
+// takeAbsent ends the runs that a look, sent at the time, should have shown and
+// did not.
+func (g *Guard) takeAbsent(rows []RunningRow, sentAt time.Time) {
+	seen := make(map[RunKey]bool, len(rows))
+	for _, row := range rows {
+		seen[row.Key] = true
+	}
 	for _, r := range g.sortedRuns() {
 		if seen[r.key] {
 			continue
--- a/sidecar/step.go
+++ b/sidecar/step.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// callTimeout bounds a start or stop: the server is on the same machine
-	// and answers within a few ms, more if the machine is slow.
-	callTimeout = 250 * time.Millisecond
+	// callTimeout bounds a start or stop, which is then sent again: the server
+	// is on the same machine and answers within a few ms, more if the machine
+	// is slow.
+	callTimeout = 60 * time.Millisecond
 	// lookSlack is added to the wait of a look.
 	lookSlack = 250 * time.Millisecond
 )
