Spread tasks over the servers that make it in time; keep fast ones free

Cause: tasks went to the server that would end them first. Fast servers had queues while three slow ones stood idle that would have been in time, and long tasks found no fast server free.

Change: among the servers that are sure to make the objective the one with the most room is taken; what waits counts as ahead unless it can be overtaken; an ordinary speed weighs a second among the run times learned.

--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -122,9 +122,10 @@
 	return estimate * time.Duration(slow) / 1000
 }
 
-// timeline returns when the agent has room for a task that must start within
-// the time: after what runs, and after what waits more urgently.
-func (d *Dispatcher) timeline(a *agent, within time.Duration) *timeline.Timeline {
+// timeline returns when the agent has room for tasks that must start within the
+// time and run for runs: after what runs, and after what waits and could not be
+// overtaken without becoming late.
+func (d *Dispatcher) timeline(a *agent, within, runs time.Duration) *timeline.Timeline {
 	age := d.now.Sub(a.stateAt)
 	spans := make([]timeline.Span, 0, len(a.state.Running))
 	for _, r := range a.state.Running {
@@ -132,7 +133,7 @@
 	}
 	t := timeline.New(a.state.FreeCPU, spans)
 	for _, q := range a.state.Queue {
-		if time.Duration(q.StartWithin)*time.Millisecond-age <= within {
+		if time.Duration(q.StartWithin)*time.Millisecond-age <= within+runs {
 			t.Take(q.CPU, time.Duration(q.Ms)*time.Millisecond)
 		}
 	}
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -41,6 +41,9 @@
 	// crossZone is the expected extra time to an agent of another availability
 	// zone and back.
 	crossZone = 3 * time.Millisecond
+	// sureMargin is how long before a job's objective a task must be expected to
+	// end for its server to be sure to make it: the uncertainty of waits.
+	sureMargin = 25 * time.Millisecond
 	// answerMargin is left between the expected end of a job and the caller's
 	// deadline.
 	answerMargin = 10 * time.Millisecond
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -26,6 +26,7 @@
 	runs  time.Duration
 	extra time.Duration // on the way
 	taken int
+	free  float64 // share of the capacity that is free
 }
 
 // finish returns when another task of the size would end there.
@@ -44,13 +45,14 @@
 	}
 	plan := make([]assignment, 0, len(tasks))
 	for _, index := range tasks {
-		best, finish := pick(candidates, j)
+		best, finish := pick(candidates, j, j.objective.Sub(d.now))
 		if best == nil {
 			return nil, structs.Errorf(structs.CodeOverloaded, structs.NotRun, "no server has room for a task of %d thousandths of a core", j.CPU).
 				WithRetryAfter(d.retryAfter(j))
 		}
 		best.line.Take(j.CPU, best.runs)
 		best.taken++
+		best.free -= float64(j.CPU) / float64(best.agent.state.Capacity)
 		plan = append(plan, assignment{index: index, agent: best.agent, finish: finish, runs: best.runs})
 	}
 	last := slices.MaxFunc(plan, func(a, b assignment) int { return int(a.finish - b.finish) })
@@ -70,25 +72,39 @@
 func (d *Dispatcher) retryAfter(j *job) time.Duration {
 	wait := time.Second
 	if c := d.candidates(j, nil); len(c) > 0 {
-		if best, finish := pick(c, j); best != nil {
+		if best, finish := pick(c, j, 0); best != nil {
 			wait = max(wait, finish-best.runs)
 		}
 	}
 	return wait
 }
 
-func pick(candidates []*candidate, j *job) (*candidate, time.Duration) {
-	var best *candidate
-	var earliest time.Duration
+// pick chooses the agent for one task that must have ended within the time. While
+// several are sure to make it, the one with the most room is taken, whatever its
+// speed: fast servers are left to what needs them. Otherwise the one that would
+// end first.
+func pick(candidates []*candidate, j *job, within time.Duration) (*candidate, time.Duration) {
+	var first, roomy *candidate
+	var earliest, roomyFinish time.Duration
 	for _, c := range candidates {
 		if j.MaxPerServer > 0 && c.taken >= j.MaxPerServer {
 			continue
 		}
-		if f, ok := c.finish(j.CPU); ok && (best == nil || f < earliest) {
-			best, earliest = c, f
+		f, ok := c.finish(j.CPU)
+		if !ok {
+			continue
+		}
+		if first == nil || f < earliest {
+			first, earliest = c, f
+		}
+		if f+sureMargin <= within && (roomy == nil || c.free > roomy.free) {
+			roomy, roomyFinish = c, f
 		}
 	}
-	return best, earliest
+	if roomy != nil {
+		return roomy, roomyFinish
+	}
+	return first, earliest
 }
 
 // candidates returns the agents that may run the tasks. Agents that fail their
@@ -101,7 +117,10 @@
 			continue
 		}
 		runs := d.expect(a, j.Estimate)
-		c := &candidate{agent: a, line: d.timeline(a, j.objective.Sub(d.now)-runs), runs: runs, extra: hopOverhead, taken: d.tasksAt(j, a)}
+		c := &candidate{
+			agent: a, line: d.timeline(a, j.objective.Sub(d.now)-runs, runs), runs: runs, extra: hopOverhead,
+			taken: d.tasksAt(j, a), free: a.freeShare(),
+		}
 		if a.zone != d.opts.Zone {
 			c.extra += crossZone
 		}
@@ -117,6 +136,18 @@
 	return rest
 }
 
+// freeShare returns the free part of the capacity, less what is on its way.
+func (a *agent) freeShare() float64 {
+	free := a.state.FreeCPU
+	for _, p := range a.pending {
+		free -= p.job.CPU
+	}
+	for _, q := range a.state.Queue {
+		free -= q.CPU
+	}
+	return float64(free) / float64(a.state.Capacity)
+}
+
 func (d *Dispatcher) tasksAt(j *job, a *agent) int {
 	n := 0
 	for i := range j.tasks {
--- a/guard/options.go
+++ b/guard/options.go
@@ -91,6 +91,7 @@
 	// estimates are off by 40 %, and short against the faults that slow a server.
 	slownessMemory = 3 * time.Second
 	// slownessPrior is the weight of an ordinary speed among the run times
-	// learned: a few short tasks.
-	slownessPrior = 200 * time.Millisecond
+	// learned: as much as five tasks of the commonest kind, so that one job with
+	// a wrong estimate does not decide.
+	slownessPrior = time.Second
 )
