Tests of the reducers, of the translation, and a model of sessions under faults

guard, dispatch, timeline and platform have directed tests; test/sessions plays entries, agents and stand-in servers on virtual time under kills, freezes (with clocks that stand still or run on), cuts, late orders, reborn servers and copies of submissions, and checks at each start that the task runs nowhere else and the server has room, and that not run is true.

--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -30,7 +30,7 @@
 }
 
 func (d *Dispatcher) agentUp(e AgentUp) {
-	for _, old := range d.agents {
+	for _, old := range slices.Clone(d.order) {
 		if old.name == e.Agent {
 			d.dropAgent(old, "a new session was opened")
 		}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -181,7 +182,7 @@
 			list = append(list, p)
 		}
 	}
-	slices.SortFunc(list, func(a, b *placement) int { return int(int64(a.id) - int64(b.id)) })
+	slices.SortFunc(list, func(a, b *placement) int { return cmp.Compare(a.id, b.id) })
 	return list
 }
 
@@ -192,7 +193,7 @@
 			list = append(list, j)
 		}
 	}
-	slices.SortFunc(list, func(a, b *job) int { return a.arrived.Compare(b.arrived) })
+	slices.SortFunc(list, func(a, b *job) int { return cmp.Or(a.arrived.Compare(b.arrived), cmp.Compare(a.Name, b.Name)) })
 	return list
 }
 
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -124,7 +124,8 @@
 // expire ends what has run out: sessions, and all runs once the lease has
 // lapsed for certain.
 func (g *Guard) expire() {
-	for id, s := range g.sessions {
+	for _, id := range g.sortedSessions() {
+		s := g.sessions[id]
 		if g.now.Sub(s.heard) > g.opts.SessionTTL {
 			g.endSession(id, "nothing heard for "+g.now.Sub(s.heard).String())
 		} else if s.echo.Run == g.clockRun && g.clock-s.echo.Clock > g.opts.SessionTTL {
--- a/guard/run.go
+++ b/guard/run.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -78,7 +79,9 @@
 	for _, r := range g.runs {
 		list = append(list, r)
 	}
-	slices.SortFunc(list, func(a, b *run) int { return int(int64(a.id) - int64(b.id)) })
+	slices.SortFunc(list, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.session.id, b.session.id), cmp.Compare(a.id, b.id))
+	})
 	return list
 }
 
--- a/guard/session.go
+++ b/guard/session.go
@@ -52,8 +52,8 @@
 
 // hello opens a session; an earlier one of the same entry ends.
 func (g *Guard) hello(e HelloCalled) {
-	for id, s := range g.sessions {
-		if s.entry == e.Request.Incarnation && id != e.Session {
+	for _, id := range g.sortedSessions() {
+		if s := g.sessions[id]; s.entry == e.Request.Incarnation && id != e.Session {
 			g.endSession(id, "replaced by a new session")
 		}
 	}
@@ -234,7 +234,7 @@
 func (g *Guard) timeline() *timeline.Timeline {
 	cpu, _, _ := g.used()
 	var spans []timeline.Span
-	for _, r := range g.runs {
+	for _, r := range g.sortedRuns() {
 		if r.phase != waiting {
 			spans = append(spans, timeline.Span{At: g.remaining(r), CPU: r.cpu})
 		}
--- /dev/null
+++ b/standin/leaseserver/server.go
@@ -0,0 +1,200 @@
+// Package leaseserver is a stand-in of a backend server whose tasks run under a
+// lease, as the users' platform has them. Server is the pure machine, on a clock
+// that its user moves; handler.go serves it over HTTP.
+package leaseserver
+
+import (
+	"slices"
+	"time"
+)
+
+// Task is a run of a task by its name on the wire.
+type Task struct {
+	Name string
+	Run  int
+}
+
+// Work is what a task needs.
+type Work struct {
+	Takes time.Duration
+	Fails bool
+	Hangs bool // makes no progress
+}
+
+// Running is a task at work.
+type Running struct {
+	Task
+	Started time.Duration // on the server's clock
+	Work    Work
+}
+
+// Percent returns the progress at a clock reading.
+func (r Running) Percent(clock time.Duration) int {
+	if r.Work.Hangs || r.Work.Takes <= 0 {
+		return 0
+	}
+	return min(int(100*(clock-r.Started)/r.Work.Takes), 99)
+}
+
+// End is a task that has ended; N counts from 1.
+type End struct {
+	N int64
+	Task
+	How string // done, failed, stopped or lapsed
+}
+
+// Reasons for which a start is refused.
+const (
+	ReasonFence = "fence"
+	ReasonOld   = "old"
+	ReasonLate  = "late"
+)
+
+// leaseMax is the longest lease that is granted.
+const leaseMax = time.Second
+
+// Server is the state of one run of a backend server. It is not safe for
+// concurrent use.
+type Server struct {
+	Born     int64
+	clock    time.Duration
+	token    int64
+	until    time.Duration // end of the lease
+	running  []Running
+	ends     []End
+	lastEnd  int64
+	blocked  map[string]int // highest run that ended or was stopped, by name
+	OnStart  func(Task)
+	OnEnd    func(Task, string)
+	Accepted int // starts
+}
+
+// New returns a server that runs nothing, with its clock at the reading.
+func New(born int64, clock time.Duration) *Server {
+	return &Server{Born: born, clock: clock, blocked: make(map[string]int)}
+}
+
+// Clock returns the reading of the server's clock.
+func (s *Server) Clock() time.Duration { return s.clock }
+
+// Running returns what is at work.
+func (s *Server) Running() []Running { return slices.Clone(s.running) }
+
+// Advance moves the clock to a reading, and ends what ends on the way.
+func (s *Server) Advance(to time.Duration) {
+	for {
+		at, i := s.nextEnd()
+		if i < 0 || at > to {
+			break
+		}
+		s.clock = max(s.clock, at)
+		s.endAt(i)
+	}
+	s.clock = max(s.clock, to)
+}
+
+// nextEnd returns when a task ends by itself, and which; -1 if none does.
+func (s *Server) nextEnd() (time.Duration, int) {
+	best, which := time.Duration(0), -1
+	for i, r := range s.running {
+		at := s.until
+		if end := r.Started + r.Work.Takes; !r.Work.Hangs && end <= s.until {
+			at = end
+		}
+		if which < 0 || at < best {
+			best, which = at, i
+		}
+	}
+	return best, which
+}
+
+func (s *Server) endAt(i int) {
+	r := s.running[i]
+	how := "lapsed"
+	if !r.Work.Hangs && r.Started+r.Work.Takes <= s.until {
+		how = "done"
+		if r.Work.Fails {
+			how = "failed"
+		}
+	}
+	s.end(i, how)
+}
+
+func (s *Server) end(i int, how string) {
+	r := s.running[i]
+	s.running = slices.Delete(s.running, i, i+1)
+	s.lastEnd++
+	s.ends = append(s.ends, End{N: s.lastEnd, Task: r.Task, How: how})
+	s.blocked[r.Name] = max(s.blocked[r.Name], r.Run)
+	if s.OnEnd != nil {
+		s.OnEnd(r.Task, how)
+	}
+}
+
+// fenced takes in a token and reports whether a higher one was seen.
+func (s *Server) fenced(token int64) bool {
+	if token < s.token {
+		return true
+	}
+	s.token = token
+	return false
+}
+
+func (s *Server) renew(until time.Duration) {
+	s.until = max(s.until, min(until, s.clock+leaseMax))
+}
+
+// Start begins a task and returns why not, or nothing.
+func (s *Server) Start(t Task, w Work, until time.Duration, token int64) string {
+	if s.fenced(token) {
+		return ReasonFence
+	}
+	for _, r := range s.running {
+		if r.Task == t {
+			return ""
+		}
+	}
+	if t.Run <= s.blocked[t.Name] {
+		s.renew(until)
+		return ReasonOld
+	}
+	if until <= s.clock {
+		return ReasonLate
+	}
+	s.renew(until)
+	s.running = append(s.running, Running{Task: t, Started: s.clock, Work: w})
+	s.Accepted++
+	if s.OnStart != nil {
+		s.OnStart(t)
+	}
+	return ""
+}
+
+// Stop ends a task, or keeps the run from starting. It reports false if the
+// token is too low.
+func (s *Server) Stop(t Task, token int64) bool {
+	if s.fenced(token) {
+		return false
+	}
+	s.blocked[t.Name] = max(s.blocked[t.Name], t.Run)
+	for i, r := range s.running {
+		if r.Task == t {
+			s.end(i, "stopped")
+			return true
+		}
+	}
+	return true
+}
+
+// Hold renews the lease, forgets ends and returns those left. It reports false
+// if the token is too low.
+func (s *Server) Hold(until time.Duration, token, seen int64) ([]End, bool) {
+	if s.fenced(token) {
+		return nil, false
+	}
+	s.ends = slices.DeleteFunc(s.ends, func(e End) bool { return e.N <= seen })
+	if until > s.clock {
+		s.renew(until)
+	}
+	return slices.Clone(s.ends), true
+}
--- /dev/null
+++ b/timeline/timeline_test.go
@@ -0,0 +1,39 @@
+package timeline_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/timeline"
+)
+
+func TestTaskStartsWhenEnoughFallsFree(t *testing.T) {
+	g := NewWithT(t)
+	line := timeline.New(1000, []timeline.Span{{At: 30 * time.Millisecond, CPU: 2000}, {At: 10 * time.Millisecond, CPU: 1000}})
+	for cpu, want := range map[int]time.Duration{1000: 0, 2000: 10 * time.Millisecond, 2001: 30 * time.Millisecond, 4000: 30 * time.Millisecond} {
+		at, ok := line.Start(cpu)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(at).To(Equal(want), "%d", cpu)
+	}
+	_, ok := line.Start(4001)
+	g.Expect(ok).To(BeFalse())
+}
+
+func TestTakenRoomFallsFreeAgain(t *testing.T) {
+	g := NewWithT(t)
+	line := timeline.New(1000, nil)
+	for i := range 3 {
+		at, ok := line.Take(1000, 20*time.Millisecond)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(at).To(Equal(time.Duration(i) * 20 * time.Millisecond))
+	}
+}
+
+func TestOverdueReleaseCountsAsNow(t *testing.T) {
+	g := NewWithT(t)
+	at, ok := timeline.New(0, []timeline.Span{{At: -5 * time.Millisecond, CPU: 1000}}).Start(1000)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(at).To(BeZero())
+}
