A server that was born again may hold what was ordered of its former run

The start was accepted by the new run, the next look showed that the run had changed, and the agent reported the task as lost while it ran there.

Ruled out: the model (the server does answer orders at once after its birth).

Change: each run notes which run of the server accepted it. When the run changes, what the former had accepted is lost; what was ordered without an answer is stopped at the new run, under a higher fencing token.

--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -289,6 +289,29 @@
 	b.Expect(effects[guard.StartRun](b)).To(BeEmpty(), "the new run has not registered")
 }
 
+// A server that was born again accepts orders before the agent knows.
+func TestStartAcceptedByANewRunIsNotLost(t *testing.T) {
+	b := newBench(t)
+	b.ready()
+	b.order(1, b.echo(), "job", 1000, 1)
+	b.step(guard.StartReplied{Key: key("job", 0), Result: guard.StartAccepted, Clock: time.Second, Server: serverRun + 1})
+	b.step(guard.LookReplied{ID: 0, OK: true, Server: serverRun + 1, Clock: time.Second, Running: []guard.RunningRow{{Key: key("job", 0)}}})
+	b.Expect(effects[guard.StopRun](b)).To(BeEmpty())
+	b.Expect(b.reports(1)).To(BeEmpty())
+}
+
+func TestStartWithoutAnswerMayBeAtTheNewRun(t *testing.T) {
+	b := newBench(t)
+	b.ready()
+	b.order(1, b.echo(), "job", 1000, 1)
+	token := effects[guard.StartRun](b)[0].Token
+	b.step(guard.LookReplied{ID: 0, OK: true, Server: serverRun + 1, Clock: time.Second})
+	stops := effects[guard.StopRun](b)
+	b.Expect(stops).To(HaveLen(1))
+	b.Expect(stops[0].Token).To(BeNumerically(">", token), "a late order must not pass any more")
+	b.Expect(b.reports(1)).To(BeEmpty(), "it may run at the new run")
+}
+
 func TestHeartbeatOfAnEarlierRunIsIgnored(t *testing.T) {
 	b := newBench(t)
 	b.ready()
--- a/guard/run.go
+++ b/guard/run.go
@@ -37,6 +37,7 @@
 	startedAt  time.Time     // of the acknowledgement
 	startClock time.Duration // the server's clock then; zero if unknown
 	confirmed  bool          // the start was acknowledged or seen
+	acceptedBy int64         // the run of the server that did; zero if unknown
 	percent    int
 	progressAt time.Time // of the last change of percent
 	stopAcked  time.Time // zero if not yet
@@ -153,6 +154,7 @@
 		r.startedAt = g.now
 		r.startClock = e.Clock
 		r.progressAt = g.now
+		r.acceptedBy = e.Server
 	}
 	if r.phase != starting {
 		return
@@ -160,6 +162,9 @@
 	switch e.Result {
 	case StartAccepted:
 		r.phase = running
+		if e.Server != g.clockRun {
+			g.lookNow() // another run of the server has it
+		}
 		g.emit(LogEvent{Event: "task_started", Job: r.key.String(), Entry: r.session.entry,
 			Detail: fmt.Sprintf("cpu=%d estimate_ms=%d clock_ms=%d", r.cpu, r.estimate.Milliseconds(), g.clock.Milliseconds())})
 	case StartOld:
--- a/guard/server.go
+++ b/guard/server.go
@@ -125,16 +125,30 @@
 	g.lookNow()
 }
 
-// serverReplaced starts anew with another run of the server, at which nothing
-// of the earlier one runs.
+// serverReplaced starts anew with another run of the server. What the earlier
+// run had accepted has ended with it. Orders without an answer may have reached
+// the new run, which knows no fencing token yet: their tasks are stopped there,
+// under a higher token that keeps out what is still on its way.
 func (g *Guard) serverReplaced(e LookReplied) {
 	g.log("server_run_changed", fmt.Sprintf("from=%d to=%d", g.clockRun, e.Server))
-	g.loseRuns("the backend server was replaced", func(r *run) bool { return r.phase != waiting })
 	g.clockRun = e.Server
 	g.clock = 0
 	g.clean = false
 	g.seenEnd = 0
+	g.token++
 	g.health = health{}
+	for _, r := range g.sortedRuns() {
+		switch {
+		case r.phase == waiting || r.acceptedBy == e.Server:
+		case r.phase == running || r.phase == stopping && r.acceptedBy != 0:
+			g.finish(r, session.Lost, "the backend server was replaced")
+		case r.phase == starting:
+			g.stop(r, session.NotStarted, "the backend server was replaced")
+		default:
+			r.stopAcked = time.Time{}
+			g.emit(StopRun{Key: r.key, Token: g.token, Server: g.server.ID})
+		}
+	}
 	g.wakePolls()
 }
 
@@ -211,6 +225,7 @@
 		r.confirmed = true
 		r.startedAt, r.progressAt = g.now, g.now
 	}
+	r.acceptedBy = g.clockRun
 	if percent != r.percent {
 		r.percent = percent
 		r.progressAt = g.now
--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -25,6 +25,8 @@
 	HeartbeatAddr string `toml:"heartbeat_addr" validate:"required,ipport"`
 	PeerAddr      string `toml:"peer_addr" validate:"required,ipport"`
 	OpsAddr       string `toml:"ops_addr" validate:"required,ipport"`
+	// AdvertiseAddr is the address that entries are told, if it is not PeerAddr.
+	AdvertiseAddr string `toml:"advertise_addr" validate:"omitempty,ipport"`
 	// Seeds are addresses of entries.
 	Seeds []string `toml:"seeds" validate:"dive,ipport"`
 	// Grace is how long the platform waits after SIGTERM.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -75,7 +76,7 @@
 		conns:    make(map[uint64]context.Context),
 	}
 	s.self = session.Process{
-		Name: opts.Name, Role: session.RoleAgent, Addr: opts.PeerAddr, Incarnation: structs.Incarnation(random.NonZero()),
+		Name: opts.Name, Role: session.RoleAgent, Addr: cmp.Or(opts.AdvertiseAddr, opts.PeerAddr), Incarnation: structs.Incarnation(random.NonZero()),
 	}
 	s.guard = guard.New(guard.Options{
 		Agent: opts.Name, Incarnation: s.self.Incarnation, Zone: opts.Zone, Service: opts.Service,
--- /dev/null
+++ b/standin/leaseserver/handler.go
@@ -0,0 +1,279 @@
+package leaseserver
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/chestnuthollow/chestnuthollow/internal/ops"
+)
+
+// Options describe a backend server that is served over HTTP.
+type Options struct {
+	ID, Service string
+	CPU, MemMB  int
+	// HeartbeatURL is the agent's address for heartbeats.
+	HeartbeatURL string
+	// HeartbeatEvery is the time between heartbeats.
+	HeartbeatEvery time.Duration
+	// WorkOf says what a task needs, by its name and spec.
+	WorkOf func(name, spec string) Work
+	// OnStart and OnEnd are called as tasks start and end.
+	OnStart func(server string, t Task)
+	OnEnd   func(server string, t Task, how string)
+}
+
+// tick is how often an HTTP server lets its tasks end.
+const tick = 2 * time.Millisecond
+
+// HTTP serves a Server on the machine's clock.
+type HTTP struct {
+	opts Options
+
+	mu        sync.Mutex
+	server    *Server
+	started   time.Time     // of the run
+	base      time.Duration // the clock's first reading
+	changed   chan struct{} // closed when a task ends
+	lateShare float64
+	draining  bool
+	seq       int64 // of heartbeats
+}
+
+// NewHTTP returns a server whose run starts now. Run sends its heartbeats.
+func NewHTTP(opts Options) *HTTP {
+	h := &HTTP{opts: opts, changed: make(chan struct{})}
+	h.rebirth()
+	return h
+}
+
+// rebirth begins a new run.
+func (h *HTTP) rebirth() {
+	h.started = time.Now()
+	h.base = time.Duration(1+rand.IntN(1_000_000)) * time.Millisecond
+	h.server = New(h.started.UnixMilli(), h.base)
+	h.server.OnStart = func(t Task) {
+		if h.opts.OnStart != nil {
+			h.opts.OnStart(h.opts.ID, t)
+		}
+	}
+	h.server.OnEnd = func(t Task, how string) {
+		if h.opts.OnEnd != nil {
+			h.opts.OnEnd(h.opts.ID, t, how)
+		}
+		close(h.changed)
+		h.changed = make(chan struct{})
+	}
+	h.seq = 0
+	h.draining = false
+}
+
+// SetLateShare sets the share of orders that get no answer and are carried out
+// seconds later.
+func (h *HTTP) SetLateShare(share float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lateShare = share
+}
+
+// Crash ends the run and all tasks, and begins a new one.
+func (h *HTTP) Crash() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sync()
+	for len(h.server.running) > 0 {
+		h.server.end(0, "crashed")
+	}
+	h.rebirth()
+}
+
+// Drain makes the server say that it leaves.
+func (h *HTTP) Drain() {
+	h.mu.Lock()
+	h.draining = true
+	h.mu.Unlock()
+	h.heartbeat(context.Background())
+}
+
+// sync moves the server's clock; it is called with h.mu held.
+func (h *HTTP) sync() *Server {
+	h.server.Advance(h.base + time.Since(h.started))
+	return h.server
+}
+
+// Run sends heartbeats and lets tasks end until ctx does.
+func (h *HTTP) Run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	var beat time.Time
+	for {
+		if time.Since(beat) > h.opts.HeartbeatEvery {
+			beat = time.Now()
+			go h.heartbeat(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			h.mu.Lock()
+			h.sync()
+			h.mu.Unlock()
+		}
+	}
+}
+
+func (h *HTTP) heartbeat(ctx context.Context) {
+	h.mu.Lock()
+	h.seq++
+	state := "ready"
+	if h.draining {
+		state = "draining"
+	}
+	body, err := json.Marshal(map[string]any{
+		"service": h.opts.Service, "state": state, "seq": h.seq, "born": h.server.Born, "slots": 8, "version": "v1",
+		"capacity": map[string]int{"cpu": h.opts.CPU, "memMb": h.opts.MemMB}, "labels": []string{"a", "r1-1"},
+	})
+	h.mu.Unlock()
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, h.opts.HeartbeatURL+"/chestnuthollow/instances/"+h.opts.ID, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		resp.Body.Close()
+	}
+}
+
+// call is the body of an order.
+type call struct {
+	Task         string `json:"task"`
+	Run          int    `json:"run"`
+	Spec         string `json:"spec"`
+	DeadlineMs   int64  `json:"deadlineMs"`
+	FencingToken int64  `json:"fencingToken"`
+	AckIndex     int64  `json:"ackIndex"`
+	WaitMs       int64  `json:"waitMs"`
+}
+
+func (c *call) until() time.Duration { return time.Duration(c.DeadlineMs) * time.Millisecond }
+
+// Handler serves the orders of an agent.
+func (h *HTTP) Handler() http.Handler {
+	e := ops.NewServer()
+	e.POST("/chestnuthollow/run-start", h.order(func(c *call) (int, map[string]any) {
+		s := h.sync()
+		reason := s.Start(Task{Name: c.Task, Run: c.Run}, h.opts.WorkOf(c.Task, c.Spec), c.until(), c.FencingToken)
+		if reason != "" {
+			return http.StatusConflict, map[string]any{"reason": reason}
+		}
+		return http.StatusOK, map[string]any{}
+	}))
+	e.POST("/chestnuthollow/run-stop", h.order(func(c *call) (int, map[string]any) {
+		if !h.sync().Stop(Task{Name: c.Task, Run: c.Run}, c.FencingToken) {
+			return http.StatusConflict, map[string]any{"reason": ReasonFence}
+		}
+		return http.StatusOK, map[string]any{}
+	}))
+	e.POST("/chestnuthollow/hold", h.hold)
+	return e
+}
+
+// order serves a call, or carries it out late and does not answer.
+func (h *HTTP) order(do func(*call) (int, map[string]any)) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		var body call
+		if err := json.NewDecoder(c.Request().Body).Decode(&body); err != nil {
+			return c.NoContent(http.StatusBadRequest)
+		}
+		h.mu.Lock()
+		if rand.Float64() < h.lateShare {
+			run := h.server
+			h.mu.Unlock()
+			time.AfterFunc(2*time.Second+time.Duration(rand.IntN(4000))*time.Millisecond, func() {
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				if h.server == run {
+					do(&body)
+				}
+			})
+			<-c.Request().Context().Done()
+			return nil
+		}
+		if h.otherRun(c) {
+			h.mu.Unlock()
+			return c.NoContent(http.StatusMisdirectedRequest)
+		}
+		code, reply := do(&body)
+		reply["clockMs"] = h.server.Clock().Milliseconds()
+		reply["born"] = h.server.Born
+		h.mu.Unlock()
+		return c.JSON(code, reply)
+	}
+}
+
+// otherRun reports whether a call is meant for another server; it is called
+// with h.mu held.
+func (h *HTTP) otherRun(c echo.Context) bool {
+	want := c.Request().Header.Get("Expect-Instance")
+	return want != "" && want != h.opts.ID
+}
+
+func (h *HTTP) hold(c echo.Context) error {
+	var body call
+	if err := json.NewDecoder(c.Request().Body).Decode(&body); err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	timer := time.NewTimer(time.Duration(body.WaitMs) * time.Millisecond)
+	defer timer.Stop()
+	expired := body.WaitMs == 0
+	for {
+		h.mu.Lock()
+		if rand.Float64() < h.lateShare/4 {
+			h.mu.Unlock()
+			<-c.Request().Context().Done()
+			return nil
+		}
+		s := h.sync()
+		ends, ok := s.Hold(body.until(), body.FencingToken, body.AckIndex)
+		if !ok {
+			h.mu.Unlock()
+			return c.JSON(http.StatusConflict, map[string]any{"reason": ReasonFence})
+		}
+		reply := h.listing(ends)
+		changed := h.changed
+		h.mu.Unlock()
+		if len(ends) > 0 || expired {
+			return c.JSON(http.StatusOK, reply)
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			expired = true
+		case <-c.Request().Context().Done():
+			return nil
+		}
+	}
+}
+
+// listing is called with h.mu held.
+func (h *HTTP) listing(ends []End) map[string]any {
+	running, finished := [][]any{}, [][]any{}
+	for _, r := range h.server.running {
+		running = append(running, []any{r.Name, r.Run, "", r.Percent(h.server.Clock())})
+	}
+	for _, e := range ends {
+		finished = append(finished, []any{e.N, e.Name, e.Run, e.How, ""})
+	}
+	return map[string]any{"clockMs": h.server.Clock().Milliseconds(), "born": h.server.Born, "running": running, "finished": finished}
+}
--- /dev/null
+++ b/test/platform/path_test.go
@@ -0,0 +1,136 @@
+package platform_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/standin/keyedstore"
+)
+
+func TestWholePath(t *testing.T) {
+	g := NewWithT(t)
+	s := newSystem(t, 2, 3)
+	for i, p := range s.entries {
+		id := fmt.Sprintf("%016x", i+1)
+		g.Expect(s.post(t.Context(), p, id, 8, 60, 2000, "ok")).To(Equal(answer{code: 200, state: "completed"}))
+		g.Expect(s.watch.starts(id)).To(Equal(8))
+		g.Expect(s.post(t.Context(), p, fmt.Sprintf("%016x", i+100), 1, 20, 2000, "fail")).To(Equal(answer{code: 200, state: "failed"}))
+		g.Expect(s.watch.starts(fmt.Sprintf("%016x", i+100))).To(Equal(2), "two attempts")
+		g.Expect(s.send(t.Context(), p, "/nowhere/1", nil).code).To(Equal(404))
+		g.Expect(s.send(t.Context(), p, "/holds/2", []byte("{")).code).To(Equal(400))
+		g.Expect(s.send(t.Context(), p, "/holds/3", []byte(`{"steps":[{"replicas":1}]}`)).code).To(Equal(503), "a job that must be kept")
+		g.Expect(s.post(t.Context(), p, "00ff", 1, 20, serverCPU+1, "ok").code).To(BeElementOf(429, 503), "larger than any server")
+	}
+}
+
+// A copy comes 1.3 s after the connection broke; the first run must be over.
+func TestCopyAfterItsEntryWasKilled(t *testing.T) {
+	g := NewWithT(t)
+	s := newSystem(t, 2, 2)
+	first := make(chan answer, 1)
+	go func() { first <- s.post(context.Background(), s.entries[0], "00aa", 2, 1000, 2000, "ok") }()
+	g.Eventually(func() int { return s.watch.starts("00aa") }, "3s", "5ms").Should(Equal(2))
+	s.entries[0].kill()
+	g.Expect((<-first).err).To(HaveOccurred())
+	time.Sleep(1300 * time.Millisecond)
+	g.Expect(s.post(t.Context(), s.entries[1], "00aa", 2, 1000, 2000, "ok")).To(Equal(answer{code: 200, state: "completed"}))
+	g.Expect(s.watch.starts("00aa")).To(Equal(4))
+}
+
+// The copy of a job whose entry was frozen must not meet the first run either,
+// also once the frozen entry wakes.
+func TestCopyWhileItsEntryIsFrozen(t *testing.T) {
+	g := NewWithT(t)
+	s := newSystem(t, 2, 2)
+	go s.post(context.Background(), s.entries[0], "00ab", 2, 1500, 2000, "hang")
+	g.Eventually(func() int { return s.watch.starts("00ab") }, "3s", "5ms").Should(Equal(2))
+	s.entries[0].signal(syscall.SIGSTOP)
+	time.Sleep(1300 * time.Millisecond)
+	g.Expect(s.post(t.Context(), s.entries[1], "00ab", 2, 500, 2000, "ok").code).To(Equal(200))
+	s.entries[0].signal(syscall.SIGCONT)
+	time.Sleep(500 * time.Millisecond)
+}
+
+func TestOrdersThatAreCarriedOutLate(t *testing.T) {
+	g := NewWithT(t)
+	s := newSystem(t, 2, 2)
+	for _, server := range s.servers {
+		server.SetLateShare(0.15)
+	}
+	done := make(chan answer)
+	const jobs = 40
+	for i := range jobs {
+		go func() { done <- s.post(t.Context(), s.entries[i%2], fmt.Sprintf("%016x", i), 2, 30, 1000, "ok") }()
+		time.Sleep(30 * time.Millisecond)
+	}
+	completed := 0
+	for range jobs {
+		if a := <-done; a.state == "completed" {
+			completed++
+		}
+	}
+	g.Expect(completed).To(BeNumerically(">", jobs/2))
+	time.Sleep(6 * time.Second) // the last late order is carried out
+}
+
+// Jobs do not need the store, and a new entry finds all it needs at its peer.
+func TestStoreAway(t *testing.T) {
+	g := NewWithT(t)
+	s := newSystem(t, 2, 2)
+	s.store.SetMode(keyedstore.Silent, 0)
+	g.Expect(s.post(t.Context(), s.entries[0], "00ac", 2, 30, 1000, "ok").state).To(Equal("completed"))
+	s.entries[0].kill()
+	s.entries[0].start()
+	s.entries[0].waitReady()
+	g.Expect(s.post(t.Context(), s.entries[0], "00ad", 2, 30, 1000, "ok").state).To(Equal("completed"))
+	s.agents[0].kill()
+	s.agents[0].start()
+	g.Eventually(func() int {
+		a := s.post(t.Context(), s.entries[1], fmt.Sprintf("%016x", time.Now().UnixNano()), 8, 30, 5000, "ok")
+		return a.code
+	}, "5s", "100ms").Should(Equal(200), "eight tasks of five cores need both servers")
+}
+
+func TestConfigReachesAllAndStays(t *testing.T) {
+	g := NewWithT(t)
+	s := newSystem(t, 2, 1)
+	status := func(p *process, version int) int {
+		req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/only-%d/", p.jobs, version), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		req.Host = "a.example"
+		resp, err := s.client.Do(req)
+		g.Expect(err).NotTo(HaveOccurred())
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	v := s.putConfig()
+	for _, p := range s.entries {
+		g.Eventually(func() int { return status(p, v) }, "2s", "20ms").Should(Equal(200))
+		g.Expect(status(p, v-1)).To(Equal(404))
+	}
+	s.store.Forget("keyed.op")
+	s.entries[0].kill()
+	s.entries[0].start()
+	s.entries[0].waitReady()
+	g.Expect(status(s.entries[0], v)).To(Equal(200))
+}
+
+func TestGracefulStopAnswersOpenJobs(t *testing.T) {
+	g := NewWithT(t)
+	s := newSystem(t, 1, 1)
+	first := make(chan answer, 1)
+	go func() { first <- s.post(context.Background(), s.entries[0], "00ae", 1, 800, 1000, "ok") }()
+	g.Eventually(func() int { return s.watch.starts("00ae") }, "3s", "5ms").Should(Equal(1))
+	s.entries[0].signal(syscall.SIGTERM)
+	g.Eventually(s.entries[0].isReady, "1s", "5ms").Should(BeFalse())
+	g.Expect(<-first).To(Equal(answer{code: 200, state: "completed"}))
+	g.Expect(s.entries[0].wait(graceS * time.Second)).To(BeTrue())
+	s.agents[0].signal(syscall.SIGTERM)
+	g.Expect(s.agents[0].wait(graceS * time.Second)).To(BeTrue())
+}
--- /dev/null
+++ b/test/platform/system_test.go
@@ -0,0 +1,390 @@
+package platform_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/standin/keyedstore"
+	"github.com/chestnuthollow/chestnuthollow/standin/leaseserver"
+)
+
+const (
+	serverCPU   = 20_000 // thousandths of a core
+	heartbeat   = 300 * time.Millisecond
+	readyWithin = 15 * time.Second
+	graceS      = 6
+)
+
+var buildOnce = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "chestnuthollow-platform-*")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "chestnuthollowd")
+	out, err := exec.Command("go", "build", "-o", path, "github.com/chestnuthollow/chestnuthollow/cmd/chestnuthollowd").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return path, nil
+})
+
+// system is a whole system of processes with its stand-ins.
+type system struct {
+	t       *testing.T
+	dir     string
+	program string
+	store   *keyedstore.Store
+	watch   *watcher
+	entries []*process
+	agents  []*process
+	servers []*leaseserver.HTTP
+	proxies []*proxy // before the agents
+	version int
+	client  *http.Client
+}
+
+// process is one program that can be started again with the same settings.
+type process struct {
+	sys      *system
+	name     string
+	role     string
+	settings string // path
+	jobs     string // address, of an entry
+	ready    string
+	log      *os.File
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+func newSystem(t *testing.T, entries, agents int) *system {
+	program, err := buildOnce()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &system{t: t, dir: t.TempDir(), program: program, store: keyedstore.New(), watch: newWatcher(), client: &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: 100},
+	}}
+	storeAddr := s.serve(s.store.Handler())
+	s.putConfig()
+	var seeds []string
+	for range entries {
+		seeds = append(seeds, freeAddr(t))
+	}
+	for i, seed := range seeds {
+		s.addEntry(i, seed, seeds, storeAddr)
+	}
+	for i := range agents {
+		s.addAgent(i, seeds, storeAddr)
+	}
+	t.Cleanup(s.stop)
+	for _, p := range append(append([]*process{}, s.agents...), s.entries...) {
+		p.start()
+	}
+	for _, p := range s.entries {
+		p.waitReady()
+	}
+	return s
+}
+
+// nextPort counts ports below the range from which the kernel takes those of
+// outgoing connections and of listeners without a port.
+var nextPort atomic.Int32
+
+const (
+	firstPort = 12_000
+	lastPort  = 30_000
+)
+
+func freeAddr(t *testing.T) string {
+	for range lastPort - firstPort {
+		port := firstPort + (int(nextPort.Add(1))+os.Getpid()*64)%(lastPort-firstPort)
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		if l, err := net.Listen("tcp", addr); err == nil {
+			l.Close()
+			return addr
+		}
+	}
+	t.Fatal("no port is free")
+	return ""
+}
+
+func (s *system) serve(h http.Handler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	srv := &http.Server{Handler: h}
+	go srv.Serve(l)
+	s.t.Cleanup(func() { srv.Close() })
+	return l.Addr().String()
+}
+
+// putConfig writes the next version of the configuration. Each has a queue that
+// only it has.
+func (s *system) putConfig() int {
+	s.version++
+	route := func(name, prefix string) map[string]any {
+		return map[string]any{
+			"name": name, "host": "a.example", "pathPrefix": prefix, "service": "booking", "targetLatencyMs": 60,
+			"attempts": 2, "stretch": 1.6, "timeoutMs": 1500, "type": "unsafe",
+		}
+	}
+	text, err := json.Marshal(map[string]any{
+		"version":  s.version,
+		"routes":   []any{route("holds", "/holds/"), route("only", fmt.Sprintf("/only-%d/", s.version))},
+		"services": []any{map[string]any{"name": "booking"}},
+		"limits":   map[string]any{"maxBodyBytes": 262144},
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.store.Put("keyed.op", "config", text)
+	return s.version
+}
+
+func (s *system) addEntry(i int, peer string, seeds []string, storeAddr string) {
+	p := &process{sys: s, name: fmt.Sprintf("entry-%d", i), role: "entry", jobs: freeAddr(s.t), ready: freeAddr(s.t)}
+	p.write(map[string]any{"jobs_addr": p.jobs, "ready_addr": p.ready, "peer_addr": peer}, seeds, storeAddr, "")
+	s.entries = append(s.entries, p)
+}
+
+func (s *system) addAgent(i int, seeds []string, storeAddr string) {
+	p := &process{sys: s, name: fmt.Sprintf("agent-%d", i), role: "agent"}
+	beats, peer := freeAddr(s.t), freeAddr(s.t)
+	server := leaseserver.NewHTTP(leaseserver.Options{
+		ID: fmt.Sprintf("server-%d", i), Service: "booking", CPU: serverCPU, MemMB: 4096,
+		HeartbeatURL: "http://" + beats, HeartbeatEvery: heartbeat, WorkOf: workOf,
+		OnStart: s.watch.started, OnEnd: s.watch.ended,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	s.t.Cleanup(cancel)
+	go server.Run(ctx)
+	px := newProxy(s.t, peer)
+	p.write(map[string]any{"heartbeat_addr": beats, "peer_addr": peer, "advertise_addr": px.addr, "service": "booking"}, seeds, storeAddr, s.serve(server.Handler()))
+	s.agents = append(s.agents, p)
+	s.servers = append(s.servers, server)
+	s.proxies = append(s.proxies, px)
+}
+
+// write writes the process's settings file.
+func (p *process) write(own map[string]any, seeds []string, storeAddr, serverAddr string) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = %q\nzone = \"zone-a\"\nregion = \"local\"\nops_addr = %q\ngrace = \"%ds\"\n", p.name, freeAddr(p.sys.t), graceS)
+	for k, v := range own {
+		fmt.Fprintf(&b, "%s = %q\n", k, v)
+	}
+	quoted, err := json.Marshal(seeds)
+	if err != nil {
+		p.sys.t.Fatal(err)
+	}
+	fmt.Fprintf(&b, "seeds = %s\n[platform]\nstore_addr = %q\n", quoted, storeAddr)
+	if serverAddr != "" {
+		fmt.Fprintf(&b, "server_addr = %q\n", serverAddr)
+	}
+	p.settings = filepath.Join(p.sys.dir, p.name+".toml")
+	if err := os.WriteFile(p.settings, []byte(b.String()), 0o600); err != nil {
+		p.sys.t.Fatal(err)
+	}
+	if p.log, err = os.Create(filepath.Join(p.sys.dir, p.name+".log")); err != nil {
+		p.sys.t.Fatal(err)
+	}
+}
+
+func (p *process) start() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cmd := exec.Command(p.sys.program, "platform", p.role, "--config", p.settings)
+	cmd.Stdout, cmd.Stderr = p.log, p.log
+	if err := cmd.Start(); err != nil {
+		p.sys.t.Errorf("%s: %v", p.name, err)
+		return
+	}
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go func() {
+		cmd.Wait()
+		close(done)
+	}()
+}
+
+// signal sends a signal to the present process, which this test started.
+func (p *process) signal(sig syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd.Process.Signal(sig)
+}
+
+// wait waits for the present process to end.
+func (p *process) wait(timeout time.Duration) bool {
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	select {
+	case <-done:
+		return true
+	case <-time.After(timeout):
+		return false
+	}
+}
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	p.wait(5 * time.Second)
+}
+
+func (p *process) isReady() bool {
+	resp, err := p.sys.client.Get("http://" + p.ready + "/chestnuthollow/ready")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (p *process) waitReady() {
+	p.sys.t.Helper()
+	for end := time.Now().Add(readyWithin); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if p.isReady() {
+			return
+		}
+	}
+	p.sys.t.Fatalf("%s is not ready: %s", p.name, p.tail())
+}
+
+// tail returns the end of the process's log.
+func (p *process) tail() string {
+	text, err := os.ReadFile(p.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(0, len(text)-2000):])
+}
+
+func (s *system) stop() {
+	for _, p := range append(append([]*process{}, s.entries...), s.agents...) {
+		p.mu.Lock()
+		started := p.cmd != nil
+		p.mu.Unlock()
+		if started {
+			p.signal(syscall.SIGCONT)
+			p.kill()
+		}
+		p.log.Close()
+	}
+	if err := s.watch.err(); err != nil {
+		s.t.Error(err)
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	code  int
+	state string
+	err   error
+}
+
+// post submits a job of tasks that each take ms on cpu thousandths of a core.
+func (s *system) post(ctx context.Context, p *process, id string, tasks, ms, cpu int, how string) answer {
+	body, err := json.Marshal(map[string]any{
+		"spec": fmt.Sprintf("%d,%d,%s", ms, cpu, how), "bestEffort": true,
+		"steps": []any{map[string]any{"replicas": tasks, "cpu": cpu, "memMb": 16, "estimateMs": ms}},
+	})
+	if err != nil {
+		return answer{err: err}
+	}
+	return s.send(ctx, p, "/holds/"+id, body)
+}
+
+func (s *system) send(ctx context.Context, p *process, path string, body []byte) answer {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.jobs+path, bytes.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Host = "a.example"
+	req.Header.Set("Deadline-Ms", "3000")
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return answer{err: err}
+	}
+	var reply struct {
+		State string `json:"state"`
+	}
+	json.Unmarshal(text, &reply)
+	return answer{code: resp.StatusCode, state: reply.State}
+}
+
+// A spec is "MS,CPU,HOW".
+func workOf(_, spec string) leaseserver.Work {
+	f := strings.Split(spec, ",")
+	ms, _ := strconv.Atoi(f[0])
+	return leaseserver.Work{Takes: time.Duration(ms) * time.Millisecond, Fails: f[2] == "fail", Hangs: f[2] == "hang"}
+}
+
+// watcher checks from the servers' side that no task runs twice at a time.
+type watcher struct {
+	mu      sync.Mutex
+	running map[string]string // server by task
+	begun   map[string]int    // starts by job
+	broken  []string
+}
+
+func newWatcher() *watcher {
+	return &watcher{running: make(map[string]string), begun: make(map[string]int)}
+}
+
+func (w *watcher) started(server string, t leaseserver.Task) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if at, ok := w.running[t.Name]; ok {
+		w.broken = append(w.broken, fmt.Sprintf("%s started at %s while it ran at %s", t.Name, server, at))
+	}
+	w.running[t.Name] = server
+	job, _, _ := strings.Cut(t.Name, ".")
+	w.begun[job]++
+}
+
+func (w *watcher) ended(server string, t leaseserver.Task, _ string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.running[t.Name] == server {
+		delete(w.running, t.Name)
+	}
+}
+
+// starts returns how many tasks of a job have started.
+func (w *watcher) starts(job string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.begun[job]
+}
+
+func (w *watcher) err() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.broken) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%d promises broken, the first: %s", len(w.broken), w.broken[0])
+}
