A start called old after an unanswered one is the same run

The server called the run old; the agent took another number and ran the task a second time.

Ruled out: another session's run under the same number; that shows at the first start, and there the number still changes.

Change: after an unanswered start, old means that the run was carried out and has ended; its end is awaited. Leases 300 ms, sessions 450 ms, so that tasks of a lost server move sooner. A hello that cannot be answered is not an ended session.

--- a/gateway/link.go
+++ b/gateway/link.go
@@ -24,8 +24,8 @@
 	// what an earlier one left, which its lease bounds to a second.
 	helloTimeout = 1500 * time.Millisecond
 	// pollTimeout is when a session without an answer is given up: the longest
-	// that an agent holds a poll back, and two retransmissions.
-	pollTimeout = 650 * time.Millisecond
+	// that an agent holds a poll back, and one lost packet either way.
+	pollTimeout = 550 * time.Millisecond
 	// linkBackoffMax bounds the pause between attempts to reach an agent.
 	linkBackoffMax = time.Second
 	// orderQueue bounds the orders that wait to be written to one agent.
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -106,7 +106,7 @@
 		earlier(g.nextLook)
 	}
 	for _, s := range g.sessions {
-		earlier(s.heard.Add(g.opts.SessionTTL))
+		earlier(s.heard.Add(s.ttl(g)))
 		if s.poll != nil {
 			earlier(s.poll.due)
 		}
@@ -126,7 +126,7 @@
 func (g *Guard) expire() {
 	for _, id := range g.sortedSessions() {
 		s := g.sessions[id]
-		if g.now.Sub(s.heard) > g.opts.SessionTTL {
+		if g.now.Sub(s.heard) > s.ttl(g) {
 			g.endSession(id, "nothing heard for "+g.now.Sub(s.heard).String())
 		} else if s.echo.Run == g.clockRun && g.clock-s.echo.Clock > g.opts.SessionTTL {
 			g.endSession(id, "echo "+(g.clock-s.echo.Clock).String()+" old by the server's clock")
--- a/guard/options.go
+++ b/guard/options.go
@@ -37,11 +37,12 @@
 }
 
 // Defaults; together they keep a task of a lost entry from running longer than
-// SessionTTL + LookWait + Lease, which must stay below the 1,300 ms after which
-// a caller may submit the job elsewhere.
+// SessionTTL + LookWait + Lease, well below the 1,300 ms after which a caller may
+// submit the job elsewhere. SessionTTL bears a poll's wait and one lost packet
+// (200 ms); Lease bears several looks.
 const (
-	DefaultLease      = 500 * time.Millisecond
-	DefaultSessionTTL = 550 * time.Millisecond
+	DefaultLease      = 300 * time.Millisecond
+	DefaultSessionTTL = 450 * time.Millisecond
 	DefaultLookWait   = 50 * time.Millisecond
 	DefaultPollWait   = 120 * time.Millisecond
 )
@@ -59,6 +60,9 @@
 	// clockDrift is how much slower than real time a server's clock may run:
 	// the platform's bound of 2 %.
 	clockDrift = 0.02
+	// helloTTL is how long a session may wait for its Hello to be answered: as
+	// long as an entry waits.
+	helloTTL = 1500 * time.Millisecond
 	// lookPatience is how much longer than its wait a look may take before
 	// another is sent: the server answers within a few ms.
 	lookPatience = 20 * time.Millisecond
--- a/guard/run.go
+++ b/guard/run.go
@@ -168,7 +168,11 @@
 		g.emit(LogEvent{Event: "task_started", Job: r.key.String(), Entry: r.session.entry,
 			Detail: fmt.Sprintf("cpu=%d estimate_ms=%d clock_ms=%d", r.cpu, r.estimate.Milliseconds(), g.clock.Milliseconds())})
 	case StartOld:
-		g.retryNumber(r)
+		if r.startTries > 0 {
+			g.startedUnseen(r)
+		} else {
+			g.retryNumber(r)
+		}
 	case StartFenced:
 		g.raiseToken()
 		g.finish(r, session.NotStarted, "fenced")
@@ -194,6 +198,16 @@
 	g.stop(r, session.NotStarted, "start without an answer")
 }
 
+// startedUnseen takes in that an earlier try of a start was carried out and the
+// run has ended since: its end is still to be listed.
+func (g *Guard) startedUnseen(r *run) {
+	r.phase = running
+	r.confirmed = true
+	r.startedAt, r.progressAt = g.now, g.now
+	r.acceptedBy = g.clockRun
+	g.lookNow()
+}
+
 // retryNumber starts a task again under a higher run number: the server knows
 // an ended run of it, ordered by another session.
 func (g *Guard) retryNumber(r *run) {
--- a/guard/session.go
+++ b/guard/session.go
@@ -38,6 +38,14 @@
 	s.reports = append(s.reports, r)
 }
 
+// ttl returns how long the session may stay quiet.
+func (s *entrySession) ttl(g *Guard) time.Duration {
+	if !s.open {
+		return helloTTL
+	}
+	return g.opts.SessionTTL
+}
+
 // fresh reports whether an order of the session may still start a task.
 func (s *entrySession) fresh(g *Guard) bool {
 	return !s.ended && s.echo.Run == g.clockRun && g.clock-s.echo.Clock < g.opts.SessionTTL
@@ -125,7 +133,11 @@
 			g.stop(r, session.Stopped, "its session ended")
 		}
 	}
-	g.emit(LogEvent{Event: "session_ended", Entry: s.entry, Detail: fmt.Sprintf("entry=%s session=%d reason=%q tasks=%d", s.name, id, reason, stopped)})
+	event := "session_ended"
+	if !s.open {
+		event = "session_not_opened"
+	}
+	g.emit(LogEvent{Event: event, Entry: s.entry, Detail: fmt.Sprintf("entry=%s session=%d reason=%q tasks=%d", s.name, id, reason, stopped)})
 	g.emit(CloseSession{Session: id})
 }
 
