--- a/gateway/members.go
+++ b/gateway/members.go
@@ -2,25 +2,21 @@
 
 import (
 	"encoding/json"
-	"net/rpc"
 	"time"
 
 	"github.com/go-kit/log/level"
 
-	"github.com/chestnuthollow/chestnuthollow/internal/rpcconn"
 	"github.com/chestnuthollow/chestnuthollow/keyedlog"
+	"github.com/chestnuthollow/chestnuthollow/roster"
 	"github.com/chestnuthollow/chestnuthollow/session"
-	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
 const (
 	// exchangeEvery is the pause between exchanges with other entries; while
 	// the store does not answer they are the way to learn a new configuration,
 	// and a fifth of the time in which one must be in force is allowed.
-	exchangeEvery       = 2 * time.Second
-	exchangeWithoutLog  = 300 * time.Millisecond
-	exchangeTimeout     = 500 * time.Millisecond
-	exchangeDialTimeout = 300 * time.Millisecond
+	exchangeEvery      = 2 * time.Second
+	exchangeWithoutLog = 300 * time.Millisecond
 )
 
 // peerReceiver serves other processes of the system.
@@ -64,7 +60,7 @@
 }
 
 func (g *Gateway) exchangeWith(p session.Process) {
-	reply, err := Exchange(p.Addr, session.ExchangeRequest{From: g.self, ConfigVersion: g.config.raw().Version})
+	reply, err := roster.Exchange(p.Addr, session.ExchangeRequest{From: g.self, ConfigVersion: g.config.raw().Version})
 	if err != nil {
 		if g.roster.Unreachable(time.Now(), p.Addr) {
 			level.Info(g.logger).Log("event", "peer_forgotten", "peer", p.Name, "addr", p.Addr, "reason", err)
@@ -78,25 +74,6 @@
 	g.ensureLinks()
 }
 
-// Exchange makes one exchange with the entry at addr.
-func Exchange(addr string, req session.ExchangeRequest) (session.ExchangeReply, error) {
-	var reply session.ExchangeReply
-	client, err := rpcconn.Dial(addr, exchangeDialTimeout)
-	if err != nil {
-		return reply, err
-	}
-	defer client.Close()
-	call := client.Go(structs.EntryService+".Exchange", &req, &reply, make(chan *rpc.Call, 1))
-	timer := time.NewTimer(exchangeTimeout)
-	defer timer.Stop()
-	select {
-	case <-call.Done:
-		return reply, call.Error
-	case <-timer.C:
-		return session.ExchangeReply{}, errNoAnswer
-	}
-}
-
 func (g *Gateway) followMembers() {
 	keyedlog.Follow(g.background, g.platform.Store, g.platform.MembersTopic, &membersHandler{gateway: g})
 }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -18,6 +18,8 @@
 	runs     map[TaskKey]*run // tasks that wait, run or are being stopped
 	queue    []*run           // those that wait, earliest latest start first
 	health   health
+	labels   []string // of the present server
+	usual    Usual    // learned before
 
 	token      int64
 	fenced     bool // this agent must look under a higher token first
@@ -79,6 +81,8 @@
 		g.lookReplied(e)
 	case ConfigReceived:
 		g.takeConfig(e.Config)
+	case SpeedRemembered:
+		g.remember(e.Usual)
 	case LeaveRequested:
 		g.leave()
 	}
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -389,6 +389,25 @@
 	b.Expect(b.state().Slowness).To(BeNumerically("<", 1100))
 }
 
+// An agent that restarts knows its server's speed from the one before it; a
+// server of another kind starts as an ordinary one.
+func TestUsualSpeedIsRemembered(t *testing.T) {
+	for name, c := range map[string]struct {
+		labels   []string
+		slowness int
+	}{
+		"same kind":  {nil, 1600},
+		"other kind": {[]string{"b"}, 1000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.ready()
+			b.step(guard.SpeedRemembered{Usual: guard.Usual{Slowness: 1600, Labels: c.labels}})
+			b.Expect(b.state().Slowness).To(Equal(c.slowness))
+		})
+	}
+}
+
 // state returns the state that a hello carries.
 func (b *bench) state() session.State {
 	b.call++
--- a/guard/health.go
+++ b/guard/health.go
@@ -11,10 +11,38 @@
 // health is what outcomes tell of the backend server.
 type health struct {
 	failures float64 // recent share of failed tasks
-	// ran and estimated are sums over finished tasks, older ones weighing less.
+	recent   speed
+	lasting  speed
+	// remembered is the slowness known from before; zero if none is.
+	remembered float64
+	samples    int
+}
+
+// speed is run times and estimates of finished tasks, older ones weighing less.
+type speed struct {
 	ran, estimated time.Duration
 	decayed        time.Time // when the sums were last decayed
-	samples        int
+}
+
+// decay lets what was learned fade to a third in the given time.
+func (s *speed) decay(now time.Time, memory time.Duration) {
+	if !s.decayed.IsZero() && now.After(s.decayed) {
+		f := math.Exp(-float64(now.Sub(s.decayed)) / float64(memory))
+		s.ran = time.Duration(float64(s.ran) * f)
+		s.estimated = time.Duration(float64(s.estimated) * f)
+	}
+	s.decayed = now
+}
+
+func (s *speed) add(ran, estimate time.Duration) {
+	s.ran += ran
+	s.estimated += estimate
+}
+
+// slowness returns run time over estimate, against a prior that weighs as much
+// as tasks of the estimate weight.
+func (s *speed) slowness(prior float64, weight time.Duration) float64 {
+	return (float64(s.ran) + prior*float64(weight)) / float64(s.estimated+weight)
 }
 
 func (h *health) done()   { h.failures *= 1 - failureWeight }
@@ -33,26 +61,30 @@
 	}
 	h.decay(now)
 	h.samples++
-	h.ran += ran
-	h.estimated += estimate
+	h.recent.add(ran, estimate)
+	h.lasting.add(ran, estimate)
 }
 
 // decay lets what was learned fade, so that a server that seemed slow, and got
 // no more tasks for it, is tried again.
 func (h *health) decay(now time.Time) {
-	if !h.decayed.IsZero() && now.After(h.decayed) {
-		f := math.Exp(-float64(now.Sub(h.decayed)) / float64(slownessMemory))
-		h.ran = time.Duration(float64(h.ran) * f)
-		h.estimated = time.Duration(float64(h.estimated) * f)
-	}
-	h.decayed = now
+	h.recent.decay(now, recentMemory)
+	h.lasting.decay(now, lastingMemory)
 }
 
-// slow returns run time over estimate, which is 1 where nothing is known.
-func (h *health) slow() float64 {
-	return float64(h.ran+slownessPrior) / float64(h.estimated+slownessPrior)
+// usual returns the slowness of the server when nothing is wrong with it. It
+// stays near the ordinary, so that no server is forgotten for good.
+func (h *health) usual() float64 {
+	prior := 1.0
+	if h.remembered > 0 {
+		prior = h.remembered
+	}
+	return min(max(h.lasting.slowness(prior, usualPrior), fastestUsual), slowestUsual)
 }
 
+// slow returns the expected run time over the estimate.
+func (h *health) slow() float64 { return h.recent.slowness(h.usual(), recentPrior) }
+
 // expect returns the expected run time of a task here.
 func (h *health) expect(estimate time.Duration) time.Duration {
 	return time.Duration(float64(estimate) * h.slow())
--- a/guard/messages.go
+++ b/guard/messages.go
@@ -141,6 +141,8 @@
 	}
 	// ConfigReceived is a version of the operators' configuration.
 	ConfigReceived struct{ Config session.Config }
+	// SpeedRemembered is the usual speed that an earlier agent learned here.
+	SpeedRemembered struct{ Usual Usual }
 	// LeaveRequested starts a graceful stop.
 	LeaveRequested struct{}
 	// Ticked lets time pass.
@@ -208,18 +210,19 @@
 	}
 )
 
-func (HelloCalled) isEvent()    {}
-func (OrderCalled) isEvent()    {}
-func (PollCalled) isEvent()     {}
-func (SessionGone) isEvent()    {}
-func (ServerReported) isEvent() {}
-func (ServerLeft) isEvent()     {}
-func (StartReplied) isEvent()   {}
-func (StopReplied) isEvent()    {}
-func (LookReplied) isEvent()    {}
-func (ConfigReceived) isEvent() {}
-func (LeaveRequested) isEvent() {}
-func (Ticked) isEvent()         {}
+func (HelloCalled) isEvent()     {}
+func (OrderCalled) isEvent()     {}
+func (PollCalled) isEvent()      {}
+func (SessionGone) isEvent()     {}
+func (ServerReported) isEvent()  {}
+func (ServerLeft) isEvent()      {}
+func (StartReplied) isEvent()    {}
+func (StopReplied) isEvent()     {}
+func (LookReplied) isEvent()     {}
+func (ConfigReceived) isEvent()  {}
+func (SpeedRemembered) isEvent() {}
+func (LeaveRequested) isEvent()  {}
+func (Ticked) isEvent()          {}
 
 func (StartRun) isEffect()     {}
 func (StopRun) isEffect()      {}
--- a/guard/options.go
+++ b/guard/options.go
@@ -90,12 +90,22 @@
 	// suspectShare is the share of failures from which on a server runs one
 	// task at a time, as a probe.
 	suspectShare = 0.5
-	// slownessMemory is the time in which what was learned of a server's speed
-	// fades to a third: long enough to average some twenty run times, whose
-	// estimates are off by 40 %, and short against the faults that slow a server.
-	slownessMemory = 3 * time.Second
-	// slownessPrior is the weight of an ordinary speed among the run times
-	// learned: as much as five tasks of the commonest kind, so that one job with
-	// a wrong estimate does not decide.
-	slownessPrior = time.Second
+	// recentMemory is the time in which run times fade to a third: long enough
+	// to average some twenty of them, whose estimates are off by 40 %, and short
+	// against the faults that slow a server.
+	recentMemory = 3 * time.Second
+	// lastingMemory is the same for the usual speed: longer than such faults.
+	lastingMemory = 30 * time.Second
+	// fastestUsual and slowestUsual bound the usual slowness: the platform's
+	// servers differ by 0.6 to 1.6 from the ordinary.
+	fastestUsual = 0.5
+	slowestUsual = 2.0
+	// usualSamples is how many run times make a usual speed worth remembering.
+	usualSamples = 10
+	// recentPrior is the weight of the usual speed among the recent run times:
+	// as much as five tasks of the commonest kind, so that one job with a wrong
+	// estimate does not decide. usualPrior is that of the ordinary speed among
+	// the lasting ones.
+	recentPrior = time.Second
+	usualPrior  = 5 * time.Second
 )
--- a/guard/server.go
+++ b/guard/server.go
@@ -17,6 +17,10 @@
 	old := g.server
 	g.server = info
 	if info.Run != old.Run {
+		g.labels = info.Labels
+		if g.health.samples == 0 {
+			g.health.remembered = g.remembered(info.Labels)
+		}
 		g.log("server_registered", fmt.Sprintf("server=%s run=%d cpu=%d mem_mb=%d", info.ID, info.Run, info.CPU, info.MemMB))
 		g.lookNow()
 		g.wakePolls()
@@ -130,13 +134,14 @@
 // the new run, which knows no fencing token yet: their tasks are stopped there,
 // under a higher token that keeps out what is still on its way.
 func (g *Guard) serverReplaced(e LookReplied) {
+	g.remember(g.Usual())
 	g.log("server_run_changed", fmt.Sprintf("from=%d to=%d", g.clockRun, e.Server))
 	g.clockRun = e.Server
 	g.clock = 0
 	g.clean = false
 	g.seenEnd = 0
 	g.token++
-	g.health = health{}
+	g.health = health{remembered: g.remembered(g.labels)}
 	for _, r := range g.sortedRuns() {
 		switch {
 		case r.phase == waiting || r.acceptedBy == e.Server:
@@ -255,3 +260,39 @@
 		}
 	}
 }
+
+// Usual is the usual speed of a server of some kind.
+type Usual struct {
+	Slowness int      `json:"slowness"` // thousandths
+	Labels   []string `json:"labels"`   // of the server it was learned from
+}
+
+// Usual returns the usual speed of the present server; zero if too little is
+// known of it.
+func (g *Guard) Usual() Usual {
+	if g.health.samples < usualSamples {
+		return Usual{}
+	}
+	return Usual{Slowness: int(g.health.usual() * perMille), Labels: g.labels}
+}
+
+// remember takes in a speed that was learned before, for servers of the same
+// labels.
+func (g *Guard) remember(u Usual) {
+	if u.Slowness <= 0 {
+		return
+	}
+	g.usual = u
+	if g.health.samples == 0 {
+		g.health.remembered = g.remembered(g.labels)
+	}
+}
+
+// remembered returns the slowness remembered for a server with the labels, or
+// zero.
+func (g *Guard) remembered(labels []string) float64 {
+	if g.usual.Slowness <= 0 || !slices.Equal(g.usual.Labels, labels) {
+		return 0
+	}
+	return float64(g.usual.Slowness) / perMille
+}
--- /dev/null
+++ b/roster/exchange.go
@@ -0,0 +1,40 @@
+package roster
+
+import (
+	"errors"
+	"net/rpc"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/internal/rpcconn"
+	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+const (
+	// exchangeTimeout bounds an exchange: two round trips between regions and
+	// one lost packet.
+	exchangeTimeout = 500 * time.Millisecond
+	// dialTimeout bounds connecting to a peer.
+	dialTimeout = 300 * time.Millisecond
+)
+
+var errNoAnswer = errors.New("no answer in time")
+
+// Exchange tells the entry at addr of a process and returns whom it knows.
+func Exchange(addr string, req session.ExchangeRequest) (session.ExchangeReply, error) {
+	client, err := rpcconn.Dial(addr, dialTimeout)
+	if err != nil {
+		return session.ExchangeReply{}, err
+	}
+	defer client.Close()
+	reply := new(session.ExchangeReply)
+	call := client.Go(structs.EntryService+".Exchange", &req, reply, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(exchangeTimeout)
+	defer timer.Stop()
+	select {
+	case <-call.Done:
+		return *reply, call.Error
+	case <-timer.C:
+		return session.ExchangeReply{}, errNoAnswer
+	}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -14,13 +13,11 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/chestnuthollow/chestnuthollow/gateway"
 	"github.com/chestnuthollow/chestnuthollow/guard"
 	"github.com/chestnuthollow/chestnuthollow/internal/logging"
 	"github.com/chestnuthollow/chestnuthollow/internal/ops"
 	"github.com/chestnuthollow/chestnuthollow/internal/random"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcserver"
-	"github.com/chestnuthollow/chestnuthollow/keyedlog"
 	"github.com/chestnuthollow/chestnuthollow/roster"
 	"github.com/chestnuthollow/chestnuthollow/session"
 	"github.com/chestnuthollow/chestnuthollow/structs"
@@ -161,26 +158,6 @@
 	go srv.Serve(s.listeners[listener])
 }
 
-// announce writes the agent's address to the store, once.
-func (s *Sidecar) announce() {
-	value, err := json.Marshal(s.self)
-	if err != nil {
-		level.Error(s.logger).Log("event", "announce_failed", "reason", err)
-		return
-	}
-	lost := false
-	record := keyedlog.Record{Key: s.opts.Name, Value: value}
-	done := keyedlog.Put(s.background, s.platform.Store, s.platform.MembersTopic, record, func(err error) {
-		if !lost {
-			lost = true
-			level.Warn(s.logger).Log("event", "store_lost", "topic", s.platform.MembersTopic, "reason", err)
-		}
-	})
-	if done {
-		level.Info(s.logger).Log("event", "announced", "topic", s.platform.MembersTopic, "store_was_lost", lost)
-	}
-}
-
 // meet tells the entries of this agent, so that they open sessions.
 func (s *Sidecar) meet() {
 	for _, addr := range s.opts.Seeds {
@@ -205,7 +182,7 @@
 }
 
 func (s *Sidecar) meetEntry(p session.Process) {
-	reply, err := gateway.Exchange(p.Addr, session.ExchangeRequest{From: s.self})
+	reply, err := roster.Exchange(p.Addr, session.ExchangeRequest{From: s.self})
 	now := time.Now()
 	if err != nil {
 		if s.roster.Unreachable(now, p.Addr) {
