Slow servers are known by progress; tasks that lag there move; margins grow with the run time

From 6 to 14 s two servers turned several times slower. Their slowness was learned when the first tasks had ended, and the tasks already there kept their jobs until the caller's deadline: 48 jobs ended as may have run. Also, answers to overlapping looks overtook each other, and runs that had ended were stopped as foreign.

Change: runs under way count by their progress; a server that is 1.6 times its usual slowness tells of laggards, and their entry moves those that gain. A server is sure to make it with 15 ms and 5 % of the run time to spare. Answers older than the newest clock reading only bring ends.

--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -106,6 +106,7 @@
 	}
 	a.state = s
 	a.stateAt = d.now
+	d.moveLaggards(a, s.Laggards)
 	if s.Samples >= fewSamples {
 		d.known[s.Server] = knownSpeed{slowness: s.Slowness, samples: s.Samples}
 	}
@@ -151,3 +152,30 @@
 	slices.SortFunc(list, func(x, y *placement) int { return cmp.Compare(x.id, y.id) })
 	return list
 }
+
+// moveLaggards stops tasks that would make their job late where they run, and
+// would not elsewhere. They are placed again when the agent reports their end.
+func (d *Dispatcher) moveLaggards(a *agent, list []session.Laggard) {
+	for _, l := range list {
+		p := d.placements[l.ID]
+		if p == nil || p.agent != a || p.stopped || p.job.answered || p.job.ending != nil || p.job.tasks[p.index].moves >= maxMoves {
+			continue
+		}
+		j := p.job
+		left := time.Duration(l.Ms) * time.Millisecond
+		if !d.now.Add(left).After(j.objective) {
+			continue
+		}
+		t := &j.tasks[p.index]
+		t.avoid = append(t.avoid, a.name)
+		plan, err := d.plan(j, []int{p.index})
+		if err != nil || plan[0].agent == a || plan[0].finish+moveMargin > left {
+			t.avoid = t.avoid[:len(t.avoid)-1]
+			continue
+		}
+		t.moves++
+		d.emit(LogEvent{Event: "task_moved", Job: j.Name, Queue: j.Queue.Name, Agent: a.name,
+			Detail: fmt.Sprintf("task=%d left_ms=%d elsewhere_ms=%d to=%s", p.index, l.Ms, plan[0].finish.Milliseconds(), plan[0].agent.name)})
+		d.stopPlacement(p)
+	}
+}
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -291,3 +291,25 @@
 	counts, _ := b.placed()
 	b.Expect(counts).To(Equal(map[dispatch.AgentID]int{2: 1}))
 }
+
+// Servers turn slow while tasks run there; some stand still.
+func TestLaggardMovesIfItGains(t *testing.T) {
+	b := newBench(t)
+	b.agent(1, idle)
+	b.agent(2, server{capacity: 20_000, free: 10_000, slowness: 1000})
+	b.submit("hold", 1, 6000, 200*time.Millisecond)
+	_, ids := b.placed()
+	lag := func(ms int) {
+		st := b.state(idle)
+		st.Laggards = []session.Laggard{{ID: ids[0], Ms: ms}}
+		b.step(dispatch.Polled{ID: 1, Reply: session.PollReply{State: st}})
+	}
+	lag(250)
+	b.Expect(b.stopped()).To(BeEmpty(), "it is still in time")
+	b.now = b.now.Add(150 * time.Millisecond)
+	lag(900)
+	b.Expect(b.stopped()).To(Equal(ids))
+	b.report(1, idle, ids[0], session.Stopped)
+	counts, _ := b.placed()
+	b.Expect(counts).To(Equal(map[dispatch.AgentID]int{2: 1}))
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -31,6 +31,7 @@
 	done     bool
 	failures int
 	placed   int // placements so far
+	moves    int // times it was stopped to run elsewhere
 	current  *placement
 	avoid    []string // agents at which it failed
 }
@@ -205,13 +206,17 @@
 func (d *Dispatcher) stopTasks(j *job) {
 	for i := range j.tasks {
 		if p := j.tasks[i].current; p != nil && p.doubtEnds.IsZero() && !p.stopped {
-			p.stopped = true
-			o := d.orderTo(p.agent)
-			o.Stop = append(o.Stop, p.id)
+			d.stopPlacement(p)
 		}
 	}
 }
 
+func (d *Dispatcher) stopPlacement(p *placement) {
+	p.stopped = true
+	o := d.orderTo(p.agent)
+	o.Stop = append(o.Stop, p.id)
+}
+
 // close stops the placements of a job that has its answer, or needs none.
 func (d *Dispatcher) close(j *job) {
 	j.answered = true
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -41,15 +41,21 @@
 	// crossZone is the expected extra time to an agent of another availability
 	// zone and back.
 	crossZone = 3 * time.Millisecond
-	// sureMargin is how long before a job's objective a task must be expected to
-	// end for its server to be sure to make it: the uncertainty of waits.
-	sureMargin = 25 * time.Millisecond
+	// sureMargin and sureShare of its run time are how long before a job's
+	// objective a task must be expected to end for its server to be sure to make
+	// it: the uncertainty of waits, and of learned speeds.
+	sureMargin = 15 * time.Millisecond
+	sureShare  = 0.05
 	// answerMargin is left between the expected end of a job and the caller's
 	// deadline.
 	answerMargin = 10 * time.Millisecond
 	// verdictWait bounds how long the answer of a job that was given up on waits
 	// for the agents to say whether a task has started: some round trips.
 	verdictWait = 60 * time.Millisecond
+	// maxMoves bounds how often a task is stopped to run elsewhere, moveMargin
+	// is what that must gain: the time that a stop and its report take.
+	maxMoves   = 2
+	moveMargin = 60 * time.Millisecond
 	// maxPlacements bounds how often one task is placed.
 	maxPlacements = 12
 	// maxRemembered bounds the answers kept.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -35,6 +35,11 @@
 	return start + c.runs + c.extra, ok
 }
 
+// margin returns the uncertainty of the candidate's finish.
+func (c *candidate) margin() time.Duration {
+	return sureMargin + time.Duration(sureShare*float64(c.runs))
+}
+
 // plan chooses an agent for each of the tasks, or says why the job cannot be
 // done in time.
 func (d *Dispatcher) plan(j *job, tasks []int) ([]assignment, *structs.Error) {
@@ -97,7 +102,7 @@
 		if first == nil || f < earliest {
 			first, earliest = c, f
 		}
-		if f+sureMargin <= within && (roomy == nil || c.free > roomy.free) {
+		if f+c.margin() <= within && (roomy == nil || c.free > roomy.free) {
 			roomy, roomyFinish = c, f
 		}
 	}
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -408,6 +408,39 @@
 	}
 }
 
+// A server that turns slow shows it before its first task has ended.
+func TestProgressTellsOfASlowServer(t *testing.T) {
+	b := newBench(t)
+	b.ready()
+	b.order(1, b.echo(), "job", 1000, 1, 2, 3, 4)
+	var rows []guard.RunningRow
+	for i := range 4 {
+		b.accepted(key("job", i))
+		rows = append(rows, guard.RunningRow{Key: key("job", i), Percent: 8})
+	}
+	b.pass(50 * time.Millisecond)
+	b.looked(0, rows)
+	b.call++
+	b.step(guard.OrderCalled{Call: b.call, Request: session.OrderRequest{Session: 1, Echo: b.echo()}})
+	st := effects[guard.ReplyOrder](b)[0].Reply.State
+	b.Expect(st.Slowness).To(BeNumerically(">", 2000))
+	b.Expect(st.Laggards).To(HaveLen(4))
+	b.Expect(st.Laggards[0].Ms).To(BeNumerically("~", 575, 5))
+}
+
+// Looks overlap: an answer that was overtaken shows tasks that have ended since.
+func TestOvertakenAnswerStopsNothing(t *testing.T) {
+	b := newBench(t)
+	b.ready()
+	b.order(1, b.echo(), "job", 1000, 1)
+	b.accepted(key("job", 0))
+	before := b.clock
+	b.pass(50 * time.Millisecond)
+	b.looked(0, nil, guard.EndRow{N: 1, Key: key("job", 0), How: guard.EndDone})
+	b.step(guard.LookReplied{ID: 0, OK: true, Server: serverRun, Clock: before, Running: []guard.RunningRow{{Key: key("job", 0)}}})
+	b.Expect(effects[guard.StopRun](b)).To(BeEmpty())
+}
+
 // state returns the state that a hello carries.
 func (b *bench) state() session.State {
 	b.call++
--- a/guard/health.go
+++ b/guard/health.go
@@ -13,6 +13,7 @@
 	failures float64 // recent share of failed tasks
 	recent   speed
 	lasting  speed
+	current  speed // of runs under way, by their progress
 	// remembered is the slowness known from before; zero if none is.
 	remembered float64
 	samples    int
@@ -83,7 +84,10 @@
 }
 
 // slow returns the expected run time over the estimate.
-func (h *health) slow() float64 { return h.recent.slowness(h.usual(), recentPrior) }
+func (h *health) slow() float64 {
+	all := speed{ran: h.recent.ran + h.current.ran, estimated: h.recent.estimated + h.current.estimated}
+	return all.slowness(h.usual(), recentPrior)
+}
 
 // expect returns the expected run time of a task here.
 func (h *health) expect(estimate time.Duration) time.Duration {
--- a/guard/options.go
+++ b/guard/options.go
@@ -100,6 +100,16 @@
 	// servers differ by 0.6 to 1.6 from the ordinary.
 	fastestUsual = 0.5
 	slowestUsual = 2.0
+	// tellingPercent is the progress from which on it predicts the whole run.
+	tellingPercent = 5
+	// slowServerFactor times its usual slowness makes a server slow: more than
+	// single jobs with wrong estimates bring about.
+	slowServerFactor = 1.6
+	// laggardFactor times its usual run time makes a task a laggard, beyond the
+	// errors of estimates; laggardLeft is the time left from which on telling
+	// of it is worth it: a stop and a new start.
+	laggardFactor = 2
+	laggardLeft   = 80 * time.Millisecond
 	// usualSamples is how many run times make a usual speed worth remembering.
 	usualSamples = 10
 	// recentPrior is the weight of the usual speed among the recent run times:
--- a/guard/run.go
+++ b/guard/run.go
@@ -98,6 +98,17 @@
 	return cpu, mem, gpu
 }
 
+// learnFromProgress counts the runs under way as run times, so that a server
+// that turns slow is known before its first task has ended.
+func (g *Guard) learnFromProgress() {
+	g.health.current = speed{}
+	for _, r := range g.sortedRuns() {
+		if r.phase == running && r.estimate > 0 {
+			g.health.current.add(g.total(r), r.estimate)
+		}
+	}
+}
+
 // fits reports whether a task has room now. A server that fails its tasks gets
 // one at a time, as a probe.
 func (g *Guard) fits(r *run) bool {
--- a/guard/server.go
+++ b/guard/server.go
@@ -100,12 +100,17 @@
 		g.serverReplaced(e)
 	}
 	g.fenced = false
+	older := e.Clock < g.clock // overtaken by the answer to a later look
 	g.readClock(e.Server, e.Clock)
 	g.takeEnds(e.Ended, e.Clock)
+	if older {
+		return
+	}
 	g.takeRunning(e.Running)
 	if known {
 		g.takeAbsent(e.Running, p.sentAt)
 	}
+	g.learnFromProgress()
 }
 
 func (g *Guard) lookFailed(e LookReplied) {
--- a/guard/session.go
+++ b/guard/session.go
@@ -85,7 +85,7 @@
 		}
 		req := s.hello.Request
 		reply := session.HelloReply{
-			Session: id, Agent: g.opts.Agent, Incarnation: g.opts.Incarnation, Zone: g.opts.Zone, State: g.state(),
+			Session: id, Agent: g.opts.Agent, Incarnation: g.opts.Incarnation, Zone: g.opts.Zone, State: g.state(s),
 		}
 		if g.config.Version > req.Config.Version {
 			reply.Config = g.config
@@ -163,7 +163,7 @@
 	}
 	g.dropLateQueued()
 	g.startQueued()
-	g.emit(ReplyOrder{Call: e.Call, Reply: session.OrderReply{State: g.state()}})
+	g.emit(ReplyOrder{Call: e.Call, Reply: session.OrderReply{State: g.state(s)}})
 }
 
 func (g *Guard) stopPlacement(s *entrySession, id uint64) {
@@ -264,12 +264,35 @@
 		return g.health.expect(r.estimate)
 	}
 	ran := g.now.Sub(r.startedAt)
-	if r.percent > 0 {
-		atProgress := r.progressAt.Sub(r.startedAt)
-		total := atProgress * 100 / time.Duration(r.percent)
-		return max(total-ran, 0)
+	return max(g.total(r)-ran, 0)
+}
+
+// total predicts the whole run time of a run from its progress, or from its
+// estimate while there is none.
+func (g *Guard) total(r *run) time.Duration {
+	if r.percent >= tellingPercent {
+		return r.progressAt.Sub(r.startedAt) * 100 / time.Duration(r.percent)
+	}
+	return max(g.health.expect(r.estimate), g.now.Sub(r.startedAt))
+}
+
+// laggards returns the session's runs that are far slower than usual, while the
+// server as a whole is. A single slow job only had too low an estimate.
+func (g *Guard) laggards(s *entrySession) []session.Laggard {
+	if g.health.slow() < slowServerFactor*g.health.usual() {
+		return nil
+	}
+	var list []session.Laggard
+	for _, r := range g.sortedRuns() {
+		if r.session != s || r.phase != running {
+			continue
+		}
+		usual := time.Duration(float64(r.estimate) * g.health.usual())
+		if left := g.remaining(r); left > laggardLeft && g.total(r) > laggardFactor*usual {
+			list = append(list, session.Laggard{ID: r.id, Ms: int(left.Milliseconds())})
+		}
 	}
-	return max(g.health.expect(r.estimate)-ran, 0)
+	return list
 }
 
 func (g *Guard) poll(e PollCalled) {
@@ -290,7 +313,7 @@
 		if s.poll == nil || len(s.reports) == 0 && g.now.Before(s.poll.due) {
 			continue
 		}
-		g.emit(ReplyPoll{Call: s.poll.call, Reply: session.PollReply{Reports: slices.Clone(s.reports), State: g.state()}})
+		g.emit(ReplyPoll{Call: s.poll.call, Reply: session.PollReply{Reports: slices.Clone(s.reports), State: g.state(s)}})
 		s.poll = nil
 	}
 }
@@ -313,8 +336,8 @@
 	return false
 }
 
-// state returns what the agent tells of itself.
-func (g *Guard) state() session.State {
+// state returns what the agent tells an entry of itself.
+func (g *Guard) state(s *entrySession) session.State {
 	g.stateSeq++
 	cpu, mem, _ := g.used()
 	st := session.State{
@@ -330,6 +353,7 @@
 		Slowness: g.health.slowness(),
 		Samples:  g.health.samples,
 		Failing:  g.health.failing(),
+		Laggards: g.laggards(s),
 	}
 	for _, r := range g.sortedRuns() {
 		if r.phase != waiting {
--- a/session/messages.go
+++ b/session/messages.go
@@ -153,6 +153,14 @@
 	Failing int
 	Running []Span
 	Queue   []Waiting
+	// Laggards are the entry's own tasks that run far slower than usual.
+	Laggards []Laggard
+}
+
+// Laggard is a task that runs far slower than usual.
+type Laggard struct {
+	ID uint64 // placement
+	Ms int    // expected time to its end
 }
 
 // Span is a running task: its size and the expected time to its end.
