--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -168,7 +168,7 @@
 		}
 		t := &j.tasks[p.index]
 		t.avoid = append(t.avoid, a.name)
-		plan, err := d.plan(j, []int{p.index})
+		plan, err := d.plan(j, []int{p.index}, j.deadline)
 		if err != nil || plan[0].agent == a || plan[0].finish+moveMargin > left {
 			t.avoid = t.avoid[:len(t.avoid)-1]
 			continue
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -62,13 +62,17 @@
 	objective := j.Queue.Objective(j.Estimate)
 	j.objective = d.now.Add(objective)
 	j.deadline = d.now.Add(lateFactor * objective)
-	if j.Timeout > 0 && j.Timeout < lateFactor*objective {
+	if j.Timeout > 0 {
 		j.deadline = d.now.Add(j.Timeout)
 	}
 	if !d.leaveUntil.IsZero() {
 		j.limitTo(d.leaveUntil)
 	}
-	plan, err := d.plan(j, j.allTasks())
+	latest := d.now.Add(lateFactor * objective)
+	if j.deadline.Before(latest) {
+		latest = j.deadline
+	}
+	plan, err := d.plan(j, j.allTasks(), latest)
 	if err != nil {
 		d.refuse(j, e.Call, err)
 		return
@@ -286,7 +290,7 @@
 		d.giveUp(j, structs.CodeUnavailable, "task placed too often, last "+why)
 		return
 	}
-	plan, err := d.plan(j, []int{p.index})
+	plan, err := d.plan(j, []int{p.index}, j.deadline)
 	if err != nil {
 		d.giveUp(j, err.Code, err.Message+"; after "+why)
 		return
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -33,7 +33,9 @@
 
 const (
 	// lateFactor times its objective is when the answer of a job is worth
-	// nothing any more, by the platform's terms.
+	// nothing any more, by the platform's terms. A job that is not expected to
+	// end by then is not taken; one that was taken is carried through until its
+	// caller goes, for estimates are off.
 	lateFactor = 3
 	// hopOverhead is the expected time that a job takes beside the work: both
 	// ways between entry, agent and server, as measured on a calm day.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -40,9 +40,9 @@
 	return sureMargin + time.Duration(sureShare*float64(c.runs))
 }
 
-// plan chooses an agent for each of the tasks, or says why the job cannot be
-// done in time.
-func (d *Dispatcher) plan(j *job, tasks []int) ([]assignment, *structs.Error) {
+// plan chooses an agent for each of the tasks, or says why the job cannot end by
+// the latest time.
+func (d *Dispatcher) plan(j *job, tasks []int, latest time.Time) ([]assignment, *structs.Error) {
 	candidates := d.candidates(j, tasks)
 	if len(candidates) == 0 {
 		return nil, structs.Errorf(structs.CodeUnavailable, structs.NotRun, "no agent of service %s takes orders", j.Queue.Service).
@@ -61,9 +61,9 @@
 		plan = append(plan, assignment{index: index, agent: best.agent, finish: finish, runs: best.runs})
 	}
 	last := slices.MaxFunc(plan, func(a, b assignment) int { return int(a.finish - b.finish) })
-	if d.now.Add(last.finish + answerMargin).After(j.deadline) {
+	if d.now.Add(last.finish + answerMargin).After(latest) {
 		return nil, structs.Errorf(structs.CodeOverloaded, structs.NotRun,
-			"expected to end in %d ms, the deadline is in %d ms", last.finish.Milliseconds(), j.deadline.Sub(d.now).Milliseconds()).
+			"expected to end in %d ms, too late after %d ms", last.finish.Milliseconds(), latest.Sub(d.now).Milliseconds()).
 			WithRetryAfter(d.retryAfter(j))
 	}
 	return plan, nil
--- a/test/platform/system_test.go
+++ b/test/platform/system_test.go
@@ -207,9 +207,17 @@
 	}
 }
 
+// start starts the process, unless it runs.
 func (p *process) start() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.cmd != nil {
+		select {
+		case <-p.done:
+		default:
+			return
+		}
+	}
 	cmd := exec.Command(p.sys.program, "platform", p.role, "--config", p.settings)
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	if err := cmd.Start(); err != nil {
