--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,9 @@
 	leaveNotice = 2500 * time.Millisecond
 	// stopReserve is what is left of the grace for closing connections.
 	stopReserve = 700 * time.Millisecond
+	// closeLinger is how long the process lives on after its connections have
+	// closed: some round trips.
+	closeLinger = 50 * time.Millisecond
 	// leavePoll is how often a leaving entry looks whether it is done.
 	leavePoll = 50 * time.Millisecond
 )
@@ -149,6 +152,9 @@
 	for _, s := range g.servers {
 		err = errors.Join(err, s.Shutdown(ctx))
 	}
+	// A connection that was accepted as the listener closed may not have been
+	// waited for.
+	time.Sleep(closeLinger)
 	open := g.openJobs()
 	g.stop()
 	g.closeListeners()
