--- a/gateway/link.go
+++ b/gateway/link.go
@@ -54,8 +54,7 @@
 	quit    chan struct{}
 }
 
-// ensureLink makes a link to each agent of the roster, and has those that are
-// down dial at once.
+// ensureLinks makes a link to each agent of the roster that has none.
 func (g *Gateway) ensureLinks() {
 	g.linksMu.Lock()
 	defer g.linksMu.Unlock()
