Say why a call to the server had no usable answer; pause before a stop is ordered again

Reasons of unanswered starts and stops, unreadable rows of a look and failures of the HTTP servers were dropped without a line; a stop that was refused at once was ordered again at once, without end.

Change: each has a line with its reason; stops are ordered again after 20 ms.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -174,7 +174,11 @@
 		ErrorLog:          logging.Stdlib(g.logger, "http_server"),
 	}
 	g.servers = append(g.servers, s)
-	go s.Serve(g.listeners[listener])
+	go func() {
+		if err := s.Serve(g.listeners[listener]); !errors.Is(err, http.ErrServerClosed) {
+			level.Error(g.logger).Log("event", "http_server_failed", "addr", g.listeners[listener].Addr(), "reason", err)
+		}
+	}()
 }
 
 // Table returns the configuration in force; nil if none is known yet.
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -87,6 +87,7 @@
 		g.leave()
 	}
 	g.expire()
+	g.retryStops()
 	g.dropLateQueued()
 	g.startQueued()
 	g.sendLook()
@@ -115,8 +116,12 @@
 			earlier(s.poll.due)
 		}
 	}
-	for _, r := range g.queue {
-		earlier(r.startBy)
+	for _, r := range g.runs {
+		if r.phase == waiting {
+			earlier(r.startBy)
+		} else if !r.stopAgain.IsZero() {
+			earlier(r.stopAgain)
+		}
 	}
 	return wake
 }
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -208,6 +208,23 @@
 	b.Expect(effects[guard.StartRun](b)).To(ConsistOf(HaveField("Key.Number", 2)))
 }
 
+// A server that refuses connections answers at once, and would be asked without
+// end.
+func TestRefusedStopIsRetriedAfterAPause(t *testing.T) {
+	b := newBench(t)
+	b.ready()
+	b.order(1, b.echo(), "job", 1000, 1)
+	b.accepted(key("job", 0))
+	b.step(guard.SessionGone{Session: 1})
+	b.Expect(effects[guard.StopRun](b)).To(HaveLen(1))
+	b.step(guard.StopReplied{Key: key("job", 0), Reason: "connection refused"})
+	b.Expect(effects[guard.StopRun](b)).To(BeEmpty())
+	b.Expect(b.guard.NextWake().Sub(b.now)).To(BeNumerically("<=", 20*time.Millisecond))
+	b.pass(20 * time.Millisecond)
+	b.step(guard.Ticked{})
+	b.Expect(effects[guard.StopRun](b)).To(HaveLen(1))
+}
+
 func TestStoppedStartThatRanIsNotCalledNotStarted(t *testing.T) {
 	b := newBench(t)
 	b.ready()
--- a/guard/messages.go
+++ b/guard/messages.go
@@ -120,12 +120,14 @@
 		Result StartResult
 		Clock  time.Duration // zero if unknown
 		Server int64         // run of the server, zero if unknown
+		Reason string        // why the result is StartUnknown, for the log
 	}
 	// StopReplied is the answer to StopRun.
 	StopReplied struct {
-		Key   RunKey
-		OK    bool
-		Clock time.Duration
+		Key    RunKey
+		OK     bool
+		Clock  time.Duration
+		Reason string // why not OK, for the log
 	}
 	// LookReplied is the answer to Look.
 	LookReplied struct {
@@ -138,6 +140,8 @@
 		Clock   time.Duration
 		Running []RunningRow
 		Ended   []EndRow
+		// Unreadable counts rows that could not be decoded.
+		Unreadable int
 	}
 	// ConfigReceived is a version of the operators' configuration.
 	ConfigReceived struct{ Config session.Config }
--- a/guard/options.go
+++ b/guard/options.go
@@ -72,6 +72,9 @@
 	// maxStartTries bounds how often a start without an answer is sent again.
 	// Sending the same run twice starts it once.
 	maxStartTries = 3
+	// stopRetry is the pause before a stop is ordered again, so that a server
+	// that refuses connections is not asked without end.
+	stopRetry = 20 * time.Millisecond
 	// lookRetry is the pause after a look that failed; a tenth of the lease
 	// leaves several tries before it ends.
 	lookRetry = 50 * time.Millisecond
--- a/guard/run.go
+++ b/guard/run.go
@@ -41,6 +41,7 @@
 	percent    int
 	progressAt time.Time // of the last change of percent
 	stopAcked  time.Time // zero if not yet
+	stopAgain  time.Time // when the stop is ordered again; zero if it is out or done
 	outcome    session.Outcome
 	reason     string
 }
@@ -188,7 +189,7 @@
 		g.raiseToken()
 		g.finish(r, session.NotStarted, "fenced")
 	case StartUnknown:
-		g.startUnanswered(r)
+		g.startUnanswered(r, e.Reason)
 	case StartDeclined:
 		g.health.failed()
 		g.finish(r, session.NotStarted, e.Result.String())
@@ -199,8 +200,9 @@
 
 // startUnanswered sends a start again. The first one may still be carried out
 // later: as the same run it changes nothing.
-func (g *Guard) startUnanswered(r *run) {
+func (g *Guard) startUnanswered(r *run, reason string) {
 	r.startTries++
+	g.emit(LogEvent{Event: "start_unanswered", Job: r.key.String(), Entry: r.session.entry, Detail: fmt.Sprintf("try=%d reason=%q", r.startTries, reason)})
 	if r.startTries < maxStartTries && r.session.fresh(g) && !g.leaseLapsed() {
 		g.start(r)
 		return
@@ -238,7 +240,8 @@
 		return
 	}
 	if !e.OK {
-		g.emit(StopRun{Key: r.key, Token: g.token, Server: g.server.ID})
+		g.emit(LogEvent{Event: "stop_unanswered", Job: r.key.String(), Entry: r.session.entry, Detail: fmt.Sprintf("reason=%q", e.Reason)})
+		r.stopAgain = g.now.Add(stopRetry)
 		return
 	}
 	if r.stopAcked.IsZero() {
@@ -247,6 +250,16 @@
 	}
 }
 
+// retryStops orders again the stops that got no usable answer.
+func (g *Guard) retryStops() {
+	for _, r := range g.sortedRuns() {
+		if r.phase == stopping && !r.stopAgain.IsZero() && !g.now.Before(r.stopAgain) {
+			r.stopAgain = time.Time{}
+			g.emit(StopRun{Key: r.key, Token: g.token, Server: g.server.ID})
+		}
+	}
+}
+
 // dropQueued refuses all that waits.
 func (g *Guard) dropQueued(reason string) {
 	for _, r := range slices.Clone(g.queue) {
--- a/guard/server.go
+++ b/guard/server.go
@@ -100,6 +100,9 @@
 		g.serverReplaced(e)
 	}
 	g.fenced = false
+	if e.Unreadable > 0 {
+		g.log("rows_unreadable", fmt.Sprintf("rows=%d", e.Unreadable))
+	}
 	older := e.Clock < g.clock // overtaken by the answer to a later look
 	g.readClock(e.Server, e.Clock)
 	g.takeEnds(e.Ended, e.Clock)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -155,7 +155,11 @@
 		ErrorLog:          logging.Stdlib(s.logger, "http_server"),
 	}
 	s.servers = append(s.servers, srv)
-	go srv.Serve(s.listeners[listener])
+	go func() {
+		if err := srv.Serve(s.listeners[listener]); !errors.Is(err, http.ErrServerClosed) {
+			level.Error(s.logger).Log("event", "http_server_failed", "addr", s.listeners[listener].Addr(), "reason", err)
+		}
+	}()
 }
 
 // meet tells the entries of this agent, so that they open sessions.
