A store that was silent is asked anew soon; requests read at a stop are answered

Change: while the store is lost, reads do not wait, and timeouts grow twofold.

Ruled out: the grace (0.3 s were left), the reducer (no line of the job). Change: the listener closes first, requests are read and answered for 100 ms more, then the server shuts down.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,9 +31,9 @@
 	leaveNotice = 2500 * time.Millisecond
 	// stopReserve is what is left of the grace for closing connections.
 	stopReserve = 700 * time.Millisecond
-	// closeLinger is how long the process lives on after its connections have
-	// closed: some round trips.
-	closeLinger = 50 * time.Millisecond
+	// closeLinger is how long requests are read after the listener has closed:
+	// some round trips to the callers.
+	closeLinger = 100 * time.Millisecond
 	// leavePoll is how often a leaving entry looks whether it is done.
 	leavePoll = 50 * time.Millisecond
 )
@@ -144,17 +144,16 @@
 }
 
 func (g *Gateway) shutdown(started time.Time) error {
-	// Requests that came while the last ones were answered have their answer by
-	// the end of the time that jobs were given.
+	// The HTTP server's own shutdown drops what it reads from then on, so the
+	// connections that were accepted last are served first.
+	g.listeners[0].Close()
+	time.Sleep(closeLinger)
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(g.opts.Grace.D()-stopReserve/2))
 	defer cancel()
 	var err error
 	for _, s := range g.servers {
 		err = errors.Join(err, s.Shutdown(ctx))
 	}
-	// A connection that was accepted as the listener closed may not have been
-	// waited for.
-	time.Sleep(closeLinger)
 	open := g.openJobs()
 	g.stop()
 	g.closeListeners()
@@ -175,7 +174,7 @@
 	}
 	g.servers = append(g.servers, s)
 	go func() {
-		if err := s.Serve(g.listeners[listener]); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(g.listeners[listener]); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			level.Error(g.logger).Log("event", "http_server_failed", "addr", g.listeners[listener].Addr(), "reason", err)
 		}
 	}()
--- a/keyedlog/keyedlog.go
+++ b/keyedlog/keyedlog.go
@@ -35,7 +35,7 @@
 const (
 	// readWait is how long the store may hold back an answer without records:
 	// a connection that went silent is noticed soon after it.
-	readWait = time.Second
+	readWait time.Duration = time.Second
 	// callTimeout bounds a call beside its wait.
 	callTimeout = 500 * time.Millisecond
 	// appendTimeout bounds an append, which a slow store may take long for.
@@ -44,8 +44,10 @@
 	// turns a process away for seconds; what it missed is needed at once after.
 	retryBase = 50 * time.Millisecond
 	retryMax  = 400 * time.Millisecond
-	// slowFactor bounds how far timeouts grow while the store is slow.
-	slowFactor = 8
+	// slowFactor bounds how far timeouts grow while the store is slow. A call
+	// that went out while it was silent is not answered any more, and must not
+	// hold up what was written since.
+	slowFactor = 2
 )
 
 // Handler takes in what a Follower reads. Its methods are called one at a time.
@@ -105,9 +107,13 @@
 		defer cancel()
 		return f.store.Newest(ctx, f.topic)
 	}
-	ctx, cancel := context.WithTimeout(ctx, readWait+f.patience*callTimeout)
+	wait := readWait
+	if f.lost {
+		wait = 0 // asks whether the store is back
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+f.patience*callTimeout)
 	defer cancel()
-	return f.store.Read(ctx, f.topic, f.next, readWait)
+	return f.store.Read(ctx, f.topic, f.next, wait)
 }
 
 func (f *follower) failed(ctx context.Context, err error) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -156,7 +156,7 @@
 	}
 	s.servers = append(s.servers, srv)
 	go func() {
-		if err := srv.Serve(s.listeners[listener]); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(s.listeners[listener]); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			level.Error(s.logger).Log("event", "http_server_failed", "addr", s.listeners[listener].Addr(), "reason", err)
 		}
 	}()
