One copy of what both roles share; entries and agents tell each other only news

Each agent announced itself to all entries every 5 s, and every 500 ms while one entry of its list had no session, which one entry that is gone brings about for a minute; each answer listed all processes, on 72 agents some 4 KB. Each pair of entries did so every 2 s. Settings, listeners, HTTP bounds and histograms stood in gateway and sidecar alike. Settings errors named embedded structs (Options.peer_addr).

Change: agents announce themselves where they have no session, and are told of entries only; entries say by a digest whom they know and are told nothing if it is the same, and ask three peers while the store answers. internal/instance holds what both roles share. Queues are found by host. The agent keeps a running sum of what is used. Dead fields went: sentAt, samples, Priority, Service.

--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -27,10 +27,10 @@
 	pending map[uint64]*placement
 }
 
-// knownSpeed is what is remembered of a server beyond a session.
+// knownSpeed is what is remembered of an agent's server beyond a session.
 type knownSpeed struct {
+	server   string // another server of the same agent may be of another speed
 	slowness int
-	samples  int
 }
 
 func (d *Dispatcher) agentUp(e AgentUp) {
@@ -118,7 +118,7 @@
 	a.stateAt = d.now
 	d.moveLaggards(a, s.Laggards)
 	if s.Samples >= fewSamples {
-		d.known[a.identity.Server] = knownSpeed{slowness: s.Slowness, samples: s.Samples}
+		d.known[a.name] = knownSpeed{server: a.identity.Server, slowness: s.Slowness}
 	}
 }
 
@@ -126,7 +126,7 @@
 func (d *Dispatcher) expect(a *agent, estimate time.Duration) time.Duration {
 	slow := a.state.Slowness
 	if a.state.Samples < fewSamples {
-		if k, ok := d.known[a.identity.Server]; ok {
+		if k := d.known[a.name]; k.server == a.identity.Server && k.server != "" {
 			slow = k.slowness
 		}
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -17,8 +17,8 @@
 	out  []Effect
 
 	agents map[AgentID]*agent
-	order  []*agent // those in session, by name, so that equal states decide alike
-	known  map[string]knownSpeed
+	order  []*agent              // those in session, by name, so that equal states decide alike
+	known  map[string]knownSpeed // by the agent's name
 
 	jobs       map[string]*job // open, or answered and not yet ended, by name
 	calls      map[CallID]*job
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -44,7 +44,6 @@
 	agent     *agent
 	number    uint64    // of the order
 	stopped   bool      // its stop was ordered
-	sentAt    time.Time // when it was ordered
 	doubtEnds time.Time // when it must have ended though its agent is silent; zero while in session
 }
 
--- /dev/null
+++ b/dispatch/load_bench_test.go
@@ -0,0 +1,53 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/dispatch"
+	"github.com/chestnuthollow/chestnuthollow/session"
+)
+
+// BenchmarkSubmit places a job of eight tasks on busy servers and answers it.
+func BenchmarkSubmit(b *testing.B) {
+	for _, agents := range []int{11, 72} {
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
+			d := dispatch.New(dispatch.Options{Entry: "entry-1", Zone: "zone-a", DoubtTime: doubtTime, Remember: dispatch.DefaultRemember})
+			now := start
+			var seq uint64
+			state := func() session.State {
+				seq++
+				return session.State{
+					Seq: seq, Ready: true, Identity: &session.Identity{Service: "booking", Capacity: 64_000}, FreeCPU: 20_000, FreeMem: 1 << 20,
+					Slowness: 1000, Samples: 100,
+					Running: []session.Span{{CPU: 6800, Ms: 20}, {CPU: 6800, Ms: 40}, {CPU: 6800, Ms: 60}, {CPU: 6800, Ms: 90}, {CPU: 6800, Ms: 200}, {CPU: 12_000, Ms: 700}},
+				}
+			}
+			for i := range agents {
+				d.Step(now, dispatch.AgentUp{ID: dispatch.AgentID(i + 1), Agent: fmt.Sprintf("agent-%d", i), Zone: "zone-a", State: state()})
+			}
+			b.ReportAllocs()
+			for i := range b.N {
+				now = now.Add(time.Millisecond)
+				effects := d.Step(now, dispatch.SubmitCalled{Call: dispatch.CallID(i + 1), Job: dispatch.Job{
+					Name: fmt.Sprintf("job-%d", i), Queue: queue(), Tasks: 8, CPU: 6800, MemMB: 64, Estimate: 60 * time.Millisecond, Timeout: 3 * time.Second,
+				}})
+				for _, ef := range effects {
+					o, ok := ef.(dispatch.Order)
+					if !ok {
+						continue
+					}
+					d.Step(now, dispatch.OrderReplied{ID: o.ID, Number: o.Number, State: state()})
+					var reports []session.Report
+					for _, part := range o.Start {
+						for _, t := range part.Tasks {
+							reports = append(reports, session.Report{ID: t.ID, Outcome: session.Done})
+						}
+					}
+					d.Step(now, dispatch.Polled{ID: o.ID, Reply: session.PollReply{Reports: reports, State: state()}})
+				}
+			}
+		})
+	}
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -199,7 +199,7 @@
 		t.placed++
 		d.lastID++
 		o := d.orderTo(as.agent)
-		p := &placement{id: d.lastID, job: j, index: as.index, agent: as.agent, number: o.Number, sentAt: d.now}
+		p := &placement{id: d.lastID, job: j, index: as.index, agent: as.agent, number: o.Number}
 		t.current = p
 		d.placements[p.id] = p
 		as.agent.pending[p.id] = p
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -47,7 +47,7 @@
 		return
 	}
 	level.Info(g.logger).Log("event", "config_in_force", "version", t.Version, "before", g.config.text.Version,
-		"source", source, "queues", len(t.Queues))
+		"source", source, "queues", t.Len())
 	g.config.text = session.Config{Version: t.Version, Text: cfg.Text}
 	g.config.table.Store(t)
 	g.metrics.configVersion.Update(t.Version)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -15,7 +14,7 @@
 
 	"github.com/chestnuthollow/chestnuthollow/dispatch"
 	"github.com/chestnuthollow/chestnuthollow/guard"
-	"github.com/chestnuthollow/chestnuthollow/internal/logging"
+	"github.com/chestnuthollow/chestnuthollow/internal/instance"
 	"github.com/chestnuthollow/chestnuthollow/internal/ops"
 	"github.com/chestnuthollow/chestnuthollow/internal/random"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcserver"
@@ -50,7 +49,7 @@
 	leaving  atomic.Bool
 	storeOut atomic.Bool // the store does not answer this process
 
-	listeners []net.Listener
+	listeners instance.Listeners
 	servers   []*http.Server
 	rpc       *rpcserver.Server
 
@@ -96,13 +95,9 @@
 	g.metrics = newMetrics(g)
 	g.background, g.stop = context.WithCancel(context.Background())
 	g.timer = time.AfterFunc(time.Hour, func() { g.step(dispatch.Ticked{}) })
-	for _, addr := range []string{opts.JobsAddr, opts.ReadyAddr, opts.OpsAddr, opts.PeerAddr} {
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			g.closeListeners()
-			return nil, fmt.Errorf("entry: %w", err)
-		}
-		g.listeners = append(g.listeners, l)
+	var err error
+	if g.listeners, err = instance.Listen(opts.JobsAddr, opts.ReadyAddr, opts.OpsAddr, opts.PeerAddr); err != nil {
+		return nil, fmt.Errorf("entry: %w", err)
 	}
 	g.rpc = rpcserver.New(rpcserver.DefaultOptions(), structs.EntryService, func(context.Context) any {
 		return &peerReceiver{gateway: g}
@@ -110,12 +105,6 @@
 	return g, nil
 }
 
-func (g *Gateway) closeListeners() {
-	for _, l := range g.listeners {
-		l.Close()
-	}
-}
-
 // Run serves until ctx is canceled, and then stops gracefully: the balancer is
 // told, open jobs are finished, and open connections are served meanwhile.
 func (g *Gateway) Run(ctx context.Context) error {
@@ -156,7 +145,7 @@
 	}
 	open := g.openJobs()
 	g.stop()
-	g.closeListeners()
+	g.listeners.Close()
 	g.timer.Stop()
 	level.Info(g.logger).Log("event", "stopped", "open_jobs", open, "took", time.Since(started))
 	return err
@@ -164,20 +153,7 @@
 
 // serve starts an HTTP server on the listener with the index.
 func (g *Gateway) serve(listener int, h http.Handler) {
-	s := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: 3 * time.Second,
-		ReadTimeout:       10 * time.Second,
-		IdleTimeout:       time.Minute,
-		MaxHeaderBytes:    16 << 10,
-		ErrorLog:          logging.Stdlib(g.logger, "http_server"),
-	}
-	g.servers = append(g.servers, s)
-	go func() {
-		if err := s.Serve(g.listeners[listener]); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			level.Error(g.logger).Log("event", "http_server_failed", "addr", g.listeners[listener].Addr(), "reason", err)
-		}
-	}()
+	g.servers = append(g.servers, instance.Serve(g.listeners[listener], h, g.logger))
 }
 
 // Table returns the configuration in force; nil if none is known yet.
@@ -267,8 +243,4 @@
 
 // Reload takes in changed settings: new seeds. Addresses and limits need a
 // restart.
-func (g *Gateway) Reload(opts Options) {
-	for _, addr := range opts.Seeds {
-		g.roster.Add(time.Now(), session.Process{Name: "seed", Role: session.RoleEntry, Addr: addr})
-	}
-}
+func (g *Gateway) Reload(opts Options) { g.roster.AddSeeds(time.Now(), opts.Seeds) }
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -17,6 +18,9 @@
 	// and a fifth of the time in which one must be in force is allowed.
 	exchangeEvery      = 2 * time.Second
 	exchangeWithoutLog = 300 * time.Millisecond
+	// exchangePeers is how many entries are asked while the store answers: news
+	// spreads to a dozen entries in two rounds.
+	exchangePeers = 3
 )
 
 // peerReceiver serves other processes of the system.
@@ -34,33 +38,36 @@
 		g.ensureLinks()
 		g.kickLink(req.From.Addr)
 	}
-	reply.Known = append(g.roster.List(""), g.self)
+	reply.Known = g.roster.News(g.self, req)
 	if raw := g.config.raw(); raw.Version > req.ConfigVersion {
 		reply.Config = raw
 	}
 	return nil
 }
 
-// exchange asks the other entries for processes and newer configuration, now
-// and then.
+// exchange asks other entries for processes and newer configuration: a few of
+// them now and then, all of them often while the store does not answer.
 func (g *Gateway) exchange() {
-	for _, addr := range g.opts.Seeds {
-		g.roster.Add(time.Now(), session.Process{Name: "seed", Role: session.RoleEntry, Addr: addr})
-	}
+	g.roster.AddSeeds(time.Now(), g.opts.Seeds)
 	for g.background.Err() == nil {
-		for _, p := range g.roster.List(session.RoleEntry) {
-			go g.exchangeWith(p)
+		peers := g.roster.List(session.RoleEntry)
+		pause := exchangeWithoutLog
+		if !g.storeOut.Load() && g.Table() != nil {
+			pause = exchangeEvery
+			rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+			peers = peers[:min(len(peers), exchangePeers)]
 		}
-		pause := exchangeEvery
-		if g.storeOut.Load() || g.Table() == nil {
-			pause = exchangeWithoutLog
+		for _, p := range peers {
+			go g.exchangeWith(p)
 		}
 		time.Sleep(pause)
 	}
 }
 
 func (g *Gateway) exchangeWith(p session.Process) {
-	reply, err := roster.Exchange(p.Addr, session.ExchangeRequest{From: g.self, ConfigVersion: g.config.raw().Version})
+	reply, err := roster.Exchange(p.Addr, session.ExchangeRequest{
+		From: g.self, ConfigVersion: g.config.raw().Version, Digest: g.roster.Digest(),
+	})
 	if err != nil {
 		if g.roster.Unreachable(time.Now(), p.Addr) {
 			level.Info(g.logger).Log("event", "peer_forgotten", "peer", p.Name, "addr", p.Addr, "reason", err)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -6,16 +6,11 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/chestnuthollow/chestnuthollow/dispatch"
+	"github.com/chestnuthollow/chestnuthollow/internal/instance"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcconn"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
-// Size of the samples from which latency histograms are taken.
-const (
-	sampleSize  = 512
-	sampleAlpha = 0.015 // favors the last five minutes
-)
-
 // gatewayMetrics are the metrics of an entry. Times are in microseconds.
 type gatewayMetrics struct {
 	registry      metrics.Registry
@@ -55,11 +50,7 @@
 	if e.Late && e.Status == dispatch.Completed {
 		metrics.GetOrRegisterCounter("jobs."+e.Queue+".late", m.registry).Inc(1)
 	}
-	h, ok := m.registry.Get(name + ".time").(metrics.Histogram)
-	if !ok {
-		h = metrics.NewRegisteredHistogram(name+".time", m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
-	}
-	h.Update(e.Took.Microseconds())
+	instance.Histogram(name+".time", m.registry).Update(e.Took.Microseconds())
 }
 
 // Dump implements ops.Source.
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -5,46 +5,26 @@
 
 import (
 	"net/http"
-	"time"
 
-	"github.com/chestnuthollow/chestnuthollow/internal/settings"
+	"github.com/chestnuthollow/chestnuthollow/internal/instance"
 	"github.com/chestnuthollow/chestnuthollow/keyedlog"
 	"github.com/chestnuthollow/chestnuthollow/routing"
 )
 
 // Options are the settings of an entry.
 type Options struct {
-	Name   string `toml:"name" validate:"required,name"`
-	Zone   string `toml:"zone" validate:"required,name"`
-	Region string `toml:"region" validate:"required,name"`
-	// JobsAddr takes callers' requests, ReadyAddr the balancer's probes,
-	// PeerAddr net/rpc of the system's other processes, OpsAddr the operators'.
+	instance.Options
+	// JobsAddr takes callers' requests, ReadyAddr the balancer's probes.
 	JobsAddr  string `toml:"jobs_addr" validate:"required,ipport"`
 	ReadyAddr string `toml:"ready_addr" validate:"required,ipport"`
-	PeerAddr  string `toml:"peer_addr" validate:"required,ipport"`
-	OpsAddr   string `toml:"ops_addr" validate:"required,ipport"`
-	// Seeds are addresses of entries to ask for others.
-	Seeds []string `toml:"seeds" validate:"dive,ipport"`
-	// Grace is how long the platform waits after SIGTERM.
-	Grace settings.Duration `toml:"grace" validate:"longest=1h"`
-	// LeaseMax and StopTimeout are the platform's bounds of a lease and of the
-	// time that a stop takes.
-	LeaseMax    settings.Duration `toml:"lease_max" validate:"longest=1m"`
-	StopTimeout settings.Duration `toml:"stop_timeout" validate:"longest=1m"`
-	// MemoryMB is the memory of the instance.
-	MemoryMB int    `toml:"memory_mb" validate:"min=16"`
-	LogLevel string `toml:"log_level" validate:"oneof=debug info warn error"`
 }
 
+// defaultMemoryMB is the memory of the smallest common instance of an entry.
+const defaultMemoryMB = 256
+
 // DefaultOptions returns the defaults of the settings that have one.
 func DefaultOptions() Options {
-	return Options{
-		Grace:       settings.Duration(6 * time.Second),
-		LeaseMax:    settings.Duration(time.Second),
-		StopTimeout: settings.Duration(50 * time.Millisecond),
-		MemoryMB:    256,
-		LogLevel:    "info",
-	}
+	return Options{Options: instance.DefaultOptions(defaultMemoryMB)}
 }
 
 // Platform is what the gateway needs of the users' platform.
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -17,6 +17,7 @@
 	sessions map[uint64]*entrySession
 	runs     map[TaskKey]*run // tasks that wait, run or are being stopped
 	queue    []*run           // those that wait, earliest latest start first
+	used     usage            // by what runs and by what is being stopped
 	health   health
 	labels   []string // of the present server
 	usual    Usual    // learned before
--- a/guard/run.go
+++ b/guard/run.go
@@ -50,6 +50,9 @@
 func (g *Guard) finish(r *run, o session.Outcome, reason string) {
 	if g.runs[r.key.TaskKey] == r {
 		delete(g.runs, r.key.TaskKey)
+		if r.phase != waiting {
+			g.used.sub(r)
+		}
 	}
 	if i := slices.Index(g.queue, r); i >= 0 {
 		g.queue = slices.Delete(g.queue, i, i+1)
@@ -81,29 +84,25 @@
 	for _, r := range g.runs {
 		list = append(list, r)
 	}
-	slices.SortFunc(list, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.session.id, b.session.id), cmp.Compare(a.id, b.id))
-	})
+	slices.SortFunc(list, compareRuns)
 	return list
 }
 
-// used returns what runs and what is being stopped still take.
-func (g *Guard) used() (cpu, mem, gpu int) {
-	for _, r := range g.runs {
-		if r.phase != waiting {
-			cpu += r.cpu
-			mem += r.mem
-			gpu += r.gpu
-		}
-	}
-	return cpu, mem, gpu
+func compareRuns(a, b *run) int {
+	return cmp.Or(cmp.Compare(a.session.id, b.session.id), cmp.Compare(a.id, b.id))
 }
 
+// usage is capacity of the server that is taken.
+type usage struct{ cpu, mem, gpu int }
+
+func (u *usage) add(r *run) { u.cpu, u.mem, u.gpu = u.cpu+r.cpu, u.mem+r.mem, u.gpu+r.gpu }
+func (u *usage) sub(r *run) { u.cpu, u.mem, u.gpu = u.cpu-r.cpu, u.mem-r.mem, u.gpu-r.gpu }
+
 // learnFromProgress counts the runs under way as run times, so that a server
 // that turns slow is known before its first task has ended.
 func (g *Guard) learnFromProgress() {
 	g.health.current = speed{}
-	for _, r := range g.sortedRuns() {
+	for _, r := range g.runs {
 		if r.phase == running && r.estimate > 0 {
 			g.health.current.add(g.total(r), r.estimate)
 		}
@@ -113,11 +112,10 @@
 // fits reports whether a task has room now. A server that fails its tasks gets
 // one at a time, as a probe.
 func (g *Guard) fits(r *run) bool {
-	cpu, mem, gpu := g.used()
-	if g.health.suspect() && cpu > 0 {
+	if g.health.suspect() && g.used.cpu > 0 {
 		return false
 	}
-	return cpu+r.cpu <= g.server.CPU && mem+r.mem <= g.server.MemMB && gpu+r.gpu <= g.server.GPU
+	return g.used.cpu+r.cpu <= g.server.CPU && g.used.mem+r.mem <= g.server.MemMB && g.used.gpu+r.gpu <= g.server.GPU
 }
 
 // startQueued starts waiting tasks that have room, the most urgent first.
@@ -137,6 +135,9 @@
 }
 
 func (g *Guard) start(r *run) {
+	if r.phase == waiting {
+		g.used.add(r)
+	}
 	r.phase = starting
 	g.emit(StartRun{Key: r.key, Spec: r.spec, Until: min(g.leaseEnd(), r.session.echo.Clock+g.opts.SessionTTL), Token: g.token, Server: g.server.ID})
 }
@@ -252,12 +253,17 @@
 
 // retryStops orders again the stops that got no usable answer.
 func (g *Guard) retryStops() {
-	for _, r := range g.sortedRuns() {
+	var due []*run
+	for _, r := range g.runs {
 		if r.phase == stopping && !r.stopAgain.IsZero() && !g.now.Before(r.stopAgain) {
-			r.stopAgain = time.Time{}
-			g.emit(StopRun{Key: r.key, Token: g.token, Server: g.server.ID})
+			due = append(due, r)
 		}
 	}
+	slices.SortFunc(due, compareRuns)
+	for _, r := range due {
+		r.stopAgain = time.Time{}
+		g.emit(StopRun{Key: r.key, Token: g.token, Server: g.server.ID})
+	}
 }
 
 // dropQueued refuses all that waits.
--- a/guard/session.go
+++ b/guard/session.go
@@ -150,6 +150,16 @@
 	g.emit(CloseSession{Session: id})
 }
 
+// InSession reports whether an entry has an open session.
+func (g *Guard) InSession(entry structs.Incarnation) bool {
+	for _, s := range g.sessions {
+		if s.open && s.entry == entry {
+			return true
+		}
+	}
+	return false
+}
+
 func (g *Guard) openSession(id uint64) *entrySession {
 	if s := g.sessions[id]; s != nil && s.open {
 		return s
@@ -253,14 +263,13 @@
 
 // timeline returns when the capacity of the running tasks falls free.
 func (g *Guard) timeline() *timeline.Timeline {
-	cpu, _, _ := g.used()
 	var spans []timeline.Span
-	for _, r := range g.sortedRuns() {
+	for _, r := range g.runs {
 		if r.phase != waiting {
 			spans = append(spans, timeline.Span{At: g.remaining(r), CPU: r.cpu})
 		}
 	}
-	return timeline.New(g.server.CPU-cpu, spans)
+	return timeline.New(g.server.CPU-g.used.cpu, spans)
 }
 
 // remaining predicts the time to a run's end from its progress, or from its
@@ -349,12 +358,12 @@
 // for all that end later.
 func (g *Guard) spans() []session.Span {
 	var list []session.Span
-	for _, r := range g.sortedRuns() {
+	for _, r := range g.runs {
 		if r.phase != waiting {
 			list = append(list, session.Span{CPU: r.cpu, Ms: int(g.remaining(r).Milliseconds())})
 		}
 	}
-	slices.SortFunc(list, func(a, b session.Span) int { return cmp.Compare(a.Ms, b.Ms) })
+	slices.SortFunc(list, func(a, b session.Span) int { return cmp.Or(cmp.Compare(a.Ms, b.Ms), cmp.Compare(a.CPU, b.CPU)) })
 	for len(list) > maxSpans {
 		last, before := list[len(list)-1], &list[len(list)-2]
 		before.CPU += last.CPU
@@ -367,13 +376,12 @@
 // state returns what the agent tells an entry of itself.
 func (g *Guard) state(s *entrySession) session.State {
 	g.stateSeq++
-	cpu, mem, _ := g.used()
 	st := session.State{
 		Seq:      g.stateSeq,
 		Stamp:    session.Stamp{Run: g.clockRun, Clock: g.clock},
 		Ready:    g.active(),
-		FreeCPU:  g.server.CPU - cpu,
-		FreeMem:  g.server.MemMB - mem,
+		FreeCPU:  g.server.CPU - g.used.cpu,
+		FreeMem:  g.server.MemMB - g.used.mem,
 		Slowness: g.health.slowness(),
 		Samples:  g.health.samples,
 		Failing:  g.health.failing(),
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -35,7 +35,7 @@
 	}
 	problems := make([]Problem, 0, len(fields))
 	for _, f := range fields {
-		_, key, _ := strings.Cut(f.Namespace(), ".")
+		key := fileKey(f.Namespace())
 		problems = append(problems, Problem{Key: key, Value: shownValue(key, f.Value()), Reason: reason(f)})
 	}
 	return problems
--- a/internal/settings/reason.go
+++ b/internal/settings/reason.go
@@ -9,10 +9,23 @@
 
 // tomlName returns the key of a field in the settings file.
 func tomlName(f reflect.StructField) string {
+	if f.Anonymous {
+		return embedded
+	}
 	name, _, _ := strings.Cut(f.Tag.Get("toml"), ",")
 	return name
 }
 
+// embedded stands for an embedded struct in the path of a field; the file has
+// its keys without a table of their own.
+const embedded = "<embedded>"
+
+// fileKey returns a field's key in the file, from its path in the struct.
+func fileKey(namespace string) string {
+	_, key, _ := strings.Cut(namespace, ".")
+	return strings.ReplaceAll(key, embedded+".", "")
+}
+
 // reason says in words what a failed validation asks for.
 func reason(f validator.FieldError) string {
 	switch f.Tag() {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -48,3 +48,15 @@
 	g.Expect(err).To(MatchError(ContainSubstring("publish_token = (hidden)")))
 	g.Expect(err).NotTo(MatchError(ContainSubstring("open-sesame")))
 }
+
+// Settings that roles share are embedded; their keys are those of the file.
+func TestKeysOfEmbeddedSettingsAreThoseOfTheFile(t *testing.T) {
+	type Shared struct {
+		Name string `toml:"name" validate:"required,name"`
+	}
+	type role struct {
+		Shared
+	}
+	err := settings.Parse("file", "", &role{})
+	NewWithT(t).Expect(err).To(MatchError("settings file: name = : missing"))
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -5,11 +5,13 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
 // forgetAfter is how long a process is kept that cannot be reached: longer than
@@ -55,6 +57,13 @@
 	return added
 }
 
+// AddSeeds takes in entries of which only the addresses are known.
+func (r *Roster) AddSeeds(now time.Time, addrs []string) {
+	for _, addr := range addrs {
+		r.Add(now, session.Process{Name: "seed", Role: session.RoleEntry, Addr: addr})
+	}
+}
+
 // Reached notes that the process at the address answers.
 func (r *Roster) Reached(now time.Time, addr string) {
 	r.mu.Lock()
@@ -94,3 +103,39 @@
 	slices.SortFunc(list, func(a, b session.Process) int { return cmp.Compare(a.Addr, b.Addr) })
 	return list
 }
+
+// Unmet returns the entries with which there is no session, by address.
+func (r *Roster) Unmet(inSession func(structs.Incarnation) bool) []session.Process {
+	return slices.DeleteFunc(r.List(session.RoleEntry), func(p session.Process) bool { return inSession(p.Incarnation) })
+}
+
+// News returns whom the asker may not know, with this process: for an agent the
+// entries, for an entry all, or none if it knows as many.
+func (r *Roster) News(self session.Process, req *session.ExchangeRequest) []session.Process {
+	role := ""
+	switch {
+	case req.From.Role == session.RoleAgent:
+		role = session.RoleEntry
+	case req.Digest == r.Digest():
+		return nil
+	}
+	return append(r.List(role), self)
+}
+
+// Digest sums up which processes are known, this one included. Two processes
+// that know the same have the same digest.
+func (r *Roster) Digest() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sum := addrHash(r.self)
+	for addr := range r.members {
+		sum += addrHash(addr)
+	}
+	return sum
+}
+
+func addrHash(addr string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(addr))
+	return h.Sum64()
+}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,80 @@
+package roster_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/roster"
+	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func process(role string, i int) session.Process {
+	return session.Process{
+		Name: fmt.Sprintf("%s-%d", role, i), Role: role, Addr: fmt.Sprintf("10.0.0.%d:1", i), Incarnation: structs.Incarnation(i),
+	}
+}
+
+// fleet returns the rosters of two entries, of processes 1 and 2, that know
+// each other and the same agents.
+func fleet(agents int) (a, b *roster.Roster) {
+	a, b = roster.New("10.0.0.1:1"), roster.New("10.0.0.2:1")
+	a.Add(now, process(session.RoleEntry, 2))
+	b.Add(now, process(session.RoleEntry, 1))
+	for i := range agents {
+		a.Add(now, process(session.RoleAgent, 10+i))
+		b.Add(now, process(session.RoleAgent, 10+i))
+	}
+	return a, b
+}
+
+// On fleets of seventy servers the lists that entries and agents told each
+// other again and again were most of the bytes between zones.
+func TestEntriesThatKnowTheSameTellNothing(t *testing.T) {
+	g := NewWithT(t)
+	a, b := fleet(70)
+	req := &session.ExchangeRequest{From: process(session.RoleEntry, 1), Digest: a.Digest()}
+	g.Expect(b.News(process(session.RoleEntry, 2), req)).To(BeEmpty())
+
+	b.Add(now, process(session.RoleAgent, 99))
+	news := b.News(process(session.RoleEntry, 2), req)
+	g.Expect(news).To(HaveLen(73))
+	a.Add(now, news...)
+	g.Expect(a.Digest()).To(Equal(b.Digest()))
+}
+
+func TestAgentsAreToldOfEntriesOnly(t *testing.T) {
+	g := NewWithT(t)
+	_, b := fleet(70)
+	news := b.News(process(session.RoleEntry, 2), &session.ExchangeRequest{From: process(session.RoleAgent, 10)})
+	g.Expect(news).To(ConsistOf(process(session.RoleEntry, 1), process(session.RoleEntry, 2)))
+}
+
+// One entry that was gone for good made each agent announce itself to all
+// entries twice a second, for a minute.
+func TestAgentAnnouncesItselfOnlyWhereItHasNoSession(t *testing.T) {
+	g := NewWithT(t)
+	r := roster.New("10.0.0.50:1")
+	for i := range 13 {
+		r.Add(now, process(session.RoleEntry, 1+i))
+	}
+	r.AddSeeds(now, []string{"10.0.0.14:1"}) // its incarnation is not known yet
+	inSession := func(i structs.Incarnation) bool { return i != 0 && i != 5 }
+	g.Expect(r.Unmet(inSession)).To(ConsistOf(
+		process(session.RoleEntry, 5), session.Process{Name: "seed", Role: session.RoleEntry, Addr: "10.0.0.14:1"}))
+}
+
+func TestUnreachableProcessIsForgottenOnlyAfterAWhile(t *testing.T) {
+	g := NewWithT(t)
+	r, _ := fleet(1)
+	g.Expect(r.Unreachable(now.Add(59*time.Second), "10.0.0.10:1")).To(BeFalse())
+	r.Reached(now.Add(59*time.Second), "10.0.0.10:1")
+	g.Expect(r.Unreachable(now.Add(61*time.Second), "10.0.0.10:1")).To(BeFalse())
+	g.Expect(r.Unreachable(now.Add(120*time.Second), "10.0.0.10:1")).To(BeTrue())
+	g.Expect(r.List(session.RoleAgent)).To(BeEmpty())
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -10,11 +10,37 @@
 
 // Table is one version of the configuration. It is not changed once made.
 type Table struct {
-	Version  int64
-	Queues   []Queue
-	Services map[string]Service
+	Version int64
 	// MaxBody bounds the body of a submission in bytes.
 	MaxBody int64
+
+	byHost   map[string][]Queue // by the host in lower case, longest prefix first
+	services []string           // that queues use, sorted
+}
+
+// NewTable returns a version of the configuration with the queues.
+func NewTable(version, maxBody int64, queues []Queue) *Table {
+	t := &Table{Version: version, MaxBody: maxBody, byHost: make(map[string][]Queue)}
+	for _, q := range queues {
+		host := strings.ToLower(q.Host)
+		t.byHost[host] = append(t.byHost[host], q)
+		t.services = append(t.services, q.Service)
+	}
+	for _, list := range t.byHost {
+		slices.SortStableFunc(list, func(a, b Queue) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	slices.Sort(t.services)
+	t.services = slices.Compact(t.services)
+	return t
+}
+
+// Len returns how many queues there are.
+func (t *Table) Len() int {
+	n := 0
+	for _, list := range t.byHost {
+		n += len(list)
+	}
+	return n
 }
 
 // Queue takes the jobs of one kind.
@@ -27,36 +53,25 @@
 	Attempts int
 	// Stretch and Aim make the time in which a job should end: Stretch times
 	// its longest task on an ordinary server, and Aim more.
-	Stretch  float64
-	Aim      time.Duration
-	Priority int // 0 comes first
+	Stretch float64
+	Aim     time.Duration
 	// Advised says that another service decides which servers may run a job.
 	Advised bool
 }
 
-// Service is a pool of backend servers.
-type Service struct {
-	Name string
-	// GuardsCapacity says that the servers refuse what does not fit.
-	GuardsCapacity bool
-}
-
 // Match returns the queue for a request and what follows its prefix in the
 // path: of the queues of the host, the one with the longest prefix.
 func (t *Table) Match(host, path string) (q *Queue, rest string, ok bool) {
 	if t == nil {
 		return nil, "", false
 	}
-	for i := range t.Queues {
-		c := &t.Queues[i]
-		if strings.EqualFold(c.Host, host) && strings.HasPrefix(path, c.Prefix) && (q == nil || len(c.Prefix) > len(q.Prefix)) {
-			q = c
+	list := t.byHost[strings.ToLower(host)]
+	for i := range list {
+		if rest, ok := strings.CutPrefix(path, list[i].Prefix); ok {
+			return &list[i], rest, true
 		}
 	}
-	if q == nil {
-		return nil, "", false
-	}
-	return q, path[len(q.Prefix):], true
+	return nil, "", false
 }
 
 // Objective returns the time in which a job of the queue should end, for the
@@ -66,13 +81,4 @@
 }
 
 // ServiceNames returns the names of the services that queues use, sorted.
-func (t *Table) ServiceNames() []string {
-	var names []string
-	for i := range t.Queues {
-		if s := t.Queues[i].Service; !slices.Contains(names, s) {
-			names = append(names, s)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
+func (t *Table) ServiceNames() []string { return t.services }
--- a/session/messages.go
+++ b/session/messages.go
@@ -186,10 +186,15 @@
 type ExchangeRequest struct {
 	From          Process
 	ConfigVersion int64
+	// Digest sums up whom the asker knows, see Roster.Digest; zero if it is not
+	// an entry.
+	Digest uint64
 }
 
 // ExchangeReply answers an ExchangeRequest.
 type ExchangeReply struct {
+	// Known is nothing if the asker knows as many, and only entries if it is an
+	// agent.
 	Known  []Process
 	Config Config // only if newer than the asker's
 }
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -5,15 +5,10 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/chestnuthollow/chestnuthollow/internal/instance"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
-// Size of the samples from which latency histograms are taken.
-const (
-	sampleSize  = 512
-	sampleAlpha = 0.015 // favors the last five minutes
-)
-
 // sidecarMetrics are the metrics of an agent. Times are in microseconds.
 type sidecarMetrics struct {
 	registry  metrics.Registry
@@ -29,7 +24,7 @@
 		registry:  r,
 		starts:    metrics.NewRegisteredCounter("tasks.start_orders", r),
 		stops:     metrics.NewRegisteredCounter("tasks.stop_orders", r),
-		startTime: metrics.NewRegisteredHistogram("tasks.start_order.time", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+		startTime: instance.Histogram("tasks.start_order.time", r),
 	}
 }
 
--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -6,49 +6,29 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/guard"
-	"github.com/chestnuthollow/chestnuthollow/internal/settings"
+	"github.com/chestnuthollow/chestnuthollow/internal/instance"
 	"github.com/chestnuthollow/chestnuthollow/keyedlog"
 )
 
 // Options are the settings of an agent.
 type Options struct {
-	Name   string `toml:"name" validate:"required,name"`
-	Zone   string `toml:"zone" validate:"required,name"`
-	Region string `toml:"region" validate:"required,name"`
+	instance.Options
 	// Service is the service of the backend server.
 	Service string `toml:"service" validate:"required,name"`
-	// HeartbeatAddr takes the backend server's heartbeats, PeerAddr net/rpc of
-	// the entries, OpsAddr the operators' requests.
+	// HeartbeatAddr takes the backend server's heartbeats.
 	HeartbeatAddr string `toml:"heartbeat_addr" validate:"required,ipport"`
-	PeerAddr      string `toml:"peer_addr" validate:"required,ipport"`
-	OpsAddr       string `toml:"ops_addr" validate:"required,ipport"`
 	// AdvertiseAddr is the address that entries are told, if it is not PeerAddr.
 	AdvertiseAddr string `toml:"advertise_addr" validate:"omitempty,ipport"`
-	// Seeds are addresses of entries.
-	Seeds []string `toml:"seeds" validate:"dive,ipport"`
-	// Grace is how long the platform waits after SIGTERM.
-	Grace settings.Duration `toml:"grace" validate:"longest=1h"`
-	// LeaseMax and StopTimeout are the platform's bounds of a lease and of the
-	// time that a stop takes.
-	LeaseMax    settings.Duration `toml:"lease_max" validate:"longest=1m"`
-	StopTimeout settings.Duration `toml:"stop_timeout" validate:"longest=1m"`
-	// MemoryMB is the memory of the instance.
-	MemoryMB int    `toml:"memory_mb" validate:"min=16"`
-	LogLevel string `toml:"log_level" validate:"oneof=debug info warn error"`
 }
 
+// defaultMemoryMB is the memory of the common instance of an agent.
+const defaultMemoryMB = 152
+
 // DefaultOptions returns the defaults of the settings that have one.
 func DefaultOptions() Options {
-	return Options{
-		Grace:       settings.Duration(6 * time.Second),
-		LeaseMax:    settings.Duration(time.Second),
-		StopTimeout: settings.Duration(50 * time.Millisecond),
-		MemoryMB:    152,
-		LogLevel:    "info",
-	}
+	return Options{Options: instance.DefaultOptions(defaultMemoryMB)}
 }
 
 // Server is the backend server as the agent orders it. Each call reports by the
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -5,7 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -14,7 +14,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/chestnuthollow/chestnuthollow/guard"
-	"github.com/chestnuthollow/chestnuthollow/internal/logging"
+	"github.com/chestnuthollow/chestnuthollow/internal/instance"
 	"github.com/chestnuthollow/chestnuthollow/internal/ops"
 	"github.com/chestnuthollow/chestnuthollow/internal/random"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcserver"
@@ -29,10 +29,12 @@
 	// lastReports is how long a drained agent waits for entries to fetch its
 	// last reports: a few round trips.
 	lastReports = 50 * time.Millisecond
-	// meetEvery is the pause between announcements to entries without a
-	// session, meetRarely that while all known entries have one.
-	meetEvery  = 500 * time.Millisecond
-	meetRarely = 5 * time.Second
+	// meetEvery is the pause between announcements to an entry without a
+	// session: some tries within the two seconds in which it should have one.
+	meetEvery = 500 * time.Millisecond
+	// askEvery is the pause between questions for new entries, which announce
+	// themselves by their sessions as well.
+	askEvery = 5 * time.Second
 )
 
 // Sidecar is one run of an agent.
@@ -44,7 +46,7 @@
 	roster   *roster.Roster
 	metrics  *sidecarMetrics
 
-	listeners []net.Listener
+	listeners instance.Listeners
 	servers   []*http.Server
 	rpc       *rpcserver.Server
 
@@ -85,24 +87,14 @@
 	s.metrics = newMetrics(s)
 	s.background, s.stop = context.WithCancel(context.Background())
 	s.timer = time.AfterFunc(time.Hour, func() { s.step(guard.Ticked{}) })
-	for _, addr := range []string{opts.HeartbeatAddr, opts.OpsAddr, opts.PeerAddr} {
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			s.closeListeners()
-			return nil, fmt.Errorf("agent: %w", err)
-		}
-		s.listeners = append(s.listeners, l)
+	var err error
+	if s.listeners, err = instance.Listen(opts.HeartbeatAddr, opts.OpsAddr, opts.PeerAddr); err != nil {
+		return nil, fmt.Errorf("agent: %w", err)
 	}
 	s.rpc = rpcserver.New(rpcserver.DefaultOptions(), structs.AgentService, s.receiverFor)
 	return s, nil
 }
 
-func (s *Sidecar) closeListeners() {
-	for _, l := range s.listeners {
-		l.Close()
-	}
-}
-
 // Run serves until ctx is canceled, and then stops gracefully: no task starts
 // any more, and those that run are finished.
 func (s *Sidecar) Run(ctx context.Context) error {
@@ -136,7 +128,7 @@
 	defer cancel()
 	s.stop()
 	s.timer.Stop()
-	s.closeListeners()
+	s.listeners.Close()
 	var err error
 	for _, srv := range s.servers {
 		err = errors.Join(err, srv.Shutdown(ctx))
@@ -145,38 +137,27 @@
 	return err
 }
 
+// serve starts an HTTP server on the listener with the index.
 func (s *Sidecar) serve(listener int, h http.Handler) {
-	srv := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: 3 * time.Second,
-		ReadTimeout:       10 * time.Second,
-		IdleTimeout:       time.Minute,
-		MaxHeaderBytes:    16 << 10,
-		ErrorLog:          logging.Stdlib(s.logger, "http_server"),
-	}
-	s.servers = append(s.servers, srv)
-	go func() {
-		if err := srv.Serve(s.listeners[listener]); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			level.Error(s.logger).Log("event", "http_server_failed", "addr", s.listeners[listener].Addr(), "reason", err)
-		}
-	}()
+	s.servers = append(s.servers, instance.Serve(s.listeners[listener], h, s.logger))
 }
 
-// meet tells the entries of this agent, so that they open sessions.
+// meet tells the entries without a session of this agent, so that they open
+// one. Now and then it asks one of the others for entries that are new.
 func (s *Sidecar) meet() {
-	for _, addr := range s.opts.Seeds {
-		s.roster.Add(time.Now(), session.Process{Name: "seed", Role: session.RoleEntry, Addr: addr})
-	}
+	s.roster.AddSeeds(time.Now(), s.opts.Seeds)
+	var asked time.Time
 	for s.background.Err() == nil {
 		entries := s.roster.List(session.RoleEntry)
-		pause := meetEvery
-		if s.sessions() >= len(entries) {
-			pause = meetRarely
+		due := s.roster.Unmet(s.inSession)
+		if now := time.Now(); len(due) < len(entries) && now.Sub(asked) >= askEvery {
+			asked = now
+			due = append(due, entries[rand.IntN(len(entries))])
 		}
-		for _, p := range entries {
+		for _, p := range due {
 			go s.meetEntry(p)
 		}
-		timer := time.NewTimer(pause)
+		timer := time.NewTimer(meetEvery)
 		select {
 		case <-timer.C:
 		case <-s.background.Done():
@@ -185,6 +166,13 @@
 	}
 }
 
+// inSession reports whether an entry has a session here.
+func (s *Sidecar) inSession(entry structs.Incarnation) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.guard.InSession(entry)
+}
+
 func (s *Sidecar) meetEntry(p session.Process) {
 	reply, err := roster.Exchange(p.Addr, session.ExchangeRequest{From: s.self})
 	now := time.Now()
@@ -228,8 +216,4 @@
 
 // Reload takes in changed settings: new seeds. Addresses and limits need a
 // restart.
-func (s *Sidecar) Reload(opts Options) {
-	for _, addr := range opts.Seeds {
-		s.roster.Add(time.Now(), session.Process{Name: "seed", Role: session.RoleEntry, Addr: addr})
-	}
-}
+func (s *Sidecar) Reload(opts Options) { s.roster.AddSeeds(time.Now(), opts.Seeds) }
