A restarted agent knows its server before the next heartbeat

Ruled out: sessions (open by 34.66 s), configuration (34.65 s), speeds (34.66 s).

Change: the agent's record on the store holds the server too; the next agent uses it once a look has shown the same run of the server. Written again when the run or its draining changes.

Tests: TestRestartedAgentServesBeforeTheNextHeartbeat fails before; another run is not used, a draining one takes nothing.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -13,6 +13,7 @@
 	out  []Effect
 
 	server   ServerInfo // zero ID if none is known
+	recalled ServerInfo // the server as an earlier agent knew it; zero ID if it is not known
 	config   session.Config
 	sessions map[uint64]*entrySession
 	runs     map[TaskKey]*run // tasks that wait, run or are being stopped
@@ -82,8 +83,10 @@
 		g.lookReplied(e)
 	case ConfigReceived:
 		g.takeConfig(e.Config)
-	case SpeedRemembered:
+	case Recalled:
+		g.recalled = e.Server
 		g.remember(e.Usual)
+		g.adoptRecalled()
 	case LeaveRequested:
 		g.leave()
 	}
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -419,7 +419,7 @@
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t)
 			b.ready()
-			b.step(guard.SpeedRemembered{Usual: guard.Usual{Slowness: 1600, Labels: c.labels}})
+			b.step(guard.Recalled{Usual: guard.Usual{Slowness: 1600, Labels: c.labels}})
 			b.Expect(b.state().Slowness).To(Equal(c.slowness))
 		})
 	}
@@ -490,3 +490,53 @@
 	b.step(guard.PollCalled{Call: b.call, Request: session.PollRequest{Session: 1, Echo: b.echo(), Seen: 2}})
 	b.Expect(effects[guard.Drained](b)).To(HaveLen(1))
 }
+
+// Mornings after a loss of power: all agents start at once beside servers that
+// run on, and none could be used until its next heartbeat, up to 1.5 s later.
+func TestRestartedAgentServesBeforeTheNextHeartbeat(t *testing.T) {
+	info := guard.ServerInfo{ID: "server-1", Run: serverRun, Service: "booking", CPU: 20_000, MemMB: 1000}
+	for name, recallFirst := range map[string]bool{"recalled before the first look": true, "recalled after it": false} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.step(guard.Ticked{})
+			id := b.lookID()
+			if recallFirst {
+				b.step(guard.Recalled{Server: info})
+			}
+			b.looked(id, nil)
+			if !recallFirst {
+				b.step(guard.Recalled{Server: info})
+			}
+			b.open(1, 11)
+			b.order(1, b.echo(), "job", 1000, 1)
+			b.Expect(effects[guard.StartRun](b)).To(HaveLen(1))
+
+			b.heartbeat(1, true) // the next heartbeat counts as always
+			b.Expect(effects[guard.ServerKnown](b)).To(HaveLen(1))
+			b.order(1, b.echo(), "late", 1000, 2)
+			b.Expect(effects[guard.StartRun](b)).To(BeEmpty())
+		})
+	}
+}
+
+func TestRecalledServerOfAnotherRunIsNotUsed(t *testing.T) {
+	b := newBench(t)
+	b.step(guard.Ticked{})
+	id := b.lookID()
+	b.step(guard.Recalled{Server: guard.ServerInfo{ID: "server-1", Run: serverRun - 1, Service: "booking", CPU: 20_000, MemMB: 1000}})
+	b.looked(id, nil)
+	b.open(1, 11)
+	b.order(1, b.echo(), "job", 1000, 1)
+	b.Expect(effects[guard.StartRun](b)).To(BeEmpty())
+}
+
+func TestRecalledDrainingServerTakesNothing(t *testing.T) {
+	b := newBench(t)
+	b.step(guard.Ticked{})
+	id := b.lookID()
+	b.step(guard.Recalled{Server: guard.ServerInfo{ID: "server-1", Run: serverRun, Service: "booking", Draining: true, CPU: 20_000, MemMB: 1000}})
+	b.looked(id, nil)
+	b.open(1, 11)
+	b.order(1, b.echo(), "job", 1000, 1)
+	b.Expect(effects[guard.StartRun](b)).To(BeEmpty())
+}
--- a/guard/messages.go
+++ b/guard/messages.go
@@ -13,15 +13,15 @@
 
 // ServerInfo is what a backend server says of itself in a heartbeat.
 type ServerInfo struct {
-	ID       string
-	Run      int64 // grows with each run of the server; the start in Unix ms
-	Seq      int64 // grows with each heartbeat of a run
-	Service  string
-	Draining bool
-	CPU      int // thousandths of a core
-	MemMB    int
-	GPU      int
-	Labels   []string
+	ID       string   `json:"id"`
+	Run      int64    `json:"run"` // grows with each run of the server; the start in Unix ms
+	Seq      int64    `json:"-"`   // grows with each heartbeat of a run
+	Service  string   `json:"service"`
+	Draining bool     `json:"draining"`
+	CPU      int      `json:"cpu"` // thousandths of a core
+	MemMB    int      `json:"mem_mb"`
+	GPU      int      `json:"gpu"`
+	Labels   []string `json:"labels"`
 }
 
 // TaskKey names a task: the caller's name of its job, and its index there.
@@ -145,8 +145,12 @@
 	}
 	// ConfigReceived is a version of the operators' configuration.
 	ConfigReceived struct{ Config session.Config }
-	// SpeedRemembered is the usual speed that an earlier agent learned here.
-	SpeedRemembered struct{ Usual Usual }
+	// Recalled is what an earlier agent knew of the server here, and the usual
+	// speed that it learned; zero if it did not know.
+	Recalled struct {
+		Server ServerInfo
+		Usual  Usual
+	}
 	// LeaveRequested starts a graceful stop.
 	LeaveRequested struct{}
 	// Ticked lets time pass.
@@ -202,6 +206,9 @@
 	}
 	// CloseSession closes a session's connection.
 	CloseSession struct{ Session uint64 }
+	// ServerKnown says that what is known of the server has changed so much
+	// that the agent after this one should know it.
+	ServerKnown struct{ Info ServerInfo }
 	// Drained says that a graceful stop is complete.
 	Drained struct{}
 	// LogEvent is one line for the log.
@@ -214,19 +221,19 @@
 	}
 )
 
-func (HelloCalled) isEvent()     {}
-func (OrderCalled) isEvent()     {}
-func (PollCalled) isEvent()      {}
-func (SessionGone) isEvent()     {}
-func (ServerReported) isEvent()  {}
-func (ServerLeft) isEvent()      {}
-func (StartReplied) isEvent()    {}
-func (StopReplied) isEvent()     {}
-func (LookReplied) isEvent()     {}
-func (ConfigReceived) isEvent()  {}
-func (SpeedRemembered) isEvent() {}
-func (LeaveRequested) isEvent()  {}
-func (Ticked) isEvent()          {}
+func (HelloCalled) isEvent()    {}
+func (OrderCalled) isEvent()    {}
+func (PollCalled) isEvent()     {}
+func (SessionGone) isEvent()    {}
+func (ServerReported) isEvent() {}
+func (ServerLeft) isEvent()     {}
+func (StartReplied) isEvent()   {}
+func (StopReplied) isEvent()    {}
+func (LookReplied) isEvent()    {}
+func (ConfigReceived) isEvent() {}
+func (Recalled) isEvent()       {}
+func (LeaveRequested) isEvent() {}
+func (Ticked) isEvent()         {}
 
 func (StartRun) isEffect()     {}
 func (StopRun) isEffect()      {}
@@ -236,5 +243,6 @@
 func (ReplyPoll) isEffect()    {}
 func (ReplyError) isEffect()   {}
 func (CloseSession) isEffect() {}
+func (ServerKnown) isEffect()  {}
 func (Drained) isEffect()      {}
 func (LogEvent) isEffect()     {}
--- a/guard/server.go
+++ b/guard/server.go
@@ -17,13 +17,11 @@
 	old := g.server
 	g.server = info
 	if info.Run != old.Run {
-		g.labels = info.Labels
-		if g.health.samples == 0 {
-			g.health.remembered = g.remembered(info.Labels)
-		}
-		g.log("server_registered", fmt.Sprintf("server=%s run=%d cpu=%d mem_mb=%d", info.ID, info.Run, info.CPU, info.MemMB))
+		g.registered("server_registered")
 		g.lookNow()
-		g.wakePolls()
+	}
+	if info.Run != old.Run || info.Draining != old.Draining {
+		g.emit(ServerKnown{Info: info})
 	}
 	if info.Draining && !old.Draining {
 		g.log("server_draining", "server="+info.ID)
@@ -32,6 +30,27 @@
 	}
 }
 
+// registered begins to use what is known of the server.
+func (g *Guard) registered(event string) {
+	g.labels = g.server.Labels
+	if g.health.samples == 0 {
+		g.health.remembered = g.remembered(g.labels)
+	}
+	g.log(event, fmt.Sprintf("server=%s run=%d cpu=%d mem_mb=%d draining=%t", g.server.ID, g.server.Run, g.server.CPU, g.server.MemMB, g.server.Draining))
+	g.wakePolls()
+}
+
+// adoptRecalled takes the server for the one that an earlier agent knew, if a
+// look has shown that it is the same run. So a restarted agent serves before
+// the next heartbeat.
+func (g *Guard) adoptRecalled() {
+	if g.server.ID != "" || g.recalled.ID == "" || g.clockRun == 0 || g.recalled.Run != g.clockRun {
+		return
+	}
+	g.server = g.recalled
+	g.registered("server_recalled")
+}
+
 func (g *Guard) serverLeft(id string) {
 	if id != g.server.ID {
 		return
@@ -98,6 +117,7 @@
 	}
 	if e.Server != g.clockRun {
 		g.serverReplaced(e)
+		g.adoptRecalled()
 	}
 	g.fenced = false
 	if e.Unreadable > 0 {
@@ -269,6 +289,9 @@
 	}
 }
 
+// Server returns what is known of the present server; zero ID if nothing is.
+func (g *Guard) Server() ServerInfo { return g.server }
+
 // Usual is the usual speed of a server of some kind.
 type Usual struct {
 	Slowness int      `json:"slowness"` // thousandths
--- a/sidecar/announce.go
+++ b/sidecar/announce.go
@@ -23,42 +23,61 @@
 	recallTimeout = 2 * time.Second
 )
 
-// announcement is an agent's record on the store: its address, and the usual
-// speed of its server, which the agent that comes after it starts with.
+// announcement is an agent's record on the store: its address, and for the agent
+// that comes after it, the backend server and its usual speed.
 type announcement struct {
 	session.Process
-	Usual guard.Usual `json:"usual"`
+	Server guard.ServerInfo `json:"server"`
+	Usual  guard.Usual      `json:"usual"`
 }
 
-// announce writes the agent's record, and again when its server's usual speed
-// has changed.
+// announce writes the agent's record, and again when the server or its usual
+// speed has changed.
 func (s *Sidecar) announce() {
-	written := s.recall()
-	for s.put(written) {
-		for {
+	a := announcement{Process: s.self}
+	if former, ok := s.recall(); ok {
+		a.Server, a.Usual = former.Server, former.Usual
+		s.step(guard.Recalled{Server: former.Server, Usual: former.Usual})
+	}
+	for s.put(a) {
+		for !s.updated(&a) {
 			timer := time.NewTimer(speedEvery)
 			select {
 			case <-timer.C:
+			case <-s.serverKnown:
 			case <-s.background.Done():
 				timer.Stop()
 				return
 			}
-			if u := s.usual(); u.Slowness > 0 && math.Abs(float64(u.Slowness)/float64(max(written.Slowness, 1))-1) > speedChange {
-				written = u
-				break
-			}
+			timer.Stop()
 		}
 	}
 }
 
+// updated brings the record up to date and reports whether that is worth writing
+// it again.
+func (s *Sidecar) updated(a *announcement) bool {
+	s.mu.Lock()
+	server, usual := s.guard.Server(), s.guard.Usual()
+	s.mu.Unlock()
+	changed := false
+	if server.ID != "" && (server.Run != a.Server.Run || server.Draining != a.Server.Draining) {
+		a.Server, changed = server, true
+	}
+	if usual.Slowness > 0 && math.Abs(float64(usual.Slowness)/float64(max(a.Usual.Slowness, 1))-1) > speedChange {
+		a.Usual, changed = usual, true
+	}
+	return changed
+}
+
 // recall reads what an earlier agent of this name wrote.
-func (s *Sidecar) recall() guard.Usual {
+func (s *Sidecar) recall() (announcement, bool) {
 	ctx, cancel := context.WithTimeout(s.background, recallTimeout)
 	defer cancel()
 	records, _, err := s.platform.Store.Newest(ctx, s.platform.MembersTopic)
 	if err != nil {
-		level.Warn(s.logger).Log("event", "speed_unknown", "topic", s.platform.MembersTopic, "reason", err)
-		return guard.Usual{}
+		level.Warn(s.logger).Log("event", "recall_failed", "topic", s.platform.MembersTopic, "reason", err)
+		return announcement{}, false
 	}
 	for _, r := range records {
 		if r.Key != s.opts.Name {
@@ -66,20 +85,19 @@
 		}
 		var a announcement
 		if err := json.Unmarshal(r.Value, &a); err != nil {
-			level.Warn(s.logger).Log("event", "speed_unknown", "offset", r.Offset, "reason", err)
+			level.Warn(s.logger).Log("event", "recall_failed", "offset", r.Offset, "reason", err)
 			continue
 		}
-		level.Info(s.logger).Log("event", "speed_remembered", "slowness", a.Usual.Slowness, "offset", r.Offset)
-		s.step(guard.SpeedRemembered{Usual: a.Usual})
-		return a.Usual
+		level.Info(s.logger).Log("event", "recalled", "server", a.Server.ID, "run", a.Server.Run, "slowness", a.Usual.Slowness, "offset", r.Offset)
+		return a, true
 	}
-	return guard.Usual{}
+	return announcement{}, false
 }
 
 // put writes the agent's record until the store has acknowledged it. It reports
 // false when the agent stops.
-func (s *Sidecar) put(u guard.Usual) bool {
-	value, err := json.Marshal(announcement{Process: s.self, Usual: u})
+func (s *Sidecar) put(a announcement) bool {
+	value, err := json.Marshal(a)
 	if err != nil {
 		level.Error(s.logger).Log("event", "announce_failed", "reason", err)
 		return false
@@ -93,13 +111,7 @@
 		}
 	})
 	if done {
-		level.Info(s.logger).Log("event", "announced", "topic", s.platform.MembersTopic, "slowness", u.Slowness, "store_was_lost", lost)
+		level.Info(s.logger).Log("event", "announced", "topic", s.platform.MembersTopic, "server", a.Server.ID, "slowness", a.Usual.Slowness, "store_was_lost", lost)
 	}
 	return done
 }
-
-func (s *Sidecar) usual() guard.Usual {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.guard.Usual()
-}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -53,6 +53,8 @@
 	background context.Context // ends when the process stops
 	stop       context.CancelFunc
 	drained    chan struct{}
+	// serverKnown wakes the announcer.
+	serverKnown chan struct{}
 
 	mu       sync.Mutex
 	guard    *guard.Guard
@@ -66,13 +68,14 @@
 // New binds the agent's addresses.
 func New(opts Options, p Platform, logger log.Logger) (*Sidecar, error) {
 	s := &Sidecar{
-		opts:     opts,
-		platform: p,
-		logger:   logger,
-		roster:   roster.New(opts.PeerAddr),
-		drained:  make(chan struct{}),
-		calls:    make(map[guard.CallID]chan any),
-		conns:    make(map[uint64]context.Context),
+		opts:        opts,
+		platform:    p,
+		logger:      logger,
+		roster:      roster.New(opts.PeerAddr),
+		drained:     make(chan struct{}),
+		serverKnown: make(chan struct{}, 1),
+		calls:       make(map[guard.CallID]chan any),
+		conns:       make(map[uint64]context.Context),
 	}
 	s.self = session.Process{
 		Name: opts.Name, Role: session.RoleAgent, Addr: cmp.Or(opts.AdvertiseAddr, opts.PeerAddr), Incarnation: structs.Incarnation(random.NonZero()),
--- a/sidecar/step.go
+++ b/sidecar/step.go
@@ -61,6 +61,11 @@
 			delete(s.conns, ef.Session)
 			rpcserver.CloseConn(conn)
 		}
+	case guard.ServerKnown:
+		select {
+		case s.serverKnown <- struct{}{}:
+		default: // the announcer is told already
+		}
 	case guard.Drained:
 		close(s.drained)
 	}
