A starting entry holds jobs for the moments until it knows agents and configuration

Change: for 300 ms after its start an entry holds a job for which no agent is known, and a request while no configuration is; then it refuses.

Tests: held until agents are there; refused when none comes; forgotten when the caller leaves. The first fails before.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -22,6 +22,7 @@
 
 	jobs       map[string]*job // open, or answered and not yet ended, by name
 	calls      map[CallID]*job
+	held       []*job // open, while no agent is known yet
 	placements map[uint64]*placement
 	lastID     uint64
 	remembered map[string]Status
@@ -73,6 +74,9 @@
 		d.leave(e.Until)
 	}
 	d.expire()
+	if len(d.held) > 0 {
+		d.tryHeld()
+	}
 	d.sendOrders()
 	return d.out
 }
@@ -94,6 +98,7 @@
 	for _, p := range d.placements {
 		earlier(p.doubtEnds)
 	}
+	earlier(d.heldWake())
 	return wake
 }
 
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -327,3 +327,42 @@
 	counts, _ := b.placed()
 	b.Expect(counts).To(Equal(map[dispatch.AgentID]int{2: 1}))
 }
+
+// Mornings after a loss of power: callers reach an entry some tens of ms before
+// its sessions are open, and were refused though all servers were free.
+func TestJobsOfTheFirstMomentsAreHeldUntilAgentsAreThere(t *testing.T) {
+	b := newBench(t)
+	b.d = dispatch.New(dispatch.Options{Entry: "entry-1", Zone: "zone-a", DoubtTime: doubtTime, Started: start})
+	b.submit("hold", 2, 6000, 60*time.Millisecond)
+	b.Expect(effects[dispatch.Refused](b)).To(BeEmpty())
+	b.now = b.now.Add(40 * time.Millisecond)
+	b.agent(1, idle)
+	counts, _ := b.placed()
+	b.Expect(counts).To(Equal(map[dispatch.AgentID]int{1: 2}))
+}
+
+func TestHeldJobIsRefusedWhenNoAgentComes(t *testing.T) {
+	b := newBench(t)
+	b.d = dispatch.New(dispatch.Options{Entry: "entry-1", Zone: "zone-a", DoubtTime: doubtTime, Started: start})
+	call := b.submit("hold", 2, 6000, 60*time.Millisecond)
+	b.Expect(b.d.NextWake()).To(Equal(start.Add(300 * time.Millisecond)))
+	b.now = b.now.Add(300 * time.Millisecond)
+	b.step(dispatch.Ticked{})
+	refused := effects[dispatch.Refused](b)
+	b.Expect(refused).To(HaveLen(1))
+	b.Expect(refused[0].Call).To(Equal(call))
+	b.Expect(refused[0].Error.Verdict).To(Equal(structs.NotRun))
+	b.submit("later", 2, 6000, 60*time.Millisecond)
+	b.Expect(effects[dispatch.Refused](b)).To(HaveLen(1))
+}
+
+func TestHeldJobOfACallerThatLeavesIsForgotten(t *testing.T) {
+	b := newBench(t)
+	b.d = dispatch.New(dispatch.Options{Entry: "entry-1", Zone: "zone-a", DoubtTime: doubtTime, Started: start})
+	call := b.submit("hold", 2, 6000, 60*time.Millisecond)
+	b.step(dispatch.CallGone{Call: call})
+	b.agent(1, idle)
+	counts, _ := b.placed()
+	b.Expect(counts).To(BeEmpty())
+	b.Expect(b.d.OpenJobs()).To(BeZero())
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -67,18 +67,33 @@
 	if !d.leaveUntil.IsZero() {
 		j.limitTo(d.leaveUntil)
 	}
-	latest := d.now.Add(lateFactor * objective)
-	if j.deadline.Before(latest) {
-		latest = j.deadline
-	}
-	plan, err := d.plan(j, j.allTasks(), latest)
-	if err != nil {
+	plan, err := d.plan(j, j.allTasks(), d.latestEnd(j))
+	hold := err != nil && err.Code == structs.CodeUnavailable && d.now.Before(d.graceEnd())
+	if err != nil && !hold {
 		d.refuse(j, e.Call, err)
 		return
 	}
 	j.calls = []CallID{e.Call}
 	d.calls[e.Call] = j
 	d.jobs[j.Name] = j
+	if hold {
+		d.hold(j, err)
+		return
+	}
+	d.admit(j, plan)
+}
+
+// latestEnd returns when a job must be expected to end at the latest to be
+// taken.
+func (d *Dispatcher) latestEnd(j *job) time.Time {
+	latest := j.arrived.Add(lateFactor * j.objective.Sub(j.arrived))
+	if j.deadline.Before(latest) {
+		return j.deadline
+	}
+	return latest
+}
+
+func (d *Dispatcher) admit(j *job, plan []assignment) {
 	d.logPlan("job_admitted", j, plan)
 	d.carryOut(j, plan)
 }
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -19,6 +19,8 @@
 	Entry       string
 	Incarnation structs.Incarnation
 	Zone        string
+	// Started is when the entry started; zero if long ago. See StartGrace.
+	Started time.Time
 	// DoubtTime is how long a placement may still run after the last word of
 	// its agent: the life of a session, and of a lease that was renewed last
 	// under it.
@@ -31,6 +33,11 @@
 // DefaultRemember covers copies that arrive seconds after the answer.
 const DefaultRemember = 15 * time.Second
 
+// StartGrace is how long an entry that has just started holds jobs while it
+// knows no agent, or no configuration: sessions are open some 50 ms after the
+// agents' addresses are known, and those take two calls to the store.
+const StartGrace = 300 * time.Millisecond
+
 const (
 	// lateFactor times its objective is when the answer of a job is worth
 	// nothing any more, by the platform's terms. A job that is not expected to
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -8,6 +9,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/chestnuthollow/chestnuthollow/dispatch"
 	"github.com/chestnuthollow/chestnuthollow/keyedlog"
 	"github.com/chestnuthollow/chestnuthollow/routing"
 	"github.com/chestnuthollow/chestnuthollow/session"
@@ -17,6 +19,7 @@
 // moves to higher versions.
 type configuration struct {
 	table atomic.Pointer[routing.Table]
+	known chan struct{} // closed with the first version
 
 	mu   sync.Mutex
 	text session.Config
@@ -29,6 +32,24 @@
 	return c.text
 }
 
+// AwaitTable returns the configuration in force. An entry that has just started
+// and knows none yet waits for it, as long as it holds jobs for agents; nil if
+// none has come by then.
+func (g *Gateway) AwaitTable(ctx context.Context) *routing.Table {
+	left := dispatch.StartGrace - time.Since(g.started)
+	if t := g.Table(); t != nil || left <= 0 {
+		return t
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-g.config.known:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return g.Table()
+}
+
 // takeConfig puts a version in force if it is newer. Source says where it came
 // from, for the log.
 func (g *Gateway) takeConfig(cfg session.Config, source string) {
@@ -49,7 +70,9 @@
 	level.Info(g.logger).Log("event", "config_in_force", "version", t.Version, "before", g.config.text.Version,
 		"source", source, "queues", t.Len())
 	g.config.text = session.Config{Version: t.Version, Text: cfg.Text}
-	g.config.table.Store(t)
+	if g.config.table.Swap(t) == nil {
+		close(g.config.known)
+	}
 	g.metrics.configVersion.Update(t.Version)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,7 @@
 	platform Platform
 	logger   log.Logger
 	self     session.Process
+	started  time.Time
 	roster   *roster.Roster
 	metrics  *gatewayMetrics
 	config   configuration
@@ -80,7 +81,9 @@
 		opts:     opts,
 		platform: p,
 		logger:   logger,
+		started:  time.Now(),
 		roster:   roster.New(opts.PeerAddr),
+		config:   configuration{known: make(chan struct{})},
 		links:    make(map[string]*link),
 		calls:    make(map[dispatch.CallID]chan Outcome),
 		sessions: make(map[dispatch.AgentID]*agentSession),
@@ -89,7 +92,7 @@
 		Name: opts.Name, Role: session.RoleEntry, Addr: opts.PeerAddr, Incarnation: structs.Incarnation(random.NonZero()),
 	}
 	g.dispatcher = dispatch.New(dispatch.Options{
-		Entry: opts.Name, Incarnation: g.self.Incarnation, Zone: opts.Zone,
+		Entry: opts.Name, Incarnation: g.self.Incarnation, Zone: opts.Zone, Started: g.started,
 		DoubtTime: guard.DoubtTime(opts.LeaseMax.D(), opts.StopTimeout.D()), Remember: dispatch.DefaultRemember,
 	})
 	g.metrics = newMetrics(g)
