Entries keep a copy of the configuration on a topic of their own

The entries are up again at 35.9 to 36.1 s and see their agents, but have no configuration until 37.6 s and refuse 397 jobs: 292 of 292 log lines say 'no configuration yet'.

Ruled out: agents and servers (ready by 35.9 s), peers (all restarted).

Test: TestConfigurationSurvivesARestartOfAllWhileItsTopicIsAway, with the stand-in denying one topic; without recallConfig the entries never get ready.

--- a/command/daemon/platform.go
+++ b/command/daemon/platform.go
@@ -51,6 +51,7 @@
 						ConfigTopic:  platform.ConfigTopic,
 						ConfigKey:    platform.ConfigKey,
 						MembersTopic: platform.MembersTopic,
+						CopyTopic:    platform.ConfigCopyTopic,
 						DecodeConfig: platform.DecodeConfig,
 						Jobs:         platform.JobsHandler,
 						Ready:        platform.ReadyHandler,
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -20,6 +20,8 @@
 type configuration struct {
 	table atomic.Pointer[routing.Table]
 	known chan struct{} // closed with the first version
+	// changed wakes what copies new versions.
+	changed chan struct{}
 
 	mu   sync.Mutex
 	text session.Config
@@ -74,6 +76,10 @@
 		close(g.config.known)
 	}
 	g.metrics.configVersion.Update(t.Version)
+	select {
+	case g.config.changed <- struct{}{}:
+	default: // the copier is told already
+	}
 }
 
 func (g *Gateway) followConfig() {
@@ -101,6 +107,9 @@
 	h.gateway.storeOut.Store(true)
 	h.gateway.metrics.storeLost.Inc(1)
 	level.Warn(h.gateway.logger).Log("event", "store_lost", "topic", h.gateway.platform.ConfigTopic, "reason", err)
+	if h.gateway.Table() == nil {
+		go h.gateway.recallConfig()
+	}
 }
 
 // Regained implements keyedlog.Handler.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,7 +83,7 @@
 		logger:   logger,
 		started:  time.Now(),
 		roster:   roster.New(opts.PeerAddr),
-		config:   configuration{known: make(chan struct{})},
+		config:   configuration{known: make(chan struct{}), changed: make(chan struct{}, 1)},
 		links:    make(map[string]*link),
 		calls:    make(map[dispatch.CallID]chan Outcome),
 		sessions: make(map[dispatch.AgentID]*agentSession),
@@ -120,6 +120,7 @@
 	g.serve(2, e)
 	go g.rpc.Serve(g.listeners[3])
 	go g.followConfig()
+	go g.keepCopy()
 	go g.followMembers()
 	go g.exchange()
 
--- a/standin/keyedstore/store.go
+++ b/standin/keyedstore/store.go
@@ -37,6 +37,7 @@
 	topics  map[string]*topic
 	mode    Mode
 	delay   time.Duration
+	of      string // the only topic that the mode holds for; empty for all
 }
 
 type topic struct {
@@ -62,7 +63,21 @@
 func (s *Store) SetMode(m Mode, delay time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.mode, s.delay = m, delay
+	s.mode, s.delay, s.of = m, delay, ""
+}
+
+// SetTopicMode sets the fault of one topic; the others are served.
+func (s *Store) SetTopicMode(topic string, m Mode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode, s.delay, s.of = m, 0, topic
+}
+
+// Newest returns the newest value of a key, or nothing.
+func (s *Store) Newest(topic, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.topic(topic).newest[key].value
 }
 
 // Put writes a record as the operators do.
@@ -119,6 +134,9 @@
 	return func(c echo.Context) error {
 		s.mu.Lock()
 		mode, delay := s.mode, s.delay
+		if s.of != "" && s.of != c.QueryParam("topic") {
+			mode = Serving
+		}
 		s.mu.Unlock()
 		switch mode {
 		case Busy:
--- a/test/platform/path_test.go
+++ b/test/platform/path_test.go
@@ -171,3 +171,24 @@
 	callers.Wait()
 	g.Expect(cut.Load()).To(BeZero(), "closed without an answer; log: %s", s.entries[0].tail())
 }
+
+// A morning after a loss of power: the store served its other topics, but not
+// the operators', and entries refused all jobs for want of a configuration.
+func TestConfigurationSurvivesARestartOfAllWhileItsTopicIsAway(t *testing.T) {
+	g := NewWithT(t)
+	s := newSystem(t, 2, 1)
+	g.Eventually(func() []byte { return s.store.Newest("keyed.chestnuthollow.config", "config") }, "10s", "50ms").
+		Should(Equal(s.store.Newest("keyed.op", "config")))
+	s.store.SetTopicMode("keyed.op", keyedstore.Busy)
+	all := append(append([]*process{}, s.entries...), s.agents...)
+	for _, p := range all {
+		p.kill()
+	}
+	for _, p := range all {
+		p.start()
+	}
+	for _, p := range s.entries {
+		p.waitReady()
+	}
+	g.Expect(s.post(t.Context(), s.entries[0], "00b1", 2, 30, 1000, "ok").state).To(Equal("completed"))
+}
