--- a/test/sessions/agent_test.go
+++ b/test/sessions/agent_test.go
@@ -29,6 +29,9 @@
 	calls   map[guard.CallID]func(any)
 	conns   map[uint64]*conn
 	wakeSeq int
+	// record is what the store holds of the server: written a while after it is
+	// known, kept over the agent's lives, and stale if the server was replaced.
+	record guard.ServerInfo
 }
 
 func (w *world) newAgent(i, cpu int) *agentProc {
@@ -56,6 +59,11 @@
 		PollWait: guard.DefaultPollWait, StopTimeout: stopTimeout,
 	})
 	a.step(guard.Ticked{})
+	// The store may be away, or answer before or after the first look.
+	if a.w.rng.Intn(4) > 0 {
+		record := a.record
+		a.afterIn(a.w.between(time.Millisecond, 100*time.Millisecond), func() { a.step(guard.Recalled{Server: record}) })
+	}
 }
 
 func (a *agentProc) crash() {
@@ -126,6 +134,9 @@
 		a.reply(ef.Call, ef)
 	case guard.LogEvent:
 		a.w.note(a.name, ef.Event, ef.Job, ef.Entry.String()+" "+ef.Detail)
+	case guard.ServerKnown:
+		info := ef.Info
+		a.w.after(a.w.between(time.Millisecond, 300*time.Millisecond), func() { a.record = info })
 	case guard.CloseSession:
 		if c := a.conns[ef.Session]; c != nil {
 			c.breakNow()
