--- a/gateway/link.go
+++ b/gateway/link.go
@@ -47,7 +47,6 @@
 	link    *link
 	id      dispatch.AgentID
 	client  *rpc.Client
-	session uint64
 	echo    atomic.Pointer[session.Stamp]
 	orders  chan dispatch.Order
 	replies chan *rpc.Call
@@ -123,7 +122,7 @@
 	g.roster.Reached(heard, l.addr)
 	g.takeConfig(hello.Config, "agent "+hello.Agent)
 	s := &agentSession{
-		link: l, client: client, session: hello.Session,
+		link: l, client: client,
 		orders: make(chan dispatch.Order, orderQueue), replies: make(chan *rpc.Call, orderQueue), quit: make(chan struct{}),
 	}
 	s.echo.Store(&hello.State.Stamp)
@@ -170,7 +169,7 @@
 		if ctx.Err() != nil {
 			return heard, ctx.Err()
 		}
-		req := session.PollRequest{Session: s.session, Echo: *s.echo.Load(), Seen: seen}
+		req := session.PollRequest{Echo: *s.echo.Load(), Seen: seen}
 		var reply session.PollReply
 		if err := callWithin(s.client, "Poll", &req, &reply, pollTimeout); err != nil {
 			return heard, err
@@ -201,7 +200,7 @@
 		case <-s.quit:
 			return
 		case o := <-s.orders:
-			req := &session.OrderRequest{Session: s.session, Echo: *s.echo.Load(), Start: o.Start, Stop: o.Stop}
+			req := &session.OrderRequest{Echo: *s.echo.Load(), Start: o.Start, Stop: o.Stop}
 			s.client.Go(structs.AgentService+".Order", req, &orderReply{number: o.Number}, s.replies)
 		}
 	}
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -96,7 +96,7 @@
 		part.Tasks = append(part.Tasks, session.Placement{ID: id, Index: i, Attempt: 1})
 	}
 	b.call++
-	b.step(guard.OrderCalled{Call: b.call, Request: session.OrderRequest{Session: sess, Echo: echo, Start: []session.JobPart{part}}})
+	b.step(guard.OrderCalled{Call: b.call, Session: sess, Request: session.OrderRequest{Echo: echo, Start: []session.JobPart{part}}})
 }
 
 func key(job string, index int) guard.RunKey {
@@ -110,7 +110,7 @@
 // reports polls and returns the reports.
 func (b *bench) reports(sess uint64) []session.Report {
 	b.call++
-	b.step(guard.PollCalled{Call: b.call, Request: session.PollRequest{Session: sess, Echo: b.echo()}})
+	b.step(guard.PollCalled{Call: b.call, Session: sess, Request: session.PollRequest{Echo: b.echo()}})
 	var list []session.Report
 	for _, r := range effects[guard.ReplyPoll](b) {
 		list = append(list, r.Reply.Reports...)
@@ -158,7 +158,7 @@
 	b.order(1, b.echo(), "first", 15_000, 1)
 	b.accepted(key("first", 0))
 	b.call++
-	b.step(guard.OrderCalled{Call: b.call, Request: session.OrderRequest{Session: 1, Echo: b.echo(), Stop: []uint64{1}}})
+	b.step(guard.OrderCalled{Call: b.call, Session: 1, Request: session.OrderRequest{Echo: b.echo(), Stop: []uint64{1}}})
 	b.Expect(effects[guard.StopRun](b)).To(HaveLen(1))
 	b.order(1, b.echo(), "second", 15_000, 2)
 	b.Expect(effects[guard.StartRun](b)).To(BeEmpty(), "the first is still there")
@@ -438,7 +438,7 @@
 	b.pass(50 * time.Millisecond)
 	b.looked(0, rows)
 	b.call++
-	b.step(guard.OrderCalled{Call: b.call, Request: session.OrderRequest{Session: 1, Echo: b.echo()}})
+	b.step(guard.OrderCalled{Call: b.call, Session: 1, Request: session.OrderRequest{Echo: b.echo()}})
 	st := effects[guard.ReplyOrder](b)[0].Reply.State
 	b.Expect(st.Slowness).To(BeNumerically(">", 2000))
 	b.Expect(st.Laggards).To(HaveLen(4))
@@ -471,7 +471,7 @@
 	b := newBench(t)
 	b.ready()
 	b.call++
-	b.step(guard.OrderCalled{Call: b.call, Request: session.OrderRequest{Session: 1, Echo: b.echo(), Stop: []uint64{1}}})
+	b.step(guard.OrderCalled{Call: b.call, Session: 1, Request: session.OrderRequest{Echo: b.echo(), Stop: []uint64{1}}})
 	b.order(1, b.echo(), "job", 1000, 1)
 	b.Expect(effects[guard.StartRun](b)).To(BeEmpty())
 }
@@ -487,7 +487,7 @@
 	b.Expect(effects[guard.StartRun](b)).To(BeEmpty())
 	b.looked(0, nil, guard.EndRow{N: 1, Key: key("job", 0), How: guard.EndDone})
 	b.call++
-	b.step(guard.PollCalled{Call: b.call, Request: session.PollRequest{Session: 1, Echo: b.echo(), Seen: 2}})
+	b.step(guard.PollCalled{Call: b.call, Session: 1, Request: session.PollRequest{Echo: b.echo(), Seen: 2}})
 	b.Expect(effects[guard.Drained](b)).To(HaveLen(1))
 }
 
--- a/guard/messages.go
+++ b/guard/messages.go
@@ -101,11 +101,13 @@
 	// OrderCalled is Agent.Order.
 	OrderCalled struct {
 		Call    CallID
+		Session uint64
 		Request session.OrderRequest
 	}
 	// PollCalled is Agent.Poll.
 	PollCalled struct {
 		Call    CallID
+		Session uint64
 		Request session.PollRequest
 	}
 	// SessionGone says that a connection has ended.
--- a/guard/session.go
+++ b/guard/session.go
@@ -94,7 +94,7 @@
 		}
 		req := s.hello.Request
 		reply := session.HelloReply{
-			Session: id, Agent: g.opts.Agent, Incarnation: g.opts.Incarnation, Zone: g.opts.Zone, State: g.state(s),
+			Agent: g.opts.Agent, Incarnation: g.opts.Incarnation, Zone: g.opts.Zone, State: g.state(s),
 		}
 		if g.config.Version > req.Config.Version {
 			reply.Config = g.config
@@ -168,7 +168,7 @@
 }
 
 func (g *Guard) order(e OrderCalled) {
-	s := g.openSession(e.Request.Session)
+	s := g.openSession(e.Session)
 	if s == nil {
 		g.emit(ReplyError{Call: e.Call, Reason: "the session has ended"})
 		return
@@ -314,7 +314,7 @@
 }
 
 func (g *Guard) poll(e PollCalled) {
-	s := g.openSession(e.Request.Session)
+	s := g.openSession(e.Session)
 	if s == nil {
 		g.emit(ReplyError{Call: e.Call, Reason: "the session has ended"})
 		return
--- a/session/messages.go
+++ b/session/messages.go
@@ -31,7 +31,6 @@
 
 // HelloReply answers a HelloRequest.
 type HelloReply struct {
-	Session     uint64
 	Agent       string
 	Incarnation structs.Incarnation
 	Zone        string
@@ -48,10 +47,9 @@
 
 // OrderRequest starts and stops tasks (Agent.Order).
 type OrderRequest struct {
-	Session uint64
-	Echo    Stamp
-	Start   []JobPart
-	Stop    []uint64 // placements
+	Echo  Stamp
+	Start []JobPart
+	Stop  []uint64 // placements
 }
 
 // JobPart is the tasks of one job that one agent is to run.
@@ -84,9 +82,8 @@
 // PollRequest asks for reports (Agent.Poll). The reply comes when there are
 // some, or after a short wait. It also keeps the session alive.
 type PollRequest struct {
-	Session uint64
-	Echo    Stamp
-	Seen    uint64 // sequence of the newest report received
+	Echo Stamp
+	Seen uint64 // sequence of the newest report received
 }
 
 // PollReply answers a PollRequest.
--- a/sidecar/receiver.go
+++ b/sidecar/receiver.go
@@ -39,14 +39,16 @@
 
 // Order starts and stops tasks.
 func (r *receiver) Order(req *session.OrderRequest, reply *session.OrderReply) error {
-	req.Session = r.id
-	return call(r, reply, func(id guard.CallID) guard.Event { return guard.OrderCalled{Call: id, Request: *req} })
+	return call(r, reply, func(id guard.CallID) guard.Event {
+		return guard.OrderCalled{Call: id, Session: r.id, Request: *req}
+	})
 }
 
 // Poll waits for reports.
 func (r *receiver) Poll(req *session.PollRequest, reply *session.PollReply) error {
-	req.Session = r.id
-	return call(r, reply, func(id guard.CallID) guard.Event { return guard.PollCalled{Call: id, Request: *req} })
+	return call(r, reply, func(id guard.CallID) guard.Event {
+		return guard.PollCalled{Call: id, Session: r.id, Request: *req}
+	})
 }
 
 // call feeds the guard an entry's call and waits for its reply, or for the
--- a/test/sessions/entry_test.go
+++ b/test/sessions/entry_test.go
@@ -144,7 +144,7 @@
 	e, a := c.entry, c.agent
 	c.polls++
 	n := c.polls
-	req := session.PollRequest{Session: c.session, Echo: c.echo, Seen: c.seen}
+	req := session.PollRequest{Echo: c.echo, Seen: c.seen}
 	c.toAgent(func() {
 		call := a.newCall(func(message any) {
 			reply, ok := message.(session.PollReply)
@@ -164,7 +164,7 @@
 				c.poll()
 			})
 		})
-		a.step(guard.PollCalled{Call: call, Request: req})
+		a.step(guard.PollCalled{Call: call, Session: c.session, Request: req})
 	})
 	e.afterIn(pollTimeout, func() {
 		if !c.broken && c.polls == n {
@@ -246,7 +246,7 @@
 		if c == nil {
 			return
 		}
-		req := session.OrderRequest{Session: c.session, Echo: c.echo, Start: ef.Start, Stop: ef.Stop}
+		req := session.OrderRequest{Echo: c.echo, Start: ef.Start, Stop: ef.Stop}
 		c.toAgent(func() {
 			call := c.agent.newCall(func(message any) {
 				reply, ok := message.(session.OrderReply)
@@ -259,7 +259,7 @@
 					}
 				})
 			})
-			c.agent.step(guard.OrderCalled{Call: call, Request: req})
+			c.agent.step(guard.OrderCalled{Call: call, Session: c.session, Request: req})
 		})
 	case dispatch.LogEvent:
 		e.w.note(e.name, ef.Event, ef.Job, ef.Agent+" "+ef.Detail)
