--- a/gateway/config.go
+++ b/gateway/config.go
@@ -27,6 +27,10 @@
 	text session.Config
 }
 
+func newConfiguration() configuration {
+	return configuration{known: make(chan struct{}), changed: make(chan struct{}, 1)}
+}
+
 // raw returns the configuration as the store holds it.
 func (c *configuration) raw() session.Config {
 	c.mu.Lock()
--- a/gateway/configcopy.go
+++ b/gateway/configcopy.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/chestnuthollow/chestnuthollow/internal/pause"
 	"github.com/chestnuthollow/chestnuthollow/keyedlog"
 	"github.com/chestnuthollow/chestnuthollow/session"
 )
@@ -41,7 +42,7 @@
 		case <-g.background.Done():
 			return
 		}
-		sleep(g.background, copyDelay+rand.N(copyJitter))
+		pause.For(g.background, copyDelay+rand.N(copyJitter))
 		cfg := g.config.raw()
 		if cfg.Version == copied {
 			continue
@@ -76,7 +77,7 @@
 		if failures == 0 {
 			level.Warn(g.logger).Log("event", "config_copy_unread", "topic", g.platform.CopyTopic, "reason", err)
 		}
-		sleep(g.background, copyRetry)
+		pause.For(g.background, copyRetry)
 	}
 }
 
@@ -94,13 +95,3 @@
 	}
 	return nil
 }
-
-// sleep pauses, or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,14 @@
 	leavePoll = 50 * time.Millisecond
 )
 
+// Indices of the listeners.
+const (
+	jobsListener = iota
+	readyListener
+	opsListener
+	peerListener
+)
+
 // Gateway is one run of an entry.
 type Gateway struct {
 	opts     Options
@@ -83,7 +91,7 @@
 		logger:   logger,
 		started:  time.Now(),
 		roster:   roster.New(opts.PeerAddr),
-		config:   configuration{known: make(chan struct{}), changed: make(chan struct{}, 1)},
+		config:   newConfiguration(),
 		links:    make(map[string]*link),
 		calls:    make(map[dispatch.CallID]chan Outcome),
 		sessions: make(map[dispatch.AgentID]*agentSession),
@@ -113,35 +121,35 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	level.Info(g.logger).Log("event", "started", "incarnation", g.self.Incarnation, "zone", g.opts.Zone,
 		"jobs_addr", g.opts.JobsAddr, "peer_addr", g.opts.PeerAddr, "seeds", fmt.Sprint(g.opts.Seeds))
-	g.serve(0, g.platform.Jobs(g))
-	g.serve(1, g.platform.Ready(g))
+	g.serve(jobsListener, g.platform.Jobs(g))
+	g.serve(readyListener, g.platform.Ready(g))
 	e := ops.NewServer()
 	ops.Register(e, g, g.metrics.registry)
-	g.serve(2, e)
-	go g.rpc.Serve(g.listeners[3])
+	g.serve(opsListener, e)
+	go g.rpc.Serve(g.listeners[peerListener])
 	go g.followConfig()
 	go g.keepCopy()
 	go g.followMembers()
 	go g.exchange()
 
 	<-ctx.Done()
-	started := time.Now()
+	stopping := time.Now()
 	level.Info(g.logger).Log("event", "stopping", "open_jobs", g.openJobs(), "grace", g.opts.Grace.D())
 	g.leaving.Store(true)
-	until := started.Add(g.opts.Grace.D() - stopReserve)
+	until := stopping.Add(g.opts.Grace.D() - stopReserve)
 	g.step(dispatch.LeaveRequested{Until: until})
-	for time.Now().Before(until) && (time.Since(started) < leaveNotice || g.openJobs() > 0) {
+	for time.Now().Before(until) && (time.Since(stopping) < leaveNotice || g.openJobs() > 0) {
 		time.Sleep(leavePoll)
 	}
-	return g.shutdown(started)
+	return g.shutdown(stopping)
 }
 
-func (g *Gateway) shutdown(started time.Time) error {
+func (g *Gateway) shutdown(stopping time.Time) error {
 	// The HTTP server's own shutdown drops what it reads from then on, so the
 	// connections that were accepted last are served first.
-	g.listeners[0].Close()
+	g.listeners[jobsListener].Close()
 	time.Sleep(closeLinger)
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(g.opts.Grace.D()-stopReserve/2))
+	ctx, cancel := context.WithDeadline(context.Background(), stopping.Add(g.opts.Grace.D()-stopReserve/2))
 	defer cancel()
 	var err error
 	for _, s := range g.servers {
@@ -151,7 +159,7 @@
 	g.stop()
 	g.listeners.Close()
 	g.timer.Stop()
-	level.Info(g.logger).Log("event", "stopped", "open_jobs", open, "took", time.Since(started))
+	level.Info(g.logger).Log("event", "stopped", "open_jobs", open, "took", time.Since(stopping))
 	return err
 }
 
--- a/keyedlog/keyedlog.go
+++ b/keyedlog/keyedlog.go
@@ -7,6 +7,7 @@
 	"errors"
 	"time"
 
+	"github.com/chestnuthollow/chestnuthollow/internal/pause"
 	"github.com/chestnuthollow/chestnuthollow/platformlog"
 )
 
@@ -128,7 +129,7 @@
 		f.lost = true
 		f.handler.Lost(err)
 	}
-	pause(ctx, f.backoff.Next())
+	pause.For(ctx, f.backoff.Next())
 }
 
 // Put appends a record until the store has acknowledged it or ctx ends. A
@@ -147,15 +148,6 @@
 			return false
 		}
 		failed(err)
-		pause(ctx, backoff.Next())
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		pause.For(ctx, backoff.Next())
 	}
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -16,6 +16,7 @@
 	"github.com/chestnuthollow/chestnuthollow/guard"
 	"github.com/chestnuthollow/chestnuthollow/internal/instance"
 	"github.com/chestnuthollow/chestnuthollow/internal/ops"
+	"github.com/chestnuthollow/chestnuthollow/internal/pause"
 	"github.com/chestnuthollow/chestnuthollow/internal/random"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcserver"
 	"github.com/chestnuthollow/chestnuthollow/roster"
@@ -37,6 +38,13 @@
 	askEvery = 5 * time.Second
 )
 
+// Indices of the listeners.
+const (
+	heartbeatListener = iota
+	opsListener
+	peerListener
+)
+
 // Sidecar is one run of an agent.
 type Sidecar struct {
 	opts     Options
@@ -103,17 +111,17 @@
 func (s *Sidecar) Run(ctx context.Context) error {
 	level.Info(s.logger).Log("event", "started", "incarnation", s.self.Incarnation, "zone", s.opts.Zone,
 		"service", s.opts.Service, "peer_addr", s.opts.PeerAddr, "seeds", fmt.Sprint(s.opts.Seeds))
-	s.serve(0, s.platform.Heartbeats(s))
+	s.serve(heartbeatListener, s.platform.Heartbeats(s))
 	e := ops.NewServer()
 	ops.Register(e, s, s.metrics.registry)
-	s.serve(1, e)
-	go s.rpc.Serve(s.listeners[2])
+	s.serve(opsListener, e)
+	go s.rpc.Serve(s.listeners[peerListener])
 	go s.announce()
 	go s.meet()
 	s.step(guard.Ticked{})
 
 	<-ctx.Done()
-	started := time.Now()
+	stopping := time.Now()
 	level.Info(s.logger).Log("event", "stopping", "grace", s.opts.Grace.D())
 	s.step(guard.LeaveRequested{})
 	grace := time.NewTimer(s.opts.Grace.D() - stopReserve)
@@ -123,10 +131,10 @@
 		time.Sleep(lastReports)
 	case <-grace.C:
 	}
-	return s.shutdown(started)
+	return s.shutdown(stopping)
 }
 
-func (s *Sidecar) shutdown(started time.Time) error {
+func (s *Sidecar) shutdown(stopping time.Time) error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopReserve/2)
 	defer cancel()
 	s.stop()
@@ -136,7 +144,7 @@
 	for _, srv := range s.servers {
 		err = errors.Join(err, srv.Shutdown(ctx))
 	}
-	level.Info(s.logger).Log("event", "stopped", "took", time.Since(started))
+	level.Info(s.logger).Log("event", "stopped", "took", time.Since(stopping))
 	return err
 }
 
@@ -160,12 +168,7 @@
 		for _, p := range due {
 			go s.meetEntry(p)
 		}
-		timer := time.NewTimer(meetEvery)
-		select {
-		case <-timer.C:
-		case <-s.background.Done():
-		}
-		timer.Stop()
+		pause.For(s.background, meetEvery)
 	}
 }
 
