Overload: refused tasks go elsewhere, backlog bounds what is taken; failures fade; sessions lost at once are waited for

Change: a task is not sent again where it was refused while others are there; late tasks are ordered to end within three times the objective first; beyond a backlog of 250 ms only jobs with room at once are taken; the share of failures fades in 3 s, and a suspect server is probed until it is below 0.2; agents not heard for 450 ms get nothing; jobs wait up to 300 ms for the first session after all were lost; the wait for an order's answer follows the times of answers, 15 to 60 ms.

--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -44,6 +44,8 @@
 		a.identity = *e.State.Identity
 	}
 	d.agents[e.ID] = a
+	d.noteServing(a)
+	d.agentCame = true
 	i, _ := slices.BinarySearchFunc(d.order, a, func(x, y *agent) int { return cmp.Compare(x.name, y.name) })
 	d.order = slices.Insert(d.order, i, a)
 	d.emit(LogEvent{Event: "agent_joined", Agent: a.name, Detail: fmt.Sprintf("server=%s ready=%t capacity=%d", a.identity.Server, a.state.Ready, a.identity.Capacity)})
@@ -52,6 +54,13 @@
 	}
 }
 
+// noteServing ends the outage of the agent's service, if it takes orders.
+func (d *Dispatcher) noteServing(a *agent) {
+	if a.state.Ready {
+		d.noneSince[a.identity.Service] = time.Time{}
+	}
+}
+
 // agentDown puts what the agent held in doubt until it must have ended.
 func (d *Dispatcher) agentDown(e AgentDown) {
 	a := d.agents[e.ID]
@@ -112,10 +121,12 @@
 		return
 	}
 	if s.Ready != a.state.Ready || s.Identity != nil {
+		d.agentCame = true
 		d.emit(LogEvent{Event: "agent_changed", Agent: a.name, Detail: fmt.Sprintf("server=%s ready=%t capacity=%d", a.identity.Server, s.Ready, a.identity.Capacity)})
 	}
 	a.state = s
 	a.stateAt = d.now
+	d.noteServing(a)
 	d.moveLaggards(a, s.Laggards)
 	if s.Samples >= fewSamples {
 		d.known[a.name] = knownSpeed{server: a.identity.Server, slowness: s.Slowness}
@@ -133,10 +144,18 @@
 	return estimate * time.Duration(slow) / 1000
 }
 
-// timeline returns when the agent has room for tasks that must start within the
-// time and run for runs: after what runs, and after what waits and could not be
-// overtaken without becoming late.
-func (d *Dispatcher) timeline(a *agent, within, runs time.Duration) *timeline.Timeline {
+// notOvertaken selects what waits at the agent and could not be overtaken by a
+// task that must end within the time without becoming late.
+func (d *Dispatcher) notOvertaken(a *agent, within time.Duration) func(session.Waiting) bool {
+	age := d.now.Sub(a.stateAt)
+	return func(q session.Waiting) bool {
+		return time.Duration(q.StartWithin)*time.Millisecond-age <= within
+	}
+}
+
+// timeline returns when the agent has room: after what runs, what was sent to it
+// since it told its state, and what waits there and goes first.
+func (d *Dispatcher) timeline(a *agent, goesFirst func(session.Waiting) bool) *timeline.Timeline {
 	age := d.now.Sub(a.stateAt)
 	spans := make([]timeline.Span, 0, len(a.state.Running))
 	for _, r := range a.state.Running {
@@ -144,7 +163,7 @@
 	}
 	t := timeline.New(a.state.FreeCPU, spans)
 	for _, q := range a.state.Queue {
-		if time.Duration(q.StartWithin)*time.Millisecond-age <= within+runs {
+		if goesFirst(q) {
 			t.Take(q.CPU, time.Duration(q.Ms)*time.Millisecond)
 		}
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -22,7 +22,9 @@
 
 	jobs       map[string]*job // open, or answered and not yet ended, by name
 	calls      map[CallID]*job
-	held       []*job // open, while no agent is known yet
+	held       []*job               // open, with tasks to place once there are agents
+	agentCame  bool                 // in this step, or it has become ready
+	noneSince  map[string]time.Time // by service: when it was found without agents, zero while it has some
 	placements map[uint64]*placement
 	lastID     uint64
 	remembered map[string]Status
@@ -44,6 +46,7 @@
 		agents:     make(map[AgentID]*agent),
 		known:      make(map[string]knownSpeed),
 		jobs:       make(map[string]*job),
+		noneSince:  make(map[string]time.Time),
 		calls:      make(map[CallID]*job),
 		placements: make(map[uint64]*placement),
 		remembered: make(map[string]Status),
@@ -74,9 +77,10 @@
 		d.leave(e.Until)
 	}
 	d.expire()
-	if len(d.held) > 0 {
+	if d.heldDue() {
 		d.tryHeld()
 	}
+	d.agentCame = false
 	d.sendOrders()
 	return d.out
 }
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -8,48 +8,88 @@
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
-// An entry that has just started knows no agent for some tens of ms. Jobs that
-// come meanwhile are held, for callers come back only after a second or more.
+// An entry that has just started, or that was suspended until all its sessions
+// had ended, has no agent for some tens of ms. Jobs that come meanwhile, and
+// those whose tasks were lost, are held, for callers that are refused come back
+// only after a second or more.
 
-// graceEnd returns until when jobs may be held.
-func (d *Dispatcher) graceEnd() time.Time { return d.opts.Started.Add(StartGrace) }
+// outage notes that a service has no agent, and returns until when its jobs may
+// be held. One that never had any has been without since the start.
+func (d *Dispatcher) outage(service string) time.Time {
+	since, ok := d.noneSince[service]
+	switch {
+	case !ok:
+		since = d.opts.Started
+		d.noneSince[service] = since
+	case since.IsZero():
+		since = d.now
+		d.noneSince[service] = since
+	}
+	return since.Add(HoldTime)
+}
+
+// mayHold reports whether a job that cannot be placed for the reason may wait.
+func (d *Dispatcher) mayHold(j *job, err *structs.Error) bool {
+	return err.Code == structs.CodeUnavailable && d.now.Before(d.outage(j.Queue.Service))
+}
 
 // hold keeps a job until agents are there.
 func (d *Dispatcher) hold(j *job, err *structs.Error) {
+	if slices.Contains(d.held, j) {
+		return
+	}
 	d.held = append(d.held, j)
 	d.emit(LogEvent{Event: "job_held", Job: j.Name, Queue: j.Queue.Name,
-		Detail: fmt.Sprintf("reason=%q at_most_ms=%d", err.Message, d.graceEnd().Sub(d.now).Milliseconds())})
+		Detail: fmt.Sprintf("reason=%q at_most_ms=%d", err.Message, d.outage(j.Queue.Service).Sub(d.now).Milliseconds())})
 }
 
-// tryHeld places the held jobs that can end within their objective or, once the
-// grace is over, while their answer is worth something. Others are refused then.
+// tryHeld places the held jobs, oldest first: those that were taken before, and
+// others that can end within their objective or, once the time to hold them is
+// over, while their answer is worth something. What is left then is given up on.
+// It stops at the first that does not fit yet: an entry that wakes up has many,
+// and little processor time.
 func (d *Dispatcher) tryHeld() {
-	over := !d.now.Before(d.graceEnd())
-	d.held = slices.DeleteFunc(d.held, func(j *job) bool {
+	held := d.held
+	d.held = nil
+	for i, j := range held {
 		if j.answered || j.ending != nil {
-			return true
+			continue
 		}
+		over := !d.now.Before(d.outage(j.Queue.Service))
 		latest := j.objective
-		if over {
+		switch {
+		case j.taken:
+			latest = j.deadline
+		case over:
 			latest = d.latestEnd(j)
 		}
-		plan, err := d.plan(j, j.allTasks(), latest)
+		plan, err := d.plan(j, j.unplaced(), latest)
 		switch {
 		case err == nil:
 			d.admit(j, plan)
 		case over:
 			d.giveUp(j, err.Code, err.Message)
 		default:
-			return false
+			d.held = append(d.held, held[i:]...)
+			return
 		}
-		return true
-	})
+	}
+}
+
+// heldDue reports whether the held jobs are worth a try: an agent has come, or
+// the time to hold them is over.
+func (d *Dispatcher) heldDue() bool {
+	wake := d.heldWake()
+	return !wake.IsZero() && (d.agentCame || !d.now.Before(wake))
 }
 
 // heldWake returns when the held jobs must be decided on; zero if there are none.
 func (d *Dispatcher) heldWake() time.Time {
-	if len(d.held) == 0 {
-		return time.Time{}
+	var wake time.Time
+	for _, j := range d.held {
+		if t := d.noneSince[j.Queue.Service].Add(HoldTime); wake.IsZero() || t.Before(wake) {
+			wake = t
+		}
 	}
-	return d.graceEnd()
+	return wake
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -20,7 +20,8 @@
 	mayHaveRun bool           // a placement ended otherwise than not started
 	ending     *structs.Error // why it was given up on, while its tasks are stopped
 	answered   bool
-	live       int // placements that have not ended
+	taken      bool // tasks were placed
+	live       int  // placements that have not ended
 	// successor is a copy of the submission that came after the answer while
 	// tasks were still being stopped.
 	successor *SubmitCalled
@@ -67,8 +68,8 @@
 	if !d.leaveUntil.IsZero() {
 		j.limitTo(d.leaveUntil)
 	}
-	plan, err := d.plan(j, j.allTasks(), d.latestEnd(j))
-	hold := err != nil && err.Code == structs.CodeUnavailable && d.now.Before(d.graceEnd())
+	plan, err := d.planNew(j)
+	hold := err != nil && d.mayHold(j, err)
 	if err != nil && !hold {
 		d.refuse(j, e.Call, err)
 		return
@@ -94,6 +95,7 @@
 }
 
 func (d *Dispatcher) admit(j *job, plan []assignment) {
+	j.taken = true
 	d.logPlan("job_admitted", j, plan)
 	d.carryOut(j, plan)
 }
@@ -120,12 +122,15 @@
 	}
 }
 
-func (j *job) allTasks() []int {
-	all := make([]int, j.Tasks)
-	for i := range all {
-		all[i] = i
+// unplaced returns the tasks that are neither done nor placed.
+func (j *job) unplaced() []int {
+	list := make([]int, 0, j.Tasks)
+	for i := range j.tasks {
+		if t := &j.tasks[i]; !t.done && t.current == nil {
+			list = append(list, i)
+		}
 	}
-	return all
+	return list
 }
 
 func (d *Dispatcher) refuse(j *job, call CallID, err *structs.Error) {
@@ -291,7 +296,6 @@
 			d.answer(j, Failed, fmt.Sprintf("task %d failed %d times", p.index, t.failures))
 			return
 		}
-	case session.NotStarted:
 	default:
 		t.avoid = append(t.avoid, p.agent.name)
 	}
@@ -305,6 +309,10 @@
 		return
 	}
 	plan, err := d.plan(j, []int{p.index}, j.deadline)
+	if err != nil && d.mayHold(j, err) {
+		d.hold(j, err)
+		return
+	}
 	if err != nil {
 		d.giveUp(j, err.Code, err.Message+"; after "+why)
 		return
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -19,7 +19,7 @@
 	Entry       string
 	Incarnation structs.Incarnation
 	Zone        string
-	// Started is when the entry started; zero if long ago. See StartGrace.
+	// Started is when the entry started; zero if long ago. See HoldTime.
 	Started time.Time
 	// DoubtTime is how long a placement may still run after the last word of
 	// its agent: the life of a session, and of a lease that was renewed last
@@ -33,10 +33,11 @@
 // DefaultRemember covers copies that arrive seconds after the answer.
 const DefaultRemember = 15 * time.Second
 
-// StartGrace is how long an entry that has just started holds jobs while it
-// knows no agent, or no configuration: sessions are open some 50 ms after the
-// agents' addresses are known, and those take two calls to the store.
-const StartGrace = 300 * time.Millisecond
+// HoldTime is how long an entry that has just started, or has been suspended,
+// holds jobs while it has no agent, or no configuration: sessions are open some
+// 50 ms after the agents' addresses are known, and those take two calls to the
+// store.
+const HoldTime = 300 * time.Millisecond
 
 const (
 	// lateFactor times its objective is when the answer of a job is worth
@@ -50,6 +51,15 @@
 	// crossZone is the expected extra time to an agent of another availability
 	// zone and back.
 	crossZone = 3 * time.Millisecond
+	// staleAfter is how old the newest state of an agent may be for it to get
+	// tasks: the life of a session. The agent ends an older one, or this entry
+	// was suspended.
+	staleAfter = 450 * time.Millisecond
+	// maxBacklog is how long all servers may work on what waits before only jobs
+	// are taken for which there is room at once: half of the time in which the
+	// answer of a short job is worth something. Beyond it, those that wait are
+	// passed by newer ones until their callers go.
+	maxBacklog = 250 * time.Millisecond
 	// sureMargin and sureShare of its run time are how long before a job's
 	// objective a task must be expected to end for its server to be sure to make
 	// it: the uncertainty of waits, and of learned speeds.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -83,6 +83,43 @@
 	return plan, nil
 }
 
+// planNew plans a job that is not taken yet. It is refused if it cannot end while
+// its answer is worth something, and if what waits already takes so long that
+// another job would only delay the others beyond their use; not if there is room
+// for it at once.
+func (d *Dispatcher) planNew(j *job) ([]assignment, *structs.Error) {
+	plan, err := d.plan(j, j.unplaced(), d.latestEnd(j))
+	if err != nil {
+		return nil, err
+	}
+	startsNow := func(as assignment) bool { return as.finish-as.runs-as.agent.extraFrom(d) <= 0 }
+	if backlog := d.backlog(j); backlog > maxBacklog && !allOf(plan, startsNow) {
+		return nil, structs.Errorf(structs.CodeOverloaded, structs.NotRun, "tasks that wait take %d ms, over %d ms",
+			backlog.Milliseconds(), maxBacklog.Milliseconds()).WithRetryAfter(d.retryAfter(j))
+	}
+	return plan, nil
+}
+
+func allOf(plan []assignment, match func(assignment) bool) bool {
+	return !slices.ContainsFunc(plan, func(as assignment) bool { return !match(as) })
+}
+
+// backlog returns how long all servers that may run the job would work on what
+// waits for them.
+func (d *Dispatcher) backlog(j *job) time.Duration {
+	var work, capacity float64 // thousandths of a core, times ms; thousandths of a core
+	for _, c := range d.candidates(j, nil) {
+		capacity += float64(c.agent.identity.Capacity)
+		for _, q := range c.agent.state.Queue {
+			work += float64(q.CPU) * float64(q.Ms)
+		}
+	}
+	if capacity == 0 {
+		return 0
+	}
+	return time.Duration(work / capacity * float64(time.Millisecond))
+}
+
 // retryUnavailable is when to come back if no server is known: sessions and
 // heartbeats are back in about two seconds.
 const retryUnavailable = 2 * time.Second
@@ -132,12 +169,12 @@
 	var sound, rest []*candidate
 	for _, a := range d.order {
 		s := &a.state
-		if !s.Ready || a.identity.Service != j.Queue.Service || j.CPU > a.identity.Capacity || j.Needs != "" && !slices.Contains(a.identity.Labels, j.Needs) {
+		if !s.Ready || d.now.Sub(a.stateAt) > staleAfter || a.identity.Service != j.Queue.Service || j.CPU > a.identity.Capacity || j.Needs != "" && !slices.Contains(a.identity.Labels, j.Needs) {
 			continue
 		}
 		runs := d.expect(a, j.Estimate)
 		c := &candidate{
-			agent: a, line: d.timeline(a, j.objective.Sub(d.now)-runs, runs), runs: runs, extra: hopOverhead,
+			agent: a, line: d.timeline(a, d.notOvertaken(a, j.objective.Sub(d.now))), runs: runs, extra: hopOverhead,
 			taken: d.tasksAt(j, a), near: a.zone == d.opts.Zone, free: a.freeShare(),
 		}
 		if !c.near {
@@ -186,14 +223,25 @@
 	return false
 }
 
-// carryOut orders the planned tasks.
-func (d *Dispatcher) carryOut(j *job, plan []assignment) {
-	limit := j.objective
+// limitFor returns by when the planned tasks are to end: with the objective if
+// they can, else while the answer is worth something, else before the caller
+// goes. What waits at an agent is started in the order of these.
+func (d *Dispatcher) limitFor(j *job, plan []assignment) time.Time {
+	var last time.Duration
 	for _, as := range plan {
-		if d.now.Add(as.finish).After(limit) {
-			limit = j.deadline
+		last = max(last, as.finish)
+	}
+	for _, limit := range []time.Time{j.objective, d.latestEnd(j)} {
+		if !d.now.Add(last).After(limit) {
+			return limit
 		}
 	}
+	return j.deadline
+}
+
+// carryOut orders the planned tasks.
+func (d *Dispatcher) carryOut(j *job, plan []assignment) {
+	limit := d.limitFor(j, plan)
 	for _, as := range plan {
 		t := &j.tasks[as.index]
 		t.placed++
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -1,6 +1,7 @@
 package guard_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -540,3 +541,23 @@
 	b.order(1, b.echo(), "job", 1000, 1)
 	b.Expect(effects[guard.StartRun](b)).To(BeEmpty())
 }
+
+// A server that hung for some seconds was known by its failures, got no task any
+// more, and so never showed that it was well again.
+func TestServerThatFailedIsProbedAgainAfterAWhile(t *testing.T) {
+	b := newBench(t)
+	b.ready()
+	for i := range uint64(6) {
+		job := fmt.Sprintf("job-%d", i)
+		b.order(1, b.echo(), job, 1000, 10+i)
+		b.accepted(key(job, 0))
+		b.pass(10 * time.Millisecond)
+		b.looked(0, nil, guard.EndRow{N: int64(i + 1), Key: key(job, 0), How: guard.EndFailed})
+	}
+	failing := func() int { return b.guard.Dump(b.now).Failing }
+	b.Expect(failing()).To(BeNumerically(">", 500))
+	b.pass(2 * time.Second)
+	b.step(guard.Ticked{})
+	b.Expect(failing()).To(BeNumerically("<", 400), "entries send tasks again")
+	b.Expect(failing()).To(BeNumerically(">", 200), "one at a time")
+}
--- a/guard/health.go
+++ b/guard/health.go
@@ -10,7 +10,9 @@
 
 // health is what outcomes tell of the backend server.
 type health struct {
-	failures float64 // recent share of failed tasks
+	failures float64   // recent share of failed tasks
+	decayed  time.Time // when failures was last decayed
+	suspect  bool      // the server fails so much that it is only probed
 	recent   speed
 	lasting  speed
 	current  speed // of runs under way, by their progress
@@ -46,11 +48,21 @@
 	return (float64(s.ran) + prior*float64(weight)) / float64(s.estimated+weight)
 }
 
-func (h *health) done()   { h.failures *= 1 - failureWeight }
-func (h *health) failed() { h.failures += (1 - h.failures) * failureWeight }
+func (h *health) done() { h.noteFailures(h.failures * (1 - failureWeight)) }
 
-// suspect reports whether the server fails so much that it is only probed.
-func (h *health) suspect() bool { return h.failures > suspectShare }
+func (h *health) failed() { h.noteFailures(h.failures + (1-h.failures)*failureWeight) }
+
+// noteFailures takes in a new share of failures. Hysteresis keeps a server that
+// has just come below the share from getting a full load at once.
+func (h *health) noteFailures(share float64) {
+	h.failures = share
+	switch {
+	case share > suspectShare:
+		h.suspect = true
+	case share < soundShare:
+		h.suspect = false
+	}
+}
 
 func (h *health) failing() int { return int(h.failures * perMille) }
 
@@ -66,9 +78,13 @@
 	h.lasting.add(ran, estimate)
 }
 
-// decay lets what was learned fade, so that a server that seemed slow, and got
-// no more tasks for it, is tried again.
+// decay lets what was learned fade, so that a server that seemed slow, or failed
+// its tasks, and got no more for it, is tried again.
 func (h *health) decay(now time.Time) {
+	if !h.decayed.IsZero() && now.After(h.decayed) {
+		h.noteFailures(h.failures * math.Exp(-float64(now.Sub(h.decayed))/float64(failureMemory)))
+	}
+	h.decayed = now
 	h.recent.decay(now, recentMemory)
 	h.lasting.decay(now, lastingMemory)
 }
--- a/guard/options.go
+++ b/guard/options.go
@@ -93,6 +93,11 @@
 	// suspectShare is the share of failures from which on a server runs one
 	// task at a time, as a probe.
 	suspectShare = 0.5
+	// soundShare is the share below which it gets a full load again.
+	soundShare = 0.2
+	// failureMemory is the time in which the share of failures fades to a third:
+	// a server that got no more tasks is probed again after some two seconds.
+	failureMemory = 3 * time.Second
 	// recentMemory is the time in which run times fade to a third: long enough
 	// to average some twenty of them, whose estimates are off by 40 %, and short
 	// against the faults that slow a server.
--- a/guard/run.go
+++ b/guard/run.go
@@ -112,7 +112,7 @@
 // fits reports whether a task has room now. A server that fails its tasks gets
 // one at a time, as a probe.
 func (g *Guard) fits(r *run) bool {
-	if g.health.suspect() && g.used.cpu > 0 {
+	if g.health.suspect && g.used.cpu > 0 {
 		return false
 	}
 	return g.used.cpu+r.cpu <= g.server.CPU && g.used.mem+r.mem <= g.server.MemMB && g.used.gpu+r.gpu <= g.server.GPU
--- a/guard/session.go
+++ b/guard/session.go
@@ -242,7 +242,7 @@
 
 // startsInTime predicts whether a task that joins the queue starts in time.
 func (g *Guard) startsInTime(r *run) bool {
-	if g.health.suspect() && len(g.runs) > 0 {
+	if g.health.suspect && len(g.runs) > 0 {
 		return false
 	}
 	t := g.timeline()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -53,6 +53,7 @@
 	self     session.Process
 	roster   *roster.Roster
 	metrics  *sidecarMetrics
+	patience patience
 
 	listeners instance.Listeners
 	servers   []*http.Server
--- a/sidecar/step.go
+++ b/sidecar/step.go
@@ -10,14 +10,8 @@
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcserver"
 )
 
-const (
-	// callTimeout bounds a start or stop, which is then sent again: the server
-	// is on the same machine and answers within a few ms, more if the machine
-	// is slow.
-	callTimeout = 60 * time.Millisecond
-	// lookSlack is added to the wait of a look.
-	lookSlack = 250 * time.Millisecond
-)
+// lookSlack is added to the wait of a look.
+const lookSlack = 250 * time.Millisecond
 
 // step feeds the guard one event and carries its effects out, in order. No
 // effect blocks.
@@ -42,10 +36,10 @@
 	switch ef := ef.(type) {
 	case guard.StartRun:
 		s.metrics.starts.Inc(1)
-		go s.order(callTimeout, func(ctx context.Context) guard.Event { return s.platform.Server.Start(ctx, ef) })
+		go s.order(s.patience.wait(), func(ctx context.Context) guard.Event { return s.platform.Server.Start(ctx, ef) })
 	case guard.StopRun:
 		s.metrics.stops.Inc(1)
-		go s.order(callTimeout, func(ctx context.Context) guard.Event { return s.platform.Server.Stop(ctx, ef) })
+		go s.order(maxPatience, func(ctx context.Context) guard.Event { return s.platform.Server.Stop(ctx, ef) })
 	case guard.Look:
 		go s.order(ef.Wait+lookSlack, func(ctx context.Context) guard.Event { return s.platform.Server.Look(ctx, ef) })
 	case guard.ReplyHello:
@@ -77,8 +71,14 @@
 	defer cancel()
 	begun := time.Now()
 	ev := call(ctx)
-	if _, ok := ev.(guard.StartReplied); ok {
-		s.metrics.startTime.Update(time.Since(begun).Microseconds())
+	if started, ok := ev.(guard.StartReplied); ok {
+		took := time.Since(begun)
+		s.metrics.startTime.Update(took.Microseconds())
+		if started.Result == guard.StartUnknown {
+			s.patience.unanswered()
+		} else {
+			s.patience.answered(took)
+		}
 	}
 	if s.background.Err() == nil {
 		s.step(ev)
