--- a/sidecar/patience.go
+++ b/sidecar/patience.go
@@ -16,8 +16,9 @@
 
 const (
 	// minPatience and maxPatience bound the wait: the server is on the same
-	// machine and answers within a few ms, more if the machine is slow.
-	minPatience = 15 * time.Millisecond
+	// machine and answers within a few ms, but on a quarter of a core either of
+	// them may have to wait for its turn.
+	minPatience = 30 * time.Millisecond
 	maxPatience = 60 * time.Millisecond
 	// Weights of a new time in the mean and the deviation, and how many
 	// deviations above the mean are waited for, from RFC 6298.
