--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -57,11 +57,7 @@
 // plan chooses an agent for each of the tasks, or says why the job cannot end by
 // the latest time.
 func (d *Dispatcher) plan(j *job, tasks []int, latest time.Time) ([]assignment, *structs.Error) {
-	return d.planWith(d.candidates(j, tasks), j, tasks, latest)
-}
-
-// planWith is plan with a choice of candidates.
-func (d *Dispatcher) planWith(candidates []*candidate, j *job, tasks []int, latest time.Time) ([]assignment, *structs.Error) {
+	candidates := d.candidates(j, tasks)
 	if len(candidates) == 0 {
 		return nil, structs.Errorf(structs.CodeUnavailable, structs.NotRun, "no agent of service %s takes orders", j.Queue.Service).
 			WithRetryAfter(retryUnavailable)
@@ -89,40 +85,32 @@
 
 // planNew plans a job that is not taken yet. It is refused if it cannot end while
 // its answer is worth something, and if what waits already takes so long that
-// another job would only delay the others beyond their use. Then it only gets
-// servers that have room at once.
+// another job would only delay the others beyond their use; not if there is room
+// for it at once.
 func (d *Dispatcher) planNew(j *job) ([]assignment, *structs.Error) {
-	backlog := d.backlog(j)
-	if backlog <= maxBacklog {
-		return d.plan(j, j.unplaced(), d.latestEnd(j))
-	}
-	plan, err := d.planWith(d.withRoom(j), j, j.unplaced(), d.latestEnd(j))
+	plan, err := d.plan(j, j.unplaced(), d.latestEnd(j))
 	if err != nil {
+		return nil, err
+	}
+	startsNow := func(as assignment) bool { return as.finish-as.runs-as.agent.extraFrom(d) <= 0 }
+	if backlog := d.backlog(j); backlog > maxBacklog && !allOf(plan, startsNow) {
 		return nil, structs.Errorf(structs.CodeOverloaded, structs.NotRun, "tasks that wait take %d ms, over %d ms",
 			backlog.Milliseconds(), maxBacklog.Milliseconds()).WithRetryAfter(d.retryAfter(j))
 	}
 	return plan, nil
 }
 
-// withRoom returns the agents that may run the job and where nothing waits; what
-// falls free there later is not counted.
-func (d *Dispatcher) withRoom(j *job) []*candidate {
-	return slices.DeleteFunc(d.candidates(j, nil), func(c *candidate) bool {
-		c.line = timeline.New(c.agent.freeCPU(), nil)
-		return len(c.agent.state.Queue) > 0
-	})
+func allOf(plan []assignment, match func(assignment) bool) bool {
+	return !slices.ContainsFunc(plan, func(as assignment) bool { return !match(as) })
 }
 
 // backlog returns how long all servers that may run the job would work on what
 // waits for them.
 func (d *Dispatcher) backlog(j *job) time.Duration {
 	var work, capacity float64 // thousandths of a core, times ms; thousandths of a core
-	for _, a := range d.order {
-		if !d.mayRun(a, j) || a.state.Failing >= failingShare {
-			continue
-		}
-		capacity += float64(a.identity.Capacity)
-		for _, q := range a.state.Queue {
+	for _, c := range d.candidates(j, nil) {
+		capacity += float64(c.agent.identity.Capacity)
+		for _, q := range c.agent.state.Queue {
 			work += float64(q.CPU) * float64(q.Ms)
 		}
 	}
@@ -175,19 +163,13 @@
 	return first, earliest
 }
 
-// mayRun reports whether an agent is heard, and takes tasks such as the job's.
-func (d *Dispatcher) mayRun(a *agent, j *job) bool {
-	return a.state.Ready && d.now.Sub(a.stateAt) <= staleAfter &&
-		a.identity.Service == j.Queue.Service && j.CPU <= a.identity.Capacity &&
-		(j.Needs == "" || slices.Contains(a.identity.Labels, j.Needs))
-}
-
 // candidates returns the agents that may run the tasks. Agents that fail their
 // tasks, or failed one of these, are left out while others are there.
 func (d *Dispatcher) candidates(j *job, tasks []int) []*candidate {
 	var sound, rest []*candidate
 	for _, a := range d.order {
-		if !d.mayRun(a, j) {
+		s := &a.state
+		if !s.Ready || d.now.Sub(a.stateAt) > staleAfter || a.identity.Service != j.Queue.Service || j.CPU > a.identity.Capacity || j.Needs != "" && !slices.Contains(a.identity.Labels, j.Needs) {
 			continue
 		}
 		runs := d.expect(a, j.Estimate)
@@ -198,7 +180,7 @@
 		if !c.near {
 			c.extra += crossZone
 		}
-		if a.state.Failing >= failingShare || avoids(j, tasks, a.name) {
+		if s.Failing >= failingShare || avoids(j, tasks, a.name) {
 			rest = append(rest, c)
 		} else {
 			sound = append(sound, c)
@@ -210,8 +192,8 @@
 	return rest
 }
 
-// freeCPU returns the free capacity, less what is on its way and what waits.
-func (a *agent) freeCPU() int {
+// freeShare returns the free part of the capacity, less what is on its way.
+func (a *agent) freeShare() float64 {
 	free := a.state.FreeCPU
 	for _, p := range a.pending {
 		free -= p.job.CPU
@@ -219,12 +201,9 @@
 	for _, q := range a.state.Queue {
 		free -= q.CPU
 	}
-	return free
+	return float64(free) / float64(a.identity.Capacity)
 }
 
-// freeShare is freeCPU as a part of the capacity.
-func (a *agent) freeShare() float64 { return float64(a.freeCPU()) / float64(a.identity.Capacity) }
-
 func (d *Dispatcher) tasksAt(j *job, a *agent) int {
 	n := 0
 	for i := range j.tasks {
