A held job is decided on when its own time is over; agents that may run a job in one place

The time to hold a job was asked of its service's outage, which ends when an agent is heard: a job that did not fit then was tried at each step and held until its caller's deadline. The backlog built timelines of all agents only to sum up their queues.

Test: TestHeldJobThatDoesNotFitIsRefusedWhenItsTimeIsOver fails before, passes now.

--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -454,3 +454,22 @@
 	counts, _ := b.placed()
 	b.Expect(counts).To(Equal(map[dispatch.AgentID]int{2: 1}))
 }
+
+// The first moments after a restart of all: more jobs had come than the first
+// agents had room for, and were held on and on while agents were heard.
+func TestHeldJobThatDoesNotFitIsRefusedWhenItsTimeIsOver(t *testing.T) {
+	b := newBench(t)
+	b.d = dispatch.New(dispatch.Options{Entry: "entry-1", Zone: "zone-a", DoubtTime: doubtTime, Started: start})
+	b.submit("hold", 1, 6000, 60*time.Millisecond)
+	full := server{capacity: 20_000, free: 0, slowness: 1000, running: []session.Span{{CPU: 20_000, Ms: 2000}}}
+	b.now = b.now.Add(40 * time.Millisecond)
+	b.agent(1, full)
+	refused := 0
+	for b.now.Before(start.Add(320 * time.Millisecond)) {
+		b.now = b.now.Add(20 * time.Millisecond)
+		b.poll(1, full)
+		refused += len(effects[dispatch.Refused](b))
+	}
+	b.Expect(refused).To(Equal(1))
+	b.Expect(b.d.OpenJobs()).To(BeZero())
+}
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -36,11 +36,12 @@
 // hold keeps a job until agents are there.
 func (d *Dispatcher) hold(j *job, err *structs.Error) {
 	if slices.Contains(d.held, j) {
-		return
+		return // another of its tasks waits already
 	}
+	j.heldUntil = d.outage(j.Queue.Service)
 	d.held = append(d.held, j)
 	d.emit(LogEvent{Event: "job_held", Job: j.Name, Queue: j.Queue.Name,
-		Detail: fmt.Sprintf("reason=%q at_most_ms=%d", err.Message, d.outage(j.Queue.Service).Sub(d.now).Milliseconds())})
+		Detail: fmt.Sprintf("reason=%q at_most_ms=%d", err.Message, j.heldUntil.Sub(d.now).Milliseconds())})
 }
 
 // tryHeld places the held jobs, oldest first: those that were taken before, and
@@ -55,7 +56,7 @@
 		if j.answered || j.ending != nil {
 			continue
 		}
-		over := !d.now.Before(d.outage(j.Queue.Service))
+		over := !d.now.Before(j.heldUntil)
 		latest := j.objective
 		switch {
 		case j.taken:
@@ -87,8 +88,8 @@
 func (d *Dispatcher) heldWake() time.Time {
 	var wake time.Time
 	for _, j := range d.held {
-		if t := d.noneSince[j.Queue.Service].Add(HoldTime); wake.IsZero() || t.Before(wake) {
-			wake = t
+		if wake.IsZero() || j.heldUntil.Before(wake) {
+			wake = j.heldUntil
 		}
 	}
 	return wake
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -20,8 +20,9 @@
 	mayHaveRun bool           // a placement ended otherwise than not started
 	ending     *structs.Error // why it was given up on, while its tasks are stopped
 	answered   bool
-	taken      bool // tasks were placed
-	live       int  // placements that have not ended
+	taken      bool      // tasks were placed
+	heldUntil  time.Time // while it is held
+	live       int       // placements that have not ended
 	// successor is a copy of the submission that came after the answer while
 	// tasks were still being stopped.
 	successor *SubmitCalled
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -108,9 +108,12 @@
 // waits for them.
 func (d *Dispatcher) backlog(j *job) time.Duration {
 	var work, capacity float64 // thousandths of a core, times ms; thousandths of a core
-	for _, c := range d.candidates(j, nil) {
-		capacity += float64(c.agent.identity.Capacity)
-		for _, q := range c.agent.state.Queue {
+	for _, a := range d.order {
+		if !d.mayRun(a, j) || a.state.Failing >= failingShare {
+			continue
+		}
+		capacity += float64(a.identity.Capacity)
+		for _, q := range a.state.Queue {
 			work += float64(q.CPU) * float64(q.Ms)
 		}
 	}
@@ -163,13 +166,19 @@
 	return first, earliest
 }
 
+// mayRun reports whether an agent is heard, and takes tasks such as the job's.
+func (d *Dispatcher) mayRun(a *agent, j *job) bool {
+	return a.state.Ready && d.now.Sub(a.stateAt) <= staleAfter &&
+		a.identity.Service == j.Queue.Service && j.CPU <= a.identity.Capacity &&
+		(j.Needs == "" || slices.Contains(a.identity.Labels, j.Needs))
+}
+
 // candidates returns the agents that may run the tasks. Agents that fail their
 // tasks, or failed one of these, are left out while others are there.
 func (d *Dispatcher) candidates(j *job, tasks []int) []*candidate {
 	var sound, rest []*candidate
 	for _, a := range d.order {
-		s := &a.state
-		if !s.Ready || d.now.Sub(a.stateAt) > staleAfter || a.identity.Service != j.Queue.Service || j.CPU > a.identity.Capacity || j.Needs != "" && !slices.Contains(a.identity.Labels, j.Needs) {
+		if !d.mayRun(a, j) {
 			continue
 		}
 		runs := d.expect(a, j.Estimate)
@@ -180,7 +189,7 @@
 		if !c.near {
 			c.extra += crossZone
 		}
-		if s.Failing >= failingShare || avoids(j, tasks, a.name) {
+		if a.state.Failing >= failingShare || avoids(j, tasks, a.name) {
 			rest = append(rest, c)
 		} else {
 			sound = append(sound, c)
