--- a/test/sessions/entry_test.go
+++ b/test/sessions/entry_test.go
@@ -61,7 +61,7 @@
 	e.conns = make(map[dispatch.AgentID]*conn)
 	e.callers = make(map[dispatch.CallID]*caller)
 	e.dispatcher = dispatch.New(dispatch.Options{
-		Entry: e.name, Incarnation: e.incarnation, Zone: "z",
+		Entry: e.name, Incarnation: e.incarnation, Zone: "z", Started: e.steady(),
 		DoubtTime: guard.DoubtTime(time.Second, stopTimeout), Remember: dispatch.DefaultRemember,
 	})
 	for _, a := range e.w.agents {
