--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -33,8 +33,8 @@
 	return a, b
 }
 
-// On fleets of seventy servers the lists that entries and agents told each
-// other again and again were most of the bytes between zones.
+// On fleets of seventy servers entries and agents told each other the whole list
+// again and again.
 func TestEntriesThatKnowTheSameTellNothing(t *testing.T) {
 	g := NewWithT(t)
 	a, b := fleet(70)
