Entries keep sessions with a subset of the agents; Hello without the configuration

Cause: with 35 entries and 160 agents each entry kept a session with each agent: 5,600 sessions polled five times a second. After a power loss each Hello carried the configuration, which filled the links of small entries until the sessions that had just opened timed out.

Ruled out: polls less often alone (the age of an agent's state and the session's life follow from them); a subset chosen by agents (an entry that has just started knows few other entries and would take all agents).

Change: membership.SubsetSize and Rank (subsetting by rendezvous hashing), widened by up to two while the subset is nearly full, unusable agents replaced; sessions outside are closed when they have no tasks (SessionRetired, CloseSession). Hello names the version only; an entry asks one agent at a time for the text (Agent.Config), an agent gets it with its next exchange. Agents announce themselves to a few entries only. The runner keeps its sessions in order instead of sorting them four times a step.

Old and new encodings: session/compat_test.go.

--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -81,6 +81,22 @@
 	}
 }
 
+// sessionRetired gives up a session that is no longer wanted, unless it still has
+// tasks.
+func (d *Dispatcher) sessionRetired(id SessionID) {
+	a := d.agents[id]
+	if a == nil {
+		return
+	}
+	for _, p := range d.placements {
+		if p.agent == a {
+			return
+		}
+	}
+	d.removeAgent(a, "not in the subset of this entry")
+	d.emit(CloseSession{ID: id})
+}
+
 func (d *Dispatcher) removeAgent(a *agent, reason string) {
 	delete(d.agents, a.id)
 	delete(d.orders, a.id)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -69,6 +69,8 @@
 		d.sessionOpened(e)
 	case SessionEnded:
 		d.sessionEnded(e)
+	case SessionRetired:
+		d.sessionRetired(e.ID)
 	case OrderReplied:
 		d.orderReplied(e)
 	case PollReplied:
@@ -151,6 +153,23 @@
 	return n
 }
 
+// FreeShare returns the share of the capacity of all ready agents that is neither in
+// use nor reserved. It reports false if there is no such agent.
+func (d *Dispatcher) FreeShare() (float64, bool) {
+	free, capacity := 0.0, 0.0
+	for _, a := range d.sortedAgents {
+		if !a.state.Ready || a.identity.Capacity <= 0 {
+			continue
+		}
+		free += max(a.unreservedShare(), 0) * float64(a.identity.Capacity)
+		capacity += float64(a.identity.Capacity)
+	}
+	if capacity == 0 {
+		return 0, false
+	}
+	return free / capacity, true
+}
+
 // leave starts a graceful shutdown: it limits the deadlines of all jobs.
 func (d *Dispatcher) leave(deadline time.Time) {
 	d.leaveDeadline = deadline
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -84,6 +84,9 @@
 		LastHeard time.Time
 		Reason    string
 	}
+	// SessionRetired reports that a session is no longer wanted. If none of its
+	// tasks is left, the session is given up and CloseSession follows.
+	SessionRetired struct{ ID SessionID }
 	// OrderReplied is the reply to the order with the given number.
 	OrderReplied struct {
 		ID     SessionID
@@ -116,6 +119,8 @@
 		Start  []session.JobPart
 		Stop   []uint64 // ids of placements
 	}
+	// CloseSession closes a session that has no tasks.
+	CloseSession struct{ ID SessionID }
 	// Answered is the final answer of a job: Completed, Failed or Canceled.
 	Answered struct {
 		Call   CallID
@@ -158,12 +163,14 @@
 func (CancelCalled) isEvent()   {}
 func (SessionOpened) isEvent()  {}
 func (SessionEnded) isEvent()   {}
+func (SessionRetired) isEvent() {}
 func (OrderReplied) isEvent()   {}
 func (PollReplied) isEvent()    {}
 func (LeaveRequested) isEvent() {}
 func (Ticked) isEvent()         {}
 
 func (Order) isEffect()         {}
+func (CloseSession) isEffect()  {}
 func (Answered) isEffect()      {}
 func (Refused) isEffect()       {}
 func (CancelReplied) isEffect() {}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/rpc"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,10 @@
 	"github.com/chestnuthollow/chestnuthollow/session"
 )
 
+// configFetchTimeout bounds reading the configuration from an agent: 256 KB at
+// 20 Mbit/s take 100 ms.
+const configFetchTimeout = 500 * time.Millisecond
+
 // configuration holds the newest known version of the operators' configuration.
 // Its version only increases.
 type configuration struct {
@@ -86,6 +91,24 @@
 	}
 }
 
+// fetchConfig gets the configuration from an agent that has a newer version, unless
+// another source provides it first. Only one agent at a time is asked: after a loss
+// of all entries every agent has it, and the copies would delay the polls of the
+// sessions on a slow link.
+func (g *Gateway) fetchConfig(client *rpc.Client, agent string, version int64) {
+	g.configFetch.Lock()
+	defer g.configFetch.Unlock()
+	if g.config.raw().Version >= version {
+		return
+	}
+	var reply session.ConfigReply
+	if err := callWithTimeout(client, "Config", &session.ConfigRequest{}, &reply, configFetchTimeout); err != nil {
+		level.Warn(g.logger).Log("event", "config_unread", "agent", agent, "version", version, "reason", err)
+		return
+	}
+	g.updateConfig(reply.Config, "agent "+agent)
+}
+
 func (g *Gateway) followConfig() {
 	keyedlog.Follow(g.background, g.platform.Store, g.platform.ConfigTopic, &configHandler{gateway: g})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,6 +69,9 @@
 
 	connectorsMu sync.Mutex
 	connectors   map[string]*agentConnector // by the address of the agent
+	widening     float64                    // factor of the size of the subset, at least one
+
+	configFetch sync.Mutex // held while an agent is asked for the configuration
 
 	mu          sync.Mutex
 	dispatcher  *dispatch.Dispatcher
@@ -95,6 +98,7 @@
 		members:    membership.New(opts.PeerAddr),
 		config:     newConfiguration(),
 		connectors: make(map[string]*agentConnector),
+		widening:   1,
 		calls:      make(map[dispatch.CallID]chan Outcome),
 		sessions:   make(map[dispatch.SessionID]*agentSession),
 	}
@@ -134,6 +138,7 @@
 	go g.copyConfig()
 	go g.followMembers()
 	go g.exchangeLoop()
+	go g.maintainSubset()
 
 	<-ctx.Done()
 	stopRequestedAt := time.Now()
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -23,6 +23,10 @@
 	// peersPerExchange is the number of entries asked at each exchangeInterval. An
 	// update reaches a dozen entries in two rounds.
 	peersPerExchange = 3
+	// peersPerFastExchange is the number of entries asked at each
+	// fastExchangeInterval. An update reaches a dozen entries in one round and
+	// forty in four.
+	peersPerFastExchange = 12
 )
 
 // receiver is the net/rpc receiver for one connection of another process.
@@ -39,7 +43,7 @@
 	g.members.Add(now, req.From)
 	g.members.MarkReachable(now, req.From.Addr)
 	if req.From.Role == session.RoleAgent {
-		g.ensureConnectors()
+		g.updateSubset()
 		g.redialAgent(req.From.Addr)
 	}
 	reply.Known = g.members.ProcessesFor(g.self, req)
@@ -50,19 +54,18 @@
 }
 
 // exchangeLoop periodically asks other entries for processes and for a newer
-// configuration: a few entries at exchangeInterval, or all of them at
+// configuration: a few entries at exchangeInterval, or more of them at
 // fastExchangeInterval.
 func (g *Gateway) exchangeLoop() {
 	g.members.AddSeeds(time.Now(), g.opts.Seeds)
 	for g.background.Err() == nil {
 		peers := g.members.List(session.RoleEntry)
-		pause := fastExchangeInterval
+		pause, count := fastExchangeInterval, peersPerFastExchange
 		if !g.configTopicUnavailable.Load() && g.Table() != nil {
-			pause = exchangeInterval
-			rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-			peers = peers[:min(len(peers), peersPerExchange)]
+			pause, count = exchangeInterval, peersPerExchange
 		}
-		for _, p := range peers {
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		for _, p := range peers[:min(len(peers), count)] {
 			go g.exchangeWith(p)
 		}
 		time.Sleep(pause)
@@ -83,7 +86,7 @@
 	g.members.MarkReachable(now, p.Addr)
 	g.members.Add(now, reply.Known...)
 	g.updateConfig(reply.Config, "peer "+p.Name)
-	g.ensureConnectors()
+	g.updateSubset()
 }
 
 func (g *Gateway) followMembers() {
@@ -111,7 +114,7 @@
 			level.Info(g.logger).Log("event", "member_found", "agent", p.Name, "addr", p.Addr, "offset", r.Offset)
 		}
 	}
-	g.ensureConnectors()
+	g.updateSubset()
 }
 
 // StoreUnavailable implements keyedlog.Handler.
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -29,8 +29,9 @@
 	// closed. It covers the longest time that an agent delays the reply, and the
 	// loss of one packet in either direction.
 	pollTimeout = 550 * time.Millisecond
-	// connectRetryMax bounds the delay between attempts to open a session.
-	connectRetryMax = time.Second
+	// connectRetryMax bounds the delay between attempts to open a session. An agent
+	// that has restarted is in session again after about this time.
+	connectRetryMax = 500 * time.Millisecond
 	// orderQueueSize bounds the orders queued for one agent, and the replies not
 	// yet processed.
 	orderQueueSize = 1024
@@ -43,7 +44,27 @@
 	gateway   *Gateway
 	addr      string
 	redial    chan struct{} // signals that the agent has announced itself: dial without delay
-	connected atomic.Bool
+	cancel    context.CancelFunc
+	sessionID atomic.Uint64 // of the open session; zero if there is none
+
+	// unusableSince is since when the agent could not be reached or was not ready,
+	// in Unix nanoseconds; zero while it is usable or has not been tried.
+	unusableSince atomic.Int64
+}
+
+// setUsable records whether the agent is in session and ready.
+func (c *agentConnector) setUsable(now time.Time, usable bool) {
+	if usable {
+		c.unusableSince.Store(0)
+	} else {
+		c.unusableSince.CompareAndSwap(0, now.UnixNano())
+	}
+}
+
+// unusableFor reports whether the agent has been unusable for the given time.
+func (c *agentConnector) unusableFor(now time.Time, d time.Duration) bool {
+	since := c.unusableSince.Load()
+	return since != 0 && now.UnixNano()-since >= int64(d)
 }
 
 // agentSession is an open session with an agent.
@@ -57,26 +78,13 @@
 	closed       chan struct{}
 }
 
-// ensureConnectors starts a connector for each known agent that has none.
-func (g *Gateway) ensureConnectors() {
-	g.connectorsMu.Lock()
-	defer g.connectorsMu.Unlock()
-	for _, p := range g.members.List(session.RoleAgent) {
-		if g.connectors[p.Addr] == nil {
-			c := &agentConnector{gateway: g, addr: p.Addr, redial: make(chan struct{}, 1)}
-			g.connectors[p.Addr] = c
-			go c.run(g.background)
-		}
-	}
-}
-
 // redialAgent makes the connector of the address dial without delay if it has no
 // open session.
 func (g *Gateway) redialAgent(addr string) {
 	g.connectorsMu.Lock()
 	c := g.connectors[addr]
 	g.connectorsMu.Unlock()
-	if c == nil || c.connected.Load() {
+	if c == nil || c.sessionID.Load() != 0 {
 		return
 	}
 	select {
@@ -85,19 +93,18 @@
 	}
 }
 
-// run opens one session after another until ctx ends or the agent has been removed
-// from the membership.
+// run opens one session after another until ctx ends, because the process stops or
+// the agent has left the subset, or the agent has been removed from the membership.
 func (c *agentConnector) run(ctx context.Context) {
 	backoff := platformlog.Backoff{Base: 50 * time.Millisecond, Max: connectRetryMax}
 	for ctx.Err() == nil {
 		opened, err := c.runSession(ctx)
+		c.setUsable(time.Now(), false)
 		if opened {
 			backoff.Reset()
 		} else if c.gateway.members.MarkUnreachable(time.Now(), c.addr) {
 			level.Info(c.gateway.logger).Log("event", "agent_forgotten", "addr", c.addr, "reason", err)
-			c.gateway.connectorsMu.Lock()
-			delete(c.gateway.connectors, c.addr)
-			c.gateway.connectorsMu.Unlock()
+			c.gateway.removeConnector(c)
 			return
 		}
 		timer := time.NewTimer(backoff.Next())
@@ -108,6 +115,17 @@
 		}
 		timer.Stop()
 	}
+	c.gateway.removeConnector(c)
+}
+
+// removeConnector removes a connector that has ended.
+func (g *Gateway) removeConnector(c *agentConnector) {
+	c.cancel()
+	g.connectorsMu.Lock()
+	defer g.connectorsMu.Unlock()
+	if g.connectors[c.addr] == c {
+		delete(g.connectors, c.addr)
+	}
 }
 
 // runSession opens a session and polls until it fails. It reports whether the
@@ -119,7 +137,7 @@
 		return false, err
 	}
 	defer client.Close()
-	req := session.HelloRequest{Entry: g.opts.Name, Incarnation: g.self.Incarnation, Config: g.config.raw()}
+	req := session.HelloRequest{Entry: g.opts.Name, Incarnation: g.self.Incarnation, ConfigVersion: g.config.raw().Version, OmitConfig: true}
 	var hello session.HelloReply
 	if err := callWithTimeout(client, "Hello", &req, &hello, helloTimeout); err != nil {
 		return false, err
@@ -127,17 +145,21 @@
 	lastHeard := time.Now()
 	g.members.MarkReachable(lastHeard, c.addr)
 	g.updateConfig(hello.Config, "agent "+hello.Agent)
+	if hello.ConfigVersion > req.ConfigVersion {
+		go g.fetchConfig(client, hello.Agent, hello.ConfigVersion)
+	}
 	s := &agentSession{
 		connector: c, client: client,
 		orders: make(chan dispatch.Order, orderQueueSize), replies: make(chan *rpc.Call, orderQueueSize), closed: make(chan struct{}),
 	}
 	s.clockReading.Store(&hello.State.Stamp)
 	g.addSession(s, &hello)
-	c.connected.Store(true)
+	c.sessionID.Store(uint64(s.id))
+	c.setUsable(lastHeard, hello.State.Ready)
 	go s.writeOrders()
 	go s.readReplies()
 	lastHeard, err = s.poll(ctx, lastHeard)
-	c.connected.Store(false)
+	c.sessionID.Store(0)
 	close(s.closed)
 	g.mu.Lock()
 	delete(g.sessions, s.id)
@@ -182,6 +204,7 @@
 		}
 		lastHeard = time.Now()
 		s.clockReading.Store(&reply.State.Stamp)
+		s.connector.setUsable(lastHeard, reply.State.Ready)
 		if n := len(reply.Reports); n > 0 {
 			seen = reply.Reports[n-1].Seq
 		}
--- a/gateway/step.go
+++ b/gateway/step.go
@@ -40,6 +40,8 @@
 		if s := g.sessions[ef.ID]; s != nil {
 			s.enqueue(ef)
 		}
+	case dispatch.CloseSession:
+		g.closeSession(ef.ID)
 	case dispatch.Answered:
 		g.deliver(ef.Call, Outcome{Status: ef.Status})
 	case dispatch.Refused:
--- /dev/null
+++ b/membership/subset.go
@@ -0,0 +1,58 @@
+package membership
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	"github.com/chestnuthollow/chestnuthollow/session"
+)
+
+const (
+	// minSubset is the least number of agents with which an entry keeps sessions.
+	// The least loaded of a few dozen servers is nearly always as good as the least
+	// loaded of all, and a service of this size or less is covered whole.
+	minSubset = 32
+	// entriesPerAgent is the mean number of entries that keep a session with an
+	// agent. With eight, an agent is left out by all of them once in some thousand
+	// cases, also while an availability zone is lost.
+	entriesPerAgent = 8
+)
+
+// SubsetSize returns with how many of the agents one of the entries keeps sessions
+// (subsetting): the messages that keep sessions alive then grow with the number of
+// processes and not with its square.
+func SubsetSize(agents, entries int) int {
+	covering := (entriesPerAgent*agents + max(entries, 1) - 1) / max(entries, 1)
+	return min(max(minSubset, covering), agents)
+}
+
+// Rank orders agents by preference of the entry at the address self, the most
+// preferred first (rendezvous hashing). Each entry has an order of its own, so that
+// the first agents of all entries together cover all agents about evenly, and a
+// change of one agent moves no other.
+func Rank(self string, agents []session.Process) []session.Process {
+	weights := make(map[string]uint64, len(agents))
+	for _, p := range agents {
+		weights[p.Addr] = pairWeight(self, p.Addr)
+	}
+	ranked := slices.Clone(agents)
+	slices.SortFunc(ranked, func(a, b session.Process) int {
+		return cmp.Or(cmp.Compare(weights[b.Addr], weights[a.Addr]), cmp.Compare(a.Addr, b.Addr))
+	})
+	return ranked
+}
+
+// pairWeight returns a hash of two addresses. FNV alone distributes addresses that
+// differ in their last bytes unevenly in the high bits; the finalizer of SplitMix64
+// mixes them.
+func pairWeight(entry, agent string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(entry))
+	h.Write([]byte{0})
+	h.Write([]byte(agent))
+	x := h.Sum64()
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/session/compat_test.go
@@ -0,0 +1,59 @@
+package session_test
+
+import (
+	"bytes"
+	"encoding/gob"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// The messages of the builds before entries stopped sending the configuration with
+// each Hello.
+type (
+	oldHelloRequest struct {
+		Entry       string
+		Incarnation structs.Incarnation
+		Config      session.Config
+	}
+	oldHelloReply struct {
+		Agent       string
+		Incarnation structs.Incarnation
+		Zone        string
+		Config      session.Config
+		State       session.State
+	}
+)
+
+// transcode encodes a message of one build and decodes it as that of another.
+func transcode(g *WithT, from, to any) {
+	var buf bytes.Buffer
+	g.Expect(gob.NewEncoder(&buf).Encode(from)).To(Succeed())
+	g.Expect(gob.NewDecoder(&buf).Decode(to)).To(Succeed())
+}
+
+func TestHelloBetweenOldAndNewBuilds(t *testing.T) {
+	g := NewWithT(t)
+	config := session.Config{Version: 7, Text: []byte("text")}
+
+	var request session.HelloRequest
+	transcode(g, oldHelloRequest{Entry: "e", Incarnation: 3, Config: config}, &request)
+	g.Expect(request).To(Equal(session.HelloRequest{Entry: "e", Incarnation: 3, Config: config}),
+		"an old entry gets the configuration with the reply: OmitConfig is not set")
+
+	var oldRequest oldHelloRequest
+	transcode(g, session.HelloRequest{Entry: "e", Incarnation: 3, ConfigVersion: 7, OmitConfig: true}, &oldRequest)
+	g.Expect(oldRequest).To(Equal(oldHelloRequest{Entry: "e", Incarnation: 3}), "an old agent replies with its configuration")
+
+	var reply session.HelloReply
+	transcode(g, oldHelloReply{Agent: "a", Config: config}, &reply)
+	g.Expect(reply.Config).To(Equal(config))
+	g.Expect(reply.ConfigVersion).To(BeZero(), "Agent.Config is not called at an old agent")
+
+	var oldReply oldHelloReply
+	transcode(g, session.HelloReply{Agent: "a", Config: config, ConfigVersion: 7}, &oldReply)
+	g.Expect(oldReply).To(Equal(oldHelloReply{Agent: "a", Config: config}))
+}
--- a/session/messages.go
+++ b/session/messages.go
@@ -27,7 +27,12 @@
 type HelloRequest struct {
 	Entry       string
 	Incarnation structs.Incarnation
-	Config      Config // the newest version that the entry has
+	// Config is the newest version that the entry has. Only entries of earlier
+	// builds set it; newer ones set ConfigVersion, and the agent gets the text with
+	// its next exchange.
+	Config        Config
+	ConfigVersion int64 // newest version that the entry has
+	OmitConfig    bool  // HelloReply.Config is not wanted; the entry calls Agent.Config
 }
 
 // HelloReply answers a HelloRequest.
@@ -35,8 +40,19 @@
 	Agent       string
 	Incarnation structs.Incarnation
 	Zone        string
-	Config      Config // only if newer than the entry's
-	State       State
+	// Config is set only if it is newer than the entry's and the request does not
+	// omit it. ConfigVersion is always set.
+	Config        Config
+	ConfigVersion int64
+	State         State
+}
+
+// ConfigRequest asks an agent for its version of the configuration (Agent.Config).
+type ConfigRequest struct{}
+
+// ConfigReply answers a ConfigRequest.
+type ConfigReply struct {
+	Config Config
 }
 
 // Config is a version of the operators' configuration, as stored by the platform.
--- a/sidecar/receiver.go
+++ b/sidecar/receiver.go
@@ -52,6 +52,14 @@
 	})
 }
 
+// Config returns the agent's version of the configuration.
+func (r *receiver) Config(_ *session.ConfigRequest, reply *session.ConfigReply) error {
+	r.sidecar.mu.Lock()
+	defer r.sidecar.mu.Unlock()
+	reply.Config = r.sidecar.runner.Config()
+	return nil
+}
+
 // call passes an entry's call to the runner and waits for the reply, or until the
 // connection is closed.
 func call[T any](r *receiver, reply *T, event func(taskrunner.CallID) taskrunner.Event) error {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -38,6 +38,12 @@
 	// discoveryInterval is the minimum interval between exchanges that only ask for
 	// new entries. New entries also open sessions of their own accord.
 	discoveryInterval = 5 * time.Second
+	// announceFanout is the number of entries to which an agent announces itself at
+	// an exchangeInterval. minSessions is the number of sessions from which on it
+	// leaves the others to the entries: they learn of it from the store or from each
+	// other.
+	announceFanout = 4
+	minSessions    = 2
 )
 
 // Indices into Sidecar.listeners.
@@ -156,18 +162,20 @@
 	s.servers = append(s.servers, instance.Serve(s.listeners[listener], h, s.logger))
 }
 
-// exchangeLoop periodically announces this agent to the entries that have no session
-// with it, so that they open one. At discoveryInterval it also asks one random
-// entry for new entries.
+// exchangeLoop periodically announces this agent to entries that have no session
+// with it, so that they open one or pass the announcement on. At discoveryInterval,
+// or if an entry has a newer configuration, it also asks one random entry for new
+// entries and for the configuration.
 func (s *Sidecar) exchangeLoop() {
 	s.members.AddSeeds(time.Now(), s.opts.Seeds)
 	var discoveredAt time.Time
 	for s.background.Err() == nil {
-		entries := s.members.List(session.RoleEntry)
-		targets := s.members.WithoutSession(s.inSession)
-		if now := time.Now(); len(targets) < len(entries) && now.Sub(discoveredAt) >= discoveryInterval {
+		targets := s.announceTargets()
+		if now := time.Now(); now.Sub(discoveredAt) >= discoveryInterval || s.configOutdated() {
 			discoveredAt = now
-			targets = append(targets, entries[rand.IntN(len(entries))])
+			if entries := s.members.List(session.RoleEntry); len(targets) < len(entries) {
+				targets = append(targets, entries[rand.IntN(len(entries))])
+			}
 		}
 		for _, p := range targets {
 			go s.exchangeWith(p)
@@ -176,6 +184,40 @@
 	}
 }
 
+// announceTargets returns the entries to which the agent announces itself: of few
+// entries all that have no session with it, of many entries a random choice while
+// the agent has too few sessions. Most of many entries never open a session with it
+// (membership.SubsetSize).
+func (s *Sidecar) announceTargets() []session.Process {
+	targets := s.members.WithoutSession(s.inSession)
+	if len(s.members.List(session.RoleEntry)) <= announceFanout {
+		return targets
+	}
+	if s.openSessions() >= minSessions {
+		return nil
+	}
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	return targets[:min(len(targets), announceFanout)]
+}
+
+func (s *Sidecar) openSessions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runner.OpenSessions()
+}
+
+func (s *Sidecar) configOutdated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runner.ConfigOutdated()
+}
+
+func (s *Sidecar) configVersion() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runner.Config().Version
+}
+
 // inSession reports whether an incarnation of an entry has an open session with this
 // agent.
 func (s *Sidecar) inSession(entry structs.Incarnation) bool {
@@ -185,7 +227,7 @@
 }
 
 func (s *Sidecar) exchangeWith(p session.Process) {
-	reply, err := membership.Exchange(p.Addr, session.ExchangeRequest{From: s.self})
+	reply, err := membership.Exchange(p.Addr, session.ExchangeRequest{From: s.self, ConfigVersion: s.configVersion()})
 	now := time.Now()
 	if err != nil {
 		if s.members.MarkUnreachable(now, p.Addr) {
--- a/taskrunner/dump.go
+++ b/taskrunner/dump.go
@@ -43,8 +43,7 @@
 		Clean: m.noForeignRuns, Token: m.token, ClockMs: m.clock.Milliseconds(), ClockAgeMs: now.Sub(m.clockReadAt).Milliseconds(),
 		SeenEnd: m.seenEnd, Slowness: m.health.slownessPerMille(), Failing: m.health.failingPerMille(),
 	}
-	for _, id := range m.sortedSessions() {
-		s := m.sessions[id]
+	for _, s := range m.sortedSessions {
 		d.Sessions = append(d.Sessions, SessionDump{Entry: s.name, Open: s.open, HeardAgeMs: now.Sub(s.lastHeard).Milliseconds(), UnseenReports: len(s.reports)})
 	}
 	for _, r := range m.sortedRuns() {
--- a/taskrunner/session.go
+++ b/taskrunner/session.go
@@ -75,16 +75,42 @@
 // hello adds a session and ends an earlier one of the same entry. The session opens
 // when answerHellos replies.
 func (m *Runner) hello(e HelloCalled) {
-	for _, id := range m.sortedSessions() {
-		if s := m.sessions[id]; s.entry == e.Request.Incarnation && id != e.Session {
-			m.endSession(id, "replaced by a new session")
+	for _, s := range slices.Clone(m.sortedSessions) {
+		if s.entry == e.Request.Incarnation && s.id != e.Session {
+			m.endSession(s.id, "replaced by a new session")
 		}
 	}
 	m.updateConfig(e.Request.Config)
-	m.sessions[e.Session] = &entrySession{
+	m.newestConfig = max(m.newestConfig, e.Request.ConfigVersion)
+	m.addSession(&entrySession{
 		id: e.Session, entry: e.Request.Incarnation, name: e.Request.Entry, hello: &e,
 		lastHeard: m.now, canceled: make(map[uint64]bool),
+	})
+}
+
+// addSession adds a session, or replaces the one with the same ID.
+func (m *Runner) addSession(s *entrySession) {
+	m.sessions[s.id] = s
+	i, found := m.sessionIndex(s.id)
+	if found {
+		m.sortedSessions[i] = s
+		return
 	}
+	m.sortedSessions = slices.Insert(m.sortedSessions, i, s)
+}
+
+// removeSession removes the session with the ID.
+func (m *Runner) removeSession(id uint64) {
+	delete(m.sessions, id)
+	if i, found := m.sessionIndex(id); found {
+		m.sortedSessions = slices.Delete(m.sortedSessions, i, i+1)
+	}
+}
+
+// sessionIndex returns the index in sortedSessions at which the session with the ID
+// is or would be inserted, and whether it is there.
+func (m *Runner) sessionIndex(id uint64) (int, bool) {
+	return slices.BinarySearchFunc(m.sortedSessions, id, func(s *entrySession, id uint64) int { return cmp.Compare(s.id, id) })
 }
 
 // answerHellos replies to a pending Hello once no task of an earlier session of the
@@ -93,8 +119,7 @@
 	if !m.noForeignRuns {
 		return
 	}
-	for _, id := range m.sortedSessions() {
-		s := m.sessions[id]
+	for _, s := range m.sortedSessions {
 		if s.hello == nil || m.hasRunsOf(s.entry, s) {
 			continue
 		}
@@ -102,7 +127,8 @@
 		reply := session.HelloReply{
 			Agent: m.opts.Agent, Incarnation: m.opts.Incarnation, Zone: m.opts.Zone, State: m.state(s),
 		}
-		if m.config.Version > req.Config.Version {
+		reply.ConfigVersion = m.config.Version
+		if !req.OmitConfig && m.config.Version > req.Config.Version {
 			reply.Config = m.config
 		}
 		s.echoed = reply.State.Stamp
@@ -110,7 +136,7 @@
 		s.open = true
 		m.emit(ReplyHello{Call: s.hello.Call, Reply: reply})
 		s.hello = nil
-		m.emit(LogEvent{Event: "session_opened", Entry: s.entry, Detail: fmt.Sprintf("entry=%s session=%d", s.name, id)})
+		m.emit(LogEvent{Event: "session_opened", Entry: s.entry, Detail: fmt.Sprintf("entry=%s session=%d", s.name, s.id)})
 	}
 }
 
@@ -125,22 +151,13 @@
 	return false
 }
 
-func (m *Runner) sortedSessions() []uint64 {
-	ids := make([]uint64, 0, len(m.sessions))
-	for id := range m.sessions {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 // endSession closes a session and stops all of its tasks.
 func (m *Runner) endSession(id uint64, reason string) {
 	s := m.sessions[id]
 	if s == nil {
 		return
 	}
-	delete(m.sessions, id)
+	m.removeSession(id)
 	s.ended = true
 	stopped := 0
 	for _, r := range m.sortedRuns() {
@@ -157,6 +174,17 @@
 	m.emit(CloseSession{Session: id})
 }
 
+// OpenSessions returns the number of entries with an open session.
+func (m *Runner) OpenSessions() int {
+	n := 0
+	for _, s := range m.sortedSessions {
+		if s.open {
+			n++
+		}
+	}
+	return n
+}
+
 // InSession reports whether the entry has an open session.
 func (m *Runner) InSession(entry structs.Incarnation) bool {
 	for _, s := range m.sessions {
@@ -341,8 +369,7 @@
 
 // answerPolls replies to the polls whose session has reports, or whose wait is over.
 func (m *Runner) answerPolls() {
-	for _, id := range m.sortedSessions() {
-		s := m.sessions[id]
+	for _, s := range m.sortedSessions {
 		if s.poll == nil || len(s.reports) == 0 && m.now.Before(s.poll.due) {
 			continue
 		}
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -15,7 +15,9 @@
 	server         ServerInfo // ID is empty until a server has registered
 	storedServer   ServerInfo // as stored by an earlier agent; ID is empty if there is none
 	config         session.Config
+	newestConfig   int64 // highest version that an entry has named
 	sessions       map[uint64]*entrySession
+	sortedSessions []*entrySession  // the same, ordered by ID so that effects are deterministic
 	runs           map[TaskKey]*run // queued, running and stopping tasks
 	queue          []*run           // queued tasks, ordered by their latest start time
 	used           usage            // capacity held by all runs that are not queued
@@ -139,19 +141,31 @@
 // expire ends sessions that have timed out. Once every lease has certainly
 // expired, it also reports all started runs as lost.
 func (m *Runner) expire() {
-	for _, id := range m.sortedSessions() {
-		s := m.sessions[id]
-		if m.now.Sub(s.lastHeard) > s.ttl(m) {
-			m.endSession(id, "no message from the entry for "+m.now.Sub(s.lastHeard).String())
-		} else if s.echoed.Run == m.clockIncarnation && m.clock-s.echoed.Clock > m.opts.SessionTTL {
-			m.endSession(id, "echoed clock reading is "+(m.clock-s.echoed.Clock).String()+" old by the server's clock")
+	for i := 0; i < len(m.sortedSessions); {
+		s := m.sortedSessions[i]
+		reason := m.expiryReason(s)
+		if reason == "" {
+			i++
+			continue
 		}
+		m.endSession(s.id, reason) // removes the element at i
 	}
 	if m.leaseExpired() {
 		m.finishLost("the lease expired", func(r *run) bool { return r.phase != queued })
 	}
 }
 
+// expiryReason returns why a session has to end, or an empty string if it is alive.
+func (m *Runner) expiryReason(s *entrySession) string {
+	switch {
+	case m.now.Sub(s.lastHeard) > s.ttl(m):
+		return "no message from the entry for " + m.now.Sub(s.lastHeard).String()
+	case s.echoed.Run == m.clockIncarnation && m.clock-s.echoed.Clock > m.opts.SessionTTL:
+		return "echoed clock reading is " + (m.clock - s.echoed.Clock).String() + " old by the server's clock"
+	}
+	return ""
+}
+
 // leaseExpired reports whether every lease that this agent has requested has
 // certainly expired and its tasks have been stopped. No lease ends later than
 // Options.Lease after the newest clock reading.
@@ -209,6 +223,12 @@
 	}
 }
 
+// Config returns the newest version of the configuration that the agent has.
+func (m *Runner) Config() session.Config { return m.config }
+
+// ConfigOutdated reports whether an entry has a newer version of the configuration.
+func (m *Runner) ConfigOutdated() bool { return m.newestConfig > m.config.Version }
+
 func (m *Runner) updateConfig(c session.Config) {
 	if c.Version > m.config.Version {
 		m.config = c
