Agents that restart are dialed at once; resubmissions are queued behind fresh jobs

Ruled out: missing announcements (the store had the agents' records by then).

Change: a dial lasts 200 ms at most and is aborted when the store or the agent announces a new incarnation; agents announce themselves as soon as they find entries. The patience of a caller, its timeout beyond twice the objective against the longest of its queue, tells that it has waited before; such jobs are planned to end while their answer is useful, and agents start them after those that can still meet their objective.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -14,6 +14,7 @@
 	arrived        time.Time
 	deadline       time.Time // when the caller stops waiting, or the answer is no longer useful
 	objective      time.Time // latency objective: when it should end
+	target         time.Time // planned end: the objective, or later if the caller has waited before
 	calls          []CallID
 	tasks          []task
 	unfinished     int            // tasks not done
@@ -70,6 +71,10 @@
 	if !d.leaveDeadline.IsZero() {
 		j.limitDeadline(d.leaveDeadline)
 	}
+	j.target = j.objective
+	if d.patience.hasWaited(j.Queue.Name, j.Timeout, objective) {
+		j.target = d.latestUsefulEnd(j)
+	}
 	plan, err := d.planNew(j)
 	held := err != nil && d.mayHold(j, err)
 	if err != nil && !held {
--- /dev/null
+++ b/dispatch/patience.go
@@ -0,0 +1,43 @@
+package dispatch
+
+import "time"
+
+// A caller whose request broke off submits its job again, with the rest of its
+// timeout. When entries restart, such resubmissions come together with the usual
+// load, and there is not enough capacity for both at once. Those of callers that
+// have already waited past their objective are planned to end while their answer is
+// useful and are queued behind the jobs that can still meet theirs (deadline
+// scheduling with the age of the request taken into account).
+
+const (
+	// patienceLoss is the share of the longest patience seen in a queue, plus the
+	// objective of the job, by which the patience of a caller must be shorter for
+	// the caller to be assumed to have waited before. Fresh timeouts of one queue
+	// differ by up to a third, those of long jobs more, because estimates of run
+	// times are inexact; a resubmission has lost more than a second.
+	patienceLoss = 0.4
+	// patienceDecay is the factor by which the longest patience decays with each
+	// job, so that a changed timeout of the callers is learned.
+	patienceDecay = 0.999
+	// maxPatienceQueues bounds the queues whose patience is kept.
+	maxPatienceQueues = 4096
+)
+
+// patience is how long the callers of a queue wait beyond twice the objective of a
+// job.
+type patience map[string]time.Duration // longest seen, by the name of the queue
+
+// hasWaited records the timeout of a new job and reports whether its caller has
+// already waited for an earlier submission of it.
+func (p patience) hasWaited(queue string, timeout, objective time.Duration) bool {
+	if timeout <= 0 {
+		return false
+	}
+	if len(p) >= maxPatienceQueues {
+		clear(p)
+	}
+	patience := timeout - 2*objective
+	longest := max(time.Duration(patienceDecay*float64(p[queue])), patience)
+	p[queue] = longest
+	return longest-patience > objective+time.Duration(patienceLoss*float64(longest))
+}
--- /dev/null
+++ b/dispatch/patience_test.go
@@ -0,0 +1,79 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/dispatch"
+	"github.com/chestnuthollow/chestnuthollow/session"
+)
+
+// startWithin submits a job of one task with the given timeout and returns the time
+// within which the agent must start it.
+func (h *harness) startWithin(name string, estimate, timeout time.Duration) time.Duration {
+	h.call++
+	h.step(dispatch.SubmitCalled{Call: h.call, Job: dispatch.Job{
+		Name: name, Queue: queue(), Tasks: 1, CPU: 6000, MemMB: 1, Estimate: estimate, Timeout: timeout,
+	}})
+	orders := effects[dispatch.Order](h)
+	h.Expect(orders).To(HaveLen(1))
+	return orders[0].Start[0].StartWithin
+}
+
+func objectiveOf(estimate time.Duration) time.Duration {
+	q := queue()
+	return q.Objective(estimate)
+}
+
+// Overload after a restart: callers whose requests broke off submit their jobs again
+// together with the usual load. Their objective has passed, so they are queued behind
+// jobs that can still meet theirs, and still end while their answer is useful.
+func TestResubmissionsAreQueuedBehindFreshJobs(t *testing.T) {
+	h := newHarness(t)
+	h.agent(1, idle)
+	const estimate = 100 * time.Millisecond
+	objective := objectiveOf(estimate)
+	fresh := h.startWithin("fresh", estimate, 2900*time.Millisecond)
+	h.Expect(fresh).To(BeNumerically("<", objective))
+
+	again := h.startWithin("again", estimate, 1300*time.Millisecond)
+	h.Expect(again).To(BeNumerically(">", objective))
+	h.Expect(again).To(BeNumerically("<", 3*objective))
+}
+
+// Timeouts of fresh submissions differ by up to a third, and those of long jobs by
+// more.
+func TestFreshTimeoutsAreNotTakenForResubmissions(t *testing.T) {
+	h := newHarness(t)
+	h.agent(1, serverState{capacity: 1_000_000, free: 1_000_000, slowness: 1000})
+	short, long := 100*time.Millisecond, 900*time.Millisecond
+	for _, timeout := range []time.Duration{2900, 2000, 2300, 2050} {
+		h.Expect(h.startWithin(timeout.String(), short, timeout*time.Millisecond)).To(BeNumerically("<", objectiveOf(short)))
+	}
+	for _, timeout := range []time.Duration{7800, 4900, 4800} {
+		h.Expect(h.startWithin("long"+timeout.String(), long, timeout*time.Millisecond)).To(BeNumerically("<", objectiveOf(long)))
+	}
+}
+
+// A burst of twice the capacity, half of it resubmissions: no fresh job is late
+// because of them.
+func TestFreshJobsMeetObjectiveDuringResubmissions(t *testing.T) {
+	h := newHarness(t)
+	busy := serverState{capacity: 20_000, free: 0, slowness: 1000, running: []session.RunningTask{{CPU: 20_000, Ms: 40}}}
+	h.agent(1, busy)
+	h.startWithin("first", 60*time.Millisecond, 2900*time.Millisecond)
+	// The state of an agent whose queue is filled with resubmissions.
+	for range 3 {
+		busy.queue = append(busy.queue, session.QueuedTask{CPU: 20_000, Ms: 60, StartWithin: 400})
+	}
+	h.poll(1, busy)
+	h.call++
+	h.step(dispatch.SubmitCalled{Call: h.call, Job: dispatch.Job{
+		Name: "fresh", Queue: queue(), Tasks: 1, CPU: 6000, MemMB: 1, Estimate: 60 * time.Millisecond, Timeout: 2900 * time.Millisecond,
+	}})
+	counts, _ := h.placed()
+	h.Expect(counts).To(Equal(map[dispatch.SessionID]int{1: 1}))
+	h.Expect(effects[dispatch.Order](h)[0].Start[0].StartWithin).To(BeNumerically("<", 100*time.Millisecond), "ahead of the resubmissions")
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -66,7 +66,7 @@
 	}
 	plan := make([]assignment, 0, len(tasks))
 	for _, index := range tasks {
-		best, finish := pickCandidate(candidates, j, j.objective.Sub(d.now))
+		best, finish := pickCandidate(candidates, j, j.target.Sub(d.now))
 		if best == nil {
 			return nil, structs.Errorf(structs.CodeOverloaded, structs.NotRun, "no server can take another task of %d thousandths of a core", j.CPU).
 				WithRetryAfter(d.retryAfter(j))
@@ -189,7 +189,7 @@
 		}
 		runTime := d.expectedRunTime(a, j.Estimate)
 		c := &candidate{
-			agent: a, timeline: d.capacityTimeline(a, d.queuedAhead(a, j.objective.Sub(d.now))), runTime: runTime, overhead: hopOverhead,
+			agent: a, timeline: d.capacityTimeline(a, d.queuedAhead(a, j.target.Sub(d.now))), runTime: runTime, overhead: hopOverhead,
 			jobTasks: d.tasksAt(j, a), sameZone: a.zone == d.opts.Zone, freeShare: a.unreservedShare(),
 		}
 		if !c.sameZone {
@@ -239,7 +239,7 @@
 	return false
 }
 
-// completionLimit returns by when the planned tasks must end: by the objective if
+// completionLimit returns by when the planned tasks must end: by the job's target if
 // they can, else while the answer is useful, else by the job's deadline. Agents
 // start queued tasks in the order of the latest starts that follow from it.
 func (d *Dispatcher) completionLimit(j *job, plan []assignment) time.Time {
@@ -247,7 +247,7 @@
 	for _, as := range plan {
 		last = max(last, as.finish)
 	}
-	for _, limit := range []time.Time{j.objective, d.latestUsefulEnd(j)} {
+	for _, limit := range []time.Time{j.target, d.latestUsefulEnd(j)} {
 		if !d.now.Add(last).After(limit) {
 			return limit
 		}
@@ -305,6 +305,7 @@
 		last = max(last, as.finish)
 	}
 	d.emit(LogEvent{Event: event, Job: j.Name, Queue: j.Queue.Name,
-		Detail: fmt.Sprintf("tasks=%d cpu=%d estimate_ms=%d expected_ms=%d objective_ms=%d deadline_ms=%d to=%s", j.Tasks, j.CPU,
-			j.Estimate.Milliseconds(), last.Milliseconds(), j.objective.Sub(j.arrived).Milliseconds(), j.deadline.Sub(j.arrived).Milliseconds(), to.String())})
+		Detail: fmt.Sprintf("tasks=%d cpu=%d estimate_ms=%d expected_ms=%d objective_ms=%d target_ms=%d deadline_ms=%d to=%s", j.Tasks, j.CPU,
+			j.Estimate.Milliseconds(), last.Milliseconds(), j.objective.Sub(j.arrived).Milliseconds(),
+			j.target.Sub(j.arrived).Milliseconds(), j.deadline.Sub(j.arrived).Milliseconds(), to.String())})
 }
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -101,6 +101,7 @@
 // HandleRecords implements keyedlog.Handler.
 func (h *membersHandler) HandleRecords(records []keyedlog.Record) {
 	g := h.gateway
+	var restarted []string // addresses of agents with a new incarnation
 	for _, r := range records {
 		var p session.Process
 		if err := json.Unmarshal(r.Value, &p); err != nil {
@@ -110,11 +111,17 @@
 		if p.Role != session.RoleAgent {
 			continue
 		}
+		if g.members.Replaces(p) {
+			restarted = append(restarted, p.Addr)
+		}
 		if g.members.Add(time.Now(), p) {
 			level.Info(g.logger).Log("event", "member_found", "agent", p.Name, "addr", p.Addr, "offset", r.Offset)
 		}
 	}
 	g.updateSubset()
+	for _, addr := range restarted {
+		g.redialAgent(addr)
+	}
 }
 
 // StoreUnavailable implements keyedlog.Handler.
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -19,8 +19,10 @@
 
 const (
 	// dialTimeout bounds connecting to an agent in any availability zone of the
-	// region.
-	dialTimeout = 500 * time.Millisecond
+	// region, some ms. It is short because an instance without power does not
+	// refuse the connection, and the kernel repeats a lost packet only after a
+	// second.
+	dialTimeout = 200 * time.Millisecond
 	// helloTimeout bounds opening a session. The agent may first have to wait for
 	// the end of tasks of an earlier session, which takes up to the duration of a
 	// lease, at most a second.
@@ -31,7 +33,7 @@
 	pollTimeout = 550 * time.Millisecond
 	// connectRetryMax bounds the delay between attempts to open a session. An agent
 	// that has restarted is in session again after about this time.
-	connectRetryMax = 500 * time.Millisecond
+	connectRetryMax = 300 * time.Millisecond
 	// orderQueueSize bounds the orders queued for one agent, and the replies not
 	// yet processed.
 	orderQueueSize = 1024
@@ -45,7 +47,8 @@
 	addr      string
 	redial    chan struct{} // signals that the agent has announced itself: dial without delay
 	cancel    context.CancelFunc
-	sessionID atomic.Uint64 // of the open session; zero if there is none
+	abortDial atomic.Pointer[context.CancelFunc] // of the dial in progress; nil if there is none
+	sessionID atomic.Uint64                      // of the open session; zero if there is none
 
 	// unusableSince is since when the agent could not be reached or was not ready,
 	// in Unix nanoseconds; zero while it is usable or has not been tried.
@@ -79,7 +82,8 @@
 }
 
 // redialAgent makes the connector of the address dial without delay if it has no
-// open session.
+// open session. A dial in progress is aborted: its packets may have been sent while
+// the instance had no power.
 func (g *Gateway) redialAgent(addr string) {
 	g.connectorsMu.Lock()
 	c := g.connectors[addr]
@@ -91,6 +95,18 @@
 	case c.redial <- struct{}{}:
 	default:
 	}
+	if abort := c.abortDial.Load(); abort != nil {
+		(*abort)()
+	}
+}
+
+// dial connects to the agent.
+func (c *agentConnector) dial(ctx context.Context) (*rpc.Client, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	c.abortDial.Store(&cancel)
+	defer c.abortDial.Store(nil)
+	return rpcconn.DialContext(ctx, c.addr)
 }
 
 // run opens one session after another until ctx ends, because the process stops or
@@ -132,7 +148,7 @@
 // session was opened.
 func (c *agentConnector) runSession(ctx context.Context) (bool, error) {
 	g := c.gateway
-	client, err := rpcconn.Dial(c.addr, dialTimeout)
+	client, err := c.dial(ctx)
 	if err != nil {
 		return false, err
 	}
--- a/internal/rpcconn/rpcconn.go
+++ b/internal/rpcconn/rpcconn.go
@@ -4,6 +4,7 @@
 package rpcconn
 
 import (
+	"context"
 	"net"
 	"net/rpc"
 	"sync/atomic"
@@ -53,7 +54,16 @@
 
 // Dial connects to addr; timeout limits the time to connect.
 func Dial(addr string, timeout time.Duration) (*rpc.Client, error) {
-	c, err := net.DialTimeout("tcp", addr, timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return DialContext(ctx, addr)
+}
+
+// DialContext connects to addr until ctx ends, which has no effect on the
+// connection afterwards.
+func DialContext(ctx context.Context, addr string) (*rpc.Client, error) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -62,6 +62,15 @@
 	return added
 }
 
+// Replaces reports whether another incarnation than that of p is known at its
+// address.
+func (t *Table) Replaces(p session.Process) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	mem := t.members[p.Addr]
+	return mem != nil && p.Incarnation != 0 && p.Incarnation != mem.process.Incarnation
+}
+
 // AddSeeds adds entries of which only the addresses are known.
 func (t *Table) AddSeeds(now time.Time, addrs []string) {
 	for _, addr := range addrs {
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -78,3 +78,17 @@
 	g.Expect(table.MarkUnreachable(now.Add(120*time.Second), "10.0.0.10:1")).To(BeTrue())
 	g.Expect(table.List(session.RoleAgent)).To(BeEmpty())
 }
+
+// An entry dials an agent again without delay when the store announces a new
+// incarnation of it.
+func TestReplacesReportsNewIncarnations(t *testing.T) {
+	g := NewWithT(t)
+	table, _ := entryPair(1)
+	p := process(session.RoleAgent, 10)
+	g.Expect(table.Replaces(p)).To(BeFalse())
+	p.Incarnation++
+	g.Expect(table.Replaces(p)).To(BeTrue())
+	table.Add(now, p)
+	g.Expect(table.Replaces(p)).To(BeFalse())
+	g.Expect(table.Replaces(process(session.RoleAgent, 11))).To(BeFalse(), "its address is not known")
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -13,7 +13,6 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/chestnuthollow/chestnuthollow/internal/ctxsleep"
 	"github.com/chestnuthollow/chestnuthollow/internal/instance"
 	"github.com/chestnuthollow/chestnuthollow/internal/ops"
 	"github.com/chestnuthollow/chestnuthollow/internal/randid"
@@ -72,6 +71,8 @@
 	drained    chan struct{}
 	// serverChanged signals announce that the record has to be updated.
 	serverChanged chan struct{}
+	// entriesFound signals exchangeLoop that there are entries to announce to.
+	entriesFound chan struct{}
 
 	mu          sync.Mutex
 	runner      *taskrunner.Runner
@@ -91,6 +92,7 @@
 		members:       membership.New(opts.PeerAddr),
 		drained:       make(chan struct{}),
 		serverChanged: make(chan struct{}, 1),
+		entriesFound:  make(chan struct{}, 1),
 		calls:         make(map[taskrunner.CallID]chan any),
 		conns:         make(map[uint64]context.Context),
 	}
@@ -180,7 +182,13 @@
 		for _, p := range targets {
 			go s.exchangeWith(p)
 		}
-		ctxsleep.For(s.background, exchangeInterval)
+		timer := time.NewTimer(exchangeInterval)
+		select {
+		case <-timer.C:
+		case <-s.entriesFound:
+		case <-s.background.Done():
+		}
+		timer.Stop()
 	}
 }
 
@@ -236,7 +244,12 @@
 		return
 	}
 	s.members.MarkReachable(now, p.Addr)
-	s.members.Add(now, reply.Known...)
+	if s.members.Add(now, reply.Known...) {
+		select {
+		case s.entriesFound <- struct{}{}:
+		default: // exchangeLoop has already been signaled
+		}
+	}
 	s.step(taskrunner.ConfigReceived{Config: reply.Config})
 }
 
