--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -61,8 +61,7 @@
 func (d *Dispatcher) plan(j *job, tasks []int, latest time.Time) ([]assignment, *structs.Error) {
 	candidates := d.candidates(j, tasks)
 	if len(candidates) == 0 {
-		return nil, structs.Errorf(structs.CodeUnavailable, structs.NotRun, "no agent of service %s can run the job now", j.Queue.Service).
-			WithRetryAfter(unavailableRetryAfter)
+		return nil, d.noCandidateError(j)
 	}
 	plan := make([]assignment, 0, len(tasks))
 	for _, index := range tasks {
@@ -85,6 +84,19 @@
 	return plan, nil
 }
 
+// noCandidateError returns why no agent can run the job. The job is unsuitable, and
+// need not be held, if agents of its service are ready and none is large enough or
+// has the required label.
+func (d *Dispatcher) noCandidateError(j *job) *structs.Error {
+	ready := slices.ContainsFunc(d.sortedAgents, func(a *agent) bool { return d.isReady(a) && a.identity.Service == j.Queue.Service })
+	if ready {
+		return structs.Errorf(structs.CodeRejected, structs.NotRun, "no server of service %s has %d thousandths of a core, %d MB, %d GPUs and the label %q",
+			j.Queue.Service, j.CPU, j.MemMB, j.GPU, j.RequiredLabel).WithRetryAfter(unsuitableRetryAfter)
+	}
+	return structs.Errorf(structs.CodeUnavailable, structs.NotRun, "no agent of service %s can run the job now", j.Queue.Service).
+		WithRetryAfter(unavailableRetryAfter)
+}
+
 // planNew plans a job that is not admitted yet. It returns an error if the job is
 // not expected to end while its answer is useful. Unless all its tasks can start
 // at once, it also returns an error if the backlog exceeds maxBacklog, because
@@ -125,6 +137,10 @@
 	return time.Duration(work / cpu * float64(time.Millisecond))
 }
 
+// unsuitableRetryAfter is the retry hint for a job that fits no server: it may only
+// fit after the service was changed.
+const unsuitableRetryAfter = 30 * time.Second
+
 // unavailableRetryAfter is the retry hint while no agent is available: sessions
 // and heartbeats are restored in about two seconds.
 const unavailableRetryAfter = 2 * time.Second
@@ -170,11 +186,22 @@
 	return earliest, earliestFinish
 }
 
+// fits reports whether a task of the job fits an idle server. Agents of earlier
+// builds state the processor capacity only.
+func fits(j *job, id *session.Identity) bool {
+	return j.CPU <= id.Capacity && (id.MemMB == 0 || j.MemMB <= id.MemMB && j.GPU <= id.GPU)
+}
+
+// isReady reports whether an agent accepts tasks by a recent state.
+func (d *Dispatcher) isReady(a *agent) bool {
+	return a.state.Ready && d.now.Sub(a.stateReceivedAt) <= staleAfter
+}
+
 // eligible reports whether an agent is ready by a recent state, and its server is
-// of the job's service, has enough CPU capacity for a task and the required label.
+// of the job's service, is large enough for a task and has the required label.
 func (d *Dispatcher) eligible(a *agent, j *job) bool {
-	return a.state.Ready && d.now.Sub(a.stateReceivedAt) <= staleAfter &&
-		a.identity.Service == j.Queue.Service && j.CPU <= a.identity.Capacity &&
+	return d.isReady(a) &&
+		a.identity.Service == j.Queue.Service && fits(j, &a.identity) &&
 		(j.RequiredLabel == "" || slices.Contains(a.identity.Labels, j.RequiredLabel))
 }
 
--- /dev/null
+++ b/dispatch/unsuitable_test.go
@@ -0,0 +1,49 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/dispatch"
+	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// Admission control: a job that fits no server was held for 300 ms, or tried at one
+// agent after the other, before it was refused.
+func TestJobThatFitsNoServerIsRefusedAtOnce(t *testing.T) {
+	for name, change := range map[string]func(*dispatch.Job){
+		"processor": func(j *dispatch.Job) { j.CPU = 30_000 },
+		"memory":    func(j *dispatch.Job) { j.MemMB = 2000 },
+		"GPUs":      func(j *dispatch.Job) { j.GPU = 1 },
+		"label":     func(j *dispatch.Job) { j.RequiredLabel = "b" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			state := h.state(idle)
+			state.Identity.MemMB, state.Identity.Labels = 1000, []string{"a"}
+			h.step(dispatch.SessionOpened{ID: 1, Agent: "agent-1", Zone: "zone-a", State: state})
+			job := dispatch.Job{Name: "poison", Queue: queue(), Tasks: 2, CPU: 6000, MemMB: 1, Estimate: 60 * time.Millisecond, Timeout: 3 * time.Second}
+			change(&job)
+			h.step(dispatch.SubmitCalled{Call: 1, Job: job})
+			refused := effects[dispatch.Refused](h)
+			h.Expect(refused).To(HaveLen(1))
+			h.Expect(refused[0].Error.Code).To(Equal(structs.CodeRejected))
+			h.Expect(refused[0].Error.Verdict).To(Equal(structs.NotRun))
+			h.Expect(refused[0].Error.RetryAfter).To(BeNumerically(">=", 10*time.Second))
+			h.Expect(effects[dispatch.Order](h)).To(BeEmpty())
+		})
+	}
+}
+
+// An agent of an earlier build states neither memory nor GPUs; it refuses what does
+// not fit itself.
+func TestMemoryOfOlderAgentsIsUnknown(t *testing.T) {
+	h := newHarness(t)
+	h.agent(1, idle)
+	h.step(dispatch.SubmitCalled{Call: 1, Job: dispatch.Job{Name: "j", Queue: queue(), Tasks: 1, CPU: 6000, MemMB: 2000, Estimate: 60 * time.Millisecond}})
+	h.Expect(effects[dispatch.Order](h)).To(HaveLen(1))
+	h.Expect(effects[dispatch.Order](h)[0].Start[0].Tasks).To(Equal([]session.Placement{{ID: 1, Attempt: 1}}))
+}
--- a/session/compat_test.go
+++ b/session/compat_test.go
@@ -57,3 +57,19 @@
 	transcode(g, session.HelloReply{Agent: "a", Config: config, ConfigVersion: 7}, &oldReply)
 	g.Expect(oldReply).To(Equal(oldHelloReply{Agent: "a", Config: config}))
 }
+
+func TestIdentityBetweenOldAndNewBuilds(t *testing.T) {
+	g := NewWithT(t)
+	type oldIdentity struct {
+		Service  string
+		Server   string
+		Labels   []string
+		Capacity int
+	}
+	var identity session.Identity
+	transcode(g, oldIdentity{Service: "s", Server: "1", Capacity: 5}, &identity)
+	g.Expect(identity).To(Equal(session.Identity{Service: "s", Server: "1", Capacity: 5}), "memory and GPUs are unknown")
+	var old oldIdentity
+	transcode(g, session.Identity{Service: "s", Server: "1", Capacity: 5, MemMB: 7, GPU: 1}, &old)
+	g.Expect(old).To(Equal(oldIdentity{Service: "s", Server: "1", Capacity: 5}))
+}
--- a/session/messages.go
+++ b/session/messages.go
@@ -185,6 +185,8 @@
 	Server   string // id of the backend server on the platform
 	Labels   []string
 	Capacity int // thousandths of a core
+	MemMB    int // zero if the agent is of an earlier build; GPU is then unknown too
+	GPU      int
 }
 
 // RunningTask is the size and the expected remaining run time of a running task.
--- a/structs/error.go
+++ b/structs/error.go
@@ -15,7 +15,7 @@
 	CodeNotFound         ErrorCode = "not_found"         // no such job or service
 	CodeExpired          ErrorCode = "expired"           // the job is settled and its record dropped, or its id was never used and no longer can be
 	CodeConflict         ErrorCode = "conflict"          // id already in use with other content, or outdated base revision
-	CodeRejected         ErrorCode = "rejected"          // the service's document does not permit the job; it can never run unchanged
+	CodeRejected         ErrorCode = "rejected"          // the service's document does not permit the job, or it fits no server; it cannot run unchanged
 	CodeForbidden        ErrorCode = "forbidden"         // the caller's token does not permit the request
 	CodeQuota            ErrorCode = "quota"             // a quota of the team or a rate limit of the service is exceeded
 	CodeOverloaded       ErrorCode = "overloaded"        // no capacity at present
--- a/taskrunner/session.go
+++ b/taskrunner/session.go
@@ -433,7 +433,7 @@
 	}
 	if id := (serverIdentity{m.server.Incarnation, m.server.ID}); !s.identitySent || s.sentIdentity != id {
 		s.identitySent, s.sentIdentity = true, id
-		st.Identity = &session.Identity{Service: m.server.Service, Server: m.server.ID, Labels: m.server.Labels, Capacity: m.server.CPU}
+		st.Identity = &session.Identity{Service: m.server.Service, Server: m.server.ID, Labels: m.server.Labels, Capacity: m.server.CPU, MemMB: m.server.MemMB, GPU: m.server.GPU}
 	}
 	st.Running = m.runningTasks()
 	for _, r := range m.queue {
