A starting entry holds jobs that cannot start at once

Change: late binding. For HoldTimeout after its start an entry places jobs that can start at once and holds the others until more agents join, or to the end of that time; refusals for overload wait in the same way.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -76,19 +76,21 @@
 		j.target = d.latestUsefulEnd(j)
 	}
 	plan, err := d.planNew(j)
-	held := err != nil && d.mayHold(j, err)
-	if err != nil && !held {
+	if err != nil && !d.mayHold(j, err) {
 		d.refuse(j, e.Call, err)
 		return
 	}
 	j.calls = []CallID{e.Call}
 	d.calls[e.Call] = j
 	d.jobs[j.Name] = j
-	if held {
-		d.hold(j, err)
-		return
+	switch {
+	case err != nil:
+		d.hold(j, err.Message, d.holdDeadline(j.Queue.Service))
+	case d.awaitsAgents(plan):
+		d.hold(j, "more agents are expected", d.opts.Started.Add(HoldTimeout))
+	default:
+		d.admit(j, plan)
 	}
-	d.admit(j, plan)
 }
 
 // latestUsefulEnd returns by when a job must be expected to end to be admitted:
@@ -322,7 +324,7 @@
 	}
 	plan, err := d.plan(j, []int{p.index}, j.deadline)
 	if err != nil && d.mayHold(j, err) {
-		d.hold(j, err)
+		d.hold(j, err.Message, d.holdDeadline(j.Queue.Service))
 		return
 	}
 	if err != nil {
