Exchanges name the version of the configuration; its text is fetched from one process, compressed

Links of 19 Mbit/s were full, so that neither a copy nor the store's own record arrived in time, and the entry went on asking.

Change: ExchangeRequest.OmitConfig, ExchangeReply.ConfigVersion; the text is fetched from one process at a time, gzip if the sender accepts it (new gob fields, old builds get the text as before).

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -12,12 +12,13 @@
 
 	"github.com/chestnuthollow/chestnuthollow/dispatch"
 	"github.com/chestnuthollow/chestnuthollow/keyedlog"
+	"github.com/chestnuthollow/chestnuthollow/membership"
 	"github.com/chestnuthollow/chestnuthollow/routing"
 	"github.com/chestnuthollow/chestnuthollow/session"
 )
 
-// configFetchTimeout bounds reading the configuration from an agent: 256 KB at
-// 20 Mbit/s take 100 ms.
+// configFetchTimeout bounds reading the configuration from an agent. Compressed it
+// takes some ms at 20 Mbit/s.
 const configFetchTimeout = 500 * time.Millisecond
 
 // configuration holds the newest known version of the operators' configuration.
@@ -28,8 +29,9 @@
 	// changed signals copyConfig that a new version is in force.
 	changed chan struct{}
 
-	mu      sync.Mutex
-	current session.Config
+	mu         sync.Mutex
+	current    session.Config
+	compressed session.Config // the same, empty until it is first needed
 }
 
 func newConfiguration() configuration {
@@ -43,6 +45,24 @@
 	return c.current
 }
 
+// encoded returns the configuration as sent to another process, compressed if it
+// accepts that.
+func (c *configuration) encoded(acceptGzip bool) (session.Config, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !acceptGzip {
+		return c.current, nil
+	}
+	if c.compressed.Version != c.current.Version {
+		compressed, err := c.current.Compress()
+		if err != nil {
+			return session.Config{}, err
+		}
+		c.compressed = compressed
+	}
+	return c.compressed, nil
+}
+
 // AwaitTable returns the configuration in force. If there is none yet, it waits
 // until the entry has been running for dispatch.HoldTimeout, which is also how long
 // jobs are held for agents, and returns nil if none has arrived by then.
@@ -91,22 +111,50 @@
 	}
 }
 
-// fetchConfig gets the configuration from an agent that has a newer version, unless
-// another source provides it first. Only one agent at a time is asked: after a loss
-// of all entries every agent has it, and the copies would delay the polls of the
-// sessions on a slow link.
-func (g *Gateway) fetchConfig(client *rpc.Client, agent string, version int64) {
-	g.configFetch.Lock()
-	defer g.configFetch.Unlock()
+// fetchConfig gets the configuration by the given call from a process that has a
+// newer version, unless another source provides it first. The caller holds
+// g.configFetch, so that only one process at a time is asked: after a loss of all
+// entries every agent has it, and while the store is away every peer, and the copies
+// would fill the link of a small entry.
+func (g *Gateway) fetchConfig(source string, version int64, call func() (session.Config, error)) {
 	if g.config.raw().Version >= version {
 		return
 	}
-	var reply session.ConfigReply
-	if err := callWithTimeout(client, "Config", &session.ConfigRequest{}, &reply, configFetchTimeout); err != nil {
-		level.Warn(g.logger).Log("event", "config_unread", "agent", agent, "version", version, "reason", err)
+	cfg, err := call()
+	if err == nil {
+		cfg, err = cfg.Decompress()
+	}
+	if err != nil {
+		level.Warn(g.logger).Log("event", "config_unread", "source", source, "version", version, "reason", err)
+		return
+	}
+	g.updateConfig(cfg, source)
+}
+
+// fetchConfigFromAgent gets the configuration in a session with an agent.
+func (g *Gateway) fetchConfigFromAgent(client *rpc.Client, agent string, version int64) {
+	g.configFetch.Lock()
+	defer g.configFetch.Unlock()
+	g.fetchConfig("agent "+agent, version, func() (session.Config, error) {
+		var reply session.ConfigReply
+		err := callWithTimeout(client, "Config", &session.ConfigRequest{AcceptGzip: true}, &reply, configFetchTimeout)
+		return reply.Config, err
+	})
+}
+
+// fetchConfigFromPeer gets the configuration from another entry. If another process
+// is being asked, it leaves it to a later exchange.
+func (g *Gateway) fetchConfigFromPeer(p session.Process, version int64) {
+	if !g.configFetch.TryLock() {
 		return
 	}
-	g.updateConfig(reply.Config, "agent "+agent)
+	defer g.configFetch.Unlock()
+	g.fetchConfig("peer "+p.Name, version, func() (session.Config, error) {
+		reply, err := membership.Exchange(p.Addr, session.ExchangeRequest{
+			From: g.self, ConfigVersion: g.config.raw().Version, Digest: g.members.Digest(), AcceptGzip: true,
+		})
+		return reply.Config, err
+	})
 }
 
 func (g *Gateway) followConfig() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,7 +71,7 @@
 	connectors   map[string]*agentConnector // by the address of the agent
 	widening     float64                    // factor of the size of the subset, at least one
 
-	configFetch sync.Mutex // held while an agent is asked for the configuration
+	configFetch sync.Mutex // held while another process is asked for the configuration
 
 	mu          sync.Mutex
 	dispatcher  *dispatch.Dispatcher
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -51,9 +51,16 @@
 		g.redialAgent(req.From.Addr)
 	}
 	reply.Known = g.members.ProcessesFor(g.self, req)
-	if raw := g.config.raw(); raw.Version > req.ConfigVersion {
-		reply.Config = raw
+	reply.ConfigVersion = g.config.raw().Version
+	if req.OmitConfig || reply.ConfigVersion <= req.ConfigVersion {
+		return nil
 	}
+	cfg, err := g.config.encoded(req.AcceptGzip)
+	if err != nil {
+		level.Warn(g.logger).Log("event", "config_not_sent", "to", req.From.Name, "reason", err)
+		return err
+	}
+	reply.Config = cfg
 	return nil
 }
 
@@ -78,7 +85,7 @@
 
 func (g *Gateway) exchangeWith(p session.Process) {
 	reply, err := membership.Exchange(p.Addr, session.ExchangeRequest{
-		From: g.self, ConfigVersion: g.config.raw().Version, Digest: g.members.Digest(),
+		From: g.self, ConfigVersion: g.config.raw().Version, Digest: g.members.Digest(), OmitConfig: true,
 	})
 	if err != nil {
 		if g.members.MarkUnreachable(time.Now(), p.Addr) {
@@ -89,7 +96,10 @@
 	now := time.Now()
 	g.members.MarkReachable(now, p.Addr)
 	g.members.Add(now, reply.Known...)
-	g.updateConfig(reply.Config, "peer "+p.Name)
+	g.updateConfig(reply.Config, "peer "+p.Name) // of an entry of an earlier build
+	if reply.ConfigVersion > g.config.raw().Version {
+		g.fetchConfigFromPeer(p, reply.ConfigVersion)
+	}
 	g.updateSubset()
 }
 
--- /dev/null
+++ b/session/compress.go
@@ -0,0 +1,50 @@
+package session
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"io"
+)
+
+// maxConfigBytes bounds the text of a configuration, in bytes. It is four times the
+// platform's limit for a record.
+const maxConfigBytes = 1 << 20
+
+// Compress returns the configuration with its text compressed. A configuration of
+// thousands of queues is ten times smaller then, which matters on the links of small
+// entries.
+func (c Config) Compress() (Config, error) {
+	if len(c.Text) == 0 {
+		return c, nil
+	}
+	var buf bytes.Buffer
+	w := gzip.NewWriter(&buf)
+	if _, err := w.Write(c.Text); err != nil {
+		return Config{}, fmt.Errorf("compress configuration %d: %w", c.Version, err)
+	}
+	if err := w.Close(); err != nil {
+		return Config{}, fmt.Errorf("compress configuration %d: %w", c.Version, err)
+	}
+	return Config{Version: c.Version, Gzip: buf.Bytes()}, nil
+}
+
+// Decompress returns the configuration with its text, whether or not it was
+// compressed.
+func (c Config) Decompress() (Config, error) {
+	if len(c.Gzip) == 0 {
+		return c, nil
+	}
+	r, err := gzip.NewReader(bytes.NewReader(c.Gzip))
+	if err != nil {
+		return Config{}, fmt.Errorf("decompress configuration %d: %w", c.Version, err)
+	}
+	text, err := io.ReadAll(io.LimitReader(r, maxConfigBytes+1))
+	if err != nil {
+		return Config{}, fmt.Errorf("decompress configuration %d: %w", c.Version, err)
+	}
+	if len(text) > maxConfigBytes {
+		return Config{}, fmt.Errorf("decompress configuration %d: text exceeds %d bytes", c.Version, maxConfigBytes)
+	}
+	return Config{Version: c.Version, Text: text}, nil
+}
--- /dev/null
+++ b/session/compress_test.go
@@ -0,0 +1,35 @@
+package session_test
+
+import (
+	"bytes"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/session"
+)
+
+func TestConfigIsTheSameAfterCompression(t *testing.T) {
+	g := NewWithT(t)
+	cfg := session.Config{Version: 3, Text: bytes.Repeat([]byte("text "), 1000)}
+	compressed, err := cfg.Compress()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(compressed.Text).To(BeEmpty())
+	g.Expect(compressed.Decompress()).To(Equal(cfg))
+	g.Expect(cfg.Decompress()).To(Equal(cfg), "not compressed")
+	g.Expect(session.Config{}.Compress()).To(Equal(session.Config{}))
+}
+
+// A malformed or oversized text must not be used, nor take the memory of the process.
+func TestMalformedCompressedConfigIsAnError(t *testing.T) {
+	g := NewWithT(t)
+	_, err := session.Config{Version: 3, Gzip: []byte("no gzip")}.Decompress()
+	g.Expect(err).To(HaveOccurred())
+	huge, err := session.Config{Version: 3, Text: make([]byte, 8<<20)}.Compress()
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = huge.Decompress()
+	g.Expect(err).To(MatchError(ContainSubstring("exceeds")))
+	cut := session.Config{Version: 3, Gzip: huge.Gzip[:len(huge.Gzip)/2]}
+	_, err = cut.Decompress()
+	g.Expect(err).To(HaveOccurred())
+}
--- a/session/messages.go
+++ b/session/messages.go
@@ -48,7 +48,9 @@
 }
 
 // ConfigRequest asks an agent for its version of the configuration (Agent.Config).
-type ConfigRequest struct{}
+type ConfigRequest struct {
+	AcceptGzip bool
+}
 
 // ConfigReply answers a ConfigRequest.
 type ConfigReply struct {
@@ -60,6 +62,9 @@
 type Config struct {
 	Version int64
 	Text    []byte
+	// Gzip is set instead of Text in replies to requests that accept it, see
+	// Compress.
+	Gzip []byte
 }
 
 // OrderRequest starts and stops tasks (Agent.Order).
@@ -211,15 +216,20 @@
 	ConfigVersion int64
 	// Digest is a hash of the set of processes that the sender knows; zero if the
 	// sender is not an entry.
-	Digest uint64
+	Digest     uint64
+	OmitConfig bool // ExchangeReply.Config is not wanted
+	AcceptGzip bool
 }
 
 // ExchangeReply answers an ExchangeRequest.
 type ExchangeReply struct {
 	// Known contains the processes that the entry knows: only entries if the
 	// sender of the request is an agent, and none if the digests are equal.
-	Known  []Process
-	Config Config // only if newer than the sender's
+	Known []Process
+	// Config is set only if it is newer than the sender's and the request does not
+	// omit it. ConfigVersion is always set; entries of earlier builds leave it zero.
+	Config        Config
+	ConfigVersion int64
 }
 
 // Process is a process of the system with the address at which others reach it.
--- a/sidecar/receiver.go
+++ b/sidecar/receiver.go
@@ -53,11 +53,16 @@
 }
 
 // Config returns the agent's version of the configuration.
-func (r *receiver) Config(_ *session.ConfigRequest, reply *session.ConfigReply) error {
+func (r *receiver) Config(req *session.ConfigRequest, reply *session.ConfigReply) error {
 	r.sidecar.mu.Lock()
-	defer r.sidecar.mu.Unlock()
 	reply.Config = r.sidecar.runner.Config()
-	return nil
+	r.sidecar.mu.Unlock()
+	if !req.AcceptGzip {
+		return nil
+	}
+	var err error
+	reply.Config, err = reply.Config.Compress()
+	return err
 }
 
 // call passes an entry's call to the runner and waits for the reply, or until the
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -235,7 +235,7 @@
 }
 
 func (s *Sidecar) exchangeWith(p session.Process) {
-	reply, err := membership.Exchange(p.Addr, session.ExchangeRequest{From: s.self, ConfigVersion: s.configVersion()})
+	reply, err := membership.Exchange(p.Addr, session.ExchangeRequest{From: s.self, ConfigVersion: s.configVersion(), AcceptGzip: true})
 	now := time.Now()
 	if err != nil {
 		if s.members.MarkUnreachable(now, p.Addr) {
@@ -250,7 +250,12 @@
 		default: // exchangeLoop has already been signaled
 		}
 	}
-	s.step(taskrunner.ConfigReceived{Config: reply.Config})
+	cfg, err := reply.Config.Decompress()
+	if err != nil {
+		level.Warn(s.logger).Log("event", "config_unread", "source", "peer "+p.Name, "version", reply.Config.Version, "reason", err)
+		return
+	}
+	s.step(taskrunner.ConfigReceived{Config: cfg})
 }
 
 func (s *Sidecar) connections() int {
