--- a/command/in_force.go
+++ b/command/in_force.go
@@ -36,8 +36,7 @@
 }
 
 // waitInForce waits until every live process has the record in force and returns nil.
-// After timeout it returns the result of the last check. When ctx ends, it returns
-// the processes that the last check found, without the error of that check.
+// After timeout, or when ctx ends, it returns the result of the last check.
 func (s *session) waitInForce(ctx context.Context, rec *structs.DocumentRecord, timeout time.Duration) ([]processRevision, error) {
 	bar := newProgress(s.errOut)
 	defer bar.clear()
@@ -51,8 +50,8 @@
 			return behind, err
 		}
 		bar.show("revision %d: not yet in force at %d processes", rec.Revision, len(behind))
-		if err := sleep(ctx, inForcePollInterval); err != nil {
-			return behind, nil
+		if sleep(ctx, inForcePollInterval) != nil {
+			return behind, err
 		}
 	}
 }
--- a/command/service_test.go
+++ b/command/service_test.go
@@ -1,6 +1,8 @@
 package command_test
 
 import (
+	"bytes"
+	"context"
 	"os"
 	"strings"
 	"testing"
@@ -9,6 +11,8 @@
 	"github.com/google/uuid"
 	. "github.com/onsi/gomega"
 
+	"github.com/chestnuthollow/chestnuthollow/command"
+	"github.com/chestnuthollow/chestnuthollow/internal/exit"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -97,6 +101,21 @@
 	g.Expect(out.Record.Revision).To(Equal(uint64(2)))
 }
 
+// A false report: if the last check had failed when the command was interrupted, it
+// said that the revision was in force everywhere.
+func TestInterruptedApplyWaitDoesNotReportInForce(t *testing.T) {
+	g := NewWithT(t)
+	url := fakeEntry(t, map[string]any{"PUT /v1/services/booking": structs.DocumentRecord{Service: "booking", Revision: 2}}, nil)
+	file := writeFile(t, "booking.toml", "service = \"booking\"\nowner = \"desk\"\n")
+	ctx, cancel := context.WithTimeout(t.Context(), 150*time.Millisecond)
+	defer cancel()
+	var out, errOut bytes.Buffer
+	status := exit.Run(ctx, command.New(strings.NewReader(""), &out, &errOut),
+		[]string{"chestnuthollow", "--entry", url, "service", "apply", "--wait", "--wait-timeout", "1m", file})
+	g.Expect(status).NotTo(BeZero(), out.String())
+	g.Expect(out.String()).NotTo(ContainSubstring("in force everywhere"))
+}
+
 func TestJobCommands(t *testing.T) {
 	g := NewWithT(t)
 	url := startSystem(t).EntryURLs()[0]
