--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -58,6 +58,7 @@
 	}
 	m.log("server_left", "server="+id)
 	m.server.Draining = true
+	m.emit(ServerChanged{Info: m.server})
 	m.dropAllQueued("the backend server has left")
 	m.wakePolls()
 }
--- a/taskrunner/taskrunner_test.go
+++ b/taskrunner/taskrunner_test.go
@@ -548,6 +548,17 @@
 	h.Expect(effects[taskrunner.StartTask](h)).To(BeEmpty())
 }
 
+// The record that a restarted agent reads must say that the server has left: the
+// server still replies for a moment, and its tasks would be lost with it.
+func TestServerThatLeftIsStoredAsDraining(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	h.step(taskrunner.ServerLeft{ID: "server-1"})
+	changed := effects[taskrunner.ServerChanged](h)
+	h.Expect(changed).To(HaveLen(1))
+	h.Expect(changed[0].Info.Draining).To(BeTrue())
+}
+
 func TestStoredDrainingServerStartsNothing(t *testing.T) {
 	h := newHarness(t)
 	h.step(taskrunner.Ticked{})
