--- a/test/platform/system_test.go
+++ b/test/platform/system_test.go
@@ -66,6 +66,7 @@
 	settings  string // path of the settings file
 	jobsAddr  string // of an entry
 	readyAddr string // of an entry
+	opsAddr   string
 	log       *os.File
 
 	mu   sync.Mutex
@@ -187,7 +188,8 @@
 // writeSettings writes the process's settings file and creates its log file.
 func (p *process) writeSettings(roleSettings map[string]any, seeds []string, storeAddr, serverAddr string) {
 	var b strings.Builder
-	fmt.Fprintf(&b, "name = %q\nzone = \"zone-a\"\nregion = \"local\"\nops_addr = %q\ngrace = \"%ds\"\n", p.name, freeAddr(p.sys.t), graceSeconds)
+	p.opsAddr = freeAddr(p.sys.t)
+	fmt.Fprintf(&b, "name = %q\nzone = \"zone-a\"\nregion = \"local\"\nops_addr = %q\ngrace = \"%ds\"\n", p.name, p.opsAddr, graceSeconds)
 	for k, v := range roleSettings {
 		fmt.Fprintf(&b, "%s = %q\n", k, v)
 	}
@@ -233,6 +235,32 @@
 	}()
 }
 
+// readyAgents returns how many agents that accept tasks are in session with the entry.
+func (p *process) readyAgents() int {
+	resp, err := p.sys.client.Get("http://" + p.opsAddr + "/debug/dump")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	var dump struct {
+		State struct {
+			Agents []struct {
+				Ready bool `json:"ready"`
+			} `json:"agents"`
+		} `json:"state"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&dump); err != nil {
+		p.sys.t.Errorf("dump of %s: %v", p.name, err)
+	}
+	n := 0
+	for _, a := range dump.State.Agents {
+		if a.Ready {
+			n++
+		}
+	}
+	return n
+}
+
 // signal sends a signal to the current process, which this test has started.
 func (p *process) signal(sig syscall.Signal) {
 	p.mu.Lock()
