Fair queue: a team that submits one task at a time no longer goes first each time

Cause: the start tag of a team was dropped when its queue became empty, and the next task started at the virtual time, which is the least tag of all. Change: the finish tag is kept while it is ahead of virtual time (start-time fair queueing).

--- a/fairqueue/queue.go
+++ b/fairqueue/queue.go
@@ -5,6 +5,8 @@
 package fairqueue
 
 import (
+	"maps"
+
 	"github.com/chestnuthollow/chestnuthollow/internal/indexheap"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
@@ -17,6 +19,9 @@
 	teams       map[string]*team[T] // those with queued tasks
 	jobs        map[structs.JobID]*job[T]
 	teamWeights map[string]float64 // those set by SetWeight
+	// finishTags holds, for teams without queued tasks, the tag at which the last
+	// task of the team is finished, while it is ahead of virtualTime.
+	finishTags map[string]float64
 	// activeWeight is the sum of the weights of the teams with queued tasks.
 	activeWeight float64
 	active       *indexheap.Heap[*team[T]] // lowest start tag first
@@ -29,6 +34,7 @@
 		teams:       make(map[string]*team[T]),
 		jobs:        make(map[structs.JobID]*job[T]),
 		teamWeights: make(map[string]float64),
+		finishTags:  make(map[string]float64),
 		active: indexheap.New(
 			func(a, b *team[T]) bool { return a.startTag < b.startTag },
 			func(t *team[T]) *indexheap.Index { return &t.activeIndex },
@@ -178,13 +184,14 @@
 }
 
 // activate returns the team and the job, created if they have no queued tasks. A
-// new team starts at the current virtual time, so that a team gains no credit
-// for the time it was idle. The start tag that the team had when its queue became
-// empty is not kept.
+// team that returns starts at the current virtual time, so that it gains no credit
+// for the time it was idle, but not before the finish of its last task (start-time
+// fair queueing).
 func (q *Queue[T]) activate(name string, id structs.JobID) (*team[T], *job[T]) {
 	t := q.teams[name]
 	if t == nil {
-		t = newTeam[T](name, q.virtualTime)
+		t = newTeam[T](name, max(q.virtualTime, q.finishTags[name]))
+		delete(q.finishTags, name)
 		q.teams[name] = t
 		q.activeWeight += q.weightOf(name)
 		q.active.Set(t)
@@ -205,7 +212,19 @@
 		q.active.Remove(t)
 		q.activeWeight -= q.weightOf(t.name)
 		delete(q.teams, t.name)
+		q.keepFinishTag(t)
+	}
+}
+
+// keepFinishTag keeps the finish tag of a team that has no queued tasks left, and
+// drops those that virtual time has passed. When no task is queued, nobody is ahead.
+func (q *Queue[T]) keepFinishTag(t *team[T]) {
+	if q.length == 0 {
+		clear(q.finishTags)
+		return
 	}
+	maps.DeleteFunc(q.finishTags, func(_ string, tag float64) bool { return tag <= q.virtualTime })
+	q.finishTags[t.name] = t.startTag
 }
 
 // EstimateBacklog estimates how many tasks are served until a new job of n tasks
--- a/fairqueue/queue_test.go
+++ b/fairqueue/queue_test.go
@@ -103,6 +103,25 @@
 	g.Expect(count["a"]).To(BeNumerically("~", 50, 1))
 }
 
+// A team that submits its next task whenever the last one has been served must not
+// precede a team with queued tasks each time: it had 400 turns of 400.
+func TestTeamThatSubmitsOneTaskAtATimeGetsItsShare(t *testing.T) {
+	g := NewWithT(t)
+	q := fairqueue.New[task](2000)
+	push(q, "queued", 1, 400)
+	served := make(map[string]int)
+	for n := range 400 {
+		push(q, "single", uint64(n+2), 1)
+		got, ok := q.Pop()
+		g.Expect(ok).To(BeTrue())
+		served[got.team]++
+		if got.team == "queued" { // the single task of the other team is still queued
+			q.RemoveJob(jobID(uint64(n + 2)))
+		}
+	}
+	g.Expect(served["queued"]).To(BeNumerically("~", 200, 2))
+}
+
 func TestEstimateBacklog(t *testing.T) {
 	g := NewWithT(t)
 	q := fairqueue.New[task](10000)
