--- a/taskrunner/dump.go
+++ b/taskrunner/dump.go
@@ -26,6 +26,7 @@
 	Open          bool   `json:"open"`
 	HeardAgeMs    int64  `json:"heard_age_ms"`   // time since the last message
 	UnseenReports int    `json:"unseen_reports"` // reports not acknowledged by the entry
+	Canceled      int    `json:"canceled"`       // placements stopped while they had no run here
 }
 
 // RunDump is the state of a task run in a Dump.
@@ -44,7 +45,7 @@
 		SeenEnd: m.seenEnd, Slowness: m.health.slownessPerMille(), Failing: m.health.failingPerMille(),
 	}
 	for _, s := range m.sortedSessions {
-		d.Sessions = append(d.Sessions, SessionDump{Entry: s.name, Open: s.open, HeardAgeMs: now.Sub(s.lastHeard).Milliseconds(), UnseenReports: len(s.reports)})
+		d.Sessions = append(d.Sessions, SessionDump{Entry: s.name, Open: s.open, HeardAgeMs: now.Sub(s.lastHeard).Milliseconds(), UnseenReports: len(s.reports), Canceled: len(s.canceled)})
 	}
 	for _, r := range m.sortedRuns() {
 		d.Runs = append(d.Runs, RunDump{Task: r.key.String(), Phase: phaseNames[r.phase], CPU: r.cpu, Percent: r.percent})
--- a/taskrunner/mesh_test.go
+++ b/taskrunner/mesh_test.go
@@ -58,3 +58,32 @@
 		})
 	}
 }
+
+// A session that lasts for days must not keep each placement that was stopped after it
+// had ended.
+func TestStoppedPlacementsAreForgotten(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	for id := range uint64(20_000) {
+		h.step(taskrunner.OrderCalled{Call: 1, Session: 1, Request: session.OrderRequest{Echo: h.reading(), Stop: []uint64{id + 1}}})
+	}
+	h.Expect(h.runner.Dump(h.now).Sessions[0].Canceled).To(BeNumerically("<=", 5000))
+	// The newest ones still keep a start that arrives late from running.
+	h.order(1, h.reading(), "job", 1000, 20_000)
+	h.Expect(effects[taskrunner.StartTask](h)).To(BeEmpty())
+}
+
+// While renewals failed, a runner that waited for its next attempt was woken each ms.
+func TestRunnerSleepsUntilNextRenewal(t *testing.T) {
+	h := newHarness(t)
+	h.step(taskrunner.Ticked{})
+	first := h.newestRenewalID()
+	h.advance(30 * time.Millisecond)
+	h.step(taskrunner.Ticked{}) // sends another without waiting for the first
+	h.Expect(h.newestRenewalID()).NotTo(Equal(first))
+	h.advance(15 * time.Millisecond)
+	h.step(taskrunner.RenewReplied{ID: first, Reason: "refused"})
+	h.advance(10 * time.Millisecond) // the second is overdue
+	h.step(taskrunner.Ticked{})
+	h.Expect(h.runner.NextWake()).To(BeTemporally(">", h.now))
+}
--- a/taskrunner/options.go
+++ b/taskrunner/options.go
@@ -133,6 +133,10 @@
 	// maxRunningTasks bounds the running tasks that a state lists separately. Those
 	// that end later are merged into the last one.
 	maxRunningTasks = 6
+	// maxCanceled bounds the placements of a session that were stopped while they
+	// had no run. Their ids increase, and a start arrives late by a few orders at
+	// most, so that the older half can be forgotten.
+	maxCanceled = 4096
 	// minBaselineSamples is how many run times it takes for the baseline slowness
 	// to be stored.
 	minBaselineSamples = 10
--- a/taskrunner/session.go
+++ b/taskrunner/session.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -231,6 +232,9 @@
 		}
 	}
 	s.canceled[id] = true
+	if len(s.canceled) > maxCanceled {
+		maps.DeleteFunc(s.canceled, func(old uint64, _ bool) bool { return old+maxCanceled/2 < id })
+	}
 }
 
 // admit adds the tasks to the queue, or refuses them at once.
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -113,11 +113,11 @@
 			wake = t
 		}
 	}
-	if n := len(m.renewals); n > 0 {
-		wakeBy(m.renewals[n-1].retransmitAt)
-	} else {
-		wakeBy(m.nextRenewal)
+	renewal := m.nextRenewal
+	if n := len(m.renewals); n > 0 && m.renewals[n-1].retransmitAt.After(renewal) {
+		renewal = m.renewals[n-1].retransmitAt
 	}
+	wakeBy(renewal)
 	for _, s := range m.sessions {
 		wakeBy(s.lastHeard.Add(s.ttl(m)))
 		if s.poll != nil {
