A starting entry takes the smallest subset

Cause, found by reading the diff: SubsetSize divides by the number of entries, of which one that has just started knows its seeds only. Change: for 3 s after its start 32 agents, then by the entries known.

--- a/gateway/members_test.go
+++ b/gateway/members_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -50,3 +51,19 @@
 	g.Expect(r.Exchange(&session.ExchangeRequest{From: from, ConfigVersion: 15}, &reply)).To(Succeed())
 	g.Expect(reply.Config).To(Equal(session.Config{}), "the sender has this version")
 }
+
+func TestSubsetOfStartingEntryIsSmall(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Now()
+	gw := &Gateway{members: membership.New("10.0.0.1:1"), startedAt: start, widening: 1}
+	gw.members.AddSeeds(start, []string{"10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1"})
+	g.Expect(gw.subsetSize(160, start)).To(Equal(32))
+	g.Expect(gw.subsetSize(160, start.Add(settleTime))).To(Equal(160), "three other entries cannot cover all agents")
+	for i := range 31 {
+		gw.members.Add(start, session.Process{Role: session.RoleEntry, Addr: fmt.Sprintf("10.0.1.%d:1", i)})
+	}
+	g.Expect(gw.subsetSize(160, start.Add(settleTime))).To(Equal(37))
+	gw.widening = maxWidening
+	g.Expect(gw.subsetSize(160, start.Add(settleTime))).To(Equal(74))
+	g.Expect(gw.subsetSize(40, start.Add(settleTime))).To(Equal(40))
+}
--- a/gateway/subset.go
+++ b/gateway/subset.go
@@ -17,8 +17,12 @@
 	// failed or returned and to the load.
 	subsetInterval = 500 * time.Millisecond
 	// unusableAfter is how long an agent must be unreachable or not ready before
-	// another takes its place in the subset. It covers a restart of the agent and the next heartbeat of its server.
+	// another takes its place in the subset. It covers a restart of the agent and
+	// the next heartbeat of its server.
 	unusableAfter = 2 * time.Second
+	// settleTime is how long after its start an entry may not know all other entries
+	// yet: one exchangeInterval and a reserve.
+	settleTime = 3 * time.Second
 	// lowFreeShare and highFreeShare are the free shares of the subset's capacity
 	// below which the subset is widened and above which it is narrowed again.
 	lowFreeShare, highFreeShare = 0.15, 0.4
@@ -58,10 +62,9 @@
 func (g *Gateway) updateSubset() {
 	now := time.Now()
 	ranked := membership.Rank(g.self.Addr, g.members.List(session.RoleAgent))
-	entries := len(g.members.List(session.RoleEntry)) + 1
 	g.connectorsMu.Lock()
 	defer g.connectorsMu.Unlock()
-	size := min(int(g.widening*float64(membership.SubsetSize(len(ranked), entries))), len(ranked))
+	size := g.subsetSize(len(ranked), now)
 	wanted := make(map[string]bool, size)
 	usable := 0
 	for _, p := range ranked {
@@ -84,6 +87,16 @@
 	}
 }
 
+// subsetSize returns the number of usable agents wanted. The caller holds
+// g.connectorsMu.
+func (g *Gateway) subsetSize(agents int, now time.Time) int {
+	size := membership.InitialSubsetSize(agents)
+	if now.Sub(g.startedAt) >= settleTime {
+		size = membership.SubsetSize(agents, len(g.members.List(session.RoleEntry))+1)
+	}
+	return min(int(g.widening*float64(size)), agents)
+}
+
 // startConnector starts the connector of an agent. The caller holds g.connectorsMu.
 func (g *Gateway) startConnector(addr string) *agentConnector {
 	c := &agentConnector{gateway: g, addr: addr, redial: make(chan struct{}, 1)}
--- a/membership/subset.go
+++ b/membership/subset.go
@@ -27,6 +27,11 @@
 	return min(max(minSubset, covering), agents)
 }
 
+// InitialSubsetSize returns with how many of the agents an entry keeps sessions that
+// has just started and does not know the number of entries yet. After a power loss all
+// entries know only a few seeds, and SubsetSize would make each take all agents.
+func InitialSubsetSize(agents int) int { return min(minSubset, agents) }
+
 // Rank orders agents by preference of the entry at the address self, the most
 // preferred first (rendezvous hashing). Each entry has an order of its own, so that
 // the first agents of all entries together cover all agents about evenly, and a
--- a/membership/subset_test.go
+++ b/membership/subset_test.go
@@ -45,6 +45,15 @@
 	g.Expect(membership.SubsetSize(0, 0)).To(Equal(0))
 }
 
+// After a power loss each entry knew only three seeds and opened sessions with all
+// 160 agents at once, on 0.144 cores.
+func TestStartingEntryDoesNotTakeAllAgents(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(membership.SubsetSize(160, 4)).To(Equal(160))
+	g.Expect(membership.InitialSubsetSize(160)).To(Equal(32))
+	g.Expect(membership.InitialSubsetSize(11)).To(Equal(11))
+}
+
 func TestSubsetsCoverAllAgents(t *testing.T) {
 	for _, size := range []struct{ entries, agents int }{{3, 11}, {13, 72}, {35, 160}, {142, 650}} {
 		t.Run(fmt.Sprintf("%d entries, %d agents", size.entries, size.agents), func(t *testing.T) {
