Subsets are chosen per service

Found by reading: a service of five servers beside one of 155 would have been covered by one or two sessions of an entry, or by none, and its jobs refused. Agents announce their service (a new gob and JSON field, encodings of old and new builds in session/compat_test.go; agents of old builds are one group).

--- a/gateway/subset.go
+++ b/gateway/subset.go
@@ -56,20 +56,34 @@
 	}
 }
 
-// updateSubset keeps a connector for each agent of the subset: the agents that this
-// entry prefers, as many as membership.SubsetSize says, not counting those that are
-// unusable. Sessions with other agents are closed once they have no tasks.
+// updateSubset keeps a connector for each agent of the subset. Sessions with other
+// agents are closed once they have no tasks.
 func (g *Gateway) updateSubset() {
 	now := time.Now()
-	ranked := membership.Rank(g.self.Addr, g.members.List(session.RoleAgent))
+	services := membership.ByService(g.members.List(session.RoleAgent))
 	g.connectorsMu.Lock()
 	defer g.connectorsMu.Unlock()
-	size := g.subsetSize(len(ranked), now)
-	wanted := make(map[string]bool, size)
+	wanted := make(map[string]bool)
+	for _, agents := range services {
+		g.connectSubset(agents, now, wanted)
+	}
+	for addr, c := range g.connectors {
+		if !wanted[addr] {
+			g.retire(c)
+		}
+	}
+}
+
+// connectSubset starts connectors for the subset of the agents of one service and adds
+// their addresses to wanted. These are the agents that this entry prefers, as many as
+// subsetSize says, not counting those that are unusable. The caller holds
+// g.connectorsMu.
+func (g *Gateway) connectSubset(agents []session.Process, now time.Time, wanted map[string]bool) {
+	size := g.subsetSize(len(agents), now)
 	usable := 0
-	for _, p := range ranked {
+	for _, p := range membership.Rank(g.self.Addr, agents) {
 		if usable >= size {
-			break
+			return
 		}
 		wanted[p.Addr] = true
 		c := g.connectors[p.Addr]
@@ -80,11 +94,6 @@
 			usable++
 		}
 	}
-	for addr, c := range g.connectors {
-		if !wanted[addr] {
-			g.retire(c)
-		}
-	}
 }
 
 // subsetSize returns the number of usable agents wanted. The caller holds
--- a/membership/subset.go
+++ b/membership/subset.go
@@ -32,6 +32,16 @@
 // entries know only a few seeds, and SubsetSize would make each take all agents.
 func InitialSubsetSize(agents int) int { return min(minSubset, agents) }
 
+// ByService groups agents by their service. A subset is chosen of each group, because
+// the agents of a small service could otherwise be missing from it.
+func ByService(agents []session.Process) map[string][]session.Process {
+	groups := make(map[string][]session.Process)
+	for _, p := range agents {
+		groups[p.Service] = append(groups[p.Service], p)
+	}
+	return groups
+}
+
 // Rank orders agents by preference of the entry at the address self, the most
 // preferred first (rendezvous hashing). Each entry has an order of its own, so that
 // the first agents of all entries together cover all agents about evenly, and a
--- a/membership/subset_test.go
+++ b/membership/subset_test.go
@@ -69,6 +69,23 @@
 	}
 }
 
+// A service of five servers among 160 agents would be covered by one or two of an
+// entry's sessions, or by none.
+func TestAgentsAreGroupedByService(t *testing.T) {
+	g := NewWithT(t)
+	all := agents(160)
+	for i := range all {
+		all[i].Service = "large"
+	}
+	for i := range 5 {
+		all[i*30].Service = "small"
+	}
+	groups := membership.ByService(all)
+	g.Expect(groups["small"]).To(HaveLen(5))
+	g.Expect(membership.SubsetSize(len(groups["small"]), 35)).To(Equal(5), "covered whole")
+	g.Expect(groups["large"]).To(HaveLen(155))
+}
+
 // A change of the membership must not end the sessions with other agents.
 func TestRankIsStableWhenAgentsChange(t *testing.T) {
 	g := NewWithT(t)
--- a/session/compat_test.go
+++ b/session/compat_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"encoding/json"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -73,3 +74,26 @@
 	transcode(g, session.Identity{Service: "s", Server: "1", Capacity: 5, MemMB: 7, GPU: 1}, &old)
 	g.Expect(old).To(Equal(oldIdentity{Service: "s", Server: "1", Capacity: 5}))
 }
+
+func TestProcessBetweenOldAndNewBuilds(t *testing.T) {
+	g := NewWithT(t)
+	type oldProcess struct {
+		Name        string              `json:"name"`
+		Role        string              `json:"role"`
+		Addr        string              `json:"addr"`
+		Incarnation structs.Incarnation `json:"incarnation"`
+	}
+	old := oldProcess{Name: "a", Role: session.RoleAgent, Addr: "10.0.0.1:1", Incarnation: 3}
+	var process session.Process
+	transcode(g, old, &process)
+	g.Expect(process).To(Equal(session.Process{Name: "a", Role: session.RoleAgent, Addr: "10.0.0.1:1", Incarnation: 3}), "agents of old builds are one group")
+	var decoded oldProcess
+	transcode(g, session.Process{Name: "a", Role: session.RoleAgent, Addr: "10.0.0.1:1", Incarnation: 3, Service: "s"}, &decoded)
+	g.Expect(decoded).To(Equal(old))
+
+	text, err := json.Marshal(session.Process{Name: "a", Incarnation: 3, Service: "s"})
+	g.Expect(err).NotTo(HaveOccurred())
+	decoded = oldProcess{}
+	g.Expect(json.Unmarshal(text, &decoded)).To(Succeed(), "records on the store")
+	g.Expect(decoded).To(Equal(oldProcess{Name: "a", Incarnation: 3}))
+}
--- a/session/messages.go
+++ b/session/messages.go
@@ -238,6 +238,9 @@
 	Role        string              `json:"role"` // RoleEntry or RoleAgent
 	Addr        string              `json:"addr"` // net/rpc address
 	Incarnation structs.Incarnation `json:"incarnation"`
+	// Service is the service of an agent's backend server; empty for entries and for
+	// agents of earlier builds.
+	Service string `json:"service,omitempty"`
 }
 
 // Roles of a Process.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -98,6 +98,7 @@
 	}
 	s.self = session.Process{
 		Name: opts.Name, Role: session.RoleAgent, Addr: cmp.Or(opts.AdvertiseAddr, opts.PeerAddr), Incarnation: structs.Incarnation(randid.NonZero()),
+		Service: opts.Service,
 	}
 	s.runner = taskrunner.New(taskrunner.Options{
 		Agent: opts.Name, Incarnation: s.self.Incarnation, Zone: opts.Zone, Service: opts.Service,
