--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -30,7 +30,7 @@
 }
 
 // mayHold reports whether a job that could not be placed because of err may be
-// held.
+// held: while there is no agent, or while more are expected than those that are full.
 func (d *Dispatcher) mayHold(j *job, err *structs.Error) bool {
 	if err.Code == structs.CodeOverloaded && d.isJoining() {
 		return true
--- a/dispatch/patience.go
+++ b/dispatch/patience.go
@@ -36,8 +36,8 @@
 	if len(p) >= maxPatienceQueues {
 		clear(p)
 	}
-	patience := timeout - 2*objective
-	longest := max(time.Duration(patienceDecay*float64(p[queue])), patience)
+	wait := timeout - 2*objective
+	longest := max(time.Duration(patienceDecay*float64(p[queue])), wait)
 	p[queue] = longest
-	return longest-patience > objective+time.Duration(patienceLoss*float64(longest))
+	return longest-wait > objective+time.Duration(patienceLoss*float64(longest))
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -90,8 +90,12 @@
 func (d *Dispatcher) noCandidateError(j *job) *structs.Error {
 	ready := slices.ContainsFunc(d.sortedAgents, func(a *agent) bool { return d.isReady(a) && a.identity.Service == j.Queue.Service })
 	if ready {
+		retryAfter := unsuitableRetryAfter
+		if j.RequiredLabel != "" {
+			retryAfter = unavailableRetryAfter // a server with the label may be in the subset of another entry
+		}
 		return structs.Errorf(structs.CodeRejected, structs.NotRun, "no server of service %s has %d thousandths of a core, %d MB, %d GPUs and the label %q",
-			j.Queue.Service, j.CPU, j.MemMB, j.GPU, j.RequiredLabel).WithRetryAfter(unsuitableRetryAfter)
+			j.Queue.Service, j.CPU, j.MemMB, j.GPU, j.RequiredLabel).WithRetryAfter(retryAfter)
 	}
 	return structs.Errorf(structs.CodeUnavailable, structs.NotRun, "no agent of service %s can run the job now", j.Queue.Service).
 		WithRetryAfter(unavailableRetryAfter)
--- a/dispatch/unsuitable_test.go
+++ b/dispatch/unsuitable_test.go
@@ -32,7 +32,11 @@
 			h.Expect(refused).To(HaveLen(1))
 			h.Expect(refused[0].Error.Code).To(Equal(structs.CodeRejected))
 			h.Expect(refused[0].Error.Verdict).To(Equal(structs.NotRun))
-			h.Expect(refused[0].Error.RetryAfter).To(BeNumerically(">=", 10*time.Second))
+			if name == "label" {
+				h.Expect(refused[0].Error.RetryAfter).To(BeNumerically("<=", 2*time.Second), "another entry may know a server with the label")
+			} else {
+				h.Expect(refused[0].Error.RetryAfter).To(BeNumerically(">=", 10*time.Second))
+			}
 			h.Expect(effects[dispatch.Order](h)).To(BeEmpty())
 		})
 	}
