--- a/gateway/members_test.go
+++ b/gateway/members_test.go
@@ -26,7 +26,7 @@
 	g := NewWithT(t)
 	var text bytes.Buffer
 	for i := range 2000 {
-		fmt.Fprintf(&text, `{"name":"r-%d","host":"h%d.example","pathPrefix":"/p%d/","service":"s","stretch":1.6},`, i, i%7, i)
+		fmt.Fprintf(&text, `{"name":"r-%d","host":"h%d.example","prefix":"/p%d/","service":"s","stretch":1.6},`, i, i%7, i)
 	}
 	cfg := session.Config{Version: 15, Text: text.Bytes()}
 	r := receiverWith(cfg)
