Revert: a starting entry no longer holds jobs that cannot start at once

After the kill of all processes agents are back within 100 ms; jobs held for up to 300 ms are queued behind later ones.

--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -30,42 +30,20 @@
 }
 
 // mayHold reports whether a job that could not be placed because of err may be
-// held: while there is no agent, or while more are expected than those that are full.
+// held.
 func (d *Dispatcher) mayHold(j *job, err *structs.Error) bool {
-	if err.Code == structs.CodeOverloaded && d.isJoining() {
-		return true
-	}
 	return err.Code == structs.CodeUnavailable && d.now.Before(d.holdDeadline(j.Queue.Service))
 }
 
-// awaitsAgents reports whether a job with the given plan is better held until more
-// agents are in session (late binding). An entry that has just started knows few of
-// its agents: tasks bound to the first of them would queue there while the agents
-// that join some ms later are idle.
-func (d *Dispatcher) awaitsAgents(plan []assignment) bool {
-	return d.isJoining() && !all(plan, d.startsNow)
-}
-
-// isJoining reports whether the entry has just started and is still opening
-// sessions.
-func (d *Dispatcher) isJoining() bool { return d.now.Before(d.opts.Started.Add(HoldTimeout)) }
-
-// startsNow reports whether the assigned task is expected to start without waiting
-// for another.
-func (d *Dispatcher) startsNow(as assignment) bool {
-	return as.finish-as.runTime-as.agent.networkOverhead(d) <= 0
-}
-
-// hold keeps a job until agents are available, or at the latest until the given
-// time.
-func (d *Dispatcher) hold(j *job, reason string, until time.Time) {
+// hold keeps a job until agents are available, or its hold time is over.
+func (d *Dispatcher) hold(j *job, err *structs.Error) {
 	if slices.Contains(d.heldJobs, j) {
 		return // already held because of another of its tasks
 	}
-	j.holdUntil = until
+	j.holdUntil = d.holdDeadline(j.Queue.Service)
 	d.heldJobs = append(d.heldJobs, j)
 	d.emit(LogEvent{Event: "job_held", Job: j.Name, Queue: j.Queue.Name,
-		Detail: fmt.Sprintf("reason=%q at_most_ms=%d", reason, j.holdUntil.Sub(d.now).Milliseconds())})
+		Detail: fmt.Sprintf("reason=%q at_most_ms=%d", err.Message, j.holdUntil.Sub(d.now).Milliseconds())})
 }
 
 // placeHeldJobs places the held jobs in the order in which they were held: those
@@ -91,12 +69,10 @@
 		}
 		plan, err := d.plan(j, j.unplaced(), latest)
 		switch {
-		case err == nil && (holdExpired || !d.awaitsAgents(plan)):
+		case err == nil:
 			d.admit(j, plan)
 		case holdExpired:
 			d.abandon(j, err.Code, err.Message)
-		case err == nil:
-			d.heldJobs = append(d.heldJobs, j) // later ones may need less capacity
 		default:
 			d.heldJobs = append(d.heldJobs, held[i:]...)
 			return
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -76,21 +76,19 @@
 		j.target = d.latestUsefulEnd(j)
 	}
 	plan, err := d.planNew(j)
-	if err != nil && !d.mayHold(j, err) {
+	held := err != nil && d.mayHold(j, err)
+	if err != nil && !held {
 		d.refuse(j, e.Call, err)
 		return
 	}
 	j.calls = []CallID{e.Call}
 	d.calls[e.Call] = j
 	d.jobs[j.Name] = j
-	switch {
-	case err != nil:
-		d.hold(j, err.Message, d.holdDeadline(j.Queue.Service))
-	case d.awaitsAgents(plan):
-		d.hold(j, "more agents are expected", d.opts.Started.Add(HoldTimeout))
-	default:
-		d.admit(j, plan)
+	if held {
+		d.hold(j, err)
+		return
 	}
+	d.admit(j, plan)
 }
 
 // latestUsefulEnd returns by when a job must be expected to end to be admitted:
@@ -324,7 +322,7 @@
 	}
 	plan, err := d.plan(j, []int{p.index}, j.deadline)
 	if err != nil && d.mayHold(j, err) {
-		d.hold(j, err.Message, d.holdDeadline(j.Queue.Service))
+		d.hold(j, err)
 		return
 	}
 	if err != nil {
