--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -207,7 +207,7 @@
 }
 
 // moveStragglers stops stragglers that are expected to miss their job's
-// target, if they are expected to end at least moveMargin earlier on another
+// objective, if they are expected to end at least moveMargin earlier on another
 // agent. They are placed again when the agent reports their end.
 func (d *Dispatcher) moveStragglers(a *agent, stragglers []session.Straggler) {
 	for _, s := range stragglers {
@@ -217,7 +217,7 @@
 		}
 		j := p.job
 		remaining := time.Duration(s.Ms) * time.Millisecond
-		if !d.now.Add(remaining).After(j.target) {
+		if !d.now.Add(remaining).After(j.objective) {
 			continue
 		}
 		t := &j.tasks[p.index]
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -48,7 +48,7 @@
 
 // placeHeldJobs places the held jobs in the order in which they were held: those
 // already admitted if they can end before their deadline, others if they can end
-// by their target or, once their hold time is over, while their answer is
+// within their objective or, once their hold time is over, while their answer is
 // useful. Jobs that cannot be placed when their hold time is over are abandoned.
 // It stops at the first job that has to be held longer, because an entry that
 // was just resumed has many of them and little processor time.
@@ -60,7 +60,7 @@
 			continue
 		}
 		holdExpired := !d.now.Before(j.holdUntil)
-		latest := j.target
+		latest := j.objective
 		switch {
 		case j.admitted:
 			latest = j.deadline
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -14,7 +14,7 @@
 	arrived        time.Time
 	deadline       time.Time // when the caller stops waiting, or the answer is no longer useful
 	objective      time.Time // latency objective: when it should end
-	target         time.Time // planned end: the objective, or later if the caller has waited before
+	target         time.Time // by when tasks have to end if they can: the objective, or later if the caller has waited before
 	calls          []CallID
 	tasks          []task
 	unfinished     int            // tasks not done
--- a/dispatch/patience_test.go
+++ b/dispatch/patience_test.go
@@ -52,7 +52,7 @@
 	for _, timeout := range []time.Duration{2900, 2000, 2300, 2050} {
 		h.Expect(h.startWithin(timeout.String(), short, timeout*time.Millisecond)).To(BeNumerically("<", objectiveOf(short)))
 	}
-	for _, timeout := range []time.Duration{7800, 4900, 4800} {
+	for _, timeout := range []time.Duration{7800, 4900, 4800, 4100, 3000} {
 		h.Expect(h.startWithin("long"+timeout.String(), long, timeout*time.Millisecond)).To(BeNumerically("<", objectiveOf(long)))
 	}
 }
@@ -77,3 +77,15 @@
 	h.Expect(counts).To(Equal(map[dispatch.SessionID]int{1: 1}))
 	h.Expect(effects[dispatch.Order](h)[0].Start[0].StartWithin).To(BeNumerically("<", 100*time.Millisecond), "ahead of the resubmissions")
 }
+
+// On a quiet day jobs taken for resubmissions by mistake were placed on slow servers
+// on which they missed their objective.
+func TestServerOfResubmissionIsChosenByObjective(t *testing.T) {
+	h := newHarness(t)
+	h.agent(1, idle)
+	h.startWithin("fresh", 100*time.Millisecond, 2900*time.Millisecond)
+	h.agent(2, serverState{capacity: 60_000, free: 60_000, slowness: 2500})
+	h.startWithin("again", 100*time.Millisecond, 1300*time.Millisecond)
+	counts, _ := h.placed()
+	h.Expect(counts).To(Equal(map[dispatch.SessionID]int{1: 1}))
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -65,7 +65,7 @@
 	}
 	plan := make([]assignment, 0, len(tasks))
 	for _, index := range tasks {
-		best, finish := pickCandidate(candidates, j, j.target.Sub(d.now))
+		best, finish := pickCandidate(candidates, j, j.objective.Sub(d.now))
 		if best == nil {
 			return nil, structs.Errorf(structs.CodeOverloaded, structs.NotRun, "no server can take another task of %d thousandths of a core", j.CPU).
 				WithRetryAfter(d.retryAfter(j))
@@ -220,7 +220,7 @@
 		}
 		runTime := d.expectedRunTime(a, j.Estimate)
 		c := &candidate{
-			agent: a, timeline: d.capacityTimeline(a, d.queuedAhead(a, j.target.Sub(d.now))), runTime: runTime, overhead: hopOverhead,
+			agent: a, timeline: d.capacityTimeline(a, d.queuedAhead(a, j.objective.Sub(d.now))), runTime: runTime, overhead: hopOverhead,
 			jobTasks: d.tasksAt(j, a), sameZone: a.zone == d.opts.Zone, freeShare: a.unreservedShare(),
 		}
 		if !c.sameZone {
