--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -20,7 +20,7 @@
 	sortedAgents []*agent                  // the same, ordered by name so that decisions are deterministic
 	lastSlowness map[string]serverSlowness // cached beyond sessions, by the agent's name
 
-	patience        patience
+	longestSlack    longestSlack
 	jobs            map[string]*job // open, or answered with tasks not yet ended, by name
 	calls           map[CallID]*job
 	heldJobs        []*job               // open, with tasks to place once agents are available
@@ -46,7 +46,7 @@
 		opts:            opts,
 		agents:          make(map[SessionID]*agent),
 		lastSlowness:    make(map[string]serverSlowness),
-		patience:        make(patience),
+		longestSlack:    make(longestSlack),
 		jobs:            make(map[string]*job),
 		noAgentSince:    make(map[string]time.Time),
 		calls:           make(map[CallID]*job),
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -72,7 +72,7 @@
 		j.limitDeadline(d.leaveDeadline)
 	}
 	j.target = j.objective
-	if d.patience.hasWaited(j.Queue.Name, j.Timeout, objective) {
+	if d.longestSlack.isResubmission(j.Queue.Name, j.Timeout, objective) {
 		j.target = d.latestUsefulEnd(j)
 	}
 	plan, err := d.planNew(j)
