Reads of the store are bounded by the time without data, not by their whole time

Cause: a read was given up after 0.5 s, at most 1 s (1.5 s while the store was taken for available), whatever had arrived by then, and the next one started from zero. 268 KB on a link with less than that free never arrived; the longer the configuration grew, the less. The members' topic, of small records, came back each time.

Now a read ends when nothing has arrived for 0.5 s (1 s after a timeout), so that a silent connection is noticed as fast as before, and a slow one ends.

--- a/gateway/configcopy.go
+++ b/gateway/configcopy.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -23,10 +22,10 @@
 	// last is copied, and the entries do not all write at the same time.
 	copyDelay  = 200 * time.Millisecond
 	copyJitter = 1500 * time.Millisecond
-	// copyTimeout bounds a read of the copy. copyRetryDelay is the delay after a
-	// failed one.
-	copyTimeout    = 500 * time.Millisecond
-	copyRetryDelay = 200 * time.Millisecond
+	// copyIdleTimeout bounds the time without data of a read of the copy.
+	// copyRetryDelay is the delay after a failed one.
+	copyIdleTimeout = 500 * time.Millisecond
+	copyRetryDelay  = 200 * time.Millisecond
 	// maxCopyBytes is the maximum size of a copy: the store's limit for a record
 	// minus the space for its key.
 	maxCopyBytes = 256<<10 - 256
@@ -84,9 +83,7 @@
 }
 
 func (g *Gateway) readConfigCopy() error {
-	ctx, cancel := context.WithTimeout(g.background, copyTimeout)
-	defer cancel()
-	records, _, err := g.platform.Store.Newest(ctx, g.platform.ConfigCopyTopic)
+	records, _, err := g.platform.Store.Newest(g.background, g.platform.ConfigCopyTopic, copyIdleTimeout)
 	if err != nil {
 		return err
 	}
--- a/keyedlog/keyedlog.go
+++ b/keyedlog/keyedlog.go
@@ -18,16 +18,18 @@
 	Offset int64
 }
 
-// Store is a client of the platform's store.
+// Store is a client of the platform's store. Its reads end with an error that wraps
+// context.DeadlineExceeded when no data has arrived for the time idle. How long a whole
+// reply may take depends on its size and on the link, and is not bounded by idle.
 type Store interface {
 	// Newest returns the newest record of each key and the offset at which to
 	// continue with Read. The records are not a snapshot: some may have higher
 	// offsets.
-	Newest(ctx context.Context, topic string) (records []Record, next int64, err error)
+	Newest(ctx context.Context, topic string, idle time.Duration) (records []Record, next int64, err error)
 	// Read returns the records from an offset on and the next offset. If there is
 	// none, it waits for one for at most wait. It returns ErrTruncated if records
 	// from that offset on are no longer retained.
-	Read(ctx context.Context, topic string, from int64, wait time.Duration) (records []Record, next int64, err error)
+	Read(ctx context.Context, topic string, from int64, wait, idle time.Duration) (records []Record, next int64, err error)
 	// Append appends one record.
 	Append(ctx context.Context, topic string, r Record) error
 }
@@ -39,8 +41,8 @@
 	// readWait is how long the store may delay a reply without records. A
 	// connection that no longer carries data is detected shortly after it.
 	readWait time.Duration = time.Second
-	// callTimeout bounds a call, in addition to its wait.
-	callTimeout = 500 * time.Millisecond
+	// idleTimeout bounds the time without data of a read, in addition to its wait.
+	idleTimeout = 500 * time.Millisecond
 	// appendTimeout bounds an append, which takes long while the store is slow.
 	appendTimeout = 2 * time.Second
 	// retryBase and retryMax bound the delay after a failed call. The store may
@@ -85,7 +87,7 @@
 	next          int64
 	positioned    bool          // next is valid
 	unavailable   bool          // StoreUnavailable was called last
-	timeoutFactor time.Duration // multiple of callTimeout in use
+	timeoutFactor time.Duration // multiple of idleTimeout in use
 }
 
 // readOnce makes one call to the store and processes the result.
@@ -112,18 +114,15 @@
 }
 
 func (f *follower) call(ctx context.Context) ([]Record, int64, error) {
+	idle := f.timeoutFactor * idleTimeout
 	if !f.positioned {
-		ctx, cancel := context.WithTimeout(ctx, f.timeoutFactor*callTimeout)
-		defer cancel()
-		return f.store.Newest(ctx, f.topic)
+		return f.store.Newest(ctx, f.topic, idle)
 	}
 	wait := readWait
 	if f.unavailable {
 		wait = 0 // only probes whether the store is available again
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+f.timeoutFactor*callTimeout)
-	defer cancel()
-	return f.store.Read(ctx, f.topic, f.next, wait)
+	return f.store.Read(ctx, f.topic, f.next, wait, idle)
 }
 
 func (f *follower) readFailed(ctx context.Context, err error) {
--- a/keyedlog/keyedlog_test.go
+++ b/keyedlog/keyedlog_test.go
@@ -26,14 +26,16 @@
 	return s.available, s.truncated
 }
 
-func (s *store) Newest(ctx context.Context, _ string) ([]keyedlog.Record, int64, error) {
+func (s *store) Newest(context.Context, string, time.Duration) ([]keyedlog.Record, int64, error) {
 	if _, truncated := s.state(); truncated {
 		return []keyedlog.Record{{Key: "k", Value: []byte("newest"), Offset: 6}}, 7, nil
 	}
 	return nil, 0, nil
 }
 
-func (s *store) Read(ctx context.Context, _ string, from int64, wait time.Duration) ([]keyedlog.Record, int64, error) {
+func (s *store) Read(ctx context.Context, _ string, from int64, wait, idle time.Duration) ([]keyedlog.Record, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+idle)
+	defer cancel()
 	available, truncated := s.state()
 	if !available {
 		<-ctx.Done()
@@ -102,11 +104,11 @@
 	reads int
 }
 
-func (s *burstStore) Newest(context.Context, string) ([]keyedlog.Record, int64, error) {
+func (s *burstStore) Newest(context.Context, string, time.Duration) ([]keyedlog.Record, int64, error) {
 	return nil, 0, nil
 }
 
-func (s *burstStore) Read(_ context.Context, _ string, from int64, _ time.Duration) ([]keyedlog.Record, int64, error) {
+func (s *burstStore) Read(_ context.Context, _ string, from int64, _, _ time.Duration) ([]keyedlog.Record, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
--- a/sidecar/announce.go
+++ b/sidecar/announce.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"context"
 	"encoding/json"
 	"math"
 	"time"
@@ -20,8 +19,9 @@
 	// minBaselineChange is the minimum relative change of the baseline slowness for
 	// which the record is written again.
 	minBaselineChange = 0.15
-	// loadRecordTimeout bounds the read of the agent's own record when it starts.
-	loadRecordTimeout = 2 * time.Second
+	// loadRecordIdleTimeout bounds the time without data of the read of the agent's own
+	// record when it starts.
+	loadRecordIdleTimeout = 2 * time.Second
 )
 
 // announcement is the record that an agent keeps on the store. It contains the
@@ -74,9 +74,7 @@
 
 // loadRecord reads the record of an earlier agent of the same name.
 func (s *Sidecar) loadRecord() (announcement, bool) {
-	ctx, cancel := context.WithTimeout(s.background, loadRecordTimeout)
-	defer cancel()
-	records, _, err := s.platform.Store.Newest(ctx, s.platform.MembersTopic)
+	records, _, err := s.platform.Store.Newest(s.background, s.platform.MembersTopic, loadRecordIdleTimeout)
 	if err != nil {
 		level.Warn(s.logger).Log("event", "recall_failed", "topic", s.platform.MembersTopic, "reason", err)
 		return announcement{}, false
