Exchanges between processes are bounded by the time without data

rpcconn.Call makes one call on a connection of its own and ends when no data has arrived for the idle time, or after a total time.

--- a/internal/rpcconn/rpcconn.go
+++ b/internal/rpcconn/rpcconn.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/rpc"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 // already, after which the peer can no longer decode the stream.
 type conn struct {
 	net.Conn
+	idle time.Duration // bounds each read; zero for no bound
 }
 
 func (c *conn) Write(p []byte) (int, error) {
@@ -34,6 +36,11 @@
 }
 
 func (c *conn) Read(p []byte) (int, error) {
+	if c.idle > 0 {
+		if err := c.SetReadDeadline(time.Now().Add(c.idle)); err != nil {
+			return 0, err
+		}
+	}
 	n, err := c.Conn.Read(p)
 	received.Add(int64(n))
 	return n, err
@@ -62,10 +69,44 @@
 // DialContext connects to addr until ctx ends, which has no effect on the
 // connection afterwards.
 func DialContext(ctx context.Context, addr string) (*rpc.Client, error) {
+	return dial(ctx, addr, 0)
+}
+
+func dial(ctx context.Context, addr string, idle time.Duration) (*rpc.Client, error) {
 	var d net.Dialer
 	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	return rpc.NewClient(&conn{Conn: c}), nil
+	return rpc.NewClient(&conn{Conn: c, idle: idle}), nil
+}
+
+// Timeouts bound a Call.
+type Timeouts struct {
+	Dial time.Duration // connecting
+	// Idle is how long no data of the reply may arrive. It also bounds the time until
+	// the first data, and thus how long the peer may take for the call.
+	Idle  time.Duration
+	Total time.Duration // from the request to the end of the reply
+}
+
+// Call connects to addr, makes one call and closes the connection. A long reply over a
+// slow link ends, while a connection that carries no data is noticed early.
+func Call(addr, method string, req, reply any, t Timeouts) error {
+	ctx, cancel := context.WithTimeout(context.Background(), t.Dial)
+	defer cancel()
+	client, err := dial(ctx, addr, t.Idle)
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	call := client.Go(method, req, reply, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(t.Total)
+	defer timer.Stop()
+	select {
+	case <-call.Done:
+		return call.Error
+	case <-timer.C:
+		return fmt.Errorf("%s at %s: no complete reply within %v", method, addr, t.Total)
+	}
 }
