A follower that is behind reads the newest records, not each replaced one

For the configuration all but the last are replaced; with twenty versions of 250 KB a link of 25 Mbit/s carries them in 1.6 s at best, and the last one comes last.

If the reply's end offset shows that more was there, the follower goes on from the newest record of each key. Read and Newest return a Batch.

--- a/gateway/configcopy.go
+++ b/gateway/configcopy.go
@@ -103,13 +103,13 @@
 }
 
 func (g *Gateway) readConfigCopy() error {
-	records, _, err := g.platform.Store.Newest(g.background, g.platform.ConfigCopyTopic, copyIdleTimeout)
+	batch, err := g.platform.Store.Newest(g.background, g.platform.ConfigCopyTopic, copyIdleTimeout)
 	if err != nil {
 		return err
 	}
 	// The copy written last comes first, so that no older one comes into force.
-	slices.SortFunc(records, func(a, b keyedlog.Record) int { return cmp.Compare(b.Offset, a.Offset) })
-	for _, r := range records {
+	slices.SortFunc(batch.Records, func(a, b keyedlog.Record) int { return cmp.Compare(b.Offset, a.Offset) })
+	for _, r := range batch.Records {
 		g.useCopy(r)
 	}
 	return nil
--- a/keyedlog/keyedlog.go
+++ b/keyedlog/keyedlog.go
@@ -18,18 +18,24 @@
 	Offset int64
 }
 
+// Batch is the reply to a read.
+type Batch struct {
+	Records []Record
+	Next    int64 // offset at which to continue with Read
+	More    bool  // there were further records at the time of the reply
+}
+
 // Store is a client of the platform's store. Its reads end with an error that wraps
 // context.DeadlineExceeded when no data has arrived for the time idle. How long a whole
 // reply may take depends on its size and on the link, and is not bounded by idle.
 type Store interface {
-	// Newest returns the newest record of each key and the offset at which to
-	// continue with Read. The records are not a snapshot: some may have higher
-	// offsets.
-	Newest(ctx context.Context, topic string, idle time.Duration) (records []Record, next int64, err error)
-	// Read returns the records from an offset on and the next offset. If there is
-	// none, it waits for one for at most wait. It returns ErrTruncated if records
+	// Newest returns the newest record of each key. The records are not a snapshot:
+	// some may have higher offsets than the next one.
+	Newest(ctx context.Context, topic string, idle time.Duration) (Batch, error)
+	// Read returns records from an offset on, at least one if there is any. If there
+	// is none, it waits for one for at most wait. It returns ErrTruncated if records
 	// from that offset on are no longer retained.
-	Read(ctx context.Context, topic string, from int64, wait, idle time.Duration) (records []Record, next int64, err error)
+	Read(ctx context.Context, topic string, from int64, wait, idle time.Duration) (Batch, error)
 	// Append appends one record.
 	Append(ctx context.Context, topic string, r Record) error
 }
@@ -67,9 +73,10 @@
 	StoreAvailable()
 }
 
-// Follow passes the newest record of each key of a topic to h and then each new
-// record, until ctx is canceled. It continues with the newest records after
-// ErrTruncated. It waits for the given pause between a reply with records and the
+// Follow passes the newest record of each key of a topic to h and then new records,
+// until ctx is canceled. After ErrTruncated, or if it is behind by more records than one
+// reply holds, it continues with the newest ones, so that it does not read what has been
+// replaced. It waits for the given pause between a reply with records and the
 // next read, so that records written at about the same time are read together.
 func Follow(ctx context.Context, store Store, topic string, pause time.Duration, h Handler) {
 	f := follower{store: store, topic: topic, pause: pause, handler: h, backoff: platformlog.Backoff{Base: retryBase, Max: retryMax}, timeoutFactor: 1}
@@ -92,7 +99,7 @@
 
 // readOnce makes one call to the store and processes the result.
 func (f *follower) readOnce(ctx context.Context) {
-	records, next, err := f.call(ctx)
+	batch, err := f.call(ctx)
 	if ctx.Err() != nil {
 		return
 	}
@@ -106,14 +113,16 @@
 	}
 	f.backoff.Reset()
 	f.timeoutFactor = 1
-	f.next, f.positioned = next, true
-	if len(records) > 0 {
-		f.handler.HandleRecords(records)
+	f.next, f.positioned = batch.Next, !batch.More
+	if len(batch.Records) > 0 {
+		f.handler.HandleRecords(batch.Records)
+	}
+	if len(batch.Records) > 0 && !batch.More {
 		ctxsleep.For(ctx, f.pause)
 	}
 }
 
-func (f *follower) call(ctx context.Context) ([]Record, int64, error) {
+func (f *follower) call(ctx context.Context) (Batch, error) {
 	idle := f.timeoutFactor * idleTimeout
 	if !f.positioned {
 		return f.store.Newest(ctx, f.topic, idle)
--- a/keyedlog/keyedlog_test.go
+++ b/keyedlog/keyedlog_test.go
@@ -26,32 +26,32 @@
 	return s.available, s.truncated
 }
 
-func (s *store) Newest(context.Context, string, time.Duration) ([]keyedlog.Record, int64, error) {
+func (s *store) Newest(context.Context, string, time.Duration) (keyedlog.Batch, error) {
 	if _, truncated := s.state(); truncated {
-		return []keyedlog.Record{{Key: "k", Value: []byte("newest"), Offset: 6}}, 7, nil
+		return keyedlog.Batch{Records: []keyedlog.Record{{Key: "k", Value: []byte("newest"), Offset: 6}}, Next: 7}, nil
 	}
-	return nil, 0, nil
+	return keyedlog.Batch{}, nil
 }
 
-func (s *store) Read(ctx context.Context, _ string, from int64, wait, idle time.Duration) ([]keyedlog.Record, int64, error) {
+func (s *store) Read(ctx context.Context, _ string, from int64, wait, idle time.Duration) (keyedlog.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+idle)
 	defer cancel()
 	available, truncated := s.state()
 	if !available {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return keyedlog.Batch{}, ctx.Err()
 	}
 	if truncated && from < 5 {
-		return nil, 0, keyedlog.ErrTruncated
+		return keyedlog.Batch{}, keyedlog.ErrTruncated
 	}
 	if from == 0 {
-		return []keyedlog.Record{{Key: "k", Value: []byte("v")}}, 1, nil
+		return keyedlog.Batch{Records: []keyedlog.Record{{Key: "k", Value: []byte("v")}}, Next: 1}, nil
 	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
 	}
-	return nil, from, ctx.Err()
+	return keyedlog.Batch{Next: from}, ctx.Err()
 }
 
 func (s *store) Append(context.Context, string, keyedlog.Record) error { return errors.New("readonly") }
@@ -104,16 +104,16 @@
 	reads int
 }
 
-func (s *burstStore) Newest(context.Context, string, time.Duration) ([]keyedlog.Record, int64, error) {
-	return nil, 0, nil
+func (s *burstStore) Newest(context.Context, string, time.Duration) (keyedlog.Batch, error) {
+	return keyedlog.Batch{}, nil
 }
 
-func (s *burstStore) Read(_ context.Context, _ string, from int64, _, _ time.Duration) ([]keyedlog.Record, int64, error) {
+func (s *burstStore) Read(_ context.Context, _ string, from int64, _, _ time.Duration) (keyedlog.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
 	next := max(time.Since(s.start).Milliseconds(), from+1)
-	return make([]keyedlog.Record, next-from), next, nil
+	return keyedlog.Batch{Records: make([]keyedlog.Record, next-from), Next: next}, nil
 }
 
 func (s *burstStore) Append(context.Context, string, keyedlog.Record) error {
--- a/sidecar/announce.go
+++ b/sidecar/announce.go
@@ -74,12 +74,12 @@
 
 // loadRecord reads the record of an earlier agent of the same name.
 func (s *Sidecar) loadRecord() (announcement, bool) {
-	records, _, err := s.platform.Store.Newest(s.background, s.platform.MembersTopic, loadRecordIdleTimeout)
+	batch, err := s.platform.Store.Newest(s.background, s.platform.MembersTopic, loadRecordIdleTimeout)
 	if err != nil {
 		level.Warn(s.logger).Log("event", "recall_failed", "topic", s.platform.MembersTopic, "reason", err)
 		return announcement{}, false
 	}
-	for _, r := range records {
+	for _, r := range batch.Records {
 		if r.Key != s.opts.Name {
 			continue
 		}
