An append's time grows with the size of its record

The copy of a configuration of 250 KB never got through a link with less than 125 KB/s free, and filled it all the while.

An append may now take two seconds and the time for its record at 32 KB/s; small records wait no longer than before.

--- a/keyedlog/keyedlog.go
+++ b/keyedlog/keyedlog.go
@@ -49,8 +49,10 @@
 	readWait time.Duration = time.Second
 	// idleTimeout bounds the time without data of a read, in addition to its wait.
 	idleTimeout = 500 * time.Millisecond
-	// appendTimeout bounds an append, which takes long while the store is slow.
+	// appendTimeout bounds an append, which takes long while the store is slow, in
+	// addition to the time for its record at minAppendRate, in bytes per second.
 	appendTimeout = 2 * time.Second
+	minAppendRate = 32 << 10
 	// retryBase and retryMax bound the delay after a failed call. The store may
 	// reject the calls of a process for seconds, and the records written meanwhile
 	// are needed as soon as it accepts calls again.
@@ -154,8 +156,9 @@
 // record was acknowledged, and calls onError for each failed attempt.
 func Put(ctx context.Context, store Store, topic string, r Record, onError func(error)) bool {
 	backoff := platformlog.Backoff{Base: retryBase, Max: retryMax}
+	timeout := appendTimeout + time.Duration(len(r.Value))*time.Second/minAppendRate
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		err := store.Append(callCtx, topic, r)
 		cancel()
 		if err == nil {
--- a/standin/slowlink/slowlink.go
+++ b/standin/slowlink/slowlink.go
@@ -8,19 +8,19 @@
 	"golang.org/x/time/rate"
 )
 
-// writeSize bounds the bytes that are sent at once.
-const writeSize = 4 << 10
+// partSize bounds the bytes that pass at once.
+const partSize = 4 << 10
 
-// Listener accepts connections that share a link: all data that is written to them
-// is sent at a limited rate.
+// Listener accepts connections that share a link: all data in each direction passes
+// at a limited rate.
 type Listener struct {
 	net.Listener
-	limiter *rate.Limiter
+	in, out *rate.Limiter
 }
 
 // NewListener returns a Listener on l with a rate in bytes per second.
 func NewListener(l net.Listener, rateLimit int) *Listener {
-	return &Listener{Listener: l, limiter: rate.NewLimiter(rate.Limit(rateLimit), writeSize)}
+	return &Listener{Listener: l, in: rate.NewLimiter(rate.Limit(rateLimit), partSize), out: rate.NewLimiter(rate.Limit(rateLimit), partSize)}
 }
 
 // Accept implements net.Listener.
@@ -29,20 +29,31 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, limiter: l.limiter}, nil
+	return &conn{Conn: c, in: l.in, out: l.out}, nil
 }
 
 type conn struct {
 	net.Conn
-	limiter *rate.Limiter
+	in, out *rate.Limiter
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p[:min(len(p), partSize)])
+	if n > 0 {
+		if err := c.in.WaitN(context.Background(), n); err != nil {
+			return n, err
+		}
+	}
+	return n, err
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	written := 0
 	for len(p) > 0 {
-		part := p[:min(len(p), writeSize)]
-		if err := c.limiter.WaitN(context.Background(), len(part)); err != nil {
+		part := p[:min(len(p), partSize)]
+		if err := c.out.WaitN(context.Background(), len(part)); err != nil {
 			return written, err
 		}
 		n, err := c.Conn.Write(part)
