--- a/test/platform/largeconfig_test.go
+++ b/test/platform/largeconfig_test.go
@@ -82,13 +82,7 @@
 		g.Eventually(p.logTail, "10s", "100ms").Should(MatchRegexp(`event=config_cop\w+ version=%d`, v))
 	}
 	s.store.SetTopicMode("keyed.op", keyedstore.Unavailable)
-	all := append(append([]*process{}, s.entries...), s.agents...)
-	for _, p := range all {
-		p.kill()
-	}
-	for _, p := range all {
-		p.start()
-	}
+	s.restartAll()
 	for _, p := range s.entries {
 		g.Eventually(func() bool { return s.inForce(p, v) }, "10s", "50ms").Should(BeTrue())
 	}
--- a/test/platform/path_test.go
+++ b/test/platform/path_test.go
@@ -184,13 +184,7 @@
 	g.Eventually(func() []byte { return s.store.Newest("keyed.chestnuthollow.config", "config") }, "10s", "50ms").
 		Should(Equal(s.store.Newest("keyed.op", "config")))
 	s.store.SetTopicMode("keyed.op", keyedstore.Unavailable)
-	all := append(append([]*process{}, s.entries...), s.agents...)
-	for _, p := range all {
-		p.kill()
-	}
-	for _, p := range all {
-		p.start()
-	}
+	s.restartAll()
 	for _, p := range s.entries {
 		p.waitReady()
 	}
--- a/test/platform/system_test.go
+++ b/test/platform/system_test.go
@@ -326,6 +326,17 @@
 	return string(text[max(0, len(text)-2000):])
 }
 
+// restartAll kills all processes and starts them again.
+func (s *system) restartAll() {
+	all := append(append([]*process{}, s.entries...), s.agents...)
+	for _, p := range all {
+		p.kill()
+	}
+	for _, p := range all {
+		p.start()
+	}
+}
+
 func (s *system) stop() {
 	for _, p := range append(append([]*process{}, s.entries...), s.agents...) {
 		p.mu.Lock()
