The product's own log: large records over slow links

A batch or a checkpoint that takes longer, of up to 4 MB, was read again from the same offset for ever, and an append of one was given up and sent again.

A read now ends when nothing has arrived for that time; an append has the time for its record at 32 KB/s in addition. A reply over 64 MB is an error of its own.

TestLargeRecordIsReadOverSlowLink and TestLargeRecordIsAppendedOverSlowLink of platformlog failed before (context deadline exceeded) and pass. Left: logfollower takes a peer's state within four seconds in all.

--- a/internal/idleread/idleread.go
+++ b/internal/idleread/idleread.go
@@ -50,10 +50,10 @@
 	return resp.StatusCode, body, nil
 }
 
-// readError replaces an error by the cause for which ctx has ended, if it has.
+// readError adds the request and the cause for which ctx has ended, if it has.
 func readError(ctx context.Context, req *http.Request, received int, err error) error {
-	if ctx.Err() != nil {
-		err = context.Cause(ctx)
+	if cause := context.Cause(ctx); cause != nil {
+		err = fmt.Errorf("%w: %w", cause, err)
 	}
 	return fmt.Errorf("%s %s: after %d bytes of the reply: %w", req.Method, req.URL.Path, received, err)
 }
--- a/platformlog/client.go
+++ b/platformlog/client.go
@@ -6,12 +6,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/internal/idleread"
 )
 
 // Defaults and bounds of a Client.
@@ -21,6 +22,10 @@
 	idleTimeout        = 30 * time.Second
 	maxIdleConnections = 4
 	maxReplyBytes      = 64 << 20
+	// totalTimeout bounds a request whose reply makes progress.
+	totalTimeout = time.Minute
+	// minSendRate is the rate, in bytes per second, at which a record must be sent.
+	minSendRate = 32 << 10
 )
 
 // Client is a Log over HTTP. A request that times out or is canceled closes its
@@ -35,8 +40,9 @@
 
 var _ Log = (*Client)(nil)
 
-// NewClient returns a client for the log at baseURL. Timeout bounds each
-// request; zero selects DefaultTimeout.
+// NewClient returns a client for the log at baseURL. Timeout bounds how long a
+// request waits for its reply, in addition to the time to send its record, and for each
+// further part of the reply; zero selects DefaultTimeout.
 func NewClient(baseURL string, timeout time.Duration) (*Client, error) {
 	u, err := url.Parse(baseURL)
 	if err != nil {
@@ -112,10 +118,8 @@
 }
 
 func (c *Client) do(ctx context.Context, method, path string, body []byte, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
 	err := c.roundTrip(ctx, method, path, body, reply)
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded) {
 		c.http.CloseIdleConnections()
 	}
 	return err
@@ -129,17 +133,14 @@
 	if method == http.MethodPost {
 		req.Header.Set("Content-Type", "application/octet-stream")
 	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	first := c.timeout + time.Duration(len(body))*time.Second/minSendRate
+	limits := idleread.Limits{First: first, Idle: c.timeout, Total: totalTimeout, Bytes: maxReplyBytes}
+	status, text, err := idleread.Do(c.http, req, limits)
 	if err != nil {
 		return err
 	}
-	if resp.StatusCode != http.StatusOK {
-		return &statusError{code: resp.StatusCode}
+	if status != http.StatusOK {
+		return &statusError{code: status}
 	}
 	return json.Unmarshal(text, reply)
 }
--- a/platformlog/client_test.go
+++ b/platformlog/client_test.go
@@ -1,8 +1,12 @@
 package platformlog_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"io"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,6 +16,7 @@
 
 	"github.com/chestnuthollow/chestnuthollow/platformlog"
 	"github.com/chestnuthollow/chestnuthollow/standin/logserver"
+	"github.com/chestnuthollow/chestnuthollow/standin/slowlink"
 )
 
 const testTimeout = 200 * time.Millisecond
@@ -172,6 +177,49 @@
 	g.Expect(err).NotTo(HaveOccurred())
 }
 
+// Guards against a follower that never gets past a large record, such as a checkpoint: a
+// read was given up after a fixed time with all that had arrived, and started again from
+// the same offset.
+func TestLargeRecordIsReadOverSlowLink(t *testing.T) {
+	g := NewWithT(t)
+	const size, rateLimit = 200_000, 400_000 // bytes, bytes per second
+	record := platformlog.Record{Offset: 7, Data: bytes.Repeat([]byte("x"), size)}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		json.NewEncoder(w).Encode(platformlog.ReadReply{Records: []platformlog.Record{record}})
+	})}
+	go srv.Serve(slowlink.NewListener(l, rateLimit))
+	defer srv.Close()
+	c, err := platformlog.NewClient("http://"+l.Addr().String(), testTimeout)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	g.Expect(c.Read(t.Context(), 7, 10)).To(Equal([]platformlog.Record{record}))
+}
+
+// Guards against a large record, such as a checkpoint, that is appended again and again:
+// an append was given up after a fixed time, whatever its size.
+func TestLargeRecordIsAppendedOverSlowLink(t *testing.T) {
+	g := NewWithT(t)
+	const size, rateLimit = 100_000, 100_000 // bytes, bytes per second
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	received := make(chan []byte, 1)
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		received <- body
+		json.NewEncoder(w).Encode(platformlog.AppendReply{Offset: 9})
+	})}
+	go srv.Serve(slowlink.NewListener(l, rateLimit))
+	defer srv.Close()
+	c, err := platformlog.NewClient("http://"+l.Addr().String(), testTimeout)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	data := bytes.Repeat([]byte("x"), size)
+	g.Expect(c.Append(t.Context(), data)).To(BeEquivalentTo(9))
+	g.Expect(received).To(Receive(Equal(data)))
+}
+
 func TestBackoffGrowsToItsBound(t *testing.T) {
 	g := NewWithT(t)
 	b := platformlog.Backoff{Base: time.Millisecond, Max: 4 * time.Millisecond}
