--- a/test/platform/proxy_test.go
+++ b/test/platform/proxy_test.go
@@ -98,11 +98,14 @@
 }
 
 // setRate limits the bytes from the process to a rate per second, which all
-// connections share.
+// connections share. Zero removes the limit.
 func (p *proxy) setRate(bytesPerSecond int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.slow = rate.NewLimiter(rate.Limit(bytesPerSecond), chunkSize)
+	p.slow = nil
+	if bytesPerSecond > 0 {
+		p.slow = rate.NewLimiter(rate.Limit(bytesPerSecond), chunkSize)
+	}
 }
 
 // waitUntilPassing waits while the direction is blocked, and then for the delay.
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -50,6 +50,7 @@
 type soak struct {
 	*system
 	rng      *rand.Rand // draws the faults
+	sizes    *rand.Rand // draws the sizes of configurations and the rate of the store's link
 	faults   sync.WaitGroup
 	mu       sync.Mutex
 	faultLog []string
@@ -57,7 +58,7 @@
 }
 
 func soakOnce(t *testing.T, seed int64) {
-	s := &soak{system: newSystem(t, *soakEntries, *soakAgents), rng: rand.New(rand.NewSource(seed)), counts: make(map[string]int)}
+	s := &soak{system: newSystem(t, *soakEntries, *soakAgents), rng: rand.New(rand.NewSource(seed)), sizes: rand.New(rand.NewSource(-seed)), counts: make(map[string]int)}
 	t.Cleanup(func() {
 		if t.Failed() || s.invariants.err() != nil {
 			s.saveLogs(seed)
@@ -78,6 +79,7 @@
 	}
 	s.faults.Wait()
 	s.clearFaults()
+	s.changeConfigOverSlowLink()
 	s.expectRecovery()
 	cancel()
 	callers.Wait()
@@ -193,10 +195,15 @@
 		server.Crash()
 	case 9:
 		mode := []keyedstore.Mode{keyedstore.Unresponsive, keyedstore.Unavailable, keyedstore.LosingReplies, keyedstore.Serving}[s.rng.Intn(4)]
-		temporarily(func() { s.store.SetMode(mode, 300*time.Millisecond) }, func() { s.store.SetMode(keyedstore.Serving, 0) })
-		s.mu.Lock()
-		s.putConfig()
-		s.mu.Unlock()
+		rate := 200_000 + s.sizes.Intn(800_000) // bytes per second
+		temporarily(func() {
+			s.store.SetMode(mode, 300*time.Millisecond)
+			s.storeProxy.setRate(rate)
+		}, func() {
+			s.store.SetMode(keyedstore.Serving, 0)
+			s.storeProxy.setRate(0)
+		})
+		s.putLargeConfig(s.sizes.Intn(largeConfigQueues))
 	}
 	s.count(fmt.Sprintf("fault %d", kind))
 }
@@ -205,6 +212,7 @@
 // stopped.
 func (s *soak) clearFaults() {
 	s.store.SetMode(keyedstore.Serving, 0)
+	s.storeProxy.setRate(0)
 	for _, px := range s.proxies {
 		px.setFaults(0, false, false)
 	}
@@ -216,16 +224,25 @@
 	}
 }
 
-// expectRecovery checks that each entry serves again within the platform's bound.
+// changeConfigOverSlowLink writes a large configuration while the link of the store
+// gives each entry so little that reading it takes three to four seconds.
+func (s *soak) changeConfigOverSlowLink() {
+	const ratePerEntry = 300_000 // bytes per second
+	s.storeProxy.setRate(len(s.entries) * ratePerEntry)
+	s.putLargeConfig(largeConfigQueues)
+}
+
+// expectRecovery checks that each entry serves again, by the newest configuration,
+// within the platform's bound.
 func (s *soak) expectRecovery() {
 	const bound = 12 * time.Second
 	for i, p := range s.entries {
 		ok := false
 		for end := time.Now().Add(bound); !ok && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-			ok = s.post(context.Background(), p, fmt.Sprintf("ff%06x%08x", i, time.Now().UnixNano()&0xffffffff), 1, 20, 1000, "ok").state == "completed"
+			ok = s.inForce(p, s.version) && s.post(context.Background(), p, fmt.Sprintf("ff%06x%08x", i, time.Now().UnixNano()&0xffffffff), 1, 20, 1000, "ok").state == "completed"
 		}
 		if !ok {
-			s.t.Errorf("%s does not complete a job within %v after the last fault; log: %s", p.name, bound, p.logTail())
+			s.t.Errorf("%s does not complete a job by version %d within %v after the last fault; log: %s", p.name, s.version, bound, p.logTail())
 		}
 	}
 }
--- a/test/platform/system_test.go
+++ b/test/platform/system_test.go
@@ -51,6 +51,7 @@
 	dir        string
 	program    string
 	store      *keyedstore.Store
+	storeProxy *proxy
 	invariants *invariantChecker
 	entries    []*process
 	agents     []*process
@@ -84,7 +85,8 @@
 	s := &system{t: t, dir: t.TempDir(), program: program, store: keyedstore.New(), invariants: newInvariantChecker(), client: &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: 100},
 	}}
-	storeAddr := s.serve(s.store.Handler())
+	s.storeProxy = newProxy(t, s.serve(s.store.Handler()))
+	storeAddr := s.storeProxy.addr
 	s.putConfig()
 	var seeds []string
 	for range entries {
