Recovery: a lost agent makes a failed answer not final

Callers saw: a job whose home is gone was answered as failed, finally, and later as complete, if an agent had been unreachable for 15 s while the recovery waited for its records. Cause: the recovery stopped to wait for a dropped agent without being marked as incomplete; only a query that failed was. An agent that was replaced has lost its records: there the answer stays final.

TestRecoveryIsNotFinalWhenAgentIsLost failed before (final, failed) and passes.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -210,7 +210,7 @@
 	a.service.agents = withoutAgent(a.service.agents, a)
 	a.service.policy.Remove(id)
 	c.emit(DropAgent{Agent: id})
-	c.removeFromRecoveries(id)
+	c.removeFromRecoveries(id, a.replaced)
 	c.emit(LogEvent{Event: "agent_gone", Task: noTask, Agent: id, Detail: a.info.Name + ": " + reason})
 	for _, ref := range sortedRefs(a.attempts) {
 		err := structs.Errorf(structs.CodeAgentLost, structs.MayHaveRun, "agent %s was %s before it reported the task's outcome", a.info.Name, reason)
--- a/coordinator/recovery.go
+++ b/coordinator/recovery.go
@@ -276,11 +276,13 @@
 }
 
 // removeFromRecoveries stops recoveries from waiting for the records of an
-// agent that has been dropped.
-func (c *Coordinator) removeFromRecoveries(agent structs.Incarnation) {
+// agent that has been dropped. The records of a replaced agent are gone; one that was
+// only lost may still report them.
+func (c *Coordinator) removeFromRecoveries(agent structs.Incarnation, replaced bool) {
 	for _, r := range c.sortedRecoveries() {
 		if _, isPending := r.pending[agent]; isPending {
 			delete(r.pending, agent)
+			r.incomplete = r.incomplete || !replaced
 			c.finishRecovery(r)
 		}
 	}
--- a/coordinator/recovery_test.go
+++ b/coordinator/recovery_test.go
@@ -88,3 +88,24 @@
 	g.Expect(placements(effects)).To(BeEmpty())
 	g.Expect(findReply(effects).Answer.Results[0].Verdict).To(Equal(structs.NotRun))
 }
+
+// An agent that was dropped because it did not answer may still have the result of the
+// other task. A failed answer would be final, and the same job could later be reported
+// as complete.
+func TestRecoveryIsNotFinalWhenAgentIsLost(t *testing.T) {
+	g := NewWithT(t)
+	s := startRecovery(true)
+	s.replyQuery(agentA, doneStatus(1))
+	var r *Reply
+	for range 400 {
+		s.advance(TickInterval)
+		if r = findReply(s.step(Ticked{})); r != nil {
+			break
+		}
+	}
+	g.Expect(r).NotTo(BeNil(), "the recovery ends when the agent is dropped")
+	g.Expect(r.Answer).To(BeNil())
+	g.Expect(r.Error.Code).To(Equal(structs.CodeHomeLost))
+	g.Expect(r.Error.Verdict).To(Equal(structs.MayHaveRun))
+	g.Expect(r.Error.RetryAfter).NotTo(BeZero())
+}
