Publish: an accepted edit is not reported as a conflict with itself

The revision after the base tells: if it is kept and names the edit, the edit was accepted and its record is returned; if it names another, the edit has not run; if it is not kept, the conflict says may have run.

--- a/publish/conflict.go
+++ b/publish/conflict.go
@@ -8,8 +8,8 @@
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
-// ConflictError reports a compare-and-set failure: an edit did not take effect
-// because its base is not the revision in force.
+// ConflictError reports a compare-and-set failure: the base of an edit is not the
+// revision in force.
 type ConflictError struct {
 	EditID string `json:"edit_id"`
 	Base   uint64 `json:"base"`
@@ -21,6 +21,9 @@
 	// Change is the unified diff from the base to the winner; empty if the base
 	// is not kept.
 	Change string `json:"change"`
+	// verdict is MayHaveRun if the edit itself may have created the revision after its
+	// base, which is no longer kept.
+	verdict structs.Verdict
 }
 
 // Error implements the error interface.
@@ -34,16 +37,20 @@
 
 // Unwrap returns the conflict as a *structs.Error.
 func (e *ConflictError) Unwrap() error {
-	return structs.Errorf(structs.CodeConflict, structs.NotRun, "%s", e.Error())
+	return structs.Errorf(structs.CodeConflict, e.verdict, "%s", e.Error())
 }
 
 func newConflictError(state *logstate.State, edit *logstate.Edit) *ConflictError {
 	current, _ := state.Document(edit.Service)
 	winner, kept := state.Revision(edit.Service, edit.Base+1)
+	verdict := structs.NotRun
 	if !kept {
 		winner = current
+		if edit.Base < current.Revision {
+			verdict = structs.MayHaveRun
+		}
 	}
-	e := &ConflictError{EditID: edit.ID, Base: edit.Base, Winner: winner, Current: current.Revision}
+	e := &ConflictError{EditID: edit.ID, Base: edit.Base, Winner: winner, Current: current.Revision, verdict: verdict}
 	base, kept := state.Revision(edit.Service, edit.Base)
 	if kept || edit.Base == 0 {
 		e.Change = document.Diff(base.Text, winner.Text)
--- a/publish/publish.go
+++ b/publish/publish.go
@@ -57,7 +57,7 @@
 		return result(current, &edit, out)
 	}
 	if rec, _ := current.Document(edit.Service); rec.Revision > edit.Base {
-		return structs.DocumentRecord{}, newConflictError(current, &edit)
+		return conflictResult(current, &edit)
 	}
 	return p.appendAndReadBack(ctx, &edit)
 }
@@ -190,11 +190,21 @@
 	case "":
 		return acceptedRecord(state, edit, out), nil
 	case logstate.ReasonConflict:
-		return structs.DocumentRecord{}, newConflictError(state, edit)
+		return conflictResult(state, edit)
 	}
 	return structs.DocumentRecord{}, structs.Errorf(structs.CodeRejected, structs.NotRun, "the edit was rejected: %s", out.Rejected)
 }
 
+// conflictResult returns the result of an edit whose base is not in force. The edit may
+// have been accepted earlier, with an outcome that is no longer kept: it has then created
+// the revision after its base.
+func conflictResult(state *logstate.State, edit *logstate.Edit) (structs.DocumentRecord, error) {
+	if rec, kept := state.Revision(edit.Service, edit.Base+1); kept && rec.EditID == edit.ID && rec.Text == edit.Text {
+		return rec, nil
+	}
+	return structs.DocumentRecord{}, newConflictError(state, edit)
+}
+
 // acceptedRecord returns the record of the revision that an edit created. It is
 // rebuilt from the edit if the state no longer keeps it.
 func acceptedRecord(state *logstate.State, edit *logstate.Edit, out logstate.Outcome) structs.DocumentRecord {
--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -206,3 +208,48 @@
 	g.Expect(errors.As(err, &e)).To(BeTrue())
 	g.Expect(e.Verdict).To(Equal(structs.NotRun))
 }
+
+// evictOutcomes publishes further edits of a service, with the given revision in force,
+// until the outcomes of earlier edits are no longer kept.
+func evictOutcomes(ctx context.Context, g *WithT, p publisher, service string, revision uint64) {
+	for i := range uint64(logstate.MaxOutcomes) {
+		e := edit(fmt.Sprintf("%s-%d", service, i), revision+i, "")
+		e.Service, e.Text = service, strings.Replace(e.Text, "booking'", service+"'", 1)
+		_, err := p.Publish(ctx, e)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+}
+
+// An accepted edit that is published again long after is not a conflict with itself.
+func TestAcceptedEditIsRecognizedWithoutItsOutcome(t *testing.T) {
+	g := NewWithT(t)
+	ctx, srv := startLog(t)
+	p := newPublisher(t, ctx, srv.URL())
+	rec, err := p.Publish(ctx, edit("a", 0, ""))
+	g.Expect(err).NotTo(HaveOccurred())
+	evictOutcomes(ctx, g, p, "other", 0)
+	again, err := p.Publish(ctx, edit("a", 0, ""))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again).To(Equal(rec))
+
+	_, err = p.Publish(ctx, edit("b", 0, ""))
+	var e *structs.Error
+	g.Expect(errors.As(err, &e)).To(BeTrue())
+	g.Expect(e.Verdict).To(Equal(structs.NotRun), "another edit created the revision")
+}
+
+// Once neither the outcome of an edit nor the revision after its base is kept, nobody
+// knows whether the edit was accepted.
+func TestConflictOfForgottenEditIsNotCalledNotRun(t *testing.T) {
+	g := NewWithT(t)
+	ctx, srv := startLog(t)
+	p := newPublisher(t, ctx, srv.URL())
+	_, err := p.Publish(ctx, edit("a", 0, ""))
+	g.Expect(err).NotTo(HaveOccurred())
+	evictOutcomes(ctx, g, p, "booking", 1)
+	_, err = p.Publish(ctx, edit("a", 0, ""))
+	var e *structs.Error
+	g.Expect(errors.As(err, &e)).To(BeTrue())
+	g.Expect(e.Code).To(Equal(structs.CodeConflict))
+	g.Expect(e.Verdict).To(Equal(structs.MayHaveRun))
+}
