Idempotency: reads of the stream are bounded by the log's client

The client ends calls that make no progress.

TestKeyIsBoundWhenReadsAreSlow failed before (unavailable after 12 s) and passes.

--- a/idempotency/binder.go
+++ b/idempotency/binder.go
@@ -37,7 +37,6 @@
 	maxBatch       = 256     // bindings per record
 	maxPending     = 4096    // bindings queued for an append
 	maxReadRecords = 512
-	logTimeout     = 2 * time.Second
 )
 
 // Binder binds keys to jobs through the log. Its methods are safe for
@@ -55,7 +54,8 @@
 	lastRecordAt time.Time     // when a record was last read, or taken for an append
 }
 
-// NewBinder returns a Binder for a stream that only Binders append to.
+// NewBinder returns a Binder for a stream that only Binders append to. The log bounds
+// its calls by itself, as platformlog.Client does.
 func NewBinder(l platformlog.Log, logger log.Logger) *Binder {
 	return &Binder{
 		log:           l,
@@ -203,8 +203,6 @@
 		level.Error(b.logger).Log("event", "key_record_not_encoded", "err", err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, logTimeout)
-	defer cancel()
 	if _, err := b.log.Append(ctx, data); err != nil {
 		level.Warn(b.logger).Log("event", "keys_not_appended", "keys", len(r.Bindings), "err", err)
 	}
@@ -238,8 +236,6 @@
 // read reads and applies the next records, and reports whether there may be
 // more.
 func (b *Binder) read(ctx context.Context) (more bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, logTimeout)
-	defer cancel()
 	b.mu.Lock()
 	next := b.table.Next()
 	b.mu.Unlock()
