Idempotency: a key ahead of this entry's clock may have run

An entry whose clock runs ahead takes it, binds it and runs its job; a copy that reaches another entry was then told that it had not run.

TestKeyAheadOfClockMayHaveRun failed before (not run) and passes.

--- a/idempotency/binder.go
+++ b/idempotency/binder.go
@@ -70,11 +70,12 @@
 // Bind binds a key to job, unless it is bound already, and returns the job that
 // the key is bound to. If that cannot be determined, it returns a
 // *structs.Error. This call has then started nothing, but an earlier one may
-// have bound the key and its job may have run, so the verdict is MayHaveRun,
-// except for a key whose time is more than maxClockLead ahead.
+// have bound the key and its job may have run, so the verdict is MayHaveRun. That
+// holds also for a key whose time is more than maxClockLead ahead: an entry whose
+// clock runs ahead accepts it.
 func (b *Binder) Bind(ctx context.Context, k Key, job structs.JobID) (structs.JobID, *structs.Error) {
 	if lead := time.Until(k.Time()); lead > maxClockLead {
-		return structs.JobID{}, structs.Errorf(structs.CodeInvalid, structs.NotRun, "the time in the idempotency key is %s ahead of this entry's clock", lead.Round(time.Second))
+		return structs.JobID{}, structs.Errorf(structs.CodeInvalid, structs.MayHaveRun, "the time in the idempotency key is %s ahead of this entry's clock", lead.Round(time.Second))
 	}
 	b.beginCall()
 	defer b.endCall()
--- a/idempotency/binder_test.go
+++ b/idempotency/binder_test.go
@@ -62,3 +62,14 @@
 	g.Expect(err).To(BeNil())
 	g.Expect(bound).To(Equal(job))
 }
+
+// An entry whose clock runs ahead accepts a key that this one refuses, so the job may
+// have run.
+func TestKeyAheadOfClockMayHaveRun(t *testing.T) {
+	g := NewWithT(t)
+	b := NewBinder(&slowLog{}, log.NewNopLogger())
+	_, err := b.Bind(t.Context(), keyAt(time.Now().Add(2*maxClockLead).UnixMilli(), 1), structs.JobID{Home: 3, Seq: 1})
+	g.Expect(err).NotTo(BeNil())
+	g.Expect(err.Code).To(Equal(structs.CodeInvalid))
+	g.Expect(err.Verdict).To(Equal(structs.MayHaveRun))
+}
