--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -1,6 +1,7 @@
 package executor_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -173,6 +174,19 @@
 	g.Expect(h.result(h.await(task(1, 1), 1)).Verdict).To(Equal(structs.Ran))
 }
 
+// A backend server's long message is cut between characters, and the hint when to come
+// back is kept.
+func TestLongErrorMessageIsCutOnly(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(nil)
+	h.run(request(task(1, 0), 1))
+	full := structs.Errorf(structs.CodeOverloaded, structs.NotRun, "%s", strings.Repeat("é", 400)).WithRetryAfter(3 * time.Second)
+	h.step(executor.TaskFinished{Task: task(1, 0), Result: structs.TaskResult{Verdict: structs.MayHaveRun, Error: full}})
+	got := h.result(h.await(task(1, 0), 1)).Error
+	g.Expect(got.RetryAfter).To(Equal(3 * time.Second))
+	g.Expect(got.Message).To(Equal(strings.Repeat("é", 256)))
+}
+
 // A Run repeats a queued task and raises the watermark above its job. The task is
 // dropped by that same message, and the Run must still get an answer.
 func TestRunWhoseWatermarkSettlesItsOwnTask(t *testing.T) {
--- a/executor/start.go
+++ b/executor/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/structs"
@@ -125,7 +126,9 @@
 		res.Error = structs.Errorf(structs.CodeTooLarge, res.Verdict, "the result is larger than %d bytes", structs.MaxResultBytes)
 	}
 	if res.Error != nil && len(res.Error.Message) > maxErrorBytes {
-		res.Error = structs.Errorf(res.Error.Code, res.Error.Verdict, "%s", res.Error.Message[:maxErrorBytes])
+		e := *res.Error
+		e.Message = strings.ToValidUTF8(e.Message[:maxErrorBytes], "")
+		res.Error = &e
 	}
 	if res.Error == nil && res.Verdict != structs.Ran {
 		res.Error = structs.Errorf(structs.CodeInternal, res.Verdict, "no result or error")
