Coordinator: a job refused for its timeout is told when it would be accepted

Now the lower one counts.

TestJobRefusedForItsTimeoutIsAcceptedAfterTheHint failed before (refused again: 44 tasks queued, expected wait 1.5 s) and passes.

--- a/coordinator/overload.go
+++ b/coordinator/overload.go
@@ -37,9 +37,9 @@
 		_, scheduledTasks := svc.retrySchedule.Pending(c.now, c.now)
 		tasksAhead += float64(scheduledTasks)
 	}
-	limit += 2 * seconds(float64(n)/perSecond)
+	limit = min(limit+2*seconds(float64(n)/perSecond), c.timeout(spec))
 	wait := seconds(tasksAhead / perSecond)
-	if wait <= min(limit, c.timeout(spec)) {
+	if wait <= limit {
 		svc.retrySchedule.Consume(c.now, key)
 		return nil
 	}
--- a/coordinator/policy_test.go
+++ b/coordinator/policy_test.go
@@ -319,6 +319,23 @@
 	g.Expect(err.Verdict).To(Equal(structs.NotRun))
 }
 
+// The hint was 100 ms whenever the wait exceeded the job's timeout only, and the caller
+// was refused again and again.
+func TestJobRefusedForItsTimeoutIsAcceptedAfterTheHint(t *testing.T) {
+	g := NewWithT(t)
+	f := newSimulation(nil, identicalServers(1)...)
+	f.submit("a", 16)
+	f.runFor(time.Second, nil)
+	f.submit("a", 60)
+	late := jobSpec(60)
+	late.Timeout = 500 * time.Millisecond
+	err := f.replyError(f.submitSpec(late))
+	g.Expect(err).NotTo(BeNil())
+	g.Expect(err.Code).To(Equal(structs.CodeOverloaded))
+	f.runFor(err.RetryAfter, nil)
+	g.Expect(f.replyError(f.submitSpec(late))).To(BeNil(), "%v; came back after %v", err, err.RetryAfter)
+}
+
 func TestJobThatCanNeverRunIsRejected(t *testing.T) {
 	doc := &document.Document{
 		Accept: document.Accept{Kinds: []string{"hold"}, MaxTasksPerJob: 100},
