--- a/entry/peers.go
+++ b/entry/peers.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/chestnuthollow/chestnuthollow/internal/rpcconn"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -234,14 +235,18 @@
 	}
 }
 
-// fetchState returns the encoded state of the log from the first peer that has one.
+// stateTimeouts bound fetching a peer's state.
+var stateTimeouts = rpcconn.Timeouts{Dial: dialTimeout, Idle: controlTimeout, Total: 10 * time.Second}
+
+// fetchState returns the encoded state of the log from the first peer that has one. It
+// uses a connection of its own, so that a large state does not hold up calls of jobs.
 func (t *peerTable) fetchState(ctx context.Context) ([]byte, error) {
 	for _, p := range t.list() {
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
 		var reply structs.MembersReply
-		err := p.link.call("Members", &t.self, &reply, controlTimeout)
+		err := rpcconn.Call(p.info.RPCAddr, structs.EntryService+".Members", &t.self, &reply, stateTimeouts)
 		if err == nil && len(reply.Fold) > 0 {
 			return reply.Fold, nil
 		}
