rpcconn: a call over its total time leaves its reply alone

Call returned while the client could still decode into the reply, whose value callers pass on. It now waits for the end of the call, which closing the connection brings.

--- a/internal/rpcconn/rpcconn.go
+++ b/internal/rpcconn/rpcconn.go
@@ -107,6 +107,8 @@
 	case <-call.Done:
 		return call.Error
 	case <-timer.C:
+		client.Close()
+		<-call.Done // reply is not written to any more
 		return fmt.Errorf("%s at %s: no complete reply within %v", method, addr, t.Total)
 	}
 }
