Two tests of state machines that depend on the order of a map

Found: taskrunner.learnFromProgress clears the sums of running tasks and adds to them while predictions for tasks with little progress read them, in the order of a map; and capacity.New sorts releases by time only.

--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -37,3 +37,20 @@
 	g.Expect(ok).To(BeTrue())
 	g.Expect(at).To(BeZero())
 }
+
+// The agent builds a Timeline from a map. With releases at the same time, the prediction
+// depended on their order, and a recorded seed was not repeatable.
+func TestTimelineDoesNotDependOnOrderOfReleases(t *testing.T) {
+	g := NewWithT(t)
+	second := time.Second
+	startOfNext := func(releases ...capacity.Release) time.Duration {
+		tl := capacity.New(0, releases)
+		_, ok := tl.Reserve(5, second)
+		g.Expect(ok).To(BeTrue())
+		start, ok := tl.EarliestStart(3)
+		g.Expect(ok).To(BeTrue())
+		return start
+	}
+	a, b := capacity.Release{At: second, CPU: 3}, capacity.Release{At: second, CPU: 5}
+	g.Expect(startOfNext(a, b)).To(Equal(startOfNext(b, a)))
+}
--- a/taskrunner/taskrunner_test.go
+++ b/taskrunner/taskrunner_test.go
@@ -461,6 +461,25 @@
 	h.Expect(st.Laggards[0].Ms).To(BeNumerically("~", 575, 5))
 }
 
+// Step must be a function of the state and the event. The slowness that is learned from
+// running tasks depended on the order in which a map returned them: the estimate of a
+// task with little progress was taken from the sums while these were being built.
+func TestLearnedSlownessDoesNotDependOnOrderOfRuns(t *testing.T) {
+	slowness := make(map[int]bool)
+	for range 50 {
+		h := newHarness(t)
+		h.makeReady()
+		h.order(1, h.reading(), "job", 1000, 1, 2)
+		for i := range 2 {
+			h.acceptStart(runKey("job", i))
+		}
+		h.advance(50 * time.Millisecond)
+		h.answerRenewal(0, []taskrunner.RunningRow{{Key: runKey("job", 0), Percent: 10}, {Key: runKey("job", 1), Percent: 1}})
+		slowness[h.helloState().Slowness] = true
+	}
+	NewWithT(t).Expect(slowness).To(HaveLen(1))
+}
+
 // Lease renewals overlap. A reply that is overtaken by the one to a later renewal
 // still lists tasks that have ended since. They must not be taken for unknown tasks
 // and stopped.
