Entry: the members that a peer lists are bounded by the time without data

Over a slow link the entry was never ready.

The call has a connection of its own, ends when no data arrives, and runs beside the pings, once at a time for each peer, so that these do not wait for it.

--- a/coordinator/recovery.go
+++ b/coordinator/recovery.go
@@ -276,8 +276,8 @@
 }
 
 // removeFromRecoveries stops recoveries from waiting for the records of an
-// agent that has been dropped. The records of a replaced agent are gone; one that was
-// only lost may still report them.
+// agent that has been dropped. A replaced agent has lost its records; one that was
+// only unreachable may still report them.
 func (c *Coordinator) removeFromRecoveries(agent structs.Incarnation, replaced bool) {
 	for _, r := range c.sortedRecoveries() {
 		if _, isPending := r.pending[agent]; isPending {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -33,6 +33,7 @@
 	link           *peerLink
 	added          time.Time
 	lastHeard      time.Time // zero if never
+	fetching       bool      // Members is being called
 	membersFetched bool      // Members has been called successfully
 	pingFailed     bool      // the last ping got no reply
 }
@@ -182,20 +183,45 @@
 		t.remove(p.info.Incarnation)
 		return
 	}
-	if !p.membersFetched {
-		t.fetchMembers(p, handler)
+	if t.startFetch(p.info.Incarnation) {
+		go t.fetchMembers(p, handler) // pings do not wait for a long reply
 	}
 }
 
+// startFetch reports whether Members has to be called at a peer, and then records that
+// it is being called.
+func (t *peerTable) startFetch(id structs.Incarnation) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[id]
+	if p == nil || p.fetching || p.membersFetched {
+		return false
+	}
+	p.fetching = true
+	return true
+}
+
 // fetchMembers gets the entries, agents and final reports that a peer lists.
 func (t *peerTable) fetchMembers(p peer, handler peerHandler) {
-	var reply structs.MembersReply
-	if err := p.link.call("Members", &t.self, &reply, controlTimeout); err != nil {
-		return
+	reply, err := t.callMembers(p)
+	if err == nil {
+		t.add(reply.Entries)
+		handler.postMembers(reply)
+	}
+	t.endFetch(p.info.Incarnation, err == nil)
+}
+
+// membersTimeouts bound a call of Members.
+var membersTimeouts = rpcconn.Timeouts{Dial: dialTimeout, Idle: controlTimeout, Total: 10 * time.Second}
+
+// callMembers calls Members on a connection of its own: the peer's state, which may be
+// large, would hold up calls of jobs.
+func (t *peerTable) callMembers(p peer) (*structs.MembersReply, error) {
+	reply := new(structs.MembersReply)
+	if err := rpcconn.Call(p.info.RPCAddr, structs.EntryService+".Members", &t.self, reply, membersTimeouts); err != nil {
+		return nil, err
 	}
-	t.add(reply.Entries)
-	handler.postMembers(&reply)
-	t.setMembersFetched(p.info.Incarnation, true)
+	return reply, nil
 }
 
 // ready returns nil if a peer has reported its agents or no peer is live. Until
@@ -216,11 +242,12 @@
 	return nil
 }
 
-func (t *peerTable) setMembersFetched(id structs.Incarnation, membersFetched bool) {
+func (t *peerTable) endFetch(id structs.Incarnation, fetched bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if current := t.peers[id]; current != nil {
-		current.membersFetched = membersFetched
+		current.fetching = false
+		current.membersFetched = fetched
 	}
 }
 
@@ -235,18 +262,13 @@
 	}
 }
 
-// stateTimeouts bound fetching a peer's state.
-var stateTimeouts = rpcconn.Timeouts{Dial: dialTimeout, Idle: controlTimeout, Total: 10 * time.Second}
-
-// fetchState returns the encoded state of the log from the first peer that has one. It
-// uses a connection of its own, so that a large state does not hold up calls of jobs.
+// fetchState returns the encoded state of the log from the first peer that has one.
 func (t *peerTable) fetchState(ctx context.Context) ([]byte, error) {
 	for _, p := range t.list() {
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
-		var reply structs.MembersReply
-		err := rpcconn.Call(p.info.RPCAddr, structs.EntryService+".Members", &t.self, &reply, stateTimeouts)
+		reply, err := t.callMembers(p)
 		if err == nil && len(reply.Fold) > 0 {
 			return reply.Fold, nil
 		}
