Logfollower: the departure is retried after a pause

A request pending from before ended the pause at once, and the read that it asked for was not made. TestDepartureIsRetriedAfterAPause failed before (0 s between attempts) and passes.

--- a/logfollower/append.go
+++ b/logfollower/append.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/chestnuthollow/chestnuthollow/internal/ctxsleep"
 	"github.com/chestnuthollow/chestnuthollow/logstate"
 	"github.com/chestnuthollow/chestnuthollow/platformlog"
 )
@@ -111,7 +112,7 @@
 		if _, err = f.opts.Log.Append(ctx, data); err == nil {
 			return nil
 		}
-		f.wait(ctx, backoff.Next())
+		ctxsleep.For(ctx, backoff.Next())
 	}
 	return err
 }
