--- a/session/messages.go
+++ b/session/messages.go
@@ -77,6 +77,7 @@
 // JobPart contains the tasks of one job that are placed on one agent.
 type JobPart struct {
 	Job      string // the caller's name of the job
+	Queue    string // name of the job's queue; empty if the entry is of an earlier build
 	Spec     string
 	Service  string
 	CPU      int // thousandths of a core, of each task
--- a/taskrunner/messages.go
+++ b/taskrunner/messages.go
@@ -142,6 +142,7 @@
 		OK                bool
 		Fenced            bool   // the server has seen a higher fencing token
 		OtherServer       bool   // another incarnation of the server replied
+		Refused           bool   // the connection was refused
 		Reason            string // logged if OK is false
 		ServerIncarnation int64
 		Clock             time.Duration // reading of the server's clock
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -27,6 +27,7 @@
 	key      RunKey
 	id       uint64 // ID of the placement
 	session  *entrySession
+	queue    string // name of the job's queue
 	spec     string
 	cpu, mem int
 	gpu      int
@@ -37,6 +38,7 @@
 	// unansweredStarts the starts without a reply.
 	numberTries, unansweredStarts int
 
+	sentAt         time.Time       // when the start was last sent
 	startedAt      time.Time       // when the start was acknowledged or inferred
 	startClock     time.Duration   // server's clock reading in the acknowledgement; zero if unknown
 	confirmed      bool            // the server has acknowledged the start or listed the run
@@ -146,6 +148,7 @@
 		m.used.add(r)
 	}
 	r.phase = starting
+	r.sentAt = m.now
 	m.emit(StartTask{Key: r.key, Spec: r.spec, Until: min(m.leaseEnd(), r.session.echoed.Clock+m.opts.SessionTTL), Token: m.token, ServerID: m.server.ID})
 }
 
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -111,6 +111,7 @@
 		m.renewalFailed(e)
 		return
 	}
+	m.failingSince, m.serverGone = time.Time{}, false
 	if m.serverLost {
 		m.serverLost = false
 		m.log("server_regained", fmt.Sprintf("run=%d", e.ServerIncarnation))
@@ -146,6 +147,12 @@
 		return
 	}
 	m.nextRenewal = m.now.Add(renewalRetryDelay)
+	if m.failingSince.IsZero() {
+		m.failingSince = m.now
+	}
+	if e.Refused && !m.serverGone && m.clockIncarnation != 0 {
+		m.serverCrashed()
+	}
 	if !m.serverLost && m.now.Sub(m.clockReadAt) > m.opts.Lease {
 		m.serverLost = true
 		m.log("server_lost", fmt.Sprintf("reason=%q last_answer_ms=%d", e.Reason, m.now.Sub(m.clockReadAt).Milliseconds()))
--- a/taskrunner/session.go
+++ b/taskrunner/session.go
@@ -242,7 +242,7 @@
 	for _, p := range part.Tasks {
 		r := &run{
 			key: RunKey{TaskKey: TaskKey{Job: part.Job, Index: p.Index}, Number: max(p.Attempt, 1)},
-			id:  p.ID, session: s, spec: part.Spec, cpu: part.CPU, mem: part.MemMB, gpu: part.GPU,
+			id:  p.ID, session: s, queue: part.Queue, spec: part.Spec, cpu: part.CPU, mem: part.MemMB, gpu: part.GPU,
 			estimate: part.Estimate, startBy: m.now.Add(part.StartWithin),
 		}
 		if reason := m.refusalReason(s, r, part.Service); reason != "" {
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -35,6 +35,8 @@
 	lastRenewalID    uint64
 	nextRenewal      time.Time // no lease renewal is sent before this time
 	serverLost       bool      // renewals have failed for longer than the duration of a lease
+	serverGone       bool      // a renewal was refused since the last reply
+	failingSince     time.Time // first failed renewal since the last reply; zero if there is none
 	seenEnd          int64     // highest EndRow.Index that has been processed
 
 	stateSeq uint64 // of the last state sent to an entry
