--- a/standin/leaseserver/handler.go
+++ b/standin/leaseserver/handler.go
@@ -91,9 +91,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.advance()
-	for len(h.server.running) > 0 {
-		h.server.endTask(0, "crashed")
-	}
+	h.server.crash()
 	h.restart()
 }
 
--- a/standin/leaseserver/server.go
+++ b/standin/leaseserver/server.go
@@ -19,6 +19,7 @@
 	Duration time.Duration
 	Fails    bool
 	Hangs    bool // makes no progress and never ends by itself
+	Crashes  bool // crashes the server after Duration
 }
 
 // RunningTask is a task that is running.
@@ -67,6 +68,7 @@
 	OnStart     func(TaskRun)         // called when a task starts; may be nil
 	OnEnd       func(TaskRun, string) // called with the outcome when a task ends; may be nil
 	Accepted    int                   // number of tasks started
+	Crashed     bool                  // a task has crashed the server, which does nothing any more
 }
 
 // New returns a server without tasks whose clock shows the given reading.
@@ -82,7 +84,7 @@
 
 // Advance advances the clock to a reading and ends the tasks that end until then.
 func (s *Server) Advance(to time.Duration) {
-	for {
+	for !s.Crashed {
 		at, i := s.nextEnd()
 		if i < 0 || at > to {
 			break
@@ -114,6 +116,10 @@
 	r := s.running[i]
 	outcome := "lapsed"
 	if !r.Behavior.Hangs && r.Started+r.Behavior.Duration <= s.leaseEnd {
+		if r.Behavior.Crashes {
+			s.crash()
+			return
+		}
 		outcome = "done"
 		if r.Behavior.Fails {
 			outcome = "failed"
@@ -122,6 +128,14 @@
 	s.endTask(i, outcome)
 }
 
+// crash ends all tasks.
+func (s *Server) crash() {
+	s.Crashed = true
+	for len(s.running) > 0 {
+		s.endTask(0, "crashed")
+	}
+}
+
 func (s *Server) endTask(i int, outcome string) {
 	r := s.running[i]
 	s.running = slices.Delete(s.running, i, i+1)
--- a/test/sessions/agent_test.go
+++ b/test/sessions/agent_test.go
@@ -85,6 +85,10 @@
 // sendHeartbeats sends a heartbeat of the server and schedules the next one.
 func (a *agentProc) sendHeartbeats() {
 	m := a.machine
+	if m.down {
+		a.sim.after(heartbeatInterval/10, a.sendHeartbeats)
+		return
+	}
 	m.heartbeatSeq++
 	info := taskrunner.ServerInfo{ID: fmt.Sprintf("%s-%d", m.name, m.incarnations), Incarnation: m.server.Incarnation, Seq: m.heartbeatSeq, Service: serviceName, CPU: m.cpu, MemMB: 1 << 20}
 	a.sim.after(time.Millisecond, func() { a.deliver(func() { a.step(taskrunner.ServerReported{Info: info}) }) })
@@ -113,6 +117,9 @@
 			name := taskName(ef.Key.TaskKey)
 			m.cpuByTask[name] = taskCPU(ef.Spec)
 			s := m.advance()
+			if m.down {
+				return taskrunner.StartReplied{Key: ef.Key}
+			}
 			reason := s.Start(leaseserver.TaskRun{Name: name, Number: ef.Key.Number}, behavior(ef.Spec), ef.Until, ef.Token)
 			return taskrunner.StartReplied{Key: ef.Key, Result: startResult(reason), Clock: s.Clock(), ServerIncarnation: s.Incarnation}
 		}, taskrunner.StartReplied{Key: ef.Key})
@@ -120,6 +127,9 @@
 		a.sim.traceEvent(a.name, "stop", ef.Key.String(), "")
 		a.callServer(callTimeout, func() any {
 			s := a.machine.advance()
+			if a.machine.down {
+				return taskrunner.StopReplied{Key: ef.Key}
+			}
 			ok := s.Stop(leaseserver.TaskRun{Name: taskName(ef.Key.TaskKey), Number: ef.Key.Number}, ef.Token)
 			return taskrunner.StopReplied{Key: ef.Key, OK: ok, Clock: s.Clock()}
 		}, taskrunner.StopReplied{Key: ef.Key})
@@ -160,10 +170,17 @@
 	generation, incarnations := a.generation, a.machine.incarnations
 	answered := false
 	sim.after(sim.draw(100*time.Microsecond, 2*time.Millisecond), func() {
+		if a.machine.down {
+			if a.generation == generation && !answered {
+				answered = true
+				a.deliver(func() { a.step(unknown) })
+			}
+			return
+		}
 		if sim.rng.Float64() < sim.delayedCallShare {
 			sim.counts["late"]++
 			sim.after(sim.draw(2*time.Second, 6*time.Second), func() {
-				if a.machine.incarnations == incarnations {
+				if a.machine.incarnations == incarnations && !a.machine.down {
 					call()
 				}
 			})
@@ -195,13 +212,13 @@
 	sim := a.sim
 	generation, incarnations := a.generation, a.machine.incarnations
 	answered := false
-	fail := func() {
+	fail := func(reason string, refused bool) {
 		if a.generation == generation && !answered {
 			answered = true
-			a.step(taskrunner.RenewReplied{ID: ef.ID, Reason: "timeout"})
+			a.step(taskrunner.RenewReplied{ID: ef.ID, Reason: reason, Refused: refused})
 		}
 	}
-	a.deliverAfter(ef.Wait+renewalTimeoutMargin, fail)
+	a.deliverAfter(ef.Wait+renewalTimeoutMargin, func() { fail("timeout", false) })
 	if sim.rng.Float64() < sim.delayedCallShare {
 		return
 	}
@@ -212,6 +229,10 @@
 			return // the server has restarted, which breaks the connection
 		}
 		s := a.machine.advance()
+		if a.machine.down {
+			a.deliver(func() { fail("connection reset", false) })
+			return
+		}
 		ends, ok := s.RenewLease(ef.Until, ef.Token, ef.AckIndex)
 		if ok && len(ends) == 0 && sim.now < deadline {
 			sim.after(5*time.Millisecond, poll)
@@ -237,6 +258,10 @@
 		})
 	}
 	sim.after(sim.draw(100*time.Microsecond, 2*time.Millisecond), func() {
+		if a.machine.down {
+			a.deliver(func() { fail("connection refused", true) })
+			return
+		}
 		deadline = sim.now + ef.Wait
 		poll()
 	})
@@ -258,11 +283,11 @@
 }
 
 // behavior decodes the spec of a simulated task, "MS,CPU,OUTCOME". The outcome is ok,
-// fail or hang.
+// fail, hang or crash.
 func behavior(spec string) leaseserver.Behavior {
 	f := strings.Split(spec, ",")
 	ms, _ := strconv.Atoi(f[0])
-	return leaseserver.Behavior{Duration: time.Duration(ms) * time.Millisecond, Fails: f[2] == "fail", Hangs: f[2] == "hang"}
+	return leaseserver.Behavior{Duration: time.Duration(ms) * time.Millisecond, Fails: f[2] == "fail", Hangs: f[2] == "hang", Crashes: f[2] == "crash"}
 }
 
 // taskCPU returns the processor demand in the spec, in thousandths of a core.
--- a/test/sessions/interleavings_test.go
+++ b/test/sessions/interleavings_test.go
@@ -36,7 +36,8 @@
 		rng:     rand.New(rand.NewSource(seed)),
 		running: make(map[string][]string),
 		started: make(map[string]bool),
-		counts:  make(map[string]int),
+		crashes: make(map[string]int), startsAfter: make(map[string]int),
+		counts: make(map[string]int),
 	}
 	sim.fail = func(format string, args ...any) {
 		t.Fatalf("at %v: %s", sim.now, fmt.Sprintf(format, args...))
--- a/test/sessions/simulation_test.go
+++ b/test/sessions/simulation_test.go
@@ -36,6 +36,8 @@
 	delayedCallShare float64
 	running          map[string][]string // servers that currently run a task, by task name
 	started          map[string]bool     // tasks that have ever started, by task name
+	crashes          map[string]int      // servers that crashed while they ran the task, by task name
+	startsAfter      map[string]int      // starts after maxCrashes, by task name
 	counts           map[string]int      // what the cases covered
 }
 
@@ -165,15 +167,31 @@
 	cpu          int            // thousandths of a core
 	cpuByTask    map[string]int // thousandths of a core, by task name
 	heartbeatSeq int64
+	down         bool // crashed, and not started again yet
 }
 
 func (m *machine) clock() time.Duration {
 	return m.clockBase + time.Duration(float64(m.sim.now-m.startedAt)*(1-m.drift))
 }
 
+// downTime is how long a server is down after a task has crashed it.
+const downTime = 3300 * time.Millisecond
+
 // advance advances the server's clock to the current time.
 func (m *machine) advance() *leaseserver.Server {
+	if m.down {
+		return m.server
+	}
+	running := m.server.Running()
 	m.server.Advance(m.clock())
+	if m.server.Crashed {
+		m.down = true
+		m.sim.counts["crashed"]++
+		for _, r := range running {
+			m.sim.crashes[r.Name]++
+		}
+		m.sim.after(downTime, m.restart)
+	}
 	return m.server
 }
 
@@ -182,9 +200,11 @@
 	if m.server != nil {
 		m.advance()
 		for _, r := range m.server.Running() {
+			m.sim.crashes[r.Name]++
 			m.sim.taskEnded(m.name, r.Name)
 		}
 	}
+	m.down = false
 	m.incarnations++
 	m.startedAt = m.sim.now
 	m.clockBase = m.sim.draw(time.Second, time.Hour)
@@ -205,8 +225,16 @@
 	m.sim.after(5*time.Millisecond, func() { m.advancePeriodically(s) })
 }
 
-// taskStarted checks the two invariants that a start can violate: a task does not run
-// twice at the same time, and a server does not exceed its capacity.
+// After maxCrashes servers have crashed under a task that crashes those that start it,
+// it may be started fewer than startsAfterCrashes times more.
+const (
+	maxCrashes         = 3
+	startsAfterCrashes = 3
+)
+
+// taskStarted checks the three invariants that a start can violate: a task does not run
+// twice at the same time, a server does not exceed its capacity, and a task that
+// crashes servers is given up.
 func (sim *simulation) taskStarted(m *machine, task string) {
 	sim.counts["started"]++
 	sim.traceEvent(m.name, "SERVER STARTS", task, "")
@@ -215,6 +243,11 @@
 		sim.fail("task %s starts at %s while it runs at %v", task, m.name, at)
 	}
 	sim.running[task] = append(sim.running[task], m.name)
+	if sim.crashes[task] >= maxCrashes && strings.HasPrefix(task, deadlyPrefix) {
+		if sim.startsAfter[task]++; sim.startsAfter[task] >= startsAfterCrashes {
+			sim.fail("task %s was started %d times after %d servers had crashed under it", task, sim.startsAfter[task], maxCrashes)
+		}
+	}
 	used := 0
 	for _, r := range m.server.Running() {
 		used += m.cpuByTask[r.Name]
