--- /dev/null
+++ b/containment/containment.go
@@ -0,0 +1,106 @@
+// Package containment judges by the crashes of backend servers which tasks and which
+// queues cause them. It says when a task has to be given up, and on how many servers
+// the tasks of a queue may run.
+//
+// A Tracker is a state machine: Step applies an event and returns the changes. All
+// evidence comes from the reports of agents, which name the tasks that a server had
+// started when it crashed. So it covers the tasks of other entries, and of earlier
+// submissions of a job.
+package containment
+
+import "time"
+
+// Task identifies a task by the name of its job and its index in the job.
+type Task struct {
+	Job   string
+	Index int
+}
+
+// Loss is a task that a server had started when it crashed.
+type Loss struct {
+	Task
+	Queue string
+	Ran   time.Duration // from its start to the crash
+}
+
+// Rate is how many tasks of a queue a server starts per second.
+type Rate struct {
+	Queue     string
+	PerSecond float64
+}
+
+// Event is an input of a Tracker.
+type Event interface{ isEvent() }
+
+// Events.
+type (
+	// ServerCrashed is an agent's report on a crash of its server. Reports that have
+	// been processed already are ignored.
+	ServerCrashed struct {
+		Agent       string
+		Incarnation int64 // of the server that crashed; higher for later ones
+		At          time.Time
+		Losses      []Loss
+		Rates       []Rate // before the crash
+	}
+	// Ticked reports only that time has passed.
+	Ticked struct{}
+)
+
+func (ServerCrashed) isEvent() {}
+func (Ticked) isEvent()        {}
+
+const (
+	// youngAge is the time from its start within which a task is most likely to crash
+	// its server, if it does.
+	youngAge = 20 * time.Millisecond
+	// youngCrashesToGiveUp is the number of crashes, each within youngAge of its start,
+	// after which a task is given up: one may be a coincidence.
+	youngCrashesToGiveUp = 2
+	// crashesToGiveUp is the number of crashes after which any task is given up. The
+	// platform allows two starts after three crashes; one is left for a crash that no
+	// agent has reported.
+	crashesToGiveUp = 4
+	// retention is how long the losses of a task are remembered. It is longer than
+	// callers submit a job again.
+	retention = 60 * time.Second
+	// maxTasks bounds the tasks that are remembered.
+	maxTasks = 20_000
+	// maxAgents bounds the agents whose last crash is remembered.
+	maxAgents = 10_000
+)
+
+// Tracker is the evidence that an entry has. It is not safe for concurrent use.
+type Tracker struct {
+	now      time.Time
+	reported map[string]int64 // last incarnation whose crash was processed, by agent
+	tasks    map[Task]*taskRecord
+	expiry   []taskExpiry // oldest first
+}
+
+// New returns a Tracker without evidence.
+func New() *Tracker {
+	return &Tracker{reported: make(map[string]int64), tasks: make(map[Task]*taskRecord)}
+}
+
+// Step applies an event.
+func (t *Tracker) Step(now time.Time, ev Event) {
+	t.now = now
+	t.expireTasks()
+	if e, ok := ev.(ServerCrashed); ok && t.isNew(e) {
+		t.recordLosses(e.Losses)
+	}
+}
+
+// isNew records the report of a crash, and reports whether it is the first of this
+// crash.
+func (t *Tracker) isNew(e ServerCrashed) bool {
+	if e.Incarnation <= t.reported[e.Agent] {
+		return false
+	}
+	if len(t.reported) >= maxAgents {
+		clear(t.reported)
+	}
+	t.reported[e.Agent] = e.Incarnation
+	return true
+}
--- /dev/null
+++ b/containment/tasks.go
@@ -0,0 +1,65 @@
+package containment
+
+import "time"
+
+// taskRecord is the evidence against a task.
+type taskRecord struct {
+	crashes   int       // of servers that had started it
+	young     int       // of these, those within youngAge of its start
+	lastCrash time.Time // when the last one was reported
+}
+
+type taskExpiry struct {
+	task Task
+	at   time.Time
+}
+
+// Suspicion is the evidence against a task.
+type Suspicion struct {
+	Crashes int // servers that crashed after they had started it
+	Young   int // of these, those that crashed within youngAge of its start
+}
+
+// GiveUp reports whether the task has to be given up. A task that was started long
+// before its servers crashed is more likely to have been there by chance, and may be
+// started more often.
+func (s Suspicion) GiveUp() bool {
+	return s.Young >= youngCrashesToGiveUp || s.Crashes >= crashesToGiveUp
+}
+
+// Suspicion returns the evidence against a task.
+func (t *Tracker) Suspicion(task Task) Suspicion {
+	r := t.tasks[task]
+	if r == nil {
+		return Suspicion{}
+	}
+	return Suspicion{Crashes: r.crashes, Young: r.young}
+}
+
+func (t *Tracker) recordLosses(losses []Loss) {
+	for _, l := range losses {
+		r := t.tasks[l.Task]
+		if r == nil {
+			r = &taskRecord{}
+			t.tasks[l.Task] = r
+		}
+		r.crashes++
+		if l.Ran <= youngAge {
+			r.young++
+		}
+		r.lastCrash = t.now
+		t.expiry = append(t.expiry, taskExpiry{task: l.Task, at: t.now.Add(retention)})
+	}
+}
+
+// expireTasks forgets the tasks whose last crash was long ago, and the oldest ones
+// over maxTasks.
+func (t *Tracker) expireTasks() {
+	for len(t.expiry) > 0 && (!t.now.Before(t.expiry[0].at) || len(t.expiry) > maxTasks) {
+		e := t.expiry[0]
+		t.expiry = t.expiry[1:]
+		if r := t.tasks[e.task]; r != nil && !e.at.Before(r.lastCrash.Add(retention)) {
+			delete(t.tasks, e.task)
+		}
+	}
+}
--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -46,6 +46,7 @@
 		a.identity = *e.State.Identity
 	}
 	d.agents[e.ID] = a
+	d.recordCrashes(a, e.State.Crashes)
 	d.endOutageIfReady(a)
 	d.agentsChanged = true
 	i, _ := slices.BinarySearchFunc(d.sortedAgents, a, func(x, y *agent) int { return cmp.Compare(x.name, y.name) })
@@ -138,6 +139,7 @@
 	if s.Identity != nil && s.Seq > a.identitySeq {
 		a.identity, a.identitySeq = *s.Identity, s.Seq
 	}
+	d.recordCrashes(a, s.Crashes)
 	if s.Seq <= a.state.Seq {
 		return
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/chestnuthollow/chestnuthollow/containment"
 	"github.com/chestnuthollow/chestnuthollow/session"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
@@ -20,6 +21,7 @@
 	sortedAgents []*agent                  // the same, ordered by name so that decisions are deterministic
 	lastSlowness map[string]serverSlowness // cached beyond sessions, by the agent's name
 
+	containment     *containment.Tracker
 	longestSlack    longestSlack
 	jobs            map[string]*job // open, or answered with tasks not yet ended, by name
 	calls           map[CallID]*job
@@ -46,6 +48,7 @@
 		opts:            opts,
 		agents:          make(map[SessionID]*agent),
 		lastSlowness:    make(map[string]serverSlowness),
+		containment:     containment.New(),
 		longestSlack:    make(longestSlack),
 		jobs:            make(map[string]*job),
 		noAgentSince:    make(map[string]time.Time),
@@ -60,6 +63,7 @@
 func (d *Dispatcher) Step(now time.Time, ev Event) []Effect {
 	d.now = now
 	d.effects = nil
+	d.containment.Step(now, containment.Ticked{})
 	switch e := ev.(type) {
 	case SubmitCalled:
 		d.submit(e)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -33,6 +33,7 @@
 type task struct {
 	done          bool
 	failures      int
+	losses        int // placements that ended as Lost
 	placements    int // placements so far
 	moves         int // times it was stopped to run on another agent
 	current       *placement
@@ -61,6 +62,9 @@
 		d.emit(Answered{Call: e.Call, Status: status})
 		return
 	}
+	if d.refuseCrashing(e) {
+		return
+	}
 	j := &job{Job: e.Job, arrived: d.now, unfinished: e.Job.Tasks, tasks: make([]task, e.Job.Tasks)}
 	objective := j.Queue.Objective(j.Estimate)
 	j.objective = d.now.Add(objective)
@@ -309,6 +313,9 @@
 		}
 	default:
 		t.avoidedAgents = append(t.avoidedAgents, p.agent.name)
+		if r.Outcome == session.Lost && d.taskLost(j, p.index, r.Reason) {
+			return
+		}
 	}
 	d.reassign(j, p, r.Outcome.String()+": "+r.Reason)
 }
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -87,6 +87,9 @@
 	moveMargin = 60 * time.Millisecond
 	// maxPlacements bounds how often one task is placed.
 	maxPlacements = 12
+	// maxLosses bounds how often one task is placed again after it was lost. A task may
+	// have crashed a server also if no agent has reported it.
+	maxLosses = 4
 	// maxRetainedAnswers bounds the answers kept for duplicates.
 	maxRetainedAnswers = 20000
 	// failingThreshold is the share of failed tasks, in thousandths, from which
--- a/session/compat_test.go
+++ b/session/compat_test.go
@@ -97,3 +97,32 @@
 	g.Expect(json.Unmarshal(text, &decoded)).To(Succeed(), "records on the store")
 	g.Expect(decoded).To(Equal(oldProcess{Name: "a", Incarnation: 3}))
 }
+
+// The messages of the builds before agents reported crashes.
+type (
+	oldJobPart struct {
+		Job, Spec, Service string
+		Tasks              []session.Placement
+	}
+	oldState struct {
+		Seq   uint64
+		Ready bool
+	}
+)
+
+func TestCrashesBetweenOldAndNewBuilds(t *testing.T) {
+	g := NewWithT(t)
+	var part session.JobPart
+	transcode(g, oldJobPart{Job: "j", Service: "s"}, &part)
+	g.Expect(part).To(Equal(session.JobPart{Job: "j", Service: "s"}), "a task of an old entry has no queue")
+	var old oldJobPart
+	transcode(g, session.JobPart{Job: "j", Queue: "q", Service: "s"}, &old)
+	g.Expect(old).To(Equal(oldJobPart{Job: "j", Service: "s"}))
+
+	var state session.State
+	transcode(g, oldState{Seq: 3, Ready: true}, &state)
+	g.Expect(state).To(Equal(session.State{Seq: 3, Ready: true}), "an old agent reports no crashes")
+	var oldS oldState
+	transcode(g, session.State{Seq: 3, Ready: true, Crashes: []session.Crash{{Run: 7, Tasks: []session.LostTask{{Job: "j"}}}}}, &oldS)
+	g.Expect(oldS).To(Equal(oldState{Seq: 3, Ready: true}))
+}
--- a/session/messages.go
+++ b/session/messages.go
@@ -174,6 +174,9 @@
 	Failing int
 	Running []RunningTask
 	Queue   []QueuedTask
+	// Crashes are the recent crashes of the server that the session's earlier states
+	// did not contain, oldest first.
+	Crashes []Crash
 	// Laggards are the stragglers among the session's tasks. It is empty unless
 	// the server as a whole is slow.
 	Laggards []Straggler
@@ -195,6 +198,29 @@
 	GPU      int
 }
 
+// Crash is a crash of a backend server. The tasks that it had started are reported as
+// Lost later, when they can no longer run by their lease.
+type Crash struct {
+	Run    int64 // incarnation of the server that crashed; higher for later ones
+	Ago    int   // ms since the crash
+	Tasks  []LostTask
+	Starts []StartRate // before the crash
+}
+
+// LostTask is a task that a server had started when it crashed.
+type LostTask struct {
+	Job   string
+	Index int
+	Queue string // empty if the entry that placed it is of an earlier build
+	Ran   int    // ms from its start to the crash
+}
+
+// StartRate is how often a server starts tasks of a queue.
+type StartRate struct {
+	Queue     string
+	PerSecond float64
+}
+
 // RunningTask is the size and the expected remaining run time of a running task.
 // To bound the size of a State, its last element may stand for several tasks: CPU
 // is then their sum, and Ms the time until the last of them ends.
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -149,6 +149,7 @@
 	}
 	r.phase = starting
 	r.sentAt = m.now
+	m.starts.record(m.now, r.queue)
 	m.emit(StartTask{Key: r.key, Spec: r.spec, Until: min(m.leaseEnd(), r.session.echoed.Clock+m.opts.SessionTTL), Token: m.token, ServerID: m.server.ID})
 }
 
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -1,6 +1,7 @@
 package taskrunner
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -111,6 +112,9 @@
 		m.renewalFailed(e)
 		return
 	}
+	if e.ServerIncarnation > m.clockIncarnation && m.clockIncarnation != 0 && !m.serverGone {
+		m.serverCrashed(cmp.Or(m.failingSince, m.now))
+	}
 	m.failingSince, m.serverGone = time.Time{}, false
 	if m.serverLost {
 		m.serverLost = false
@@ -151,7 +155,8 @@
 		m.failingSince = m.now
 	}
 	if e.Refused && !m.serverGone && m.clockIncarnation != 0 {
-		m.serverCrashed()
+		m.serverGone = true
+		m.serverCrashed(m.failingSince)
 	}
 	if !m.serverLost && m.now.Sub(m.clockReadAt) > m.opts.Lease {
 		m.serverLost = true
--- a/taskrunner/session.go
+++ b/taskrunner/session.go
@@ -26,6 +26,7 @@
 	poll          *pendingPoll
 	identitySent  bool // sentIdentity has been sent to the entry
 	sentIdentity  serverIdentity
+	crashSent     uint64 // number of the last crash that was sent to the entry
 	// canceled holds the placements that were stopped while they had no run here,
 	// mostly because the stop arrived before the start.
 	canceled map[uint64]bool
@@ -439,6 +440,7 @@
 		s.identitySent, s.sentIdentity = true, id
 		st.Identity = &session.Identity{Service: m.server.Service, Server: m.server.ID, Labels: m.server.Labels, Capacity: m.server.CPU, MemMB: m.server.MemMB, GPU: m.server.GPU}
 	}
+	st.Crashes = m.unsentCrashes(s)
 	st.Running = m.runningTasks()
 	for _, r := range m.queue {
 		st.Queue = append(st.Queue, session.QueuedTask{
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -39,6 +39,10 @@
 	failingSince     time.Time // first failed renewal since the last reply; zero if there is none
 	seenEnd          int64     // highest EndRow.Index that has been processed
 
+	crashes   []crash // recent ones, oldest first
+	lastCrash uint64  // number of the last one
+	starts    startRates
+
 	stateSeq uint64 // of the last state sent to an entry
 	leaving  bool
 	drained  bool // Drained has been emitted
@@ -58,6 +62,7 @@
 		token:    opts.Token,
 		sessions: make(map[uint64]*entrySession),
 		runs:     make(map[TaskKey]*run),
+		starts:   make(startRates),
 	}
 }
 
