--- a/containment/containment.go
+++ b/containment/containment.go
@@ -21,6 +21,8 @@
 	Task
 	Queue string
 	Ran   time.Duration // from its start to the crash
+	// Started is set if the server has acknowledged the start.
+	Started bool
 }
 
 // Rate is how many tasks of a queue a server starts per second.
--- a/containment/containment_test.go
+++ b/containment/containment_test.go
@@ -27,7 +27,7 @@
 		for i := range 5 {
 			now = now.Add(time.Duration(rapid.IntRange(0, 10_000).Draw(t, "ms")) * time.Millisecond)
 			ran := time.Duration(rapid.IntRange(0, 3000).Draw(t, "ran")) * time.Millisecond
-			tracker.Step(now, crash("agent", int64(i+1), containment.Loss{Task: task("job"), Queue: "q", Ran: ran}))
+			tracker.Step(now, crash("agent", int64(i+1), containment.Loss{Task: task("job"), Queue: "q", Ran: ran, Started: rapid.Bool().Draw(t, "started")}))
 		}
 		if !tracker.Suspicion(task("job")).GiveUp() {
 			t.Fatalf("a task with five crashes is not given up: %+v", tracker.Suspicion(task("job")))
@@ -50,8 +50,8 @@
 func TestLossesOfTasksAreForgotten(t *testing.T) {
 	g := NewWithT(t)
 	tracker := containment.New()
-	tracker.Step(start, crash("agent", 1, containment.Loss{Task: task("job")}))
-	tracker.Step(start.Add(59*time.Second), crash("agent", 2, containment.Loss{Task: task("job")}))
+	tracker.Step(start, crash("agent", 1, containment.Loss{Task: task("job"), Started: true}))
+	tracker.Step(start.Add(59*time.Second), crash("agent", 2, containment.Loss{Task: task("job"), Started: true}))
 	tracker.Step(start.Add(61*time.Second), containment.Ticked{})
 	g.Expect(tracker.Suspicion(task("job")).Crashes).To(Equal(2), "the last crash is recent")
 	tracker.Step(start.Add(120*time.Second), containment.Ticked{})
--- a/containment/tasks.go
+++ b/containment/tasks.go
@@ -4,8 +4,9 @@
 
 // taskRecord is the evidence against a task.
 type taskRecord struct {
-	crashes   int       // of servers that had started it
-	young     int       // of these, those within youngAge of its start
+	possible  int       // crashes of servers that may have started it
+	crashes   int       // of these, crashes of servers that had started it
+	young     int       // of these, crashes within youngAge of its start
 	lastCrash time.Time // when the last one was reported
 }
 
@@ -16,24 +17,29 @@
 
 // Suspicion is the evidence against a task.
 type Suspicion struct {
-	Crashes int // servers that crashed after they had started it
-	Young   int // of these, those that crashed within youngAge of its start
+	Possible int // servers that crashed after they may have started it
+	Crashes  int // of these, servers that had acknowledged the start
+	Young    int // of these, servers that crashed within youngAge of its start
 }
 
-// GiveUp reports whether the task has to be given up. A task that was started long
-// before its servers crashed is more likely to have been there by chance, and may be
-// started more often.
+// GiveUp reports whether the task must not be started again. A task that was started
+// long before its servers crashed is more likely to have been there by chance, and may
+// be started more often.
 func (s Suspicion) GiveUp() bool {
-	return s.Young >= youngCrashesToGiveUp || s.Crashes >= crashesToGiveUp
+	return s.Young >= youngCrashesToGiveUp || s.Possible >= crashesToGiveUp
 }
 
+// Failed reports whether it is certain that enough servers have crashed under the task
+// for its job to count as failed.
+func (s Suspicion) Failed() bool { return s.GiveUp() && s.Crashes >= youngCrashesToGiveUp }
+
 // Suspicion returns the evidence against a task.
 func (t *Tracker) Suspicion(task Task) Suspicion {
 	r := t.tasks[task]
 	if r == nil {
 		return Suspicion{}
 	}
-	return Suspicion{Crashes: r.crashes, Young: r.young}
+	return Suspicion{Possible: r.possible, Crashes: r.crashes, Young: r.young}
 }
 
 func (t *Tracker) recordLosses(losses []Loss) {
@@ -43,8 +49,11 @@
 			r = &taskRecord{}
 			t.tasks[l.Task] = r
 		}
-		r.crashes++
-		if l.Ran <= youngAge {
+		r.possible++
+		if l.Started {
+			r.crashes++
+		}
+		if l.Started && l.Ran <= youngAge {
 			r.young++
 		}
 		r.lastCrash = t.now
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -15,7 +15,7 @@
 		ev := containment.ServerCrashed{Agent: a.name, Incarnation: c.Run, At: d.now.Add(-time.Duration(c.Ago) * time.Millisecond)}
 		for _, t := range c.Tasks {
 			ev.Losses = append(ev.Losses, containment.Loss{
-				Task: containment.Task{Job: t.Job, Index: t.Index}, Queue: t.Queue, Ran: time.Duration(t.Ran) * time.Millisecond,
+				Task: containment.Task{Job: t.Job, Index: t.Index}, Queue: t.Queue, Ran: time.Duration(t.Ran) * time.Millisecond, Started: t.Started,
 			})
 		}
 		for _, r := range c.Starts {
@@ -32,9 +32,12 @@
 	t.losses++
 	s := d.containment.Suspicion(containment.Task{Job: j.Name, Index: index})
 	switch {
-	case s.GiveUp():
+	case s.Failed():
 		d.answer(j, Failed, crashReason(index, s))
 		return true
+	case s.GiveUp():
+		d.abandon(j, structs.CodeUnavailable, crashReason(index, s))
+		return true
 	case t.losses >= maxLosses:
 		d.abandon(j, structs.CodeUnavailable, fmt.Sprintf("task %d was lost %d times, the last time: %s", index, t.losses, reason))
 		return true
@@ -52,12 +55,16 @@
 			continue
 		}
 		j := &job{Job: e.Job, arrived: d.now, objective: d.now, unfinished: e.Job.Tasks, calls: []CallID{e.Call}}
-		d.answer(j, Failed, crashReason(i, s))
+		if s.Failed() {
+			d.answer(j, Failed, crashReason(i, s))
+		} else {
+			d.refuse(j, e.Call, structs.Errorf(structs.CodeUnavailable, structs.MayHaveRun, "%s", crashReason(i, s)))
+		}
 		return true
 	}
 	return false
 }
 
 func crashReason(index int, s containment.Suspicion) string {
-	return fmt.Sprintf("task %d: servers that crashed after they had started it: %d, at once: %d", index, s.Crashes, s.Young)
+	return fmt.Sprintf("task %d: servers that crashed after they may have started it: %d, had started it: %d, had just started it: %d", index, s.Possible, s.Crashes, s.Young)
 }
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -16,7 +16,7 @@
 func (h *harness) crashed(agent dispatch.SessionID, incarnation int64, job string, ms int) {
 	st := h.state(idle)
 	st.Ready = false
-	st.Crashes = []session.Crash{{Run: incarnation, Tasks: []session.LostTask{{Job: job, Queue: "holds", Ran: ms}}}}
+	st.Crashes = []session.Crash{{Run: incarnation, Tasks: []session.LostTask{{Job: job, Queue: "holds", Ran: ms, Started: true}}}}
 	h.step(dispatch.PollReplied{ID: agent, Reply: session.PollReply{State: st}})
 }
 
@@ -116,3 +116,25 @@
 	h.submit("job", 1, 1000, 60*time.Millisecond)
 	h.Expect(effects[dispatch.Answered](h)).To(BeEmpty())
 }
+
+// Guards against a job that is shown as failed although its task was not on the servers
+// that crashed: their agents had sent the start, and got no reply.
+func TestTaskWhoseStartsWereNotAcknowledgedIsNotFailed(t *testing.T) {
+	h := newHarnessWithAgents(t, 12)
+	h.submit("job", 1, 1000, 60*time.Millisecond)
+	crashes := 0
+	for ; len(effects[dispatch.Refused](h)) == 0; crashes++ {
+		counts, ids := h.placed()
+		h.Expect(counts).To(HaveLen(1))
+		for agent := range counts {
+			st := h.state(idle)
+			st.Crashes = []session.Crash{{Run: 1, Tasks: []session.LostTask{{Job: "job", Queue: "holds"}}}}
+			h.step(dispatch.PollReplied{ID: agent, Reply: session.PollReply{State: st}})
+			h.report(agent, serverState{capacity: 20_000, slowness: 1000}, ids[0], session.Lost)
+		}
+	}
+	h.Expect(crashes).To(Equal(4))
+	h.Expect(effects[dispatch.Refused](h)).To(ConsistOf(HaveField("Error.Verdict", structs.MayHaveRun)))
+	h.submit("job", 1, 1000, 60*time.Millisecond)
+	h.Expect(effects[dispatch.Refused](h)).To(ConsistOf(HaveField("Error.Verdict", structs.MayHaveRun)), "nor started again")
+}
--- a/session/messages.go
+++ b/session/messages.go
@@ -213,6 +213,9 @@
 	Index int
 	Queue string // empty if the entry that placed it is of an earlier build
 	Ran   int    // ms from its start to the crash
+	// Started is set if the server has acknowledged the start. Otherwise the task may
+	// not have been there.
+	Started bool
 }
 
 // StartRate is how often a server starts tasks of a queue.
--- a/taskrunner/crash.go
+++ b/taskrunner/crash.go
@@ -55,7 +55,7 @@
 	c := crash{number: m.lastCrash, at: at, report: session.Crash{Run: m.clockIncarnation, Starts: m.starts.list(at)}}
 	for _, r := range runs[:min(len(runs), maxCrashTasks)] {
 		c.report.Tasks = append(c.report.Tasks, session.LostTask{
-			Job: r.key.Job, Index: r.key.Index, Queue: r.queue, Ran: int(r.startedBefore(at).Milliseconds()),
+			Job: r.key.Job, Index: r.key.Index, Queue: r.queue, Ran: int(r.startedBefore(at).Milliseconds()), Started: r.confirmed,
 		})
 	}
 	m.crashes = append(m.crashes, c)
--- a/taskrunner/crash_test.go
+++ b/taskrunner/crash_test.go
@@ -48,7 +48,7 @@
 		crashes := h.state(id + 1).Crashes
 		h.Expect(crashes).To(HaveLen(1))
 		h.Expect(crashes[0].Run).To(BeNumerically("==", incarnation))
-		h.Expect(crashes[0].Tasks).To(Equal([]session.LostTask{{Job: "young", Ran: 8}, {Job: "old", Ran: 108}}))
+		h.Expect(crashes[0].Tasks).To(Equal([]session.LostTask{{Job: "young", Ran: 8, Started: true}, {Job: "old", Ran: 108, Started: true}}))
 	}
 	for id := range uint64(2) {
 		h.Expect(h.state(id + 1).Crashes).To(BeEmpty())
