--- a/taskrunner/crash_test.go
+++ b/taskrunner/crash_test.go
@@ -80,3 +80,43 @@
 	h.step(taskrunner.RenewReplied{ID: 1000, Refused: true})
 	h.Expect(h.state(1).Crashes).To(BeEmpty())
 }
+
+// Guards against tasks that are queued at a crashed server until its lease has expired:
+// they are placed elsewhere at once, and more are not sent.
+func TestQueuedTasksOfCrashedServerAreReturnedAtOnce(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	h.order(1, h.reading(), "running", 20_000, 1)
+	h.acceptStart(runKey("running", 0))
+	h.order(1, h.reading(), "queued", 1000, 2)
+	h.pollReports(1)
+	h.refuseRenewals()
+	replies := effects[taskrunner.ReplyPoll](h)
+	h.Expect(replies).To(HaveLen(1))
+	h.Expect(replies[0].Reply.State.Ready).To(BeFalse())
+	h.Expect(replies[0].Reply.Reports).To(ConsistOf(And(HaveField("ID", uint64(2)), HaveField("Outcome", session.NotStarted))),
+		"the other may run on until its lease has expired: the network may refuse connections")
+
+	h.answerRenewal(0, []taskrunner.RunningRow{{Key: runKey("running", 0)}})
+	h.Expect(h.state(1).Ready).To(BeTrue(), "the same incarnation replies again")
+}
+
+// Guards against "may have run" for a task of which nothing was sent.
+func TestRefusedStartIsNotStarted(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	h.order(1, h.reading(), "job", 1000, 1)
+	h.step(taskrunner.StartReplied{Key: runKey("job", 0), Result: taskrunner.StartRefused})
+	h.Expect(effects[taskrunner.StopTask](h)).To(BeEmpty())
+	h.Expect(h.pollReports(1)).To(ConsistOf(HaveField("Outcome", session.NotStarted)))
+}
+
+// A start without a reply may have reached the server before it crashed.
+func TestStartRefusedAfterUnansweredTryMayHaveRun(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	h.order(1, h.reading(), "job", 1000, 1)
+	h.step(taskrunner.StartReplied{Key: runKey("job", 0), Result: taskrunner.StartUnknown})
+	h.step(taskrunner.StartReplied{Key: runKey("job", 0), Result: taskrunner.StartRefused})
+	h.Expect(h.pollReports(1)).To(BeEmpty())
+}
--- a/taskrunner/messages.go
+++ b/taskrunner/messages.go
@@ -58,9 +58,10 @@
 	StartDeclined                       // the server is overloaded or unavailable
 	StartInvalid                        // the server rejected the request as malformed
 	StartOtherServer                    // another incarnation of the server replied
+	StartRefused                        // the connection was refused, and nothing was sent
 )
 
-var startNames = [...]string{"unknown", "accepted", "fenced", "old", "expired", "no_room", "declined", "invalid", "other_server"}
+var startNames = [...]string{"unknown", "accepted", "fenced", "old", "expired", "no_room", "declined", "invalid", "other_server", "connection_refused"}
 
 // String returns the name of the result used in logs.
 func (r StartResult) String() string { return startNames[r] }
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -201,6 +201,12 @@
 	case StartFenced:
 		m.raiseToken()
 		m.finish(r, session.NotStarted, "fenced")
+	case StartRefused:
+		if r.unansweredStarts > 0 {
+			m.startUnanswered(r, e.Reason) // an earlier try may have started the task
+			return
+		}
+		m.finish(r, session.NotStarted, e.Result.String())
 	case StartUnknown:
 		m.startUnanswered(r, e.Reason)
 	case StartDeclined:
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -153,10 +153,14 @@
 	m.nextRenewal = m.now.Add(renewalRetryDelay)
 	if m.failingSince.IsZero() {
 		m.failingSince = m.now
+		m.nextRenewal = m.now.Add(firstRenewalRetryDelay)
 	}
 	if e.Refused && !m.serverGone && m.clockIncarnation != 0 {
 		m.serverGone = true
+		m.nextRenewal = m.now.Add(renewalRetryDelay)
 		m.serverCrashed(m.failingSince)
+		m.dropAllQueued("the backend server is gone")
+		m.wakePolls()
 	}
 	if !m.serverLost && m.now.Sub(m.clockReadAt) > m.opts.Lease {
 		m.serverLost = true
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -206,7 +206,7 @@
 // active reports whether the agent currently starts tasks.
 func (m *Runner) active() bool {
 	return m.server.ID != "" && m.server.Incarnation == m.clockIncarnation && m.noForeignRuns && !m.fenced &&
-		!m.server.Draining && !m.leaving && !m.leaseExpired()
+		!m.serverGone && !m.server.Draining && !m.leaving && !m.leaseExpired()
 }
 
 // leave starts the graceful shutdown: queued tasks are refused, and started ones
