--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -20,7 +20,10 @@
 	identity session.Identity
 	// identitySeq is the sequence number of the state that carried the identity:
 	// replies may arrive out of order.
-	identitySeq     uint64
+	identitySeq uint64
+	// largest is the largest capacity that the server has had: one that has shrunk may
+	// grow again.
+	largest         session.Identity
 	stateReceivedAt time.Time
 	lastOrderNumber uint64
 	// unacknowledged are the placements whose order has no reply yet, so that the
@@ -43,7 +46,7 @@
 	}
 	a := &agent{id: e.ID, name: e.Agent, zone: e.Zone, state: e.State, stateReceivedAt: d.now, unacknowledged: make(map[uint64]*placement)}
 	if e.State.Identity != nil {
-		a.identity = *e.State.Identity
+		a.setIdentity(*e.State.Identity)
 	}
 	d.agents[e.ID] = a
 	d.recordCrashes(a, e.State.Crashes)
@@ -57,6 +60,17 @@
 	}
 }
 
+func (a *agent) setIdentity(id session.Identity) {
+	a.identity = id
+	if a.largest.Server != id.Server {
+		a.largest = id
+		return
+	}
+	a.largest.Capacity = max(a.largest.Capacity, id.Capacity)
+	a.largest.MemMB = max(a.largest.MemMB, id.MemMB)
+	a.largest.GPU = max(a.largest.GPU, id.GPU)
+}
+
 // endOutageIfReady records that the agent's service is available if the agent is
 // ready.
 func (d *Dispatcher) endOutageIfReady(a *agent) {
@@ -137,7 +151,8 @@
 // arrived before.
 func (d *Dispatcher) updateState(a *agent, s session.State) {
 	if s.Identity != nil && s.Seq > a.identitySeq {
-		a.identity, a.identitySeq = *s.Identity, s.Seq
+		a.setIdentity(*s.Identity)
+		a.identitySeq = s.Seq
 	}
 	d.recordCrashes(a, s.Crashes)
 	if s.Seq <= a.state.Seq {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -72,7 +72,7 @@
 		}
 		best.timeline.Reserve(j.CPU, best.runTime)
 		best.jobTasks++
-		best.freeShare -= float64(j.CPU) / float64(best.agent.identity.Capacity)
+		best.freeShare -= float64(j.CPU) / float64(max(best.agent.identity.Capacity, 1))
 		plan = append(plan, assignment{index: index, agent: best.agent, finish: finish, runTime: best.runTime})
 	}
 	last := slices.MaxFunc(plan, func(a, b assignment) int { return int(a.finish - b.finish) })
@@ -88,8 +88,13 @@
 // need not be held, if agents of its service are ready and none is large enough or
 // has the required label.
 func (d *Dispatcher) noCandidateError(j *job) *structs.Error {
-	ready := slices.ContainsFunc(d.sortedAgents, func(a *agent) bool { return d.isReady(a) && a.identity.Service == j.Queue.Service })
-	if ready {
+	ofService := func(a *agent) bool { return d.isReady(a) && a.identity.Service == j.Queue.Service }
+	shrunk := func(a *agent) bool { return ofService(a) && !fits(j, &a.identity) && fits(j, &a.largest) }
+	if slices.ContainsFunc(d.sortedAgents, shrunk) {
+		return structs.Errorf(structs.CodeOverloaded, structs.NotRun, "the servers of service %s that had %d thousandths of a core, %d MB and %d GPUs have shrunk",
+			j.Queue.Service, j.CPU, j.MemMB, j.GPU).WithRetryAfter(unavailableRetryAfter)
+	}
+	if slices.ContainsFunc(d.sortedAgents, ofService) {
 		retryAfter := unsuitableRetryAfter
 		if j.RequiredLabel != "" {
 			retryAfter = unavailableRetryAfter // a server with the label may be in the subset of another entry
@@ -248,7 +253,7 @@
 	for _, q := range a.state.Queue {
 		free -= q.CPU
 	}
-	return float64(free) / float64(a.identity.Capacity)
+	return float64(free) / float64(max(a.identity.Capacity, 1))
 }
 
 func (d *Dispatcher) tasksAt(j *job, a *agent) int {
--- a/dispatch/unsuitable_test.go
+++ b/dispatch/unsuitable_test.go
@@ -51,3 +51,20 @@
 	h.Expect(effects[dispatch.Order](h)).To(HaveLen(1))
 	h.Expect(effects[dispatch.Order](h)[0].Start[0].Tasks).To(Equal([]session.Placement{{ID: 1, Attempt: 1}}))
 }
+
+// Guards against callers that are told to stay away for long although a server has
+// shrunk and may grow again.
+func TestJobThatFitsShrunkServerIsToldToComeBackSoon(t *testing.T) {
+	h := newHarness(t)
+	h.agent(1, idle)
+	h.poll(1, serverState{capacity: 4_000, free: 4_000, slowness: 1000})
+	h.submit("job", 1, 10_000, 60*time.Millisecond)
+	refused := effects[dispatch.Refused](h)
+	h.Expect(refused).To(HaveLen(1))
+	h.Expect(refused[0].Error.Verdict).To(Equal(structs.NotRun))
+	h.Expect(refused[0].Error.Code).To(Equal(structs.CodeOverloaded))
+	h.Expect(refused[0].Error.RetryAfter).To(Equal(2 * time.Second))
+	h.poll(1, idle)
+	h.submit("again", 1, 10_000, 60*time.Millisecond)
+	h.Expect(effects[dispatch.Order](h)).To(HaveLen(1))
+}
--- a/sidecar/announce.go
+++ b/sidecar/announce.go
@@ -63,7 +63,7 @@
 	server, baseline := s.runner.Server(), s.runner.Baseline()
 	s.mu.Unlock()
 	changed := false
-	if server.ID != "" && (server.Incarnation != a.Server.Incarnation || server.Draining != a.Server.Draining) {
+	if server.ID != "" && !server.SameRecord(&a.Server) {
 		a.Server, changed = server, true
 	}
 	if baseline.Slowness > 0 && math.Abs(float64(baseline.Slowness)/float64(max(a.Baseline.Slowness, 1))-1) > minBaselineChange {
--- a/taskrunner/messages.go
+++ b/taskrunner/messages.go
@@ -216,8 +216,8 @@
 	}
 	// CloseSession closes the connection of a session.
 	CloseSession struct{ Session uint64 }
-	// ServerChanged reports that a heartbeat has shown a new incarnation or a
-	// changed draining state. The information is stored for a restarted agent,
+	// ServerChanged reports that a heartbeat has shown a new incarnation, or a changed
+	// capacity or draining state. The information is stored for a restarted agent,
 	// which receives it in RecordLoaded.
 	ServerChanged struct{ Info ServerInfo }
 	// Drained reports that the graceful shutdown is complete.
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -103,6 +103,18 @@
 func (u *usage) add(r *run) { u.cpu, u.mem, u.gpu = u.cpu+r.cpu, u.mem+r.mem, u.gpu+r.gpu }
 func (u *usage) sub(r *run) { u.cpu, u.mem, u.gpu = u.cpu-r.cpu, u.mem-r.mem, u.gpu-r.gpu }
 
+// capacity returns the whole capacity of the server.
+func (s *ServerInfo) capacity() usage { return usage{cpu: s.CPU, mem: s.MemMB, gpu: s.GPU} }
+
+// SameRecord reports whether the record of another state of the server need not be
+// written again.
+func (s *ServerInfo) SameRecord(o *ServerInfo) bool {
+	return s.Incarnation == o.Incarnation && s.Draining == o.Draining && s.capacity() == o.capacity()
+}
+
+// holds reports whether the run fits the server while nothing else runs there.
+func (s *ServerInfo) holds(r *run) bool { return r.cpu <= s.CPU && r.mem <= s.MemMB && r.gpu <= s.GPU }
+
 // learnFromProgress includes the predicted run times of running tasks in the
 // measured slowness, so that a server that becomes slow is detected before its
 // first task has ended.
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -21,9 +21,12 @@
 		m.serverRegistered("server_registered")
 		m.renewNow()
 	}
-	if info.Incarnation != previous.Incarnation || info.Draining != previous.Draining {
+	if !info.SameRecord(&previous) {
 		m.emit(ServerChanged{Info: info})
 	}
+	if info.Incarnation == previous.Incarnation && info.capacity() != previous.capacity() {
+		m.capacityChanged(previous)
+	}
 	if info.Draining && !previous.Draining {
 		m.log("server_draining", "server="+info.ID)
 		m.dropAllQueued("the backend server is draining")
@@ -31,6 +34,19 @@
 	}
 }
 
+// capacityChanged tells the entries the new capacity of the server, and returns the
+// queued tasks that it can never run.
+func (m *Runner) capacityChanged(previous ServerInfo) {
+	m.log("server_capacity_changed", fmt.Sprintf("server=%s cpu=%d mem_mb=%d gpu=%d cpu_before=%d mem_mb_before=%d cpu_used=%d",
+		m.server.ID, m.server.CPU, m.server.MemMB, m.server.GPU, previous.CPU, previous.MemMB, m.used.cpu))
+	for _, r := range slices.Clone(m.queue) {
+		if !m.server.holds(r) {
+			m.finish(r, session.NotStarted, "the task exceeds the capacity of the backend server")
+		}
+	}
+	m.wakePolls()
+}
+
 // serverRegistered applies the information about a newly registered server.
 func (m *Runner) serverRegistered(event string) {
 	m.labels = m.server.Labels
--- a/taskrunner/session.go
+++ b/taskrunner/session.go
@@ -33,10 +33,11 @@
 	ended    bool
 }
 
-// serverIdentity identifies an incarnation of a server.
+// serverIdentity identifies an incarnation of a server and its capacity.
 type serverIdentity struct {
 	incarnation int64
 	id          string
+	capacity    usage
 }
 
 // pendingPoll is a call of Agent.Poll whose reply has not been sent.
@@ -276,7 +277,7 @@
 		return "the echoed clock reading is too old"
 	case m.runs[r.key.TaskKey] != nil:
 		return "an earlier run of the task has not ended"
-	case r.cpu > m.server.CPU || r.mem > m.server.MemMB || r.gpu > m.server.GPU:
+	case !m.server.holds(r):
 		return "the task exceeds the capacity of the backend server"
 	case !m.startsInTime(r):
 		return "no free capacity before the latest start time"
@@ -436,7 +437,7 @@
 		Failing:  m.health.failingPerMille(),
 		Laggards: m.stragglers(s),
 	}
-	if id := (serverIdentity{m.server.Incarnation, m.server.ID}); !s.identitySent || s.sentIdentity != id {
+	if id := (serverIdentity{m.server.Incarnation, m.server.ID, m.server.capacity()}); !s.identitySent || s.sentIdentity != id {
 		s.identitySent, s.sentIdentity = true, id
 		st.Identity = &session.Identity{Service: m.server.Service, Server: m.server.ID, Labels: m.server.Labels, Capacity: m.server.CPU, MemMB: m.server.MemMB, GPU: m.server.GPU}
 	}
