--- a/gateway/config.go
+++ b/gateway/config.go
@@ -29,9 +29,10 @@
 	// changed signals copyConfig that a new version is in force.
 	changed chan struct{}
 
-	mu         sync.Mutex
-	current    session.Config
-	compressed session.Config // the same, empty until it is first needed
+	compressor session.Compressor
+
+	mu      sync.Mutex
+	current session.Config
 }
 
 func newConfiguration() configuration {
@@ -48,19 +49,11 @@
 // encoded returns the configuration as sent to another process, compressed if it
 // accepts that.
 func (c *configuration) encoded(acceptGzip bool) (session.Config, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	current := c.raw()
 	if !acceptGzip {
-		return c.current, nil
-	}
-	if c.compressed.Version != c.current.Version {
-		compressed, err := c.current.Compress()
-		if err != nil {
-			return session.Config{}, err
-		}
-		c.compressed = compressed
+		return current, nil
 	}
-	return c.compressed, nil
+	return c.compressor.Compress(current)
 }
 
 // AwaitTable returns the configuration in force. If there is none yet, it waits
--- a/session/compress.go
+++ b/session/compress.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"fmt"
 	"io"
+	"sync"
 )
 
 // maxConfigBytes bounds the text of a configuration, in bytes: about 20,000 queues.
@@ -29,6 +30,30 @@
 	return Config{Version: c.Version, Gzip: buf.Bytes()}, nil
 }
 
+// Compressor compresses each version of the configuration once, for all processes that
+// ask for it. Its zero value is ready for use.
+type Compressor struct {
+	mu   sync.Mutex
+	last Config // compressed
+}
+
+// Compress returns the configuration with its text compressed.
+func (c *Compressor) Compress(cfg Config) (Config, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last.Version == cfg.Version {
+		return c.last, nil
+	}
+	compressed, err := cfg.Compress()
+	if err != nil {
+		return Config{}, err
+	}
+	if cfg.Version > c.last.Version {
+		c.last = compressed
+	}
+	return compressed, nil
+}
+
 // Decompress returns the configuration with its text, whether or not it was
 // compressed.
 func (c Config) Decompress() (Config, error) {
--- a/session/compress_test.go
+++ b/session/compress_test.go
@@ -44,3 +44,21 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(compressed.Decompress()).To(Equal(cfg))
 }
+
+// Guards against an agent that compresses the configuration anew for each entry that
+// asks, when all entries have restarted.
+func TestCompressorCompressesEachVersionOnce(t *testing.T) {
+	g := NewWithT(t)
+	var c session.Compressor
+	cfg := session.Config{Version: 3, Text: []byte("text")}
+	first, err := c.Compress(cfg)
+	g.Expect(err).NotTo(HaveOccurred())
+	again, err := c.Compress(cfg)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(&again.Gzip[0]).To(BeIdenticalTo(&first.Gzip[0]))
+
+	newer, err := c.Compress(session.Config{Version: 4, Text: []byte("newer")})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(newer.Decompress()).To(Equal(session.Config{Version: 4, Text: []byte("newer")}))
+	g.Expect(c.Compress(session.Config{})).To(Equal(session.Config{}), "no configuration yet")
+}
--- a/sidecar/receiver.go
+++ b/sidecar/receiver.go
@@ -61,7 +61,7 @@
 		return nil
 	}
 	var err error
-	reply.Config, err = reply.Config.Compress()
+	reply.Config, err = r.sidecar.compressor.Compress(reply.Config)
 	return err
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -62,6 +62,8 @@
 	metrics  *sidecarMetrics
 	rto      rtoEstimator
 
+	compressor session.Compressor // of the configuration
+
 	listeners instance.Listeners
 	servers   []*http.Server
 	rpc       *rpcserver.Server
