--- a/containment/containment.go
+++ b/containment/containment.go
@@ -45,13 +45,39 @@
 		Losses      []Loss
 		Rates       []Rate // before the crash
 	}
+	// JobCompleted reports that a job of the queue has ended well.
+	JobCompleted struct{ Queue string }
 	// Ticked reports only that time has passed.
 	Ticked struct{}
 )
 
 func (ServerCrashed) isEvent() {}
+func (JobCompleted) isEvent()  {}
 func (Ticked) isEvent()        {}
 
+// Change is a change of the servers on which the tasks of a queue may run.
+type Change struct {
+	Queue string
+	// Kind says what has changed.
+	Kind ChangeKind
+	// Share is the share of the servers on which the tasks of the queue may run now.
+	Share  float64
+	Reason string // for logs
+}
+
+// ChangeKind is the kind of a Change.
+type ChangeKind uint8
+
+// Kinds of a Change.
+const (
+	Confined ChangeKind = iota // to fewer servers than before
+	Widened                    // to more servers than before
+	Released                   // to all servers
+)
+
+// String returns the kind as written to logs.
+func (k ChangeKind) String() string { return [...]string{"confined", "widened", "released"}[k] }
+
 const (
 	// youngAge is the time from its start within which a task is most likely to crash
 	// its server, if it does.
@@ -78,26 +104,45 @@
 	reported map[string]int64 // last incarnation whose crash was processed, by agent
 	tasks    map[Task]*taskRecord
 	expiry   []taskExpiry // oldest first
+	queues   map[string]*queueRecord
+	// lastScored is the last crash that counted as evidence against queues.
+	lastScored time.Time
+	changes    []Change
 }
 
 // New returns a Tracker without evidence.
 func New() *Tracker {
-	return &Tracker{reported: make(map[string]int64), tasks: make(map[Task]*taskRecord)}
+	return &Tracker{reported: make(map[string]int64), tasks: make(map[Task]*taskRecord), queues: make(map[string]*queueRecord)}
 }
 
-// Step applies an event.
-func (t *Tracker) Step(now time.Time, ev Event) {
+// Step applies an event and returns what has changed for queues.
+func (t *Tracker) Step(now time.Time, ev Event) []Change {
 	t.now = now
+	t.changes = nil
 	t.expireTasks()
-	if e, ok := ev.(ServerCrashed); ok && t.isNew(e) {
-		t.recordLosses(e.Losses)
+	t.releaseQueues()
+	switch e := ev.(type) {
+	case ServerCrashed:
+		if t.isNew(e) {
+			t.recordLosses(e.Losses)
+			t.weighQueues(e)
+		}
+	case JobCompleted:
+		t.recordSuccess(e.Queue)
 	}
+	return t.changes
+}
+
+// Knows reports whether a crash of an incarnation of an agent's server, or of a later
+// one, was processed.
+func (t *Tracker) Knows(agent string, incarnation int64) bool {
+	return incarnation <= t.reported[agent]
 }
 
 // isNew records the report of a crash, and reports whether it is the first of this
 // crash.
 func (t *Tracker) isNew(e ServerCrashed) bool {
-	if e.Incarnation <= t.reported[e.Agent] {
+	if t.Knows(e.Agent, e.Incarnation) {
 		return false
 	}
 	if len(t.reported) >= maxAgents {
--- a/containment/containment_test.go
+++ b/containment/containment_test.go
@@ -1,6 +1,7 @@
 package containment_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -57,3 +58,182 @@
 	tracker.Step(start.Add(120*time.Second), containment.Ticked{})
 	g.Expect(tracker.Suspicion(task("job")).Crashes).To(BeZero())
 }
+
+// load is the state of a drawn history of crashes.
+type load struct {
+	tracker *containment.Tracker
+	now     time.Time
+	run     int64
+}
+
+func newLoad() *load { return &load{tracker: containment.New(), now: start} }
+
+// crash reports a crash of the agent's server, which had just started tasks of the
+// queues young and had run those of old for long. Each server starts 20 tasks of each
+// queue per second.
+func (l *load) crash(agent string, young, old []string) []containment.Change {
+	l.now = l.now.Add(300 * time.Millisecond)
+	l.run++
+	ev := containment.ServerCrashed{Agent: agent, Incarnation: l.run, At: l.now}
+	for _, q := range young {
+		ev.Losses = append(ev.Losses, containment.Loss{Task: task(fmt.Sprint(q, l.run)), Queue: q, Ran: 8 * time.Millisecond, Started: true})
+	}
+	for _, q := range old {
+		ev.Losses = append(ev.Losses, containment.Loss{Task: task(fmt.Sprint(q, "old", l.run)), Queue: q, Ran: 200 * time.Millisecond, Started: true})
+	}
+	for _, q := range []string{"a", "b", "c"} {
+		ev.Rates = append(ev.Rates, containment.Rate{Queue: q, PerSecond: 20})
+	}
+	return l.tracker.Step(l.now, ev)
+}
+
+func (l *load) complete(queue string, after time.Duration) []containment.Change {
+	l.now = l.now.Add(after)
+	return l.tracker.Step(l.now, containment.JobCompleted{Queue: queue})
+}
+
+func agentName(i int) string { return fmt.Sprintf("agent-%d", i) }
+
+func names(n int) []string {
+	var list []string
+	for i := range n {
+		list = append(list, agentName(i))
+	}
+	return list
+}
+
+// Crashes of servers without a queue in common at their starts confine no queue.
+func TestQueueWithoutYoungTasksIsNeverConfined(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newLoad()
+		for range rapid.IntRange(1, 40).Draw(t, "crashes") {
+			l.crash(agentName(rapid.IntRange(0, 10).Draw(t, "agent")), nil, []string{"a", "b", "c"})
+		}
+		if q := l.tracker.ConfinedQueues(); len(q) > 0 {
+			t.Fatalf("confined without evidence: %v", q)
+		}
+	})
+}
+
+// A server that crashes again and again is no evidence against a queue that it serves.
+func TestOneServerThatCrashesConfinesNoQueue(t *testing.T) {
+	g := NewWithT(t)
+	l := newLoad()
+	for range 10 {
+		l.crash("agent-1", []string{"a"}, nil)
+	}
+	g.Expect(l.tracker.ConfinedQueues()).To(BeEmpty())
+}
+
+// Guards against a queue that is confined because its servers failed together, as when
+// a rack loses power.
+func TestServersThatCrashTogetherConfineNoQueue(t *testing.T) {
+	g := NewWithT(t)
+	tracker := containment.New()
+	for i := range 6 {
+		tracker.Step(start, containment.ServerCrashed{
+			Agent: agentName(i), Incarnation: 1, At: start.Add(time.Duration(i) * 10 * time.Millisecond),
+			Losses: []containment.Loss{{Task: task(agentName(i)), Queue: "a", Ran: 5 * time.Millisecond, Started: true}},
+		})
+	}
+	g.Expect(tracker.ConfinedQueues()).To(BeEmpty())
+}
+
+func TestQueueWhoseTasksCrashServersIsConfinedAndKeepsServers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newLoad()
+		for i := range 3 {
+			l.crash(agentName(i), []string{"a"}, []string{"b", "c"})
+		}
+		if q := l.tracker.ConfinedQueues(); len(q) != 1 || q[0] != "a" {
+			t.Fatalf("confined: %v", q)
+		}
+		all := names(rapid.IntRange(1, 200).Draw(t, "servers"))
+		servers := l.tracker.Servers("a", all)
+		if len(servers) == 0 || len(all) > 2 && 2*len(servers) > len(all) {
+			t.Fatalf("confined to %d of %d servers", len(servers), len(all))
+		}
+		if l.tracker.Servers("b", all) != nil {
+			t.Fatal("b is confined too")
+		}
+	})
+}
+
+func TestTwoQueuesThatCrashServersAtOnceAreBothConfined(t *testing.T) {
+	g := NewWithT(t)
+	l := newLoad()
+	for i := range 12 {
+		l.crash(agentName(i), [][]string{{"a"}, {"b"}}[i%2], []string{"c"})
+	}
+	g.Expect(l.tracker.ConfinedQueues()).To(Equal([]string{"a", "b"}))
+}
+
+// The share of jobs that crash servers varies; crashes after the confinement come from
+// the confined queue, and others that are there by chance are not confined with it.
+func TestCrashExplainedByConfinedQueueAccusesNoOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newLoad()
+		for i := range 3 {
+			l.crash(agentName(i), []string{"a"}, nil)
+		}
+		for i := range rapid.IntRange(1, 40).Draw(t, "crashes") {
+			l.crash(agentName(i%11), []string{"a", "b"}, nil)
+		}
+		if q := l.tracker.ConfinedQueues(); len(q) != 1 {
+			t.Fatalf("confined: %v", q)
+		}
+	})
+}
+
+// A queue returns step by step while its jobs end well, and at its next crash it goes
+// back to the fewest servers.
+func TestConfinedQueueReturnsStepByStep(t *testing.T) {
+	g := NewWithT(t)
+	l := newLoad()
+	for i := range 3 {
+		l.crash(agentName(i), []string{"a"}, nil)
+	}
+	all := names(12)
+	fewest := l.tracker.Servers("a", all)
+	g.Expect(l.tracker.Avoided("a", all)).To(Equal(fewest))
+	var kinds []string
+	for range 120 {
+		for _, c := range l.complete("a", 20*time.Millisecond) {
+			kinds = append(kinds, c.Kind.String())
+			if len(kinds) == 1 {
+				g.Expect(l.tracker.Servers("a", all)).To(ContainElements(fewest), "steps only add servers")
+				g.Expect(len(l.tracker.Servers("a", all))).To(BeNumerically(">", len(fewest)))
+				g.Expect(l.tracker.Avoided("a", all)).To(BeEmpty(), "others use them too")
+				l.crash(agentName(0), []string{"a"}, nil)
+				g.Expect(l.tracker.Servers("a", all)).To(Equal(fewest))
+			}
+		}
+	}
+	g.Expect(kinds).To(Equal([]string{"widened", "widened", "widened", "released"}))
+	g.Expect(l.tracker.Servers("a", all)).To(BeNil())
+}
+
+// A queue with few jobs, or none, is not confined for ever.
+func TestQuietQueueIsReleased(t *testing.T) {
+	g := NewWithT(t)
+	l := newLoad()
+	for i := range 3 {
+		l.crash(agentName(i), []string{"a"}, nil)
+	}
+	for range 4 {
+		l.complete("a", time.Second)
+	}
+	g.Expect(l.complete("a", time.Second)).To(ConsistOf(HaveField("Kind", containment.Widened)), "five jobs in more than three seconds")
+	l.now = l.now.Add(30 * time.Second)
+	g.Expect(l.tracker.Step(l.now, containment.Ticked{})).To(ConsistOf(HaveField("Kind", containment.Released)))
+}
+
+func TestEvidenceDecays(t *testing.T) {
+	g := NewWithT(t)
+	l := newLoad()
+	for i := range 20 {
+		l.crash(agentName(i), []string{"a"}, nil)
+		l.now = l.now.Add(time.Minute)
+	}
+	g.Expect(l.tracker.ConfinedQueues()).To(BeEmpty())
+}
--- /dev/null
+++ b/containment/queues.go
@@ -0,0 +1,226 @@
+package containment
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/internal/rendezvous"
+)
+
+const (
+	// minChance is the least chance assumed that a server happens to have just started
+	// a task of a queue, and maxWeight the most that one crash counts against a queue:
+	// a single crash confines none.
+	minChance = 0.02
+	maxWeight = 1.5
+	// exoneration is what a crash counts in favor of a queue of which the server had
+	// not just started a task. It is small, because tasks of another queue may have
+	// caused the crash.
+	exoneration = 0.5
+	// confiningEvidence is the evidence from which on a queue is confined: two crashes
+	// in a row, if a server has just started a task of the queue about every other
+	// time by chance.
+	confiningEvidence = 1.8
+	// evidenceDecayTime is the time constant with which evidence decays.
+	evidenceDecayTime = 20 * time.Second
+	// groupTime is the time within which crashes of several servers count once against
+	// queues: a rack or zone that fails at once is no evidence of what ran there.
+	groupTime = 100 * time.Millisecond
+	// successesToWiden is the number of completed jobs without a crash after which a
+	// confined queue gets more servers. fewSuccesses is what a queue with few jobs
+	// needs within patience.
+	successesToWiden = 30
+	fewSuccesses     = 5
+	patience         = 3 * time.Second
+	// idleRelease is the time without a crash after which a queue is released in any
+	// case.
+	idleRelease = 30 * time.Second
+	// maxQueues bounds the queues with evidence.
+	maxQueues = 4096
+)
+
+// confinedShares are the shares of the servers to which a queue is confined, and that
+// it gets step by step while its tasks crash none. The last step releases it.
+var confinedShares = [...]float64{1.0 / 6, 1.0 / 3, 2.0 / 3}
+
+// queueRecord is the evidence against a queue.
+type queueRecord struct {
+	evidence  float64 // log-likelihood ratio of the last crashes
+	decayedAt time.Time
+	agents    []string // of the crashes that are evidence, up to two
+	confined  bool
+	step      int       // index into confinedShares
+	successes int       // since changedAt
+	changedAt time.Time // when the last crash counted or step was made
+}
+
+func (r *queueRecord) decay(now time.Time) {
+	r.evidence *= math.Exp(-float64(now.Sub(r.decayedAt)) / float64(evidenceDecayTime))
+	r.decayedAt = now
+}
+
+// weighQueues counts a crash as evidence for or against queues. A crash of a server
+// that had just started a task of a confined queue is explained by it.
+func (t *Tracker) weighQueues(e ServerCrashed) {
+	young := youngQueues(e.Losses)
+	explained := false
+	for _, queue := range young {
+		if r := t.queues[queue]; r != nil && r.confined {
+			explained = true
+			t.confine(queue, r, e)
+		}
+	}
+	if explained || len(e.Losses) == 0 || t.inGroup(e.At) {
+		return
+	}
+	rates := make(map[string]float64)
+	for _, r := range e.Rates {
+		rates[r.Queue] = r.PerSecond
+	}
+	for _, queue := range young {
+		t.accuse(queue, rates[queue], e)
+	}
+	for queue, r := range t.queues {
+		if !slices.Contains(young, queue) && !r.confined {
+			r.decay(t.now)
+			r.evidence -= exoneration
+			if r.evidence <= 0 {
+				delete(t.queues, queue)
+			}
+		}
+	}
+}
+
+// inGroup reports whether a crash came so soon after another one that both may have
+// one cause besides the tasks.
+func (t *Tracker) inGroup(at time.Time) bool {
+	if at.Sub(t.lastScored).Abs() < groupTime {
+		return true
+	}
+	t.lastScored = at
+	return false
+}
+
+// youngQueues returns the queues of which the server had just started a task.
+func youngQueues(losses []Loss) []string {
+	var list []string
+	for _, l := range losses {
+		if l.Started && l.Ran <= youngAge && l.Queue != "" && !slices.Contains(list, l.Queue) {
+			list = append(list, l.Queue)
+		}
+	}
+	return list
+}
+
+// accuse counts a crash against a queue by how unlikely it is that the server has just
+// started one of its tasks by chance.
+func (t *Tracker) accuse(queue string, startsPerSecond float64, e ServerCrashed) {
+	r := t.queues[queue]
+	if r == nil {
+		if len(t.queues) >= maxQueues {
+			return
+		}
+		r = &queueRecord{decayedAt: t.now}
+		t.queues[queue] = r
+	}
+	r.decay(t.now)
+	chance := max(1-math.Exp(-startsPerSecond*youngAge.Seconds()), minChance)
+	r.evidence += min(-math.Log(chance), maxWeight)
+	if len(r.agents) < 2 && !slices.Contains(r.agents, e.Agent) {
+		r.agents = append(r.agents, e.Agent)
+	}
+	if r.evidence >= confiningEvidence && len(r.agents) == 2 {
+		t.confine(queue, r, e)
+	}
+}
+
+// confine confines a queue to the smallest share of the servers.
+func (t *Tracker) confine(queue string, r *queueRecord, e ServerCrashed) {
+	if !r.confined || r.step > 0 {
+		t.changes = append(t.changes, Change{Queue: queue, Kind: Confined, Share: confinedShares[0], Reason: fmt.Sprintf(
+			"%s crashed, run %d, after it had started a task of the queue; evidence %.2f", e.Agent, e.Incarnation, r.evidence)})
+	}
+	r.confined = true
+	r.step, r.successes, r.changedAt = 0, 0, t.now
+}
+
+func (t *Tracker) recordSuccess(queue string) {
+	r := t.queues[queue]
+	if r == nil || !r.confined {
+		return
+	}
+	r.successes++
+	if r.successes >= successesToWiden || r.successes >= fewSuccesses && t.now.Sub(r.changedAt) >= patience {
+		t.widen(queue, r, fmt.Sprintf("%d jobs without a crash in %v", r.successes, t.now.Sub(r.changedAt)))
+	}
+}
+
+// widen gives a confined queue more servers.
+func (t *Tracker) widen(queue string, r *queueRecord, reason string) {
+	r.step++
+	r.successes, r.changedAt = 0, t.now
+	if r.step == len(confinedShares) {
+		t.release(queue, reason)
+		return
+	}
+	t.changes = append(t.changes, Change{Queue: queue, Kind: Widened, Share: confinedShares[r.step], Reason: reason})
+}
+
+func (t *Tracker) release(queue, reason string) {
+	delete(t.queues, queue)
+	t.changes = append(t.changes, Change{Queue: queue, Kind: Released, Share: 1, Reason: reason})
+}
+
+// releaseQueues releases the queues that have crashed no server for long.
+func (t *Tracker) releaseQueues() {
+	for _, queue := range t.ConfinedQueues() {
+		if t.now.Sub(t.queues[queue].changedAt) >= idleRelease {
+			t.release(queue, "no crash for "+idleRelease.String())
+		}
+	}
+}
+
+// ConfinedQueues returns the names of the confined queues in alphabetical order.
+func (t *Tracker) ConfinedQueues() []string {
+	var list []string
+	for queue, r := range t.queues {
+		if r.confined {
+			list = append(list, queue)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Servers returns those of the given servers, at least one, on which the tasks of a
+// queue may run. It returns nil if the queue is not confined. All entries choose the
+// same ones if they know the same servers.
+func (t *Tracker) Servers(queue string, servers []string) []string {
+	r := t.queues[queue]
+	if r == nil || !r.confined {
+		return nil
+	}
+	return firstServers(queue, servers, confinedShares[r.step])
+}
+
+// Avoided returns the servers that tasks of other queues should avoid, because the queue
+// is confined there and has not got more servers since its last crash.
+func (t *Tracker) Avoided(queue string, servers []string) []string {
+	if r := t.queues[queue]; r == nil || !r.confined || r.step > 0 {
+		return nil
+	}
+	return Quarantine(queue, servers)
+}
+
+// Quarantine returns the servers to which a queue would be confined first. Tasks of it
+// that are suspected to have crashed a server run there.
+func Quarantine(queue string, servers []string) []string {
+	return firstServers(queue, servers, confinedShares[0])
+}
+
+func firstServers(queue string, servers []string, share float64) []string {
+	ranked := rendezvous.Rank(queue, servers, func(s string) string { return s })
+	return ranked[:min(max(int(math.Ceil(share*float64(len(servers)))), 1), len(servers))]
+}
--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -25,6 +25,7 @@
 	// grow again.
 	largest         session.Identity
 	stateReceivedAt time.Time
+	crashedAt       time.Time // when its server crashed; zero if it is back
 	lastOrderNumber uint64
 	// unacknowledged are the placements whose order has no reply yet, so that the
 	// state does not include them.
@@ -154,7 +155,7 @@
 		a.setIdentity(*s.Identity)
 		a.identitySeq = s.Seq
 	}
-	d.recordCrashes(a, s.Crashes)
+	defer d.recordCrashes(a, s.Crashes)
 	if s.Seq <= a.state.Seq {
 		return
 	}
@@ -165,6 +166,7 @@
 	a.state = s
 	a.stateReceivedAt = d.now
 	d.endOutageIfReady(a)
+	d.recordRecovery(a)
 	d.moveStragglers(a, s.Laggards)
 	if s.Samples >= minSlownessSamples {
 		d.lastSlowness[a.name] = serverSlowness{server: a.identity.Server, slowness: s.Slowness}
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -9,9 +9,20 @@
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
+const (
+	// initialRecoveryTime is the assumed time from a crash until the server accepts
+	// tasks again, as long as none has been seen.
+	initialRecoveryTime = 3 * time.Second
+	// recoveryWeight is the weight of the newest recovery in the moving average.
+	recoveryWeight = 0.3
+)
+
 // recordCrashes records the crashes that an agent has reported.
 func (d *Dispatcher) recordCrashes(a *agent, crashes []session.Crash) {
 	for _, c := range crashes {
+		if d.containment.Knows(a.name, c.Run) {
+			continue
+		}
 		ev := containment.ServerCrashed{Agent: a.name, Incarnation: c.Run, At: d.now.Add(-time.Duration(c.Ago) * time.Millisecond)}
 		for _, t := range c.Tasks {
 			ev.Losses = append(ev.Losses, containment.Loss{
@@ -21,7 +32,32 @@
 		for _, r := range c.Starts {
 			ev.Rates = append(ev.Rates, containment.Rate{Queue: r.Queue, PerSecond: r.PerSecond})
 		}
-		d.containment.Step(d.now, ev)
+		if !a.state.Ready {
+			a.crashedAt = ev.At
+		}
+		d.emit(LogEvent{Event: "server_crash_reported", Agent: a.name, Detail: fmt.Sprintf("run=%d ago_ms=%d tasks=%d", c.Run, c.Ago, len(c.Tasks))})
+		d.emit(CrashMetrics{Servers: 1})
+		d.applyChanges(d.containment.Step(d.now, ev))
+	}
+}
+
+// recordRecovery learns how long servers take to come back.
+func (d *Dispatcher) recordRecovery(a *agent) {
+	if a.crashedAt.IsZero() || !a.state.Ready {
+		return
+	}
+	took := d.now.Sub(a.crashedAt)
+	a.crashedAt = time.Time{}
+	d.recoveryTime += time.Duration(recoveryWeight * float64(took-d.recoveryTime))
+}
+
+// applyChanges logs which queues were confined or released.
+func (d *Dispatcher) applyChanges(changes []containment.Change) {
+	for _, c := range changes {
+		d.emit(LogEvent{Event: "queue_" + c.Kind.String(), Queue: c.Queue, Detail: fmt.Sprintf("share=%.2f reason=%q", c.Share, c.Reason)})
+		if c.Kind == containment.Confined {
+			d.emit(CrashMetrics{QueuesConfined: 1})
+		}
 	}
 }
 
@@ -33,9 +69,11 @@
 	s := d.containment.Suspicion(containment.Task{Job: j.Name, Index: index})
 	switch {
 	case s.Failed():
+		d.emit(CrashMetrics{TasksGivenUp: 1})
 		d.answer(j, Failed, crashReason(index, s))
 		return true
 	case s.GiveUp():
+		d.emit(CrashMetrics{TasksGivenUp: 1})
 		d.abandon(j, structs.CodeUnavailable, crashReason(index, s))
 		return true
 	case t.losses >= maxLosses:
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -22,6 +22,8 @@
 	lastSlowness map[string]serverSlowness // cached beyond sessions, by the agent's name
 
 	containment     *containment.Tracker
+	suspects        map[*placement]bool // of tasks that may have crashed a server
+	recoveryTime    time.Duration       // expected from a crash until the server is back
 	longestSlack    longestSlack
 	jobs            map[string]*job // open, or answered with tasks not yet ended, by name
 	calls           map[CallID]*job
@@ -49,6 +51,8 @@
 		agents:          make(map[SessionID]*agent),
 		lastSlowness:    make(map[string]serverSlowness),
 		containment:     containment.New(),
+		suspects:        make(map[*placement]bool),
+		recoveryTime:    initialRecoveryTime,
 		longestSlack:    make(longestSlack),
 		jobs:            make(map[string]*job),
 		noAgentSince:    make(map[string]time.Time),
@@ -63,7 +67,7 @@
 func (d *Dispatcher) Step(now time.Time, ev Event) []Effect {
 	d.now = now
 	d.effects = nil
-	d.containment.Step(now, containment.Ticked{})
+	d.applyChanges(d.containment.Step(now, containment.Ticked{}))
 	switch e := ev.(type) {
 	case SubmitCalled:
 		d.submit(e)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/chestnuthollow/chestnuthollow/containment"
 	"github.com/chestnuthollow/chestnuthollow/session"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
@@ -278,6 +279,7 @@
 // placementEnded processes the final report on a placement.
 func (d *Dispatcher) placementEnded(p *placement, r session.Report) {
 	delete(d.placements, p.id)
+	delete(d.suspects, p)
 	delete(p.agent.unacknowledged, p.id)
 	j := p.job
 	t := &j.tasks[p.index]
@@ -301,6 +303,7 @@
 		t.done = true
 		j.unfinished--
 		if j.unfinished == 0 {
+			d.applyChanges(d.containment.Step(d.now, containment.JobCompleted{Queue: j.Queue.Name}))
 			d.answer(j, Completed, "")
 		}
 		return
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -148,6 +148,9 @@
 		Verdict *structs.Verdict
 		Detail  string
 	}
+	// CrashMetrics is counted in the metrics: crashes of servers that were reported,
+	// tasks given up because of them, and queues confined.
+	CrashMetrics struct{ Servers, TasksGivenUp, QueuesConfined int }
 	// JobMetrics is counted in the metrics: one per answered job, and one per
 	// refused call.
 	JobMetrics struct {
@@ -176,3 +179,4 @@
 func (CancelReplied) isEffect() {}
 func (LogEvent) isEffect()      {}
 func (JobMetrics) isEffect()    {}
+func (CrashMetrics) isEffect()  {}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -59,7 +59,20 @@
 // task that no agent can take, or if the job is not expected to end by the latest
 // time.
 func (d *Dispatcher) plan(j *job, tasks []int, latest time.Time) ([]assignment, *structs.Error) {
-	candidates := d.candidates(j, tasks)
+	limits := d.limitsOf(j, tasks)
+	plan, err := d.planWithin(j, tasks, latest, &limits)
+	if err != nil && limits.avoided != nil {
+		return d.planWithin(j, tasks, latest, &placementLimits{})
+	}
+	return plan, err
+}
+
+// planWithin is plan for given limits.
+func (d *Dispatcher) planWithin(j *job, tasks []int, latest time.Time, limits *placementLimits) ([]assignment, *structs.Error) {
+	candidates := d.candidates(j, tasks, limits)
+	if len(candidates) == 0 && limits.confined {
+		return nil, d.confinedError(j, limits)
+	}
 	if len(candidates) == 0 {
 		return nil, d.noCandidateError(j)
 	}
@@ -130,9 +143,13 @@
 // backlog returns how long all servers that may run the job need together for
 // their queued tasks.
 func (d *Dispatcher) backlog(j *job) time.Duration {
+	limits := d.limitsOf(j, nil)
+	if !limits.confined {
+		limits = placementLimits{}
+	}
 	var work, cpu float64 // work in thousandths of a core times ms, cpu in thousandths of a core
 	for _, a := range d.sortedAgents {
-		if !d.eligible(a, j) || a.state.Failing >= failingThreshold {
+		if !d.eligible(a, j) || a.state.Failing >= failingThreshold || !limits.permits(a.name) {
 			continue
 		}
 		cpu += float64(a.identity.Capacity)
@@ -158,7 +175,8 @@
 // at least one second.
 func (d *Dispatcher) retryAfter(j *job) time.Duration {
 	wait := time.Second
-	if c := d.candidates(j, nil); len(c) > 0 {
+	limits := d.limitsOf(j, nil)
+	if c := d.candidates(j, nil, &limits); len(c) > 0 {
 		if best, finish := pickCandidate(c, j, 0); best != nil {
 			wait = max(wait, finish-best.runTime)
 		}
@@ -217,10 +235,10 @@
 // candidates returns the agents that may run the tasks. Agents whose tasks often
 // fail, and those that one of the tasks avoids, are used only if there is no
 // other.
-func (d *Dispatcher) candidates(j *job, tasks []int) []*candidate {
+func (d *Dispatcher) candidates(j *job, tasks []int, limits *placementLimits) []*candidate {
 	var healthy, fallback []*candidate
 	for _, a := range d.sortedAgents {
-		if !d.eligible(a, j) {
+		if !d.eligible(a, j) || !limits.permits(a.name) {
 			continue
 		}
 		runTime := d.expectedRunTime(a, j.Estimate)
@@ -302,6 +320,9 @@
 		p := &placement{id: d.lastPlacementID, job: j, index: as.index, agent: as.agent, orderNumber: o.Number}
 		t.current = p
 		d.placements[p.id] = p
+		if d.isSuspect(j, []int{as.index}) {
+			d.suspects[p] = true
+		}
 		as.agent.unacknowledged[p.id] = p
 		j.livePlacements++
 		startWithin := limit.Sub(d.now) - as.runTime - as.agent.networkOverhead(d)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,6 +18,8 @@
 	configErrors  metrics.Counter
 	storeLost     metrics.Counter
 	rejected      metrics.Counter
+
+	serversCrashed, tasksGivenUp, queuesConfined metrics.Counter
 }
 
 func newMetrics(g *Gateway) *gatewayMetrics {
@@ -28,6 +30,10 @@
 		configErrors:  metrics.NewRegisteredCounter("config.unreadable", r),
 		storeLost:     metrics.NewRegisteredCounter("store.lost", r),
 		rejected:      metrics.NewRegisteredCounter("jobs.rejected", r),
+
+		serversCrashed: metrics.NewRegisteredCounter("crashes.servers", r),
+		tasksGivenUp:   metrics.NewRegisteredCounter("crashes.tasks_given_up", r),
+		queuesConfined: metrics.NewRegisteredCounter("crashes.queues_confined", r),
 	}
 	r.Register("jobs.open", metrics.NewFunctionalGauge(func() int64 { return int64(g.openJobs()) }))
 	r.Register("bytes.sent", metrics.NewFunctionalGauge(func() int64 { return rpcconn.TotalTraffic().BytesSent }))
@@ -53,6 +59,13 @@
 	instance.Histogram(name+".time", m.registry).Update(e.Took.Microseconds())
 }
 
+// recordCrash counts crashes of servers and what followed from them.
+func (m *gatewayMetrics) recordCrash(e *dispatch.CrashMetrics) {
+	m.serversCrashed.Inc(int64(e.Servers))
+	m.tasksGivenUp.Inc(int64(e.TasksGivenUp))
+	m.queuesConfined.Inc(int64(e.QueuesConfined))
+}
+
 // Dump implements ops.Source.
 func (g *Gateway) Dump() any {
 	g.mu.Lock()
--- a/membership/subset.go
+++ b/membership/subset.go
@@ -1,10 +1,7 @@
 package membership
 
 import (
-	"cmp"
-	"hash/fnv"
-	"slices"
-
+	"github.com/chestnuthollow/chestnuthollow/internal/rendezvous"
 	"github.com/chestnuthollow/chestnuthollow/session"
 )
 
@@ -47,27 +44,5 @@
 // the first agents of all entries together cover all agents about evenly, and a
 // change of one agent moves no other.
 func Rank(self string, agents []session.Process) []session.Process {
-	weights := make(map[string]uint64, len(agents))
-	for _, p := range agents {
-		weights[p.Addr] = pairWeight(self, p.Addr)
-	}
-	ranked := slices.Clone(agents)
-	slices.SortFunc(ranked, func(a, b session.Process) int {
-		return cmp.Or(cmp.Compare(weights[b.Addr], weights[a.Addr]), cmp.Compare(a.Addr, b.Addr))
-	})
-	return ranked
-}
-
-// pairWeight returns a hash of two addresses. FNV alone distributes addresses that
-// differ in their last bytes unevenly in the high bits; the finalizer of SplitMix64
-// mixes them.
-func pairWeight(entry, agent string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(entry))
-	h.Write([]byte{0})
-	h.Write([]byte(agent))
-	x := h.Sum64()
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	return rendezvous.Rank(self, agents, func(p session.Process) string { return p.Addr })
 }
