--- a/containment/containment.go
+++ b/containment/containment.go
@@ -40,11 +40,19 @@
 	// been processed already are ignored.
 	ServerCrashed struct {
 		Agent       string
+		Service     string
+		Servers     int   // of the service that the entry knows, running or not
 		Incarnation int64 // of the server that crashed; higher for later ones
 		At          time.Time
 		Losses      []Loss
 		Rates       []Rate // before the crash
 	}
+	// JobAdmitted reports that the tasks of a job were placed.
+	JobAdmitted struct {
+		Queue   string
+		Service string
+		Work    float64 // expected, in core-seconds
+	}
 	// JobCompleted reports that a job of the queue has ended well.
 	JobCompleted struct{ Queue string }
 	// Ticked reports only that time has passed.
@@ -52,6 +60,7 @@
 )
 
 func (ServerCrashed) isEvent() {}
+func (JobAdmitted) isEvent()   {}
 func (JobCompleted) isEvent()  {}
 func (Ticked) isEvent()        {}
 
@@ -105,6 +114,7 @@
 	tasks    map[Task]*taskRecord
 	expiry   []taskExpiry // oldest first
 	queues   map[string]*queueRecord
+	demands  map[string]*demand // by service
 	// lastScored is the last crash that counted as evidence against queues.
 	lastScored time.Time
 	changes    []Change
@@ -112,7 +122,7 @@
 
 // New returns a Tracker without evidence.
 func New() *Tracker {
-	return &Tracker{reported: make(map[string]int64), tasks: make(map[Task]*taskRecord), queues: make(map[string]*queueRecord)}
+	return &Tracker{reported: make(map[string]int64), tasks: make(map[Task]*taskRecord), queues: make(map[string]*queueRecord), demands: make(map[string]*demand)}
 }
 
 // Step applies an event and returns what has changed for queues.
@@ -127,6 +137,8 @@
 			t.recordLosses(e.Losses)
 			t.weighQueues(e)
 		}
+	case JobAdmitted:
+		t.recordDemand(e)
 	case JobCompleted:
 		t.recordSuccess(e.Queue)
 	}
--- a/containment/containment_test.go
+++ b/containment/containment_test.go
@@ -74,7 +74,7 @@
 func (l *load) crash(agent string, young, old []string) []containment.Change {
 	l.now = l.now.Add(300 * time.Millisecond)
 	l.run++
-	ev := containment.ServerCrashed{Agent: agent, Incarnation: l.run, At: l.now}
+	ev := containment.ServerCrashed{Agent: agent, Service: "s", Servers: 12, Incarnation: l.run, At: l.now}
 	for _, q := range young {
 		ev.Losses = append(ev.Losses, containment.Loss{Task: task(fmt.Sprint(q, l.run)), Queue: q, Ran: 8 * time.Millisecond, Started: true})
 	}
@@ -148,7 +148,7 @@
 		if q := l.tracker.ConfinedQueues(); len(q) != 1 || q[0] != "a" {
 			t.Fatalf("confined: %v", q)
 		}
-		all := names(rapid.IntRange(1, 200).Draw(t, "servers"))
+		all := names(rapid.IntRange(1, 200).Draw(t, "known"))
 		servers := l.tracker.Servers("a", all)
 		if len(servers) == 0 || len(all) > 2 && 2*len(servers) > len(all) {
 			t.Fatalf("confined to %d of %d servers", len(servers), len(all))
@@ -237,3 +237,33 @@
 	}
 	g.Expect(l.tracker.ConfinedQueues()).To(BeEmpty())
 }
+
+// Guards against a queue that is confined although hardly any server is down: the
+// others lose less by the crashes than it would by the confinement.
+func TestQueueThatCrashesFewServersIsNotConfined(t *testing.T) {
+	g := NewWithT(t)
+	l := newLoad()
+	for i := range 12 {
+		l.crash(agentName(i), []string{"a"}, nil)
+		l.now = l.now.Add(3 * time.Second)
+	}
+	g.Expect(l.tracker.ConfinedQueues()).To(BeEmpty())
+}
+
+// Guards against servers that stand idle beside a confined queue: it gets as large a
+// part of them as of the work.
+func TestConfinedQueueGetsItsShareOfTheWork(t *testing.T) {
+	g := NewWithT(t)
+	l := newLoad()
+	for range 100 {
+		l.now = l.now.Add(50 * time.Millisecond)
+		l.tracker.Step(l.now, containment.JobAdmitted{Queue: "a", Service: "s", Work: 3})
+		l.tracker.Step(l.now, containment.JobAdmitted{Queue: "b", Service: "s", Work: 1})
+		l.tracker.Step(l.now, containment.JobAdmitted{Queue: "c", Service: "other", Work: 9})
+	}
+	for i := range 3 {
+		l.crash(agentName(i), []string{"a"}, nil)
+	}
+	g.Expect(l.tracker.Servers("a", names(12))).To(HaveLen(9))
+	g.Expect(l.tracker.Avoided("a", names(12))).To(HaveLen(9), "b has the others to itself")
+}
--- a/containment/queues.go
+++ b/containment/queues.go
@@ -39,19 +39,26 @@
 	idleRelease = 30 * time.Second
 	// maxQueues bounds the queues with evidence.
 	maxQueues = 4096
+	// minShare is the least share of the servers that a confined queue gets. It is
+	// also the share of servers that the tasks of a queue must have crashed recently
+	// for it to be confined: fewer crashes cost the other queues less.
+	minShare = 1.0 / 6
+	// recentTime is the time within which crashed servers are not back yet.
+	recentTime = 3 * time.Second
+	// widenings is the number of steps in which a confined queue gets all servers
+	// again.
+	widenings = 3
 )
 
-// confinedShares are the shares of the servers to which a queue is confined, and that
-// it gets step by step while its tasks crash none. The last step releases it.
-var confinedShares = [...]float64{1.0 / 6, 1.0 / 3, 2.0 / 3}
-
 // queueRecord is the evidence against a queue.
 type queueRecord struct {
 	evidence  float64 // log-likelihood ratio of the last crashes
 	decayedAt time.Time
-	agents    []string // of the crashes that are evidence, up to two
+	agents    []string    // of the crashes that are evidence, up to two
+	recent    []time.Time // crashes within recentTime
 	confined  bool
-	step      int       // index into confinedShares
+	share     float64   // of the servers, when it was confined
+	step      int       // number of widenings since the last crash
 	successes int       // since changedAt
 	changedAt time.Time // when the last crash counted or step was made
 }
@@ -131,15 +138,19 @@
 	if len(r.agents) < 2 && !slices.Contains(r.agents, e.Agent) {
 		r.agents = append(r.agents, e.Agent)
 	}
-	if r.evidence >= confiningEvidence && len(r.agents) == 2 {
+	r.recent = slices.DeleteFunc(append(r.recent, e.At), func(at time.Time) bool { return e.At.Sub(at) > recentTime })
+	if r.evidence >= confiningEvidence && len(r.agents) == 2 && float64(len(r.recent)) >= minShare*float64(e.Servers) {
 		t.confine(queue, r, e)
 	}
 }
 
-// confine confines a queue to the smallest share of the servers.
+// confine confines a queue to its share of the servers.
 func (t *Tracker) confine(queue string, r *queueRecord, e ServerCrashed) {
+	if !r.confined {
+		r.share = max(t.shareOf(e.Service, queue), minShare)
+	}
 	if !r.confined || r.step > 0 {
-		t.changes = append(t.changes, Change{Queue: queue, Kind: Confined, Share: confinedShares[0], Reason: fmt.Sprintf(
+		t.changes = append(t.changes, Change{Queue: queue, Kind: Confined, Share: r.share, Reason: fmt.Sprintf(
 			"%s crashed, run %d, after it had started a task of the queue; evidence %.2f", e.Agent, e.Incarnation, r.evidence)})
 	}
 	r.confined = true
@@ -161,11 +172,11 @@
 func (t *Tracker) widen(queue string, r *queueRecord, reason string) {
 	r.step++
 	r.successes, r.changedAt = 0, t.now
-	if r.step == len(confinedShares) {
+	if r.step == widenings {
 		t.release(queue, reason)
 		return
 	}
-	t.changes = append(t.changes, Change{Queue: queue, Kind: Widened, Share: confinedShares[r.step], Reason: reason})
+	t.changes = append(t.changes, Change{Queue: queue, Kind: Widened, Share: r.currentShare(), Reason: reason})
 }
 
 func (t *Tracker) release(queue, reason string) {
@@ -202,22 +213,28 @@
 	if r == nil || !r.confined {
 		return nil
 	}
-	return firstServers(queue, servers, confinedShares[r.step])
+	return firstServers(queue, servers, r.currentShare())
+}
+
+// currentShare returns the share of the servers that the queue may use.
+func (r *queueRecord) currentShare() float64 {
+	return r.share + (1-r.share)*float64(r.step)/widenings
 }
 
 // Avoided returns the servers that tasks of other queues should avoid, because the queue
 // is confined there and has not got more servers since its last crash.
 func (t *Tracker) Avoided(queue string, servers []string) []string {
-	if r := t.queues[queue]; r == nil || !r.confined || r.step > 0 {
+	r := t.queues[queue]
+	if r == nil || !r.confined || r.step > 0 {
 		return nil
 	}
-	return Quarantine(queue, servers)
+	return firstServers(queue, servers, r.share)
 }
 
-// Quarantine returns the servers to which a queue would be confined first. Tasks of it
-// that are suspected to have crashed a server run there.
+// Quarantine returns the first of the servers to which a queue would be confined. Tasks
+// of it that are suspected to have crashed a server run there.
 func Quarantine(queue string, servers []string) []string {
-	return firstServers(queue, servers, confinedShares[0])
+	return firstServers(queue, servers, minShare)
 }
 
 func firstServers(queue string, servers []string, share float64) []string {
--- a/standin/leaseserver/handler.go
+++ b/standin/leaseserver/handler.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -23,6 +24,8 @@
 	HeartbeatInterval time.Duration
 	// BehaviorOf returns the behavior of a task, given its name and spec.
 	BehaviorOf func(name, spec string) Behavior
+	// DownTime is how long the server is down after a task has crashed it.
+	DownTime time.Duration
 	// OnStart and OnEnd, if set, are called when a task starts or ends. They must not
 	// call the HTTPServer.
 	OnStart func(server string, t TaskRun)
@@ -33,6 +36,9 @@
 // are due.
 const tickInterval = 2 * time.Millisecond
 
+// comeBackRetry is the delay before a server that cannot listen tries again.
+const comeBackRetry = 20 * time.Millisecond
+
 // HTTPServer serves a Server over HTTP, in real time.
 type HTTPServer struct {
 	opts Options
@@ -45,6 +51,9 @@
 	delayedShare float64
 	draining     bool
 	seq          int64 // of the last heartbeat
+	addr         string
+	http         *http.Server // nil while the server is down
+	closed       bool
 }
 
 // NewHTTPServer returns a server whose first incarnation starts now. It sends
@@ -95,6 +104,66 @@
 	h.restart()
 }
 
+// Serve serves calls on the listener until Close.
+func (h *HTTPServer) Serve(l net.Listener) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.addr = l.Addr().String()
+	h.http = &http.Server{Handler: h.Handler()}
+	go h.http.Serve(l)
+}
+
+// Close stops serving for good.
+func (h *HTTPServer) Close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.closed = true
+	if h.http != nil {
+		h.http.Close()
+	}
+}
+
+// CrashFor ends all tasks, and refuses connections for a time. Then a new incarnation
+// starts.
+func (h *HTTPServer) CrashFor(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.http == nil {
+		return // it is down already
+	}
+	h.advance()
+	h.server.crash()
+	h.http.Close()
+	h.http = nil
+	time.AfterFunc(d, h.comeBack)
+}
+
+// comeBack starts a new incarnation at the same address.
+func (h *HTTPServer) comeBack() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return
+	}
+	l, err := net.Listen("tcp", h.addr)
+	if err != nil {
+		time.AfterFunc(comeBackRetry, h.comeBack) // the port is still in use
+		return
+	}
+	h.restart()
+	h.http = &http.Server{Handler: h.Handler()}
+	go h.http.Serve(l)
+	go h.sendHeartbeat(context.Background())
+}
+
+// SetCPU changes the capacity, in thousandths of a core, which the next heartbeat
+// reports.
+func (h *HTTPServer) SetCPU(cpu int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.opts.CPU = cpu
+}
+
 // Drain reports to the agent that the server is draining.
 func (h *HTTPServer) Drain() {
 	h.mu.Lock()
@@ -125,13 +194,21 @@
 		case <-ticker.C:
 			h.mu.Lock()
 			h.advance()
+			crashed := h.server.Crashed && h.http != nil
 			h.mu.Unlock()
+			if crashed {
+				h.CrashFor(h.opts.DownTime)
+			}
 		}
 	}
 }
 
 func (h *HTTPServer) sendHeartbeat(ctx context.Context) {
 	h.mu.Lock()
+	if h.server.Crashed {
+		h.mu.Unlock()
+		return
+	}
 	h.seq++
 	state := "ready"
 	if h.draining {
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -104,10 +104,14 @@
 // submitJobs submits jobs one after the other until ctx is canceled. Like a caller, it
 // submits a job again if its connection broke.
 func (s *soak) submitJobs(ctx context.Context, rng *rand.Rand, caller int) {
+	sizes := rand.New(rand.NewSource(-int64(caller)))
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%08x%08x", caller, n)
 		tasks, ms := 1+rng.Intn(6), 20+rng.Intn(600)
 		outcome := []string{"ok", "ok", "ok", "ok", "ok", "fail", "hang"}[rng.Intn(7)]
+		if sizes.Intn(25) == 0 {
+			ms, outcome = 1+sizes.Intn(30), "crash"
+		}
 		for range 3 {
 			if !s.submitOnce(ctx, rng, id, tasks, ms, outcome) {
 				break
@@ -138,6 +142,8 @@
 		if s.invariants.startCount(id) > 0 {
 			s.t.Errorf("job %s was refused as not run, but has run", id)
 		}
+	case a.code == 200 && a.state == "failed" && outcome == "ok" && !s.invariants.mayBeFailed(id, tasks):
+		s.t.Errorf("job %s could be done, and was reported as failed", id)
 	case a.code == 200 && a.state == "completed" && outcome != "ok":
 		s.t.Errorf("job %s, whose tasks %s, was reported as completed", id, outcome)
 	}
@@ -154,7 +160,7 @@
 		victim = agent
 	}
 	duration := time.Duration(100+s.rng.Intn(2500)) * time.Millisecond
-	kind := s.rng.Intn(10)
+	kind := s.rng.Intn(12)
 	s.recordFault("kind %d on %s or %s for %v", kind, victim.name, agent.name, duration)
 	temporarily := func(apply, undo func()) {
 		apply()
@@ -204,10 +210,26 @@
 			s.storeProxy.setRate(0)
 		})
 		s.putLargeConfig(s.sizes.Intn(largeConfigQueues))
+	case 10:
+		server.CrashFor(duration)
+	case 11:
+		s.resize(i, 1000+s.sizes.Intn(serverCPU))
+		s.faults.Add(1)
+		time.AfterFunc(2*duration, func() {
+			defer s.faults.Done()
+			s.resize(i, serverCPU)
+		})
 	}
 	s.count(fmt.Sprintf("fault %d", kind))
 }
 
+// resize changes the capacity of a server. A larger one counts at once, since the
+// server may report it before this returns.
+func (s *soak) resize(server, cpu int) {
+	s.invariants.resized(fmt.Sprintf("server-%d", server), cpu)
+	s.servers[server].SetCPU(cpu)
+}
+
 // clearFaults ends all faults and starts processes that overlapping faults left
 // stopped.
 func (s *soak) clearFaults() {
--- a/test/platform/system_test.go
+++ b/test/platform/system_test.go
@@ -30,6 +30,14 @@
 	heartbeatInterval = 300 * time.Millisecond
 	readyTimeout      = 15 * time.Second
 	graceSeconds      = 6
+	// crashDownTime is how long a server is down after a task has crashed it.
+	crashDownTime = time.Second
+	// shrinkGrace is how long the earlier capacity of a server that has shrunk counts:
+	// a stable window and a heartbeat.
+	shrinkGrace = 3*time.Second + heartbeatInterval
+	// Fewer than startsAfterCrashes starts may follow maxCrashes crashes of servers
+	// under a task that crashes them.
+	maxCrashes, startsAfterCrashes = 3, 3
 )
 
 var buildOnce = sync.OnceValues(func() (string, error) {
@@ -187,13 +195,20 @@
 	server := leaseserver.NewHTTPServer(leaseserver.Options{
 		ID: fmt.Sprintf("server-%d", i), Service: "booking", CPU: serverCPU, MemMB: 4096,
 		HeartbeatURL: "http://" + heartbeatAddr, HeartbeatInterval: heartbeatInterval, BehaviorOf: behaviorOf,
-		OnStart: s.invariants.started, OnEnd: s.invariants.ended,
+		DownTime: crashDownTime, OnStart: s.invariants.started, OnEnd: s.invariants.ended,
 	})
+	l, err := net.Listen("tcp", freeAddr(s.t))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	server.Serve(l)
+	s.t.Cleanup(server.Close)
+	s.invariants.resized(fmt.Sprintf("server-%d", i), serverCPU)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.t.Cleanup(cancel)
 	go server.Run(ctx)
 	px := newProxy(s.t, peer)
-	p.writeSettings(map[string]any{"heartbeat_addr": heartbeatAddr, "peer_addr": peer, "advertise_addr": px.addr, "service": "booking"}, seeds, storeAddr, s.serve(server.Handler()))
+	p.writeSettings(map[string]any{"heartbeat_addr": heartbeatAddr, "peer_addr": peer, "advertise_addr": px.addr, "service": "booking"}, seeds, storeAddr, l.Addr().String())
 	s.agents = append(s.agents, p)
 	s.servers = append(s.servers, server)
 	s.proxies = append(s.proxies, px)
@@ -363,8 +378,9 @@
 }
 
 // post submits a job of tasks that each run for ms milliseconds, need cpu thousandths
-// of a core, and end with the outcome ok, fail or hang.
+// of a core, and end with the outcome ok, fail, hang or crash.
 func (s *system) post(ctx context.Context, p *process, id string, tasks, ms, cpu int, outcome string) answer {
+	s.invariants.submitted(id, cpu, outcome)
 	body, err := json.Marshal(map[string]any{
 		"spec": fmt.Sprintf("%d,%d,%s", ms, cpu, outcome), "bestEffort": true,
 		"steps": []any{map[string]any{"replicas": tasks, "cpu": cpu, "memMb": 16, "estimateMs": ms}},
@@ -402,39 +418,114 @@
 func behaviorOf(_, spec string) leaseserver.Behavior {
 	f := strings.Split(spec, ",")
 	ms, _ := strconv.Atoi(f[0])
-	return leaseserver.Behavior{Duration: time.Duration(ms) * time.Millisecond, Fails: f[2] == "fail", Hangs: f[2] == "hang"}
+	return leaseserver.Behavior{Duration: time.Duration(ms) * time.Millisecond, Fails: f[2] == "fail", Hangs: f[2] == "hang", Crashes: f[2] == "crash"}
 }
 
 // invariantChecker checks by the starts and ends at the servers that no task runs
-// twice at the same time.
+// twice at the same time, that no server runs more than its capacity, and that tasks
+// that crash servers are given up.
 type invariantChecker struct {
 	mu          sync.Mutex
 	running     map[string]string // server that runs the task, by task name
 	startsByJob map[string]int    // number of task starts, by job
+	used        map[string]int    // thousandths of a core in use, by server
+	capacity    map[string]serverCapacity
+	crashes     map[string]int // servers that crashed while they ran the task, by task name
+	startsAfter map[string]int // starts after maxCrashes, by task name
+	specs       map[string]taskSpec
 	violations  []string
 }
 
+// serverCapacity is the capacity of a server, in thousandths of a core.
+type serverCapacity struct {
+	cpu, before int // before counts until shrinkGrace after since
+	since       time.Time
+}
+
+type taskSpec struct {
+	cpu     int
+	crashes bool
+}
+
 func newInvariantChecker() *invariantChecker {
-	return &invariantChecker{running: make(map[string]string), startsByJob: make(map[string]int)}
+	return &invariantChecker{
+		running: make(map[string]string), startsByJob: make(map[string]int), used: make(map[string]int),
+		capacity: make(map[string]serverCapacity), crashes: make(map[string]int), startsAfter: make(map[string]int), specs: make(map[string]taskSpec),
+	}
+}
+
+// submitted records what the tasks of a job need and do.
+func (c *invariantChecker) submitted(job string, cpu int, outcome string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.specs[job] = taskSpec{cpu: cpu, crashes: outcome == "crash"}
+}
+
+// resized records the capacity of a server.
+func (c *invariantChecker) resized(server string, cpu int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.capacity[server] = serverCapacity{cpu: cpu, before: c.limit(server), since: time.Now()}
+}
+
+// limit returns how much a server may run now. The caller holds c.mu.
+func (c *invariantChecker) limit(server string) int {
+	limit := c.capacity[server]
+	if time.Since(limit.since) < shrinkGrace {
+		return max(limit.cpu, limit.before)
+	}
+	return limit.cpu
+}
+
+func (c *invariantChecker) violated(format string, args ...any) {
+	c.violations = append(c.violations, fmt.Sprintf(format, args...))
 }
 
 func (c *invariantChecker) started(server string, t leaseserver.TaskRun) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if at, ok := c.running[t.Name]; ok {
-		c.violations = append(c.violations, fmt.Sprintf("task %s started at %s while it ran at %s", t.Name, server, at))
+		c.violated("task %s started at %s while it ran at %s", t.Name, server, at)
 	}
 	c.running[t.Name] = server
 	job, _, _ := strings.Cut(t.Name, ".")
 	c.startsByJob[job]++
+	spec := c.specs[job]
+	c.used[server] += spec.cpu
+	if limit := c.limit(server); c.used[server] > limit {
+		c.violated("%s runs %d thousandths of a core with task %s, over its capacity of %d", server, c.used[server], t.Name, limit)
+	}
+	if spec.crashes && c.crashes[t.Name] >= maxCrashes {
+		if c.startsAfter[t.Name]++; c.startsAfter[t.Name] >= startsAfterCrashes {
+			c.violated("task %s was started %d times after %d servers had crashed under it", t.Name, c.startsAfter[t.Name], maxCrashes)
+		}
+	}
 }
 
-func (c *invariantChecker) ended(server string, t leaseserver.TaskRun, _ string) {
+func (c *invariantChecker) ended(server string, t leaseserver.TaskRun, outcome string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.running[t.Name] == server {
 		delete(c.running, t.Name)
 	}
+	job, _, _ := strings.Cut(t.Name, ".")
+	c.used[server] -= c.specs[job].cpu
+	if outcome == "crashed" {
+		c.crashes[t.Name]++
+	}
+}
+
+// mayBeFailed reports whether a job of n tasks that could be done may be shown as
+// failed: two servers have crashed under one of its tasks.
+func (c *invariantChecker) mayBeFailed(job string, n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range n {
+		if c.crashes[fmt.Sprintf("%s.0.0.%d", job, i)] >= 2 {
+			return true
+		}
+	}
+	return false
 }
 
 // startCount returns how often tasks of a job have started.
