--- a/containment/demand.go
+++ b/containment/demand.go
@@ -8,6 +8,9 @@
 const (
 	// demandDecayTime is the time constant of the work of a queue.
 	demandDecayTime = 10 * time.Second
+	// priorJobs is how many jobs the assumption counts that a queue has no work, so that
+	// an entry that has just started does not judge by its first jobs.
+	priorJobs = 30
 	// maxDemands bounds the queues whose work is kept.
 	maxDemands = 4096
 )
@@ -15,10 +18,11 @@
 // demand is the recently admitted work of the queues of a service.
 type demand struct {
 	total  work
+	jobs   work // number of jobs
 	queues map[string]*work
 }
 
-// work is an amount of work, in core-seconds, with exponential decay.
+// work is an amount, of core-seconds or of jobs, with exponential decay.
 type work struct {
 	amount    float64
 	decayedAt time.Time
@@ -46,6 +50,7 @@
 	}
 	q.add(t.now, e.Work)
 	d.total.add(t.now, e.Work)
+	d.jobs.add(t.now, 1)
 }
 
 // shareOf returns the share of a queue in the work of its service.
@@ -54,5 +59,6 @@
 	if d == nil || d.queues[queue] == nil || d.total.at(t.now) <= 0 {
 		return 0
 	}
-	return d.queues[queue].at(t.now) / d.total.at(t.now)
+	jobs := d.jobs.at(t.now)
+	return d.queues[queue].at(t.now) / d.total.at(t.now) * jobs / (jobs + priorJobs)
 }
