--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -53,13 +53,17 @@
 	if !ok {
 		return 0, false
 	}
-	used := 0
-	for t.freeNow < cpu {
-		t.freeNow += t.releases[used].CPU
+	left, used := t.freeNow, 0
+	for left < cpu {
+		left += t.releases[used].CPU
 		used++
 	}
 	t.releases = t.releases[used:]
-	t.freeNow -= cpu
+	left -= cpu
+	if later := left - t.freeNow; later > 0 {
+		t.addRelease(Release{At: start, CPU: later})
+	}
+	t.freeNow = min(t.freeNow, left)
 	t.addRelease(Release{At: start + runTime, CPU: cpu})
 	return start, true
 }
