--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -119,12 +119,14 @@
 // measured slowness, so that a server that becomes slow is detected before its
 // first task has ended.
 func (m *Runner) learnFromProgress() {
-	m.health.inFlight = runTimes{}
+	m.health.inFlight = runTimes{} // totalRunTime predicts from what has finished
+	var inFlight runTimes
 	for _, r := range m.runs {
 		if r.phase == running && r.estimate > 0 {
-			m.health.inFlight.add(m.totalRunTime(r), r.estimate)
+			inFlight.add(m.totalRunTime(r), r.estimate)
 		}
 	}
+	m.health.inFlight = inFlight
 }
 
 // fits reports whether there is free capacity for a task now. A server that fails
