--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -12,6 +12,9 @@
 	InDoubt    int         `json:"doubtful_placements"`
 	Agents     []AgentDump `json:"agents"`
 	Open       []JobDump   `json:"open"`
+	// ConfinedQueues are the queues whose tasks run on some of the servers only,
+	// because they have crashed others.
+	ConfinedQueues []string `json:"confined_queues"`
 }
 
 // AgentDump is one agent with an open session.
@@ -41,7 +44,7 @@
 
 // Dump returns a snapshot of bounded size. Ages are relative to now.
 func (d *Dispatcher) Dump(now time.Time) Dump {
-	out := Dump{Jobs: len(d.jobs), Placements: len(d.placements)}
+	out := Dump{Jobs: len(d.jobs), Placements: len(d.placements), ConfinedQueues: d.containment.ConfinedQueues()}
 	for _, p := range d.placements {
 		if !p.inDoubtUntil.IsZero() {
 			out.InDoubt++
--- a/test/sessions/entry_test.go
+++ b/test/sessions/entry_test.go
@@ -350,12 +350,16 @@
 	return false
 }
 
-func (cl *caller) answered(s dispatch.Status) { cl.sim.counts[s.String()]++ }
+func (cl *caller) answered(s dispatch.Status) {
+	cl.sim.counts[s.String()]++
+	cl.sim.counts[cl.job.Queue.Name+" "+s.String()]++
+}
 
 // refused checks that no task of a submission refused as not run has started or
 // starts later.
 func (cl *caller) refused(err *structs.Error) {
 	cl.sim.counts["refused "+err.Verdict.String()]++
+	cl.sim.counts[cl.job.Queue.Name+" refused"]++
 	if err.Verdict != structs.NotRun {
 		cl.connectionBroken()
 		return
--- a/test/sessions/interleavings_test.go
+++ b/test/sessions/interleavings_test.go
@@ -32,26 +32,37 @@
 }
 
 func newSimulation(t *rapid.T, seed int64) *simulation {
-	sim := &simulation{
-		rng:     rand.New(rand.NewSource(seed)),
-		running: make(map[string][]string),
-		started: make(map[string]bool),
-		crashes: make(map[string]int), startsAfter: make(map[string]int),
-		counts: make(map[string]int),
-	}
+	sim := newSimulationOf(rand.New(rand.NewSource(seed)), 0, 0)
 	sim.fail = func(format string, args ...any) {
 		t.Fatalf("at %v: %s", sim.now, fmt.Sprintf(format, args...))
 	}
 	if sim.rng.Intn(2) == 0 {
 		sim.delayedCallShare = 0.08
 	}
-	for i := range 3 {
+	sim.addProcesses(3, 2)
+	return sim
+}
+
+// newSimulationOf returns a simulation of agents, each with a server, and entries.
+func newSimulationOf(rng *rand.Rand, agents, entries int) *simulation {
+	sim := &simulation{
+		rng:     rng,
+		running: make(map[string][]string),
+		started: make(map[string]bool),
+		crashes: make(map[string]int), startsAfter: make(map[string]int),
+		counts: make(map[string]int),
+	}
+	sim.addProcesses(agents, entries)
+	return sim
+}
+
+func (sim *simulation) addProcesses(agents, entries int) {
+	for i := range agents {
 		sim.newAgent(i, 20_000)
 	}
-	for i := range 2 {
+	for i := range entries {
 		sim.newEntry(i)
 	}
-	return sim
 }
 
 // runScenario submits jobs for six seconds and injects faults meanwhile.
