--- a/load/ideal.go
+++ b/load/ideal.go
@@ -36,9 +36,12 @@
 }
 
 // IdealResponseTime returns the time that a job would take alone on idle servers,
-// as described in the package comment. There must be at least one server, each
-// with at least one slot.
+// as described in the package comment; zero if there are no servers. Each server has
+// at least one slot.
 func IdealResponseTime(servers []Server, tasks []Task) time.Duration {
+	if len(servers) == 0 {
+		return 0
+	}
 	classes := speedClasses(servers)
 	work := make([]time.Duration, len(tasks))
 	for i, t := range tasks {
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -78,3 +78,8 @@
 	g.Expect(rep.Complete).To(Equal(30))
 	g.Expect(rep.Response.P50).To(BeNumerically(">=", 0.1), "the stall must show in more than the first job")
 }
+
+// Guards against a panic of the load generator while no server has announced itself.
+func TestIdealResponseTimeWithoutServersIsZero(t *testing.T) {
+	NewWithT(t).Expect(load.IdealResponseTime(nil, []load.Task{{Work: time.Second}})).To(BeZero())
+}
--- a/standin/leaseserver/handler.go
+++ b/standin/leaseserver/handler.go
@@ -320,6 +320,10 @@
 	timedOut := body.WaitMs == 0
 	for {
 		h.mu.Lock()
+		if h.forOtherServer(c) {
+			h.mu.Unlock()
+			return c.NoContent(http.StatusMisdirectedRequest)
+		}
 		if rand.Float64() < h.delayedShare/4 {
 			h.mu.Unlock()
 			<-c.Request().Context().Done()
