--- a/taskrunner/crash_test.go
+++ b/taskrunner/crash_test.go
@@ -120,3 +120,16 @@
 	h.step(taskrunner.StartReplied{Key: runKey("job", 0), Result: taskrunner.StartRefused})
 	h.Expect(h.pollReports(1)).To(BeEmpty())
 }
+
+// Guards against a reply that was held up, of the incarnation before, which is taken for
+// the return of a server that is gone.
+func TestLateReplyOfEarlierIncarnationDoesNotRegainServer(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	h.step(taskrunner.RenewReplied{OK: true, ServerIncarnation: incarnation + 1, Clock: time.Second})
+	h.refuseRenewals()
+	h.advance(time.Second)
+	h.step(taskrunner.RenewReplied{Refused: true, Reason: "connection refused"})
+	h.answerRenewal(0, nil)
+	h.Expect(effects[taskrunner.LogEvent](h)).NotTo(ContainElement(HaveField("Event", "server_regained")))
+}
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -128,6 +128,10 @@
 		m.renewalFailed(e)
 		return
 	}
+	if e.ServerIncarnation < m.clockIncarnation || e.ServerIncarnation < m.server.Incarnation {
+		m.nextRenewal = m.now.Add(renewalRetryDelay)
+		return // late reply of an earlier incarnation
+	}
 	if e.ServerIncarnation > m.clockIncarnation && m.clockIncarnation != 0 && !m.serverGone {
 		m.serverCrashed(cmp.Or(m.failingSince, m.now))
 	}
@@ -136,10 +140,6 @@
 		m.serverLost = false
 		m.log("server_regained", fmt.Sprintf("run=%d", e.ServerIncarnation))
 	}
-	if e.ServerIncarnation < m.clockIncarnation || e.ServerIncarnation < m.server.Incarnation {
-		m.nextRenewal = m.now.Add(renewalRetryDelay)
-		return // late reply of an earlier incarnation
-	}
 	if e.ServerIncarnation != m.clockIncarnation {
 		m.serverReplaced(e)
 		m.adoptStoredServer()
