--- a/taskrunner/crash.go
+++ b/taskrunner/crash.go
@@ -16,11 +16,11 @@
 	maxLoggedTasks = 32
 	// maxCrashTasks bounds the tasks that the report of a crash lists: those started
 	// last, which are the most likely to have caused it.
-	maxCrashTasks = 64
+	maxCrashTasks = 32
 	// crashRetention is how long a crash is reported to new sessions, maxCrashes how
-	// many are.
+	// many are. A report is some kB, and all sessions may open at once on slow links.
 	crashRetention = 30 * time.Second
-	maxCrashes     = 16
+	maxCrashes     = 4
 	// startRateDecayTime is the time constant of the rates of starts.
 	startRateDecayTime = 3 * time.Second
 	// maxStartRates bounds the queues whose rate of starts is kept.
