--- a/containment/containment_test.go
+++ b/containment/containment_test.go
@@ -279,3 +279,17 @@
 	}
 	g.Expect(l.tracker.Servers("a", names(12))).To(HaveLen(2))
 }
+
+// Guards against crashes of many servers before a busy queue is confined: a task that is
+// started again and crashes its second server tells more than one that is new.
+func TestTaskThatCrashesItsSecondServerConfinesBusyQueue(t *testing.T) {
+	g := NewWithT(t)
+	tracker := containment.New()
+	for i := range 2 {
+		ev := crash(agentName(i), int64(i+1), containment.Loss{Task: task("deadly"), Queue: "busy", Ran: 8 * time.Millisecond, Started: true})
+		ev.At, ev.Servers = start.Add(time.Duration(i)*300*time.Millisecond), 11
+		ev.Rates = []containment.Rate{{Queue: "busy", PerSecond: 35}}
+		tracker.Step(ev.At, ev)
+	}
+	g.Expect(tracker.ConfinedQueues()).To(Equal([]string{"busy"}))
+}
--- a/containment/queues.go
+++ b/containment/queues.go
@@ -87,7 +87,11 @@
 		rates[r.Queue] = r.PerSecond
 	}
 	for _, queue := range young {
-		t.accuse(queue, rates[queue], e)
+		chance := 1 - math.Exp(-rates[queue]*youngAge.Seconds())
+		if t.isRepeated(queue, e.Losses) {
+			chance = 0
+		}
+		t.accuse(queue, chance, e)
 	}
 	for queue, r := range t.queues {
 		if !slices.Contains(young, queue) && !r.confined {
@@ -121,9 +125,15 @@
 	return list
 }
 
-// accuse counts a crash against a queue by how unlikely it is that the server has just
-// started one of its tasks by chance.
-func (t *Tracker) accuse(queue string, startsPerSecond float64, e ServerCrashed) {
+// isRepeated reports whether one of the lost tasks of the queue has to be given up. That
+// a server crashes so soon after its start twice is hardly a coincidence.
+func (t *Tracker) isRepeated(queue string, losses []Loss) bool {
+	return slices.ContainsFunc(losses, func(l Loss) bool { return l.Queue == queue && t.Suspicion(l.Task).Young >= youngCrashesToGiveUp })
+}
+
+// accuse counts a crash against a queue by the chance that the server had just started
+// one of its tasks for other reasons.
+func (t *Tracker) accuse(queue string, chance float64, e ServerCrashed) {
 	r := t.queues[queue]
 	if r == nil {
 		if len(t.queues) >= maxQueues {
@@ -133,8 +143,7 @@
 		t.queues[queue] = r
 	}
 	r.decay(t.now)
-	chance := max(1-math.Exp(-startsPerSecond*youngAge.Seconds()), minChance)
-	r.evidence += min(-math.Log(chance), maxWeight)
+	r.evidence += min(-math.Log(max(chance, minChance)), maxWeight)
 	if len(r.agents) < 2 && !slices.Contains(r.agents, e.Agent) {
 		r.agents = append(r.agents, e.Agent)
 	}
--- a/dispatch/confine.go
+++ b/dispatch/confine.go
@@ -8,11 +8,12 @@
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
-// placementLimits are the agents on which tasks may be placed because of crashes.
+// placementLimits are the agents on which tasks may be placed because of crashes. Unless
+// the queue is confined, others are used if the tasks would end much later otherwise.
 type placementLimits struct {
 	confined bool     // the queue is confined to allowed
 	allowed  []string // names of agents; nil if all are
-	avoided  []string // used only if no other agent can take the tasks
+	avoided  []string
 }
 
 // permits reports whether tasks may be placed on the agent.
@@ -26,7 +27,7 @@
 // limitsOf returns the limits for tasks of a job:
 //   - tasks of a confined queue run on its servers only;
 //   - tasks that are suspected to have crashed a server, and so may crash another, run
-//     on the servers to which their queue would be confined, if one is ready;
+//     on the servers to which their queue would be confined, if these can take them;
 //   - other tasks stay away from the servers of queues that were confined recently, and
 //     from those that run a suspect of another job.
 func (d *Dispatcher) limitsOf(j *job, tasks []int) placementLimits {
--- a/dispatch/confine_test.go
+++ b/dispatch/confine_test.go
@@ -148,3 +148,23 @@
 	h.Expect(refused).To(HaveLen(1))
 	h.Expect(refused[0].Error.RetryAfter).To(BeNumerically(">", 7*time.Second))
 }
+
+// Guards against suspects that are abandoned while other servers are free: after a rack
+// was lost there may be more of them than the servers of their queue can take.
+func TestSuspectsUseOtherServersIfTheirsAreFull(t *testing.T) {
+	h := newHarnessWithAgents(t, 12)
+	h.submit("suspect", 1, 10_000, 60*time.Millisecond)
+	counts, ids := h.placed()
+	full := serverState{capacity: 20_000, slowness: 1000, running: []session.RunningTask{{CPU: 20_000, Ms: 2900}}}
+	for id := range counts {
+		h.crashed(id, 1, "suspect", 8)
+		for other := range dispatch.SessionID(12) {
+			if other+1 != 7 {
+				h.poll(other+1, full)
+			}
+		}
+		h.report(id, full, ids[0], session.Lost)
+	}
+	counts, _ = h.placed()
+	h.Expect(counts).To(Equal(map[dispatch.SessionID]int{7: 1}))
+}
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -90,6 +90,10 @@
 	// maxLosses bounds how often one task is placed again after it was lost. A task may
 	// have crashed a server also if no agent has reported it.
 	maxLosses = 4
+	// maxLimitDelay is how much later a job may end because its tasks stay away from
+	// some servers after crashes. It is long for a short job, and spares it the loss of
+	// its server, which takes longer.
+	maxLimitDelay = 250 * time.Millisecond
 	// maxRetainedAnswers bounds the answers kept for duplicates.
 	maxRetainedAnswers = 20000
 	// failingThreshold is the share of failed tasks, in thousandths, from which
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -61,10 +61,23 @@
 func (d *Dispatcher) plan(j *job, tasks []int, latest time.Time) ([]assignment, *structs.Error) {
 	limits := d.limitsOf(j, tasks)
 	plan, err := d.planWithin(j, tasks, latest, &limits)
-	if err != nil && limits.avoided != nil {
-		return d.planWithin(j, tasks, latest, &placementLimits{})
+	if limits.confined || limits.allowed == nil && limits.avoided == nil {
+		return plan, err
 	}
-	return plan, err
+	unlimited, unlimitedErr := d.planWithin(j, tasks, latest, &placementLimits{})
+	if err != nil || unlimitedErr == nil && lastFinish(plan) > lastFinish(unlimited)+maxLimitDelay {
+		return unlimited, unlimitedErr
+	}
+	return plan, nil
+}
+
+// lastFinish returns the expected time until the last of the planned tasks ends.
+func lastFinish(plan []assignment) time.Duration {
+	var last time.Duration
+	for _, as := range plan {
+		last = max(last, as.finish)
+	}
+	return last
 }
 
 // planWithin is plan for given limits.
@@ -88,10 +101,10 @@
 		best.freeShare -= float64(j.CPU) / float64(max(best.agent.identity.Capacity, 1))
 		plan = append(plan, assignment{index: index, agent: best.agent, finish: finish, runTime: best.runTime})
 	}
-	last := slices.MaxFunc(plan, func(a, b assignment) int { return int(a.finish - b.finish) })
-	if d.now.Add(last.finish + answerMargin).After(latest) {
+	last := lastFinish(plan)
+	if d.now.Add(last + answerMargin).After(latest) {
 		return nil, structs.Errorf(structs.CodeOverloaded, structs.NotRun,
-			"expected to end in %d ms, over the limit of %d ms", last.finish.Milliseconds(), latest.Sub(d.now).Milliseconds()).
+			"expected to end in %d ms, over the limit of %d ms", last.Milliseconds(), latest.Sub(d.now).Milliseconds()).
 			WithRetryAfter(d.retryAfter(j))
 	}
 	return plan, nil
@@ -297,10 +310,7 @@
 // they can, else while the answer is useful, else by the job's deadline. Agents
 // start queued tasks in the order of the latest starts that follow from it.
 func (d *Dispatcher) completionLimit(j *job, plan []assignment) time.Time {
-	var last time.Duration
-	for _, as := range plan {
-		last = max(last, as.finish)
-	}
+	last := lastFinish(plan)
 	for _, limit := range []time.Time{j.target, d.latestUsefulEnd(j)} {
 		if !d.now.Add(last).After(limit) {
 			return limit
@@ -353,16 +363,14 @@
 
 func (d *Dispatcher) logPlan(event string, j *job, plan []assignment) {
 	var to strings.Builder
-	var last time.Duration
 	for i, as := range plan {
 		if i > 0 {
 			to.WriteByte(',')
 		}
 		to.WriteString(as.agent.name)
-		last = max(last, as.finish)
 	}
 	d.emit(LogEvent{Event: event, Job: j.Name, Queue: j.Queue.Name,
 		Detail: fmt.Sprintf("tasks=%d cpu=%d estimate_ms=%d expected_ms=%d objective_ms=%d target_ms=%d deadline_ms=%d to=%s", j.Tasks, j.CPU,
-			j.Estimate.Milliseconds(), last.Milliseconds(), j.objective.Sub(j.arrived).Milliseconds(),
+			j.Estimate.Milliseconds(), lastFinish(plan).Milliseconds(), j.objective.Sub(j.arrived).Milliseconds(),
 			j.target.Sub(j.arrived).Milliseconds(), j.deadline.Sub(j.arrived).Milliseconds(), to.String())})
 }
