--- a/containment/containment.go
+++ b/containment/containment.go
@@ -91,18 +91,6 @@
 	// youngAge is the time from its start within which a task is most likely to crash
 	// its server, if it does.
 	youngAge = 20 * time.Millisecond
-	// youngCrashesToGiveUp is the number of crashes, each within youngAge of its start,
-	// after which a task is given up: one may be a coincidence.
-	youngCrashesToGiveUp = 2
-	// crashesToGiveUp is the number of crashes after which any task is given up. The
-	// platform allows two starts after three crashes; one is left for a crash that no
-	// agent has reported.
-	crashesToGiveUp = 4
-	// retention is how long the losses of a task are remembered. It is longer than
-	// callers submit a job again.
-	retention = 60 * time.Second
-	// maxTasks bounds the tasks that are remembered.
-	maxTasks = 20_000
 	// maxAgents bounds the agents whose last crash is remembered.
 	maxAgents = 10_000
 )
--- a/containment/tasks.go
+++ b/containment/tasks.go
@@ -2,6 +2,21 @@
 
 import "time"
 
+const (
+	// youngCrashesToGiveUp is the number of crashes, each within youngAge of its start,
+	// after which a task is given up: one may be a coincidence.
+	youngCrashesToGiveUp = 2
+	// crashesToGiveUp is the number of crashes after which any task is given up. The
+	// platform allows two starts after three crashes; one is left for a crash that no
+	// agent has reported.
+	crashesToGiveUp = 4
+	// retention is how long the losses of a task are remembered. It is longer than
+	// callers submit a job again.
+	retention = 60 * time.Second
+	// maxTasks bounds the tasks that are remembered.
+	maxTasks = 20_000
+)
+
 // taskRecord is the evidence against a task.
 type taskRecord struct {
 	possible  int       // crashes of servers that may have started it
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -23,7 +23,10 @@
 		if d.containment.Knows(a.name, c.Run) {
 			continue
 		}
-		ev := containment.ServerCrashed{Agent: a.name, Service: a.identity.Service, Servers: len(d.agentsOf(a.identity.Service)), Incarnation: c.Run, At: d.now.Add(-time.Duration(c.Ago) * time.Millisecond)}
+		ev := containment.ServerCrashed{
+			Agent: a.name, Service: a.identity.Service, Servers: len(d.agentsOf(a.identity.Service)),
+			Incarnation: c.Run, At: d.now.Add(-time.Duration(c.Ago) * time.Millisecond),
+		}
 		for _, t := range c.Tasks {
 			ev.Losses = append(ev.Losses, containment.Loss{
 				Task: containment.Task{Job: t.Job, Index: t.Index}, Queue: t.Queue, Ran: time.Duration(t.Ran) * time.Millisecond, Started: t.Started,
