--- a/command/daemon/reload.go
+++ b/command/daemon/reload.go
@@ -28,10 +28,15 @@
 	modTime time.Time // of the file when it was last read
 }
 
-func (w *settingsWatcher) run(ctx context.Context) {
+// catchHangups returns a channel of the SIGHUPs from now on. They are caught until the
+// process ends: by default one would end it, also during its graceful shutdown.
+func catchHangups() <-chan os.Signal {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+	return hangups
+}
+
+func (w *settingsWatcher) run(ctx context.Context, hangups <-chan os.Signal) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	w.modTime = w.fileModTime()
--- a/command/daemon/role.go
+++ b/command/daemon/role.go
@@ -75,8 +75,9 @@
 		return err
 	}
 	if r.prepareReload != nil {
+		hangups := catchHangups()
 		w := &settingsWatcher{file: file, logger: logger, prepare: func() (any, func()) { return r.prepareReload(p) }}
-		go w.run(ctx)
+		go w.run(ctx, hangups)
 	}
 	return p.Run(ctx)
 }
