--- a/test/e2e/callers_test.go
+++ b/test/e2e/callers_test.go
@@ -66,11 +66,11 @@
 func (l *callers) runJob(name string, rng *rand.Rand) {
 	k := newCaller(l.c, l.history)
 	s := newSubmission(name, 1+rng.IntN(12), 5+rng.IntN(60))
-	first := rng.IntN(len(l.c.entries))
+	first := rng.IntN(1 << 16)
 	ok := false
 	for !ok {
-		if s.id, ok = k.reserve(l.c.entries[first]); !ok {
-			first = (first + 1) % len(l.c.entries)
+		if s.id, ok = k.reserve(l.c.entry(first)); !ok {
+			first++
 			time.Sleep(pollInterval)
 		}
 		select {
@@ -81,7 +81,7 @@
 	}
 	var concurrent sync.WaitGroup
 	delay := time.Duration(rng.IntN(60)) * time.Millisecond
-	entry := l.c.entries[rng.IntN(len(l.c.entries))]
+	entry := l.c.entry(rng.IntN(1 << 16))
 	action := rng.IntN(8)
 	concurrent.Go(func() {
 		time.Sleep(delay)
@@ -109,8 +109,8 @@
 			l.c.t.Errorf("job %s (%s) got no final answer within %v", s.name, s.id, waitTimeout)
 			return
 		}
-		o := k.submit(l.c.entries[entry], s, roundWait)
-		entry = (entry + 1) % len(l.c.entries)
+		o := k.submit(l.c.entry(entry), s, roundWait)
+		entry++
 		switch {
 		case o == nil:
 			time.Sleep(pollInterval)
@@ -158,15 +158,15 @@
 	for i := range jobs {
 		s := newSubmission(fmt.Sprintf("cancel-%d", i), tasksPerCanceledJob, canceledTaskMillis)
 		var ok bool
-		s.id, ok = k.reserve(l.c.entries[i%len(l.c.entries)])
+		s.id, ok = k.reserve(l.c.entry(i))
 		l.c.g.Expect(ok).To(BeTrue())
-		k.submit(l.c.entries[i%len(l.c.entries)], s, 0)
+		k.submit(l.c.entry(i), s, 0)
 		submissions = append(submissions, s)
 	}
 	var wait sync.WaitGroup
 	for i, s := range submissions {
 		wait.Go(func() {
-			o := k.cancel(l.c.entries[(i+1)%len(l.c.entries)], s)
+			o := k.cancel(l.c.entry(i+1), s)
 			if o == nil || o.answer != nil && !o.answer.State.Final() {
 				l.c.t.Errorf("cancel of %s got no final answer: %+v", s.name, o)
 			}
--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,6 +32,7 @@
 	g          *WithT
 	dir        string
 	log        *daemon
+	entriesMu  sync.Mutex // held while entries is changed, and by callers that read it meanwhile
 	entries    []*daemon
 	agents     []*daemon
 	backends   []*daemon
@@ -38,6 +40,22 @@
 	recordPath string // path of the file in which backend servers record starts
 }
 
+// entry returns one of the entries. Any index is valid, and consecutive ones go round
+// all entries.
+func (c *cluster) entry(i int) *daemon {
+	c.entriesMu.Lock()
+	defer c.entriesMu.Unlock()
+	return c.entries[i%len(c.entries)]
+}
+
+// dropFirstEntry removes the first entry, which was stopped, from those that callers
+// use.
+func (c *cluster) dropFirstEntry() {
+	c.entriesMu.Lock()
+	defer c.entriesMu.Unlock()
+	c.entries = c.entries[1:]
+}
+
 // daemon is a process that can be restarted at the same addresses.
 type daemon struct {
 	*process
--- a/test/e2e/path_test.go
+++ b/test/e2e/path_test.go
@@ -201,7 +201,7 @@
 	c.g.Expect(c.entries[0].stop()).To(Succeed())
 	long.Wait()
 	l.waitForMore(30)
-	c.entries = c.entries[1:]
+	c.dropFirstEntry()
 	long = c.startLongJobs(h, "at the agent's stop")
 	c.g.Expect(c.agents[len(c.agents)-1].stop()).To(Succeed())
 	long.Wait()
