--- a/containment/queues.go
+++ b/containment/queues.go
@@ -29,11 +29,11 @@
 	// queues: a rack or zone that fails at once is no evidence of what ran there.
 	groupTime = 100 * time.Millisecond
 	// successesToWiden is the number of completed jobs without a crash after which a
-	// confined queue gets more servers. fewSuccesses is what a queue with few jobs
-	// needs within patience.
-	successesToWiden = 30
-	fewSuccesses     = 5
-	patience         = 3 * time.Second
+	// confined queue gets more servers. A queue with few jobs gets them after
+	// minWideningTime without a crash, with at least minSuccessesToWiden jobs.
+	successesToWiden    = 30
+	minSuccessesToWiden = 5
+	minWideningTime     = 3 * time.Second
 	// idleRelease is the time without a crash after which a queue is released in any
 	// case.
 	idleRelease = 30 * time.Second
@@ -104,8 +104,8 @@
 	}
 }
 
-// inGroup reports whether a crash came so soon after another one that both may have
-// one cause besides the tasks.
+// inGroup reports whether a crash came within groupTime of the last one that counted, so
+// that both may have a common cause other than the tasks.
 func (t *Tracker) inGroup(at time.Time) bool {
 	if at.Sub(t.lastScored).Abs() < groupTime {
 		return true
@@ -125,8 +125,8 @@
 	return list
 }
 
-// isRepeated reports whether one of the lost tasks of the queue has to be given up. That
-// a server crashes so soon after its start twice is hardly a coincidence.
+// isRepeated reports whether one of the lost tasks of the queue has to be given up. Two
+// servers that crash within youngAge of its start are unlikely to do so by chance.
 func (t *Tracker) isRepeated(queue string, losses []Loss) bool {
 	return slices.ContainsFunc(losses, func(l Loss) bool { return l.Queue == queue && t.Suspicion(l.Task).Young >= youngCrashesToGiveUp })
 }
@@ -172,7 +172,7 @@
 		return
 	}
 	r.successes++
-	if r.successes >= successesToWiden || r.successes >= fewSuccesses && t.now.Sub(r.changedAt) >= patience {
+	if r.successes >= successesToWiden || r.successes >= minSuccessesToWiden && t.now.Sub(r.changedAt) >= minWideningTime {
 		t.widen(queue, r, fmt.Sprintf("%d jobs without a crash in %v", r.successes, t.now.Sub(r.changedAt)))
 	}
 }
--- a/containment/tasks.go
+++ b/containment/tasks.go
@@ -4,7 +4,7 @@
 
 const (
 	// youngCrashesToGiveUp is the number of crashes, each within youngAge of its start,
-	// after which a task is given up: one may be a coincidence.
+	// after which a task is given up. One may happen by chance.
 	youngCrashesToGiveUp = 2
 	// crashesToGiveUp is the number of crashes after which any task is given up. The
 	// platform allows two starts after three crashes; one is left for a crash that no
--- a/taskrunner/crash.go
+++ b/taskrunner/crash.go
@@ -34,10 +34,9 @@
 	report session.Crash
 }
 
-// serverCrashed records that the server's process is gone: calls fail and connections
-// are refused, or another incarnation has taken its place. A network that refuses
-// connections looks the same, so that the tasks count as running until their lease has
-// expired.
+// serverCrashed records that the server's process has ended: calls fail and connections
+// are refused, or another incarnation replies. A network that refuses connections
+// cannot be told from it, so the tasks count as running until their lease has expired.
 func (m *Runner) serverCrashed(at time.Time) {
 	runs := m.startedRuns(at)
 	var tasks strings.Builder
@@ -81,7 +80,8 @@
 	return max(t.Sub(since), 0)
 }
 
-// unsentCrashes returns the recent crashes that the session's entry has not been told.
+// unsentCrashes returns the recent crashes that have not been sent in the session, and
+// marks them as sent.
 func (m *Runner) unsentCrashes(s *entrySession) []session.Crash {
 	var list []session.Crash
 	for _, c := range m.crashes {
--- a/taskrunner/options.go
+++ b/taskrunner/options.go
@@ -84,8 +84,8 @@
 	// renewalRetryDelay is the delay after a failed lease renewal. A sixth of
 	// DefaultLease allows several attempts before the lease expires.
 	renewalRetryDelay = 50 * time.Millisecond
-	// firstRenewalRetryDelay is the delay after the first failed renewal. Whether the
-	// server refuses connections then shows soon.
+	// firstRenewalRetryDelay is the delay after the first failed renewal. It is short
+	// because the retry detects a server that refuses connections.
 	firstRenewalRetryDelay = 5 * time.Millisecond
 	// stallTimeout is how long a running task may report no progress before it is
 	// stopped. It covers more than two lease renewals and is well below the one
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -34,8 +34,8 @@
 	}
 }
 
-// capacityChanged tells the entries the new capacity of the server, and returns the
-// queued tasks that it can never run.
+// capacityChanged reports the new capacity of the server to the entries, and refuses the
+// queued tasks that exceed it.
 func (m *Runner) capacityChanged(previous ServerInfo) {
 	m.log("server_capacity_changed", fmt.Sprintf("server=%s cpu=%d mem_mb=%d gpu=%d cpu_before=%d mem_mb_before=%d cpu_used=%d",
 		m.server.ID, m.server.CPU, m.server.MemMB, m.server.GPU, previous.CPU, previous.MemMB, m.used.cpu))
@@ -132,10 +132,10 @@
 		m.nextRenewal = m.now.Add(renewalRetryDelay)
 		return // late reply of an earlier incarnation
 	}
-	if e.ServerIncarnation > m.clockIncarnation && m.clockIncarnation != 0 && !m.serverGone {
+	if e.ServerIncarnation > m.clockIncarnation && m.clockIncarnation != 0 && !m.serverRefusing {
 		m.serverCrashed(cmp.Or(m.failingSince, m.now))
 	}
-	m.failingSince, m.serverGone = time.Time{}, false
+	m.failingSince, m.serverRefusing = time.Time{}, false
 	if m.serverLost {
 		m.serverLost = false
 		m.log("server_regained", fmt.Sprintf("run=%d", e.ServerIncarnation))
@@ -171,11 +171,11 @@
 		m.failingSince = m.now
 		m.nextRenewal = m.now.Add(firstRenewalRetryDelay)
 	}
-	if e.Refused && !m.serverGone && m.clockIncarnation != 0 {
-		m.serverGone = true
+	if e.Refused && !m.serverRefusing && m.clockIncarnation != 0 {
+		m.serverRefusing = true
 		m.nextRenewal = m.now.Add(renewalRetryDelay)
 		m.serverCrashed(m.failingSince)
-		m.dropAllQueued("the backend server is gone")
+		m.dropAllQueued("the backend server refuses connections")
 		m.wakePolls()
 	}
 	if !m.serverLost && m.now.Sub(m.clockReadAt) > m.opts.Lease {
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -35,7 +35,7 @@
 	lastRenewalID    uint64
 	nextRenewal      time.Time // no lease renewal is sent before this time
 	serverLost       bool      // renewals have failed for longer than the duration of a lease
-	serverGone       bool      // a renewal was refused since the last reply
+	serverRefusing   bool      // the connection of a renewal was refused since the last reply
 	failingSince     time.Time // first failed renewal since the last reply; zero if there is none
 	seenEnd          int64     // highest EndRow.Index that has been processed
 
@@ -206,7 +206,7 @@
 // active reports whether the agent currently starts tasks.
 func (m *Runner) active() bool {
 	return m.server.ID != "" && m.server.Incarnation == m.clockIncarnation && m.noForeignRuns && !m.fenced &&
-		!m.serverGone && !m.server.Draining && !m.leaving && !m.leaseExpired()
+		!m.serverRefusing && !m.server.Draining && !m.leaving && !m.leaseExpired()
 }
 
 // leave starts the graceful shutdown: queued tasks are refused, and started ones
