--- a/command/daemon/role.go
+++ b/command/daemon/role.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"runtime/debug"
 
 	"github.com/go-kit/log"
@@ -51,6 +52,10 @@
 
 // run loads the settings and, unless they are only to be checked, runs the process.
 func (r *role) run(ctx context.Context, c *cli.Command) error {
+	var hangups <-chan os.Signal
+	if r.prepareReload != nil {
+		hangups = catchHangups() // first, because a SIGHUP may come while the process starts
+	}
 	file := r.file
 	if file == "" {
 		file = c.String(flagConfig)
@@ -75,7 +80,6 @@
 		return err
 	}
 	if r.prepareReload != nil {
-		hangups := catchHangups()
 		w := &settingsWatcher{file: file, logger: logger, prepare: func() (any, func()) { return r.prepareReload(p) }}
 		go w.run(ctx, hangups)
 	}
--- a/command/daemon/root.go
+++ b/command/daemon/root.go
@@ -7,7 +7,7 @@
 )
 
 const rootDescription = `Runs one role until SIGTERM or SIGINT, which starts a graceful stop: the process
-accepts no new work and finishes what is running. A second signal terminates it
+accepts no new work and finishes what is running. A further SIGINT terminates it
 immediately.
 
 Log lines go to standard error, one key=value line per event; those of the
--- a/internal/exit/exit_test.go
+++ b/internal/exit/exit_test.go
@@ -32,6 +32,8 @@
 		t.Fatal("the first signal called forceExit")
 	default:
 	}
+	g.Expect(syscall.Kill(os.Getpid(), syscall.SIGTERM)).To(Succeed())
+	g.Consistently(forced, "50ms").ShouldNot(BeClosed(), "a SIGTERM is repeated")
 	g.Expect(syscall.Kill(os.Getpid(), syscall.SIGINT)).To(Succeed())
 	<-forced
 }
--- a/internal/exit/signals.go
+++ b/internal/exit/signals.go
@@ -8,8 +8,9 @@
 )
 
 // SignalContext returns a context that is canceled by the first SIGINT or
-// SIGTERM. The second signal calls forceExit, which is to terminate the process
-// at once.
+// SIGTERM. A SIGINT after that calls forceExit, which is to terminate the process
+// at once. Further SIGTERMs are ignored, because supervisors may repeat them during
+// the graceful shutdown.
 func SignalContext(parent context.Context, forceExit func()) context.Context {
 	ctx, cancel := context.WithCancel(parent)
 	signals := make(chan os.Signal, 2)
@@ -17,8 +18,11 @@
 	go func() {
 		<-signals
 		cancel()
-		<-signals
-		forceExit()
+		for sig := range signals {
+			if sig == os.Interrupt {
+				forceExit()
+			}
+		}
 	}()
 	return ctx
 }
--- a/test/platform/path_test.go
+++ b/test/platform/path_test.go
@@ -191,17 +191,21 @@
 	g.Expect(s.post(t.Context(), s.entries[0], "00b1", 2, 30, 1000, "ok").state).To(Equal("completed"))
 }
 
-// Guards against a SIGHUP that ends a process in its graceful shutdown and cuts the
+// Guards against a signal that ends a process in its graceful shutdown and cuts the
 // requests that it is answering, as when settings change while entries are replaced.
-func TestHangupDuringGracefulStopCutsNoRequest(t *testing.T) {
-	g := NewWithT(t)
-	s := newSystem(t, 1, 1)
-	first := make(chan answer, 1)
-	go func() { first <- s.post(context.Background(), s.entries[0], "00af", 1, 800, 1000, "ok") }()
-	g.Eventually(func() int { return s.invariants.startCount("00af") }, "3s", "5ms").Should(Equal(1))
-	s.entries[0].signal(syscall.SIGTERM)
-	g.Eventually(s.entries[0].isReady, "1s", "5ms").Should(BeFalse())
-	s.entries[0].signal(syscall.SIGHUP)
-	g.Expect(<-first).To(Equal(answer{code: 200, state: "completed"}))
-	g.Expect(s.entries[0].wait(graceSeconds * time.Second)).To(BeTrue())
+func TestSignalDuringGracefulStopCutsNoRequest(t *testing.T) {
+	for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+		t.Run(sig.String(), func(t *testing.T) {
+			g := NewWithT(t)
+			s := newSystem(t, 1, 1)
+			first := make(chan answer, 1)
+			go func() { first <- s.post(context.Background(), s.entries[0], "00af", 1, 800, 1000, "ok") }()
+			g.Eventually(func() int { return s.invariants.startCount("00af") }, "3s", "5ms").Should(Equal(1))
+			s.entries[0].signal(syscall.SIGTERM)
+			g.Eventually(s.entries[0].isReady, "1s", "5ms").Should(BeFalse())
+			s.entries[0].signal(sig)
+			g.Expect(<-first).To(Equal(answer{code: 200, state: "completed"}))
+			g.Expect(s.entries[0].wait(graceSeconds * time.Second)).To(BeTrue())
+		})
+	}
 }
