--- a/containment/containment_test.go
+++ b/containment/containment_test.go
@@ -293,3 +293,17 @@
 	}
 	g.Expect(tracker.ConfinedQueues()).To(Equal([]string{"busy"}))
 }
+
+// Guards against an entry that has just started and confines a queue by crashes that were
+// long ago, which agents report to it when its sessions open.
+func TestOldCrashesConfineNoQueue(t *testing.T) {
+	g := NewWithT(t)
+	tracker := containment.New()
+	for i := range 6 {
+		ev := crash(agentName(i), 1, containment.Loss{Task: task(agentName(i)), Queue: "a", Ran: 8 * time.Millisecond, Started: true})
+		ev.At, ev.Servers = start.Add(time.Duration(i)*300*time.Millisecond), 6
+		tracker.Step(start.Add(20*time.Second), ev)
+	}
+	g.Expect(tracker.ConfinedQueues()).To(BeEmpty())
+	g.Expect(tracker.Suspicion(task(agentName(0))).Crashes).To(Equal(1), "but the tasks are remembered")
+}
--- a/containment/queues.go
+++ b/containment/queues.go
@@ -25,6 +25,10 @@
 	confiningEvidence = 1.8
 	// evidenceDecayTime is the time constant with which evidence decays.
 	evidenceDecayTime = 20 * time.Second
+	// maxEvidenceAge is the age from which on a crash is no evidence against queues. An
+	// entry that has just started learns of crashes after which the others have
+	// released the queue.
+	maxEvidenceAge = 10 * time.Second
 	// groupTime is the time within which crashes of several servers count once against
 	// queues: a rack or zone that fails at once is no evidence of what ran there.
 	groupTime = 100 * time.Millisecond
@@ -79,7 +83,7 @@
 			t.confine(queue, r, e)
 		}
 	}
-	if explained || len(e.Losses) == 0 || t.inGroup(e.At) {
+	if explained || len(e.Losses) == 0 || t.now.Sub(e.At) > maxEvidenceAge || t.inGroup(e.At) {
 		return
 	}
 	rates := make(map[string]float64)
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -7,6 +7,7 @@
 	"math/rand"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -160,7 +161,7 @@
 		victim = agent
 	}
 	duration := time.Duration(100+s.rng.Intn(2500)) * time.Millisecond
-	kind := s.rng.Intn(12)
+	kind := s.rng.Intn(13)
 	s.recordFault("kind %d on %s or %s for %v", kind, victim.name, agent.name, duration)
 	temporarily := func(apply, undo func()) {
 		apply()
@@ -180,6 +181,7 @@
 		go func() {
 			defer s.faults.Done()
 			victim.signal(syscall.SIGTERM)
+			victim.signalSeries(syscall.SIGHUP, syscall.SIGTERM)
 			if !victim.wait((graceSeconds + 2) * time.Second) {
 				victim.kill()
 			}
@@ -219,6 +221,10 @@
 			defer s.faults.Done()
 			s.resize(i, serverCPU)
 		})
+	case 12:
+		for _, p := range append(slices.Clone(s.entries), s.agents...) {
+			p.signalSeries(syscall.SIGHUP, syscall.SIGHUP)
+		}
 	}
 	s.count(fmt.Sprintf("fault %d", kind))
 }
--- a/test/platform/system_test.go
+++ b/test/platform/system_test.go
@@ -297,6 +297,14 @@
 	p.cmd.Process.Signal(sig)
 }
 
+// signalSeries sends signals one shortly after the other.
+func (p *process) signalSeries(signals ...syscall.Signal) {
+	for _, sig := range signals {
+		p.signal(sig)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // wait waits for the current process to end. It reports false after the timeout.
 func (p *process) wait(timeout time.Duration) bool {
 	p.mu.Lock()
