--- a/containment/queues.go
+++ b/containment/queues.go
@@ -10,18 +10,18 @@
 )
 
 const (
-	// minChance is the least chance assumed that a server happens to have just started
-	// a task of a queue, and maxWeight the most that one crash counts against a queue:
-	// a single crash confines none.
+	// minChance is the least chance assumed that a server has just started a task of a
+	// queue when it crashes for another reason. maxWeight is the most that one crash
+	// counts against a queue. It is below confiningEvidence, so that one crash confines
+	// none.
 	minChance = 0.02
 	maxWeight = 1.5
 	// exoneration is what a crash counts in favor of a queue of which the server had
 	// not just started a task. It is small, because tasks of another queue may have
 	// caused the crash.
 	exoneration = 0.5
-	// confiningEvidence is the evidence from which on a queue is confined: two crashes
-	// in a row, if a server has just started a task of the queue about every other
-	// time by chance.
+	// confiningEvidence is the log-likelihood ratio from which on a queue is confined:
+	// odds of six to one.
 	confiningEvidence = 1.8
 	// evidenceDecayTime is the time constant with which evidence decays.
 	evidenceDecayTime = 20 * time.Second
