--- a/containment/containment_test.go
+++ b/containment/containment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -307,3 +308,18 @@
 	g.Expect(tracker.ConfinedQueues()).To(BeEmpty())
 	g.Expect(tracker.Suspicion(task(agentName(0))).Crashes).To(Equal(1), "but the tasks are remembered")
 }
+
+// Guards against a malformed rate that makes the evidence against a queue useless.
+func TestMalformedRateDoesNotDisableEvidence(t *testing.T) {
+	for _, rate := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1e300} {
+		g := NewWithT(t)
+		l := newLoad()
+		ev := crash(agentName(20), 1, containment.Loss{Task: task("x"), Queue: "a", Ran: 8 * time.Millisecond, Started: true})
+		ev.At, ev.Servers, ev.Rates = l.now, 12, []containment.Rate{{Queue: "a", PerSecond: rate}}
+		l.tracker.Step(l.now, ev)
+		for i := range 3 {
+			l.crash(agentName(i), []string{"a"}, nil)
+		}
+		g.Expect(l.tracker.ConfinedQueues()).To(Equal([]string{"a"}), "rate %v", rate)
+	}
+}
--- a/containment/queues.go
+++ b/containment/queues.go
@@ -92,7 +92,7 @@
 	}
 	for _, queue := range young {
 		chance := 1 - math.Exp(-rates[queue]*youngAge.Seconds())
-		if t.isRepeated(queue, e.Losses) {
+		if t.isRepeated(queue, e.Losses) || math.IsNaN(chance) {
 			chance = 0
 		}
 		t.accuse(queue, chance, e)
@@ -147,7 +147,7 @@
 		t.queues[queue] = r
 	}
 	r.decay(t.now)
-	r.evidence += min(-math.Log(max(chance, minChance)), maxWeight)
+	r.evidence += min(-math.Log(min(max(chance, minChance), 1)), maxWeight)
 	if len(r.agents) < 2 && !slices.Contains(r.agents, e.Agent) {
 		r.agents = append(r.agents, e.Agent)
 	}
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -13,6 +13,8 @@
 	// initialRecoveryTime is the assumed time from a crash until the server accepts
 	// tasks again, as long as none has been seen.
 	initialRecoveryTime = 3 * time.Second
+	// maxCrashAgo bounds how long ago a reported crash was, in ms.
+	maxCrashAgo = 60_000
 	// recoveryWeight is the weight of the newest recovery in the moving average.
 	recoveryWeight = 0.3
 )
@@ -25,7 +27,7 @@
 		}
 		ev := containment.ServerCrashed{
 			Agent: a.name, Service: a.identity.Service, Servers: len(d.agentsOf(a.identity.Service)),
-			Incarnation: c.Run, At: d.now.Add(-time.Duration(c.Ago) * time.Millisecond),
+			Incarnation: c.Run, At: d.now.Add(-time.Duration(min(max(c.Ago, 0), maxCrashAgo)) * time.Millisecond),
 		}
 		for _, t := range c.Tasks {
 			ev.Losses = append(ev.Losses, containment.Loss{
--- a/dispatch/malformed_test.go
+++ b/dispatch/malformed_test.go
@@ -34,10 +34,28 @@
 		for range rapid.IntRange(0, 2).Draw(t, "laggards") {
 			s.Laggards = append(s.Laggards, session.Straggler{ID: rapid.Uint64Range(0, 20).Draw(t, "id"), Ms: figure().Draw(t, "ms")})
 		}
+		for range rapid.IntRange(0, 2).Draw(t, "crashes") {
+			s.Crashes = append(s.Crashes, malformedCrash().Draw(t, "crash"))
+		}
 		return s
 	})
 }
 
+func malformedCrash() *rapid.Generator[session.Crash] {
+	return rapid.Custom(func(t *rapid.T) session.Crash {
+		c := session.Crash{Run: rapid.Int64().Draw(t, "run"), Ago: figure().Draw(t, "ago")}
+		for range rapid.IntRange(0, 3).Draw(t, "tasks") {
+			c.Tasks = append(c.Tasks, session.LostTask{
+				Job: rapid.SampledFrom([]string{"", "j", "k"}).Draw(t, "lost job"), Index: figure().Draw(t, "index"),
+				Queue: rapid.SampledFrom([]string{"", "holds"}).Draw(t, "queue name"), Ran: figure().Draw(t, "ran"), Started: rapid.Bool().Draw(t, "started"),
+			})
+		}
+		rate := rapid.SampledFrom([]float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, 0, 1e300}).Draw(t, "rate")
+		c.Starts = append(c.Starts, session.StartRate{Queue: "holds", PerSecond: rate})
+		return c
+	})
+}
+
 func malformedEvent(call dispatch.CallID) *rapid.Generator[dispatch.Event] {
 	return rapid.Custom(func(t *rapid.T) dispatch.Event {
 		id := dispatch.SessionID(rapid.Uint64Range(0, 3).Draw(t, "session"))
