Dispatch, taskrunner: plan.go and session.go split by decision

Cause: shares, places, run times and evacuation all need to extend these two files, which held planning, candidates, admission and placing, and sessions, orders, polls and forecasts. Change: declarations moved, none edited (checked: the sorted lines of the files before and after differ in imports only).

--- /dev/null
+++ b/dispatch/candidates.go
@@ -0,0 +1,161 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/capacity"
+	"github.com/chestnuthollow/chestnuthollow/session"
+)
+
+// candidate is an agent that may run tasks of a job.
+type candidate struct {
+	agent     *agent
+	timeline  *capacity.Timeline
+	runTime   time.Duration
+	overhead  time.Duration // expected time besides the work, see hopOverhead
+	jobTasks  int           // tasks of the job placed there
+	sameZone  bool          // in this entry's availability zone
+	freeShare float64       // see agent.unreservedShare, less the tasks planned so far
+}
+
+// finish returns the expected time from now to the end of another task of the
+// given size. It reports false if the task never fits.
+func (c *candidate) finish(cpu int) (time.Duration, bool) {
+	start, ok := c.timeline.EarliestStart(cpu)
+	return start + c.runTime + c.overhead, ok
+}
+
+// weightedFreeShare returns the free share of the candidate's capacity, weighted
+// by what its choice saves: traffic between zones, and copies of the job's spec.
+func (c *candidate) weightedFreeShare() float64 {
+	weight := 1.0
+	if c.sameZone {
+		weight += sameZoneWeight
+	}
+	if c.jobTasks > 0 {
+		weight += sameJobWeight
+	}
+	return c.freeShare * weight
+}
+
+// finishMargin returns the uncertainty of the candidate's finish.
+func (c *candidate) finishMargin() time.Duration {
+	return minFinishMargin + time.Duration(finishMarginShare*float64(c.runTime))
+}
+
+// pickCandidate chooses the agent for one task that should end within the given
+// time. Of the candidates that are expected to end it at least finishMargin
+// before that, it prefers the one with the most weighted free capacity, whatever
+// its speed, so that fast servers stay free for tasks that need them. If there is
+// none, it chooses the candidate that would end the task first.
+func pickCandidate(candidates []*candidate, j *job, within time.Duration) (*candidate, time.Duration) {
+	var earliest, preferred *candidate
+	var earliestFinish, preferredFinish time.Duration
+	for _, c := range candidates {
+		if j.MaxPerServer > 0 && c.jobTasks >= j.MaxPerServer {
+			continue
+		}
+		finish, ok := c.finish(j.CPU)
+		if !ok {
+			continue
+		}
+		if earliest == nil || finish < earliestFinish {
+			earliest, earliestFinish = c, finish
+		}
+		if finish+c.finishMargin() <= within && (preferred == nil || c.weightedFreeShare() > preferred.weightedFreeShare()) {
+			preferred, preferredFinish = c, finish
+		}
+	}
+	if preferred != nil {
+		return preferred, preferredFinish
+	}
+	return earliest, earliestFinish
+}
+
+// fits reports whether a task of the job fits an idle server. Agents of earlier
+// builds state the processor capacity only.
+func fits(j *job, id *session.Identity) bool {
+	return j.CPU <= id.Capacity && (id.MemMB == 0 || j.MemMB <= id.MemMB && j.GPU <= id.GPU)
+}
+
+// isReady reports whether an agent accepts tasks by a recent state.
+func (d *Dispatcher) isReady(a *agent) bool {
+	return a.state.Ready && d.now.Sub(a.stateReceivedAt) <= staleAfter
+}
+
+// eligible reports whether an agent is ready by a recent state, and its server is
+// of the job's service, is large enough for a task and has the required label.
+func (d *Dispatcher) eligible(a *agent, j *job) bool {
+	return d.isReady(a) &&
+		a.identity.Service == j.Queue.Service && fits(j, &a.identity) &&
+		(j.RequiredLabel == "" || slices.Contains(a.identity.Labels, j.RequiredLabel))
+}
+
+// candidates returns the agents that may run the tasks. Agents whose tasks often
+// fail, and those that one of the tasks avoids, are used only if there is no
+// other.
+func (d *Dispatcher) candidates(j *job, tasks []int, limits *placementLimits) []*candidate {
+	var healthy, fallback []*candidate
+	for _, a := range d.sortedAgents {
+		if !d.eligible(a, j) || !limits.permits(a.name) {
+			continue
+		}
+		runTime := d.expectedRunTime(a, j.Estimate)
+		c := &candidate{
+			agent: a, timeline: d.capacityTimeline(a, d.queuedAhead(a, j.objective.Sub(d.now))), runTime: runTime, overhead: hopOverhead,
+			jobTasks: d.tasksAt(j, a), sameZone: a.zone == d.opts.Zone, freeShare: a.unreservedShare(),
+		}
+		if !c.sameZone {
+			c.overhead += crossZoneOverhead
+		}
+		if a.state.Failing >= failingThreshold || avoidsAgent(j, tasks, a.name) {
+			fallback = append(fallback, c)
+		} else {
+			healthy = append(healthy, c)
+		}
+	}
+	if len(healthy) > 0 {
+		return healthy
+	}
+	return fallback
+}
+
+// unreservedShare returns the share of the capacity that is neither in use nor
+// needed by queued tasks and unacknowledged placements.
+func (a *agent) unreservedShare() float64 {
+	free := a.state.FreeCPU
+	for _, p := range a.unacknowledged {
+		free -= p.job.CPU
+	}
+	for _, q := range a.state.Queue {
+		free -= q.CPU
+	}
+	return float64(free) / float64(max(a.identity.Capacity, 1))
+}
+
+func (d *Dispatcher) tasksAt(j *job, a *agent) int {
+	n := 0
+	for i := range j.tasks {
+		if p := j.tasks[i].current; p != nil && p.agent == a {
+			n++
+		}
+	}
+	return n
+}
+
+func avoidsAgent(j *job, tasks []int, name string) bool {
+	for _, i := range tasks {
+		if slices.Contains(j.tasks[i].avoidedAgents, name) {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *agent) networkOverhead(d *Dispatcher) time.Duration {
+	if a.zone != d.opts.Zone {
+		return hopOverhead + crossZoneOverhead
+	}
+	return hopOverhead
+}
--- /dev/null
+++ b/dispatch/place.go
@@ -0,0 +1,71 @@
+package dispatch
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/session"
+)
+
+// completionLimit returns by when the planned tasks must end: by the job's target if
+// they can, else while the answer is useful, else by the job's deadline. Agents
+// start queued tasks in the order of the latest starts that follow from it.
+func (d *Dispatcher) completionLimit(j *job, plan []assignment) time.Time {
+	last := lastFinish(plan)
+	for _, limit := range []time.Time{j.target, d.latestUsefulEnd(j)} {
+		if !d.now.Add(last).After(limit) {
+			return limit
+		}
+	}
+	return j.deadline
+}
+
+// place adds the planned tasks to the orders to their agents.
+func (d *Dispatcher) place(j *job, plan []assignment) {
+	limit := d.completionLimit(j, plan)
+	for _, as := range plan {
+		t := &j.tasks[as.index]
+		t.placements++
+		d.lastPlacementID++
+		o := d.orderTo(as.agent)
+		p := &placement{id: d.lastPlacementID, job: j, index: as.index, agent: as.agent, orderNumber: o.Number}
+		t.current = p
+		d.placements[p.id] = p
+		if d.isSuspect(j, []int{as.index}) {
+			d.suspects[p] = true
+		}
+		as.agent.unacknowledged[p.id] = p
+		j.livePlacements++
+		startWithin := limit.Sub(d.now) - as.runTime - as.agent.networkOverhead(d)
+		addToOrder(o, j, session.Placement{ID: p.id, Index: as.index, Attempt: t.placements}, max(startWithin, time.Millisecond))
+	}
+}
+
+// addToOrder adds a task to the part of the order that belongs to its job.
+func addToOrder(o *Order, j *job, p session.Placement, startWithin time.Duration) {
+	for i := range o.Start {
+		if o.Start[i].Job == j.Name {
+			o.Start[i].Tasks = append(o.Start[i].Tasks, p)
+			return
+		}
+	}
+	o.Start = append(o.Start, session.JobPart{
+		Job: j.Name, Queue: j.Queue.Name, Spec: j.Spec, Service: j.Queue.Service, CPU: j.CPU, MemMB: j.MemMB, GPU: j.GPU,
+		Estimate: j.Estimate, StartWithin: startWithin, Tasks: []session.Placement{p},
+	})
+}
+
+func (d *Dispatcher) logPlan(event string, j *job, plan []assignment) {
+	var to strings.Builder
+	for i, as := range plan {
+		if i > 0 {
+			to.WriteByte(',')
+		}
+		to.WriteString(as.agent.name)
+	}
+	d.emit(LogEvent{Event: event, Job: j.Name, Queue: j.Queue.Name,
+		Detail: fmt.Sprintf("tasks=%d cpu=%d estimate_ms=%d expected_ms=%d objective_ms=%d target_ms=%d deadline_ms=%d to=%s", j.Tasks, j.CPU,
+			j.Estimate.Milliseconds(), lastFinish(plan).Milliseconds(), j.objective.Sub(j.arrived).Milliseconds(),
+			j.target.Sub(j.arrived).Milliseconds(), j.deadline.Sub(j.arrived).Milliseconds(), to.String())})
+}
--- /dev/null
+++ b/taskrunner/poll.go
@@ -0,0 +1,85 @@
+package taskrunner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/session"
+)
+
+// pendingPoll is a call of Agent.Poll whose reply has not been sent.
+type pendingPoll struct {
+	call CallID
+	due  time.Time // when the reply is sent even without reports
+}
+
+// poll removes the reports that the entry has acknowledged and keeps the call until
+// answerPolls replies.
+func (m *Runner) poll(e PollCalled) {
+	s := m.openSession(e.Session)
+	if s == nil {
+		m.emit(ReplyError{Call: e.Call, Reason: "the session has ended"})
+		return
+	}
+	s.recordMessage(m, e.Request.Echo)
+	s.reports = slices.DeleteFunc(s.reports, func(r session.Report) bool { return r.Seq <= e.Request.Seen })
+	s.poll = &pendingPoll{call: e.Call, due: m.now.Add(m.opts.PollWait)}
+}
+
+// answerPolls replies to the polls whose session has reports, or whose wait is over.
+func (m *Runner) answerPolls() {
+	for _, s := range m.sortedSessions {
+		if s.poll == nil || len(s.reports) == 0 && m.now.Before(s.poll.due) {
+			continue
+		}
+		m.emit(ReplyPoll{Call: s.poll.call, Reply: session.PollReply{Reports: slices.Clone(s.reports), State: m.state(s)}})
+		s.poll = nil
+	}
+}
+
+// wakePolls makes all pending polls due, so that entries receive a changed state at
+// once.
+func (m *Runner) wakePolls() {
+	for _, s := range m.sessions {
+		if s.poll != nil {
+			s.poll.due = m.now
+		}
+	}
+}
+
+func (m *Runner) hasUnseenReports() bool {
+	for _, s := range m.sessions {
+		if len(s.reports) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// state returns the agent's state for a reply to an entry.
+func (m *Runner) state(s *entrySession) session.State {
+	m.stateSeq++
+	st := session.State{
+		Seq:      m.stateSeq,
+		Stamp:    session.ClockReading{Run: m.clockIncarnation, Clock: m.clock},
+		Ready:    m.active(),
+		FreeCPU:  m.server.CPU - m.used.cpu,
+		FreeMem:  m.server.MemMB - m.used.mem,
+		Slowness: m.health.slownessPerMille(),
+		Samples:  m.health.samples,
+		Failing:  m.health.failingPerMille(),
+		Laggards: m.stragglers(s),
+	}
+	if id := (serverIdentity{m.server.Incarnation, m.server.ID, m.server.capacity()}); !s.identitySent || s.sentIdentity != id {
+		s.identitySent, s.sentIdentity = true, id
+		st.Identity = &session.Identity{Service: m.server.Service, Server: m.server.ID, Labels: m.server.Labels, Capacity: m.server.CPU, MemMB: m.server.MemMB, GPU: m.server.GPU}
+	}
+	st.Crashes = m.unsentCrashes(s)
+	st.Running = m.runningTasks()
+	for _, r := range m.queue {
+		st.Queue = append(st.Queue, session.QueuedTask{
+			CPU: r.cpu, Ms: int(m.health.expectedRunTime(r.estimate).Milliseconds()), StartWithin: int(r.startBy.Sub(m.now).Milliseconds()),
+		})
+	}
+	return st
+}
