Interfaces for evacuation, shares, run times, spread and places

Cause: the parts are built side by side and meet in the messages of a session, the job, the settings and the configuration. Change: the fields that they need, decoded and carried, used by none yet.

--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -28,6 +28,12 @@
 	Estimate time.Duration
 	// RequiredLabel is a label that the server must have; empty if none.
 	RequiredLabel string
+	// Rack is the label of the rack that holds the job's data; empty if none does. On
+	// servers without the label its tasks take Options.FarFactor times as long.
+	Rack string
+	// OneRack means that the tasks take Options.FarFactor times as long if they run on
+	// servers of more than one rack.
+	OneRack bool
 	// MaxPerServer bounds the job's tasks on one server; zero means no limit.
 	MaxPerServer int
 	// Timeout is how long the caller waits; zero if not given.
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -23,6 +23,10 @@
 	// Started is when the entry started; zero if long ago. A service that has had
 	// no agent yet counts as without agents since then, see HoldTimeout.
 	Started time.Time
+	// FarFactor is how many times as long a task takes away from its rack, see
+	// Job.Rack; zero if unknown.
+	FarFactor  float64
+	Scheduling Scheduling
 	// InDoubtTimeout is how long a placement may still run after the last
 	// message from its agent: until the session has expired and its tasks were
 	// stopped, or the last lease renewed under it has expired.
@@ -32,6 +36,19 @@
 	AnswerRetention time.Duration
 }
 
+// Scheduling switches decisions on that an entry makes under load. Without them, jobs are
+// admitted in the order of their arrival.
+type Scheduling struct {
+	// Shares divides scarce capacity between queues by priority and share.
+	Shares bool `toml:"shares"`
+	// RunTimes plans jobs by learned distributions of run times instead of means.
+	RunTimes bool `toml:"run_times"`
+	// Spread places tasks with regard to what other entries place meanwhile.
+	Spread bool `toml:"spread"`
+	// Places decides how long a job waits for a place near its data.
+	Places bool `toml:"places"`
+}
+
 // DefaultAnswerRetention covers duplicates that arrive seconds after the answer.
 const DefaultAnswerRetention = 15 * time.Second
 
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -7,6 +7,7 @@
 import (
 	"net/http"
 
+	"github.com/chestnuthollow/chestnuthollow/dispatch"
 	"github.com/chestnuthollow/chestnuthollow/internal/instance"
 	"github.com/chestnuthollow/chestnuthollow/keyedlog"
 	"github.com/chestnuthollow/chestnuthollow/routing"
@@ -19,6 +20,9 @@
 	// the balancer's readiness probes.
 	JobsAddr  string `toml:"jobs_addr" validate:"required,ipport"`
 	ReadyAddr string `toml:"ready_addr" validate:"required,ipport"`
+	// FarFactor is how many times as long a task takes away from the rack that it names.
+	FarFactor  float64             `toml:"far_factor" validate:"omitempty,gte=1"`
+	Scheduling dispatch.Scheduling `toml:"scheduling"`
 }
 
 // defaultMemoryMB is the memory of the smallest instance type commonly used for an
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -57,6 +57,8 @@
 	// TargetLatency.
 	Stretch       float64
 	TargetLatency time.Duration
+	// Priority orders queues when not all jobs can be served: 0 comes first.
+	Priority int
 	// Advised means that another service decides which servers may run a job.
 	Advised bool
 }
--- a/session/messages.go
+++ b/session/messages.go
@@ -33,6 +33,7 @@
 	Config        Config
 	ConfigVersion int64 // newest version that the entry has
 	OmitConfig    bool  // HelloReply.Config is not wanted; the entry calls Agent.Config
+	Evacuation    Evacuation
 }
 
 // HelloReply answers a HelloRequest.
@@ -44,6 +45,7 @@
 	// omit it. ConfigVersion is always set.
 	Config        Config
 	ConfigVersion int64
+	Evacuation    Evacuation
 	State         State
 }
 
@@ -67,11 +69,22 @@
 	Gzip []byte
 }
 
+// Evacuation is the set of availability zones in which no task may be started, by the
+// operators' topic of the store. Processes forward the newest one they know.
+type Evacuation struct {
+	// Version is the offset on the topic after the last record that is included. Zero
+	// means unknown.
+	Version int64
+	Zones   []string // sorted
+}
+
 // OrderRequest starts and stops tasks (Agent.Order).
 type OrderRequest struct {
 	Echo  ClockReading // the newest that the entry has received
 	Start []JobPart
 	Stop  []uint64 // ids of placements
+	// Evacuation is set if it has changed since the session's last request.
+	Evacuation Evacuation
 }
 
 // JobPart contains the tasks of one job that are placed on one agent.
@@ -84,6 +97,9 @@
 	MemMB    int
 	GPU      int
 	Estimate time.Duration // run time of each task on a server of reference speed
+	// Priority is that of the queue: 0 comes first. Entries that do not divide capacity
+	// by priority leave it zero.
+	Priority int
 	// StartWithin bounds the time that each task waits at the agent. A task that
 	// has not been started by then is reported as NotStarted.
 	StartWithin time.Duration
@@ -108,6 +124,8 @@
 type PollRequest struct {
 	Echo ClockReading // the newest that the entry has received
 	Seen uint64       // sequence number of the newest report received
+	// Evacuation is set if it has changed since the session's last request.
+	Evacuation Evacuation
 }
 
 // PollReply answers a PollRequest.
@@ -174,6 +192,11 @@
 	Failing int
 	Running []RunningTask
 	Queue   []QueuedTask
+	// ColdMs is how much longer the server runs slowly after its start, in ms.
+	ColdMs int
+	// RunTimes are the distributions of run times of the queues whose tasks the server
+	// runs, if they have changed since the session's last state.
+	RunTimes []RunTimes
 	// Crashes are the recent crashes of the server that the session's earlier states
 	// did not contain, oldest first.
 	Crashes []Crash
@@ -182,6 +205,15 @@
 	Laggards []Straggler
 }
 
+// RunTimes is the distribution of run times of one queue's tasks at one server.
+type RunTimes struct {
+	Queue   string
+	Samples int
+	// Ratios are quantiles of the run time relative to the expected one, in thousandths,
+	// at the probabilities that package runtimes states.
+	Ratios []int
+}
+
 // Straggler is a task that runs far slower than expected on its server.
 type Straggler struct {
 	ID uint64 // placement
@@ -249,6 +281,7 @@
 	Digest     uint64
 	OmitConfig bool // ExchangeReply.Config is not wanted
 	AcceptGzip bool
+	Evacuation Evacuation
 }
 
 // ExchangeReply answers an ExchangeRequest.
@@ -260,6 +293,7 @@
 	// omit it. ConfigVersion is always set; entries of earlier builds leave it zero.
 	Config        Config
 	ConfigVersion int64
+	Evacuation    Evacuation
 }
 
 // Process is a process of the system with the address at which others reach it.
--- a/taskrunner/messages.go
+++ b/taskrunner/messages.go
@@ -23,6 +23,9 @@
 	MemMB       int      `json:"mem_mb"`
 	GPU         int      `json:"gpu"`
 	Labels      []string `json:"labels"`
+	// Cold is how much longer the server runs slowly after its start, at the time of the
+	// heartbeat.
+	Cold time.Duration `json:"-"`
 }
 
 // TaskKey identifies a task by the name that the caller gave its job and by its
