Evacuation of an availability zone

Change: package evacuation folds the operators' topic; entries and agents pass the newest state on with the messages of sessions and exchanges, and entries copy it to the store.

--- a/command/daemon/platform.go
+++ b/command/daemon/platform.go
@@ -55,6 +55,8 @@
 						DecodeConfig:    platform.DecodeConfig,
 						Jobs:            platform.JobsHandler,
 						Ready:           platform.ReadyHandler,
+
+						EvacuationKeyPrefix: platform.EvacuationKeyPrefix,
 					}, l)
 				},
 			})
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -25,6 +25,9 @@
 		return structs.Errorf(structs.CodeRejected, structs.NotRun, "no server of service %s has %d thousandths of a core, %d MB, %d GPUs and the label %q",
 			j.Queue.Service, j.CPU, j.MemMB, j.GPU, j.RequiredLabel).WithRetryAfter(retryAfter)
 	}
+	if err := d.evacuatedError(j); err != nil {
+		return err
+	}
 	return structs.Errorf(structs.CodeUnavailable, structs.NotRun, "no agent of service %s can run the job now", j.Queue.Service).
 		WithRetryAfter(unavailableRetryAfter)
 }
--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -79,9 +79,10 @@
 	return j.CPU <= id.Capacity && (id.MemMB == 0 || j.MemMB <= id.MemMB && j.GPU <= id.GPU)
 }
 
-// isReady reports whether an agent accepts tasks by a recent state.
+// isReady reports whether an agent accepts tasks by a recent state and its availability
+// zone is not evacuated.
 func (d *Dispatcher) isReady(a *agent) bool {
-	return a.state.Ready && d.now.Sub(a.stateReceivedAt) <= staleAfter
+	return a.state.Ready && d.now.Sub(a.stateReceivedAt) <= staleAfter && !d.evacuated(a.zone)
 }
 
 // eligible reports whether an agent is ready by a recent state, and its server is
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -21,6 +21,8 @@
 	sortedAgents []*agent                  // the same, ordered by name so that decisions are deterministic
 	lastSlowness map[string]serverSlowness // cached beyond sessions, by the agent's name
 
+	evacuatedZones  []string  // sorted
+	zoneExpectedAt  time.Time // when the first of them is expected back; zero if unknown
 	containment     *containment.Tracker
 	suspects        map[*placement]bool // of tasks that may have crashed a server
 	recoveryTime    time.Duration       // expected from a crash until the server is back
@@ -85,6 +87,8 @@
 		d.orderReplied(e)
 	case PollReplied:
 		d.pollReplied(e)
+	case EvacuationChanged:
+		d.evacuationChanged(e)
 	case LeaveRequested:
 		d.leave(e.Until)
 	}
@@ -156,7 +160,7 @@
 func (d *Dispatcher) ReadyAgents(service string) int {
 	n := 0
 	for _, a := range d.sortedAgents {
-		if a.state.Ready && a.identity.Service == service {
+		if a.state.Ready && a.identity.Service == service && !d.evacuated(a.zone) {
 			n++
 		}
 	}
@@ -168,7 +172,7 @@
 func (d *Dispatcher) FreeShare() (float64, bool) {
 	free, capacity := 0.0, 0.0
 	for _, a := range d.sortedAgents {
-		if !a.state.Ready || a.identity.Capacity <= 0 {
+		if !a.state.Ready || a.identity.Capacity <= 0 || d.evacuated(a.zone) {
 			continue
 		}
 		free += max(a.unreservedShare(), 0) * float64(a.identity.Capacity)
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -104,6 +104,12 @@
 		ID    SessionID
 		Reply session.PollReply
 	}
+	// EvacuationChanged reports the availability zones in which no task may be started.
+	// ExpectedRemaining is when the first of them is expected back; zero if unknown.
+	EvacuationChanged struct {
+		Zones             []string // sorted
+		ExpectedRemaining time.Duration
+	}
 	// LeaveRequested starts a graceful shutdown. Jobs are admitted only if they
 	// are expected to end before Until. Those still open then are abandoned, and
 	// answered within verdictTimeout.
@@ -167,16 +173,17 @@
 	}
 )
 
-func (SubmitCalled) isEvent()   {}
-func (CallClosed) isEvent()     {}
-func (CancelCalled) isEvent()   {}
-func (SessionOpened) isEvent()  {}
-func (SessionEnded) isEvent()   {}
-func (SessionRetired) isEvent() {}
-func (OrderReplied) isEvent()   {}
-func (PollReplied) isEvent()    {}
-func (LeaveRequested) isEvent() {}
-func (Ticked) isEvent()         {}
+func (SubmitCalled) isEvent()      {}
+func (CallClosed) isEvent()        {}
+func (CancelCalled) isEvent()      {}
+func (SessionOpened) isEvent()     {}
+func (SessionEnded) isEvent()      {}
+func (SessionRetired) isEvent()    {}
+func (OrderReplied) isEvent()      {}
+func (PollReplied) isEvent()       {}
+func (LeaveRequested) isEvent()    {}
+func (EvacuationChanged) isEvent() {}
+func (Ticked) isEvent()            {}
 
 func (Order) isEffect()         {}
 func (CloseSession) isEffect()  {}
--- /dev/null
+++ b/evacuation/evacuation.go
@@ -0,0 +1,141 @@
+// Package evacuation keeps which availability zones are evacuated: no task may be
+// started there until the evacuation is withdrawn. The operators' topic of the store
+// says so; processes that cannot read it learn the newest state from others. A state is
+// the fold of all records of the topic up to an offset, its version, and a higher version
+// replaces a lower one whole, so that no process goes back. The package does no I/O and
+// reads no clock.
+package evacuation
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/session"
+)
+
+// durationWeight is the weight of the newest evacuation in the moving average of their
+// durations.
+const durationWeight = 0.5
+
+// Record is a record of the operators' topic that evacuates a zone, or withdraws the
+// evacuation.
+type Record struct {
+	Zone      string
+	Evacuated bool
+	Offset    int64
+}
+
+// Snapshot contains the newest record of each key of the operators' topic. Records are
+// those of evacuations; zones without one were not evacuated before the offset Next.
+type Snapshot struct {
+	Records []Record
+	Next    int64
+}
+
+// Change is a zone whose evacuation began or ended by an update.
+type Change struct {
+	Zone      string
+	Evacuated bool
+}
+
+// State is what one process knows of the evacuations. The zero value knows nothing. It
+// is not safe for concurrent use.
+type State struct {
+	current   session.Evacuation
+	since     map[string]time.Time // when this process learned of the evacuation of a zone
+	durations time.Duration        // moving average of past evacuations; zero if there were none
+}
+
+// Current returns the newest known state. The caller must not modify it.
+func (s *State) Current() session.Evacuation { return s.current }
+
+// Evacuated reports whether no task may be started in the zone.
+func (s *State) Evacuated(zone string) bool {
+	_, found := slices.BinarySearch(s.current.Zones, zone)
+	return found
+}
+
+// Update takes over a state of another process if it is newer, and returns what changed.
+func (s *State) Update(now time.Time, e session.Evacuation) []Change {
+	if e.Version <= s.current.Version {
+		return nil
+	}
+	zones := slices.Clone(e.Zones)
+	slices.Sort(zones)
+	return s.replace(now, session.Evacuation{Version: e.Version, Zones: slices.Compact(zones)})
+}
+
+// ApplyRecord adds the next record of the topic and returns what changed. A record that
+// the state includes already changes nothing.
+func (s *State) ApplyRecord(now time.Time, r Record) []Change {
+	if r.Offset < s.current.Version {
+		return nil
+	}
+	zones := slices.DeleteFunc(slices.Clone(s.current.Zones), func(z string) bool { return z == r.Zone })
+	if r.Evacuated {
+		zones = append(zones, r.Zone)
+		slices.Sort(zones)
+	}
+	return s.replace(now, session.Evacuation{Version: r.Offset + 1, Zones: zones})
+}
+
+// ApplySnapshot replaces the state by a snapshot of the topic and returns what changed. A
+// record from Snapshot.Next on was written while the snapshot was read and is read again
+// as the next record; until then its zone stays as it was.
+func (s *State) ApplySnapshot(now time.Time, snap Snapshot) []Change {
+	if snap.Next <= s.current.Version {
+		return nil
+	}
+	var zones []string
+	for _, r := range snap.Records {
+		if r.Offset >= snap.Next && s.Evacuated(r.Zone) || r.Offset < snap.Next && r.Evacuated {
+			zones = append(zones, r.Zone)
+		}
+	}
+	slices.Sort(zones)
+	return s.replace(now, session.Evacuation{Version: snap.Next, Zones: slices.Compact(zones)})
+}
+
+// replace puts a state in force and learns the durations of the evacuations that ended.
+func (s *State) replace(now time.Time, next session.Evacuation) []Change {
+	var changes []Change
+	for _, z := range s.current.Zones {
+		if _, still := slices.BinarySearch(next.Zones, z); !still {
+			changes = append(changes, Change{Zone: z})
+			s.learnDuration(now.Sub(s.since[z]))
+			delete(s.since, z)
+		}
+	}
+	if s.since == nil {
+		s.since = make(map[string]time.Time)
+	}
+	for _, z := range next.Zones {
+		if !s.Evacuated(z) {
+			changes = append(changes, Change{Zone: z, Evacuated: true})
+			s.since[z] = now
+		}
+	}
+	s.current = next
+	return changes
+}
+
+func (s *State) learnDuration(took time.Duration) {
+	if s.durations == 0 {
+		s.durations = took
+		return
+	}
+	s.durations += time.Duration(durationWeight * float64(took-s.durations))
+}
+
+// ExpectedRemaining returns the expected time until the first of the evacuated zones is
+// used again, from the durations of past evacuations. It reports false if no zone is
+// evacuated, none has been before, or the present ones have lasted longer.
+func (s *State) ExpectedRemaining(now time.Time) (time.Duration, bool) {
+	var least time.Duration
+	for _, since := range s.since {
+		if left := s.durations - now.Sub(since); left > 0 && (least == 0 || left < least) {
+			least = left
+		}
+	}
+	return least, least > 0
+}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -26,7 +26,7 @@
 type configuration struct {
 	table  atomic.Pointer[routing.Table]
 	loaded chan struct{} // closed when the first version is in force
-	// changed signals copyConfig that a new version is in force.
+	// changed signals copyConfig that a new version or changed evacuations are in force.
 	changed chan struct{}
 
 	compressor session.Compressor
@@ -98,8 +98,13 @@
 		close(g.config.loaded)
 	}
 	g.metrics.configVersion.Update(t.Version)
+	g.config.signalChanged()
+}
+
+// signalChanged signals copyConfig that there is something to copy.
+func (c *configuration) signalChanged() {
 	select {
-	case g.config.changed <- struct{}{}:
+	case c.changed <- struct{}{}:
 	default: // copyConfig has already been signaled
 	}
 }
@@ -147,6 +152,7 @@
 	g.fetchConfig("peer "+p.Name, version, func() (session.Config, error) {
 		reply, err := membership.Exchange(p.Addr, session.ExchangeRequest{
 			From: g.self, ConfigVersion: g.config.raw().Version, Digest: g.members.Digest(), AcceptGzip: true,
+			Evacuation: g.evacuation(),
 		})
 		return reply.Config, err
 	})
@@ -162,9 +168,10 @@
 	unavailableSince time.Time
 }
 
-// HandleRecords implements keyedlog.Handler.
-func (h *configHandler) HandleRecords(records []keyedlog.Record) {
-	for _, r := range records {
+// HandleBatch implements keyedlog.Handler.
+func (h *configHandler) HandleBatch(b keyedlog.Batch) {
+	h.gateway.readEvacuations(b)
+	for _, r := range b.Records {
 		if r.Key == h.gateway.platform.ConfigKey && len(r.Value) > 0 {
 			h.gateway.updateConfig(session.Config{Text: r.Value}, fmt.Sprintf("store offset %d", r.Offset))
 		}
--- a/gateway/configcopy.go
+++ b/gateway/configcopy.go
@@ -36,10 +36,11 @@
 	compressedSuffix = ".gz"
 )
 
-// copyConfig writes each version that comes into force to the copy topic, except
-// those that are replaced before their turn.
+// copyConfig writes each version and the evacuations that come into force to the copy
+// topic, except those that are replaced before their turn.
 func (g *Gateway) copyConfig() {
 	var copiedVersion int64
+	var copiedZones []string
 	for {
 		select {
 		case <-g.config.changed:
@@ -47,29 +48,47 @@
 			return
 		}
 		ctxsleep.For(g.background, copyDelay+rand.N(copyJitter))
-		cfg := g.config.raw()
-		if cfg.Version == copiedVersion {
-			continue
-		}
-		record, err := g.copyRecord(cfg)
-		if err != nil {
-			level.Warn(g.logger).Log("event", "config_copy_failed", "version", cfg.Version, "reason", err)
-			continue
+		var ok bool
+		if copiedZones, ok = g.copyEvacuations(copiedZones); !ok {
+			return
 		}
-		failures := 0
-		done := keyedlog.Put(g.background, g.platform.Store, g.platform.ConfigCopyTopic, record, func(err error) {
-			if failures++; failures == 1 {
-				level.Warn(g.logger).Log("event", "config_copy_failed", "version", cfg.Version, "reason", err)
-			}
-		})
-		if !done {
+		if copiedVersion, ok = g.copyVersion(copiedVersion); !ok {
 			return
 		}
-		copiedVersion = cfg.Version
-		level.Info(g.logger).Log("event", "config_copied", "version", cfg.Version, "bytes", len(record.Value), "failures", failures)
 	}
 }
 
+// copyVersion writes the configuration in force to the copy topic unless that is the
+// version copied last, and returns the version that the copy has now. It reports false if
+// the process stops before the store has acknowledged the copy.
+func (g *Gateway) copyVersion(copied int64) (int64, bool) {
+	cfg := g.config.raw()
+	if cfg.Version == copied {
+		return copied, true
+	}
+	record, err := g.copyRecord(cfg)
+	if err != nil {
+		level.Warn(g.logger).Log("event", "config_copy_failed", "version", cfg.Version, "reason", err)
+		return copied, true
+	}
+	if !g.putCopy(record, "config_copy_failed", cfg.Version) {
+		return copied, false
+	}
+	level.Info(g.logger).Log("event", "config_copied", "version", cfg.Version, "bytes", len(record.Value))
+	return cfg.Version, true
+}
+
+// putCopy appends a record to the copy topic with retries. It logs the first failure as
+// failedEvent, and reports false if the process stops first.
+func (g *Gateway) putCopy(record keyedlog.Record, failedEvent string, version int64) bool {
+	failures := 0
+	return keyedlog.Put(g.background, g.platform.Store, g.platform.ConfigCopyTopic, record, func(err error) {
+		if failures++; failures == 1 {
+			level.Warn(g.logger).Log("event", failedEvent, "version", version, "reason", err)
+		}
+	})
+}
+
 // copyRecord returns the record of a copy, compressed if it would be too long.
 func (g *Gateway) copyRecord(cfg session.Config) (keyedlog.Record, error) {
 	if len(cfg.Text) <= maxCopyBytes {
@@ -109,15 +128,23 @@
 	}
 	// The copy written last comes first, so that no older one comes into force.
 	slices.SortFunc(batch.Records, func(a, b keyedlog.Record) int { return cmp.Compare(b.Offset, a.Offset) })
+	// Evacuations come before the configuration that makes the entry admit jobs.
+	for _, r := range batch.Records {
+		if r.Key == evacuationCopyKey {
+			g.useEvacuationCopy(r, copySource(r))
+		}
+	}
 	for _, r := range batch.Records {
 		g.useCopy(r)
 	}
 	return nil
 }
 
+func copySource(r keyedlog.Record) string { return fmt.Sprintf("copy at store offset %d", r.Offset) }
+
 // useCopy puts the copy of a record in force if it is newer.
 func (g *Gateway) useCopy(r keyedlog.Record) {
-	source := fmt.Sprintf("copy at store offset %d", r.Offset)
+	source := copySource(r)
 	switch r.Key {
 	case g.platform.ConfigKey:
 		g.updateConfig(session.Config{Text: r.Value}, source)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/chestnuthollow/chestnuthollow/dispatch"
+	"github.com/chestnuthollow/chestnuthollow/evacuation"
 	"github.com/chestnuthollow/chestnuthollow/internal/instance"
 	"github.com/chestnuthollow/chestnuthollow/internal/ops"
 	"github.com/chestnuthollow/chestnuthollow/internal/randid"
@@ -71,6 +72,9 @@
 	connectors   map[string]*agentConnector // by the address of the agent
 	widening     float64                    // factor of the size of the subset, at least one
 
+	evacuationMu sync.Mutex
+	evacuations  evacuation.State
+
 	configFetch sync.Mutex // held while another process is asked for the configuration
 
 	mu          sync.Mutex
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -51,6 +51,8 @@
 		g.redialAgent(req.From.Addr)
 	}
 	reply.Known = g.members.ProcessesFor(g.self, req)
+	g.updateEvacuation(req.Evacuation, "peer "+req.From.Name)
+	reply.Evacuation = g.evacuation()
 	reply.ConfigVersion = g.config.raw().Version
 	if req.OmitConfig || reply.ConfigVersion <= req.ConfigVersion {
 		return nil
@@ -86,6 +88,7 @@
 func (g *Gateway) exchangeWith(p session.Process) {
 	reply, err := membership.Exchange(p.Addr, session.ExchangeRequest{
 		From: g.self, ConfigVersion: g.config.raw().Version, Digest: g.members.Digest(), OmitConfig: true,
+		Evacuation: g.evacuation(),
 	})
 	if err != nil {
 		if g.members.MarkUnreachable(time.Now(), p.Addr) {
@@ -96,6 +99,7 @@
 	now := time.Now()
 	g.members.MarkReachable(now, p.Addr)
 	g.members.Add(now, reply.Known...)
+	g.updateEvacuation(reply.Evacuation, "peer "+p.Name)
 	g.updateConfig(reply.Config, "peer "+p.Name) // of an entry of an earlier build
 	if reply.ConfigVersion > g.config.raw().Version {
 		g.fetchConfigFromPeer(p, reply.ConfigVersion)
@@ -112,11 +116,11 @@
 	gateway *Gateway
 }
 
-// HandleRecords implements keyedlog.Handler.
-func (h *membersHandler) HandleRecords(records []keyedlog.Record) {
+// HandleBatch implements keyedlog.Handler.
+func (h *membersHandler) HandleBatch(b keyedlog.Batch) {
 	g := h.gateway
 	var restarted []string // addresses of agents with a new incarnation
-	for _, r := range records {
+	for _, r := range b.Records {
 		var p session.Process
 		if err := json.Unmarshal(r.Value, &p); err != nil {
 			level.Warn(g.logger).Log("event", "member_unreadable", "key", r.Key, "offset", r.Offset, "reason", err)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -8,16 +8,19 @@
 	"github.com/chestnuthollow/chestnuthollow/dispatch"
 	"github.com/chestnuthollow/chestnuthollow/internal/instance"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcconn"
+	"github.com/chestnuthollow/chestnuthollow/session"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
 // gatewayMetrics contains the metrics of an entry. Times are in microseconds.
 type gatewayMetrics struct {
-	registry      metrics.Registry
-	configVersion metrics.Gauge
-	configErrors  metrics.Counter
-	storeLost     metrics.Counter
-	rejected      metrics.Counter
+	registry       metrics.Registry
+	configVersion  metrics.Gauge
+	configErrors   metrics.Counter
+	storeLost      metrics.Counter
+	rejected       metrics.Counter
+	evacuations    metrics.Counter
+	zonesEvacuated metrics.Gauge
 
 	serversCrashed, tasksGivenUp, queuesConfined metrics.Counter
 }
@@ -25,11 +28,13 @@
 func newMetrics(g *Gateway) *gatewayMetrics {
 	r := metrics.NewRegistry()
 	m := &gatewayMetrics{
-		registry:      r,
-		configVersion: metrics.NewRegisteredGauge("config.version", r),
-		configErrors:  metrics.NewRegisteredCounter("config.unreadable", r),
-		storeLost:     metrics.NewRegisteredCounter("store.lost", r),
-		rejected:      metrics.NewRegisteredCounter("jobs.rejected", r),
+		registry:       r,
+		configVersion:  metrics.NewRegisteredGauge("config.version", r),
+		configErrors:   metrics.NewRegisteredCounter("config.unreadable", r),
+		storeLost:      metrics.NewRegisteredCounter("store.lost", r),
+		rejected:       metrics.NewRegisteredCounter("jobs.rejected", r),
+		evacuations:    metrics.NewRegisteredCounter("evacuations", r),
+		zonesEvacuated: metrics.NewRegisteredGauge("evacuations.zones", r),
 
 		serversCrashed: metrics.NewRegisteredCounter("crashes.servers", r),
 		tasksGivenUp:   metrics.NewRegisteredCounter("crashes.tasks_given_up", r),
@@ -68,13 +73,15 @@
 
 // Dump implements ops.Source.
 func (g *Gateway) Dump() any {
+	evacuated := g.evacuation()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return struct {
 		Name        string              `json:"name"`
 		Incarnation structs.Incarnation `json:"incarnation"`
 		Config      int64               `json:"config_version"`
+		Evacuation  session.Evacuation  `json:"evacuation"`
 		Leaving     bool                `json:"leaving"`
 		State       any                 `json:"state"`
-	}{g.opts.Name, g.self.Incarnation, g.config.raw().Version, g.leaving.Load(), g.dispatcher.Dump(time.Now())}
+	}{g.opts.Name, g.self.Incarnation, g.config.raw().Version, evacuated, g.leaving.Load(), g.dispatcher.Dump(time.Now())}
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -40,6 +40,9 @@
 	// ConfigTopic and ConfigKey identify the record with the operators'
 	// configuration. MembersTopic is the topic of the agents' announcements.
 	ConfigTopic, ConfigKey, MembersTopic string
+	// EvacuationKeyPrefix begins the keys of the configuration topic that evacuate an
+	// availability zone; the rest of the key is the zone.
+	EvacuationKeyPrefix string
 	// ConfigCopyTopic is the topic of the copy that entries keep of that record.
 	ConfigCopyTopic string
 	// DecodeConfig decodes the value of the configuration record.
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -76,9 +76,11 @@
 	id           dispatch.SessionID
 	client       *rpc.Client
 	clockReading atomic.Pointer[session.ClockReading] // of the reply to Hello or to the last poll; echoed in each request
-	orders       chan dispatch.Order
-	replies      chan *rpc.Call
-	closed       chan struct{}
+	// evacuationSent is the version of the evacuations that the agent was sent last.
+	evacuationSent atomic.Int64
+	orders         chan dispatch.Order
+	replies        chan *rpc.Call
+	closed         chan struct{}
 }
 
 // redialAgent makes the connector of the address dial without delay if it has no
@@ -153,13 +155,14 @@
 		return false, err
 	}
 	defer client.Close()
-	req := session.HelloRequest{Entry: g.opts.Name, Incarnation: g.self.Incarnation, ConfigVersion: g.config.raw().Version, OmitConfig: true}
+	req := session.HelloRequest{Entry: g.opts.Name, Incarnation: g.self.Incarnation, ConfigVersion: g.config.raw().Version, OmitConfig: true, Evacuation: g.evacuation()}
 	var hello session.HelloReply
 	if err := callWithTimeout(client, "Hello", &req, &hello, helloTimeout); err != nil {
 		return false, err
 	}
 	lastHeard := time.Now()
 	g.members.MarkReachable(lastHeard, c.addr)
+	g.updateEvacuation(hello.Evacuation, "agent "+hello.Agent)
 	g.updateConfig(hello.Config, "agent "+hello.Agent)
 	if hello.ConfigVersion > req.ConfigVersion {
 		go g.fetchConfigFromAgent(c.addr, hello.Agent, hello.ConfigVersion)
@@ -169,6 +172,7 @@
 		orders: make(chan dispatch.Order, orderQueueSize), replies: make(chan *rpc.Call, orderQueueSize), closed: make(chan struct{}),
 	}
 	s.clockReading.Store(&hello.State.Stamp)
+	s.evacuationSent.Store(req.Evacuation.Version)
 	g.addSession(s, &hello)
 	c.sessionID.Store(uint64(s.id))
 	c.setUsable(lastHeard, hello.State.Ready)
@@ -213,7 +217,7 @@
 		if ctx.Err() != nil {
 			return lastHeard, ctx.Err()
 		}
-		req := session.PollRequest{Echo: *s.clockReading.Load(), Seen: seen}
+		req := session.PollRequest{Echo: *s.clockReading.Load(), Seen: seen, Evacuation: s.unsentEvacuation()}
 		var reply session.PollReply
 		if err := callWithTimeout(s.client, "Poll", &req, &reply, pollTimeout); err != nil {
 			return lastHeard, err
@@ -245,7 +249,7 @@
 		case <-s.closed:
 			return
 		case o := <-s.orders:
-			req := &session.OrderRequest{Echo: *s.clockReading.Load(), Start: o.Start, Stop: o.Stop}
+			req := &session.OrderRequest{Echo: *s.clockReading.Load(), Start: o.Start, Stop: o.Stop, Evacuation: s.unsentEvacuation()}
 			s.client.Go(structs.AgentService+".Order", req, &orderReply{number: o.Number}, s.replies)
 		}
 	}
--- a/keyedlog/keyedlog.go
+++ b/keyedlog/keyedlog.go
@@ -23,6 +23,9 @@
 	Records []Record
 	Next    int64 // offset at which to continue with Read
 	More    bool  // there were further records at the time of the reply
+	// Snapshot is set if the records are the newest of each key, so that a key without a
+	// record here has none before Next.
+	Snapshot bool
 }
 
 // Store is a client of the platform's store. Its reads end with an error that wraps
@@ -66,8 +69,9 @@
 
 // Handler receives what Follow reads. Its methods are not called concurrently.
 type Handler interface {
-	// HandleRecords processes records in the order in which the store returned them.
-	HandleRecords(records []Record)
+	// HandleBatch processes a reply, with the records in the order in which the store
+	// returned them. A snapshot may be empty.
+	HandleBatch(b Batch)
 	// StoreUnavailable reports that a call has failed with err, StoreAvailable that
 	// a later one has succeeded. Further failures in between are not reported, and
 	// neither is ErrTruncated.
@@ -75,7 +79,7 @@
 	StoreAvailable()
 }
 
-// Follow passes the newest record of each key of a topic to h and then new records,
+// Follow passes a snapshot of a topic to h and then new records,
 // until ctx is canceled. After ErrTruncated, or if it is behind by more records than one
 // reply holds, it continues with the newest ones, so that it does not read what has been
 // replaced. It waits for the given pause between a reply with records and the
@@ -116,8 +120,8 @@
 	f.backoff.Reset()
 	f.timeoutFactor = 1
 	f.next, f.positioned = batch.Next, !batch.More
-	if len(batch.Records) > 0 {
-		f.handler.HandleRecords(batch.Records)
+	if len(batch.Records) > 0 || batch.Snapshot {
+		f.handler.HandleBatch(batch)
 	}
 	if len(batch.Records) > 0 && !batch.More {
 		ctxsleep.For(ctx, f.pause)
@@ -127,7 +131,9 @@
 func (f *follower) call(ctx context.Context) (Batch, error) {
 	idle := f.timeoutFactor * idleTimeout
 	if !f.positioned {
-		return f.store.Newest(ctx, f.topic, idle)
+		batch, err := f.store.Newest(ctx, f.topic, idle)
+		batch.Snapshot = true
+		return batch, err
 	}
 	wait := readWait
 	if f.unavailable {
--- a/keyedlog/keyedlog_test.go
+++ b/keyedlog/keyedlog_test.go
@@ -66,7 +66,8 @@
 	return &handler{read: make(chan keyedlog.Record, 10), unavailable: make(chan struct{}, 10), available: make(chan struct{}, 10)}
 }
 
-func (h *handler) HandleRecords(records []keyedlog.Record) {
+func (h *handler) HandleBatch(b keyedlog.Batch) {
+	records := b.Records
 	for _, r := range records {
 		h.read <- r
 	}
--- a/session/messages.go
+++ b/session/messages.go
@@ -74,8 +74,8 @@
 type Evacuation struct {
 	// Version is the offset on the topic after the last record that is included. Zero
 	// means unknown.
-	Version int64
-	Zones   []string // sorted
+	Version int64    `json:"version"`
+	Zones   []string `json:"zones"` // sorted
 }
 
 // OrderRequest starts and stops tasks (Agent.Order).
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -229,6 +229,12 @@
 	return s.runner.Config().Version
 }
 
+func (s *Sidecar) evacuation() session.Evacuation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runner.Evacuation()
+}
+
 // inSession reports whether an incarnation of an entry has an open session with this
 // agent.
 func (s *Sidecar) inSession(entry structs.Incarnation) bool {
@@ -238,7 +244,7 @@
 }
 
 func (s *Sidecar) exchangeWith(p session.Process) {
-	reply, err := membership.Exchange(p.Addr, session.ExchangeRequest{From: s.self, ConfigVersion: s.configVersion(), AcceptGzip: true})
+	reply, err := membership.Exchange(p.Addr, session.ExchangeRequest{From: s.self, ConfigVersion: s.configVersion(), AcceptGzip: true, Evacuation: s.evacuation()})
 	now := time.Now()
 	if err != nil {
 		if s.members.MarkUnreachable(now, p.Addr) {
@@ -253,6 +259,7 @@
 		default: // exchangeLoop has already been signaled
 		}
 	}
+	s.step(taskrunner.EvacuationReceived{Evacuation: reply.Evacuation})
 	cfg, err := reply.Config.Decompress()
 	if err != nil {
 		level.Warn(s.logger).Log("event", "config_unread", "source", "peer "+p.Name, "version", reply.Config.Version, "reason", err)
--- a/taskrunner/dump.go
+++ b/taskrunner/dump.go
@@ -9,7 +9,8 @@
 	Active            bool          `json:"active"`
 	Draining          bool          `json:"draining"`
 	Leaving           bool          `json:"leaving"`
-	Clean             bool          `json:"clean"` // no task of an earlier agent is running at the server
+	Evacuated         bool          `json:"zone_evacuated"` // the availability zone is evacuated
+	Clean             bool          `json:"clean"`          // no task of an earlier agent is running at the server
 	Token             int64         `json:"token"`
 	ClockMs           int64         `json:"clock_ms"` // newest reading of the server's clock
 	ClockAgeMs        int64         `json:"clock_age_ms"`
@@ -40,7 +41,7 @@
 // Dump returns the state of the Runner. Ages are relative to now.
 func (m *Runner) Dump(now time.Time) Dump {
 	d := Dump{
-		Server: m.server.ID, ServerIncarnation: m.clockIncarnation, Active: m.active(), Draining: m.server.Draining, Leaving: m.leaving,
+		Server: m.server.ID, ServerIncarnation: m.clockIncarnation, Active: m.active(), Draining: m.server.Draining, Leaving: m.leaving, Evacuated: m.zoneEvacuated(),
 		Clean: m.noForeignRuns, Token: m.token, ClockMs: m.clock.Milliseconds(), ClockAgeMs: now.Sub(m.clockReadAt).Milliseconds(),
 		SeenEnd: m.seenEnd, Slowness: m.health.slownessPerMille(), Failing: m.health.failingPerMille(),
 	}
--- a/taskrunner/messages.go
+++ b/taskrunner/messages.go
@@ -157,6 +157,9 @@
 	}
 	// ConfigReceived delivers a version of the operators' configuration.
 	ConfigReceived struct{ Config session.Config }
+	// EvacuationReceived delivers the evacuations that another process knows. Requests of
+	// entries deliver them too.
+	EvacuationReceived struct{ Evacuation session.Evacuation }
 	// RecordLoaded delivers the record that an earlier agent of this name stored: its
 	// backend server and the baseline slowness it measured. Either is zero if
 	// the record does not have it.
@@ -235,19 +238,20 @@
 	}
 )
 
-func (HelloCalled) isEvent()    {}
-func (OrderCalled) isEvent()    {}
-func (PollCalled) isEvent()     {}
-func (SessionClosed) isEvent()  {}
-func (ServerReported) isEvent() {}
-func (ServerLeft) isEvent()     {}
-func (StartReplied) isEvent()   {}
-func (StopReplied) isEvent()    {}
-func (RenewReplied) isEvent()   {}
-func (ConfigReceived) isEvent() {}
-func (RecordLoaded) isEvent()   {}
-func (LeaveRequested) isEvent() {}
-func (Ticked) isEvent()         {}
+func (HelloCalled) isEvent()        {}
+func (OrderCalled) isEvent()        {}
+func (PollCalled) isEvent()         {}
+func (SessionClosed) isEvent()      {}
+func (ServerReported) isEvent()     {}
+func (ServerLeft) isEvent()         {}
+func (StartReplied) isEvent()       {}
+func (StopReplied) isEvent()        {}
+func (RenewReplied) isEvent()       {}
+func (ConfigReceived) isEvent()     {}
+func (RecordLoaded) isEvent()       {}
+func (EvacuationReceived) isEvent() {}
+func (LeaveRequested) isEvent()     {}
+func (Ticked) isEvent()             {}
 
 func (StartTask) isEffect()     {}
 func (StopTask) isEffect()      {}
--- a/taskrunner/order.go
+++ b/taskrunner/order.go
@@ -23,6 +23,7 @@
 		return
 	}
 	s.recordMessage(m, e.Request.Echo)
+	m.updateEvacuation(e.Request.Evacuation)
 	for _, id := range e.Request.Stop {
 		m.stopPlacement(s, id)
 	}
@@ -80,6 +81,8 @@
 		return "the backend server belongs to another service"
 	case m.server.Draining:
 		return "the backend server is draining"
+	case m.zoneEvacuated():
+		return reasonEvacuated
 	case !m.active():
 		return "the backend server is not ready"
 	case !s.fresh(m):
--- a/taskrunner/poll.go
+++ b/taskrunner/poll.go
@@ -22,6 +22,7 @@
 		return
 	}
 	s.recordMessage(m, e.Request.Echo)
+	m.updateEvacuation(e.Request.Evacuation)
 	s.reports = slices.DeleteFunc(s.reports, func(r session.Report) bool { return r.Seq <= e.Request.Seen })
 	s.poll = &pendingPoll{call: e.Call, due: m.now.Add(m.opts.PollWait)}
 }
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -236,7 +236,7 @@
 func (m *Runner) startUnanswered(r *run, reason string) {
 	r.unansweredStarts++
 	m.emit(LogEvent{Event: "start_unanswered", Task: r.key.String(), Entry: r.session.entry, Detail: fmt.Sprintf("try=%d reason=%q", r.unansweredStarts, reason)})
-	if r.unansweredStarts < maxStartTries && r.session.fresh(m) && !m.leaseExpired() {
+	if r.unansweredStarts < maxStartTries && r.session.fresh(m) && !m.zoneEvacuated() && !m.leaseExpired() {
 		m.start(r)
 		return
 	}
@@ -259,6 +259,10 @@
 // server knows an ended run with this number that another session started.
 func (m *Runner) retryWithNewNumber(r *run) {
 	r.numberTries++
+	if m.zoneEvacuated() {
+		m.finish(r, session.NotStarted, reasonEvacuated)
+		return
+	}
 	if r.numberTries >= maxNumberTries {
 		m.finish(r, session.NotStarted, "no unused run number found")
 		return
--- a/taskrunner/session.go
+++ b/taskrunner/session.go
@@ -75,6 +75,7 @@
 			m.endSession(s.id, "replaced by a new session")
 		}
 	}
+	m.updateEvacuation(e.Request.Evacuation)
 	m.updateConfig(e.Request.Config)
 	m.newestConfig = max(m.newestConfig, e.Request.ConfigVersion)
 	m.addSession(&entrySession{
@@ -121,6 +122,7 @@
 		req := s.hello.Request
 		reply := session.HelloReply{
 			Agent: m.opts.Agent, Incarnation: m.opts.Incarnation, Zone: m.opts.Zone, State: m.state(s),
+			Evacuation: m.evacuations.Current(),
 		}
 		reply.ConfigVersion = m.config.Version
 		if !req.OmitConfig && m.config.Version > req.Config.Version {
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chestnuthollow/chestnuthollow/evacuation"
 	"github.com/chestnuthollow/chestnuthollow/session"
 )
 
@@ -16,6 +17,7 @@
 	storedServer   ServerInfo // as stored by an earlier agent; ID is empty if there is none
 	config         session.Config
 	newestConfig   int64 // highest version that an entry has named
+	evacuations    evacuation.State
 	sessions       map[uint64]*entrySession
 	sortedSessions []*entrySession  // the same, ordered by ID so that effects are deterministic
 	runs           map[TaskKey]*run // queued, running and stopping tasks
@@ -94,6 +96,8 @@
 		m.renewReplied(e)
 	case ConfigReceived:
 		m.updateConfig(e.Config)
+	case EvacuationReceived:
+		m.updateEvacuation(e.Evacuation)
 	case RecordLoaded:
 		m.storedServer = e.Server
 		m.storeBaseline(e.Baseline)
@@ -206,7 +210,7 @@
 // active reports whether the agent currently starts tasks.
 func (m *Runner) active() bool {
 	return m.server.ID != "" && m.server.Incarnation == m.clockIncarnation && m.noForeignRuns && !m.fenced &&
-		!m.serverRefusing && !m.server.Draining && !m.leaving && !m.leaseExpired()
+		!m.serverRefusing && !m.server.Draining && !m.leaving && !m.zoneEvacuated() && !m.leaseExpired()
 }
 
 // leave starts the graceful shutdown: queued tasks are refused, and started ones
