--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -51,6 +51,7 @@
 	}
 	d.agents[e.ID] = a
 	d.recordCrashes(a, e.State.Crashes)
+	d.runTimesOpened(a)
 	d.endOutageIfReady(a)
 	d.agentsChanged = true
 	i, _ := slices.BinarySearchFunc(d.sortedAgents, a, func(x, y *agent) int { return cmp.Compare(x.name, y.name) })
@@ -91,7 +92,7 @@
 	until := e.LastHeard.Add(d.opts.InDoubtTimeout)
 	for _, p := range d.sortedPlacements(func(p *placement) bool { return p.agent == a }) {
 		p.inDoubtUntil = until
-		if j := p.job; !j.answered && !until.Add(d.expectedRunTime(a, j.Estimate)).Before(j.deadline) {
+		if j := p.job; !j.answered && !until.Add(d.expectedRunTime(a, j)).Before(j.deadline) {
 			d.abandon(j, structs.CodeAgentLost, "agent "+a.name+" was lost, and the task cannot be run again before the job's deadline")
 		}
 	}
@@ -156,6 +157,7 @@
 		a.identitySeq = s.Seq
 	}
 	defer d.recordCrashes(a, s.Crashes)
+	d.recordRunTimes(a, s.Seq, s.RunTimes)
 	if s.Seq <= a.state.Seq {
 		return
 	}
@@ -173,15 +175,15 @@
 	}
 }
 
-// expectedRunTime returns the expected run time of a task at an agent.
-func (d *Dispatcher) expectedRunTime(a *agent, estimate time.Duration) time.Duration {
+// expectedRunTime returns the expected run time of a task of the job at an agent.
+func (d *Dispatcher) expectedRunTime(a *agent, j *job) time.Duration {
 	slowness := a.state.Slowness
 	if a.state.Samples < minSlownessSamples {
 		if last := d.lastSlowness[a.name]; last.server == a.identity.Server && last.server != "" {
 			slowness = last.slowness
 		}
 	}
-	return estimate * time.Duration(slowness) / 1000
+	return d.correctRunTime(a, j, j.Estimate*time.Duration(slowness)/1000)
 }
 
 // queuedAhead returns a filter for the agent's queued tasks that are assumed to
@@ -211,7 +213,7 @@
 		}
 	}
 	for _, p := range sortedUnacknowledged(a) {
-		t.Reserve(p.job.CPU, d.expectedRunTime(a, p.job.Estimate))
+		t.Reserve(p.job.CPU, d.expectedRunTime(a, p.job))
 	}
 	return t
 }
--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/capacity"
+	"github.com/chestnuthollow/chestnuthollow/runtimes"
 	"github.com/chestnuthollow/chestnuthollow/session"
 )
 
@@ -13,10 +14,11 @@
 	agent     *agent
 	timeline  *capacity.Timeline
 	runTime   time.Duration
-	overhead  time.Duration // expected time besides the work, see hopOverhead
-	jobTasks  int           // tasks of the job placed there
-	sameZone  bool          // in this entry's availability zone
-	freeShare float64       // see agent.unreservedShare, less the tasks planned so far
+	runTimes  runtimes.Range // of the run time relative to runTime, see finishesOnTime
+	overhead  time.Duration  // expected time besides the work, see hopOverhead
+	jobTasks  int            // tasks of the job placed there
+	sameZone  bool           // in this entry's availability zone
+	freeShare float64        // see agent.unreservedShare, less the tasks planned so far
 }
 
 // finish returns the expected time from now to the end of another task of the
@@ -45,8 +47,8 @@
 }
 
 // pickCandidate chooses the agent for one task that should end within the given
-// time. Of the candidates that are expected to end it at least finishMargin
-// before that, it prefers the one with the most weighted free capacity, whatever
+// time. Of the candidates that are sure enough to do so, see finishesOnTime, it
+// prefers the one with the most weighted free capacity, whatever
 // its speed, so that fast servers stay free for tasks that need them. If there is
 // none, it chooses the candidate that would end the task first.
 func pickCandidate(candidates []*candidate, j *job, within time.Duration) (*candidate, time.Duration) {
@@ -63,7 +65,7 @@
 		if earliest == nil || finish < earliestFinish {
 			earliest, earliestFinish = c, finish
 		}
-		if finish+c.finishMargin() <= within && (preferred == nil || c.weightedFreeShare() > preferred.weightedFreeShare()) {
+		if c.finishesOnTime(j, finish, within) && (preferred == nil || c.weightedFreeShare() > preferred.weightedFreeShare()) {
 			preferred, preferredFinish = c, finish
 		}
 	}
@@ -102,9 +104,9 @@
 		if !d.eligible(a, j) || !limits.permits(a.name) {
 			continue
 		}
-		runTime := d.expectedRunTime(a, j.Estimate)
+		runTime := d.expectedRunTime(a, j)
 		c := &candidate{
-			agent: a, timeline: d.capacityTimeline(a, d.queuedAhead(a, j.objective.Sub(d.now))), runTime: runTime, overhead: hopOverhead,
+			agent: a, runTimes: d.runTimeRange(a, j), timeline: d.capacityTimeline(a, d.queuedAhead(a, j.objective.Sub(d.now))), runTime: runTime, overhead: hopOverhead,
 			jobTasks: d.tasksAt(j, a), sameZone: a.zone == d.opts.Zone, freeShare: a.unreservedShare(),
 		}
 		if !c.sameZone {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -27,6 +27,7 @@
 	suspects        map[*placement]bool // of tasks that may have crashed a server
 	recoveryTime    time.Duration       // expected from a crash until the server is back
 	longestSlack    longestSlack
+	runTimes        learnedRunTimes
 	jobs            map[string]*job // open, or answered with tasks not yet ended, by name
 	calls           map[CallID]*job
 	heldJobs        []*job               // open, with tasks to place once agents are available
@@ -56,6 +57,7 @@
 		suspects:        make(map[*placement]bool),
 		recoveryTime:    initialRecoveryTime,
 		longestSlack:    make(longestSlack),
+		runTimes:        newLearnedRunTimes(),
 		jobs:            make(map[string]*job),
 		noAgentSince:    make(map[string]time.Time),
 		calls:           make(map[CallID]*job),
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -15,6 +15,8 @@
 	// ConfinedQueues are the queues whose tasks run on some of the servers only,
 	// because they have crashed others.
 	ConfinedQueues []string `json:"confined_queues"`
+	// RunTimes are the distributions of run times of the queues for which they are known.
+	RunTimes []RunTimesDump `json:"run_times"`
 }
 
 // AgentDump is one agent with an open session.
@@ -65,5 +67,6 @@
 			Name: j.Name, Queue: j.Queue.Name, Tasks: j.Tasks, Remaining: j.unfinished, Answered: j.answered, AgeMs: now.Sub(j.arrived).Milliseconds(),
 		})
 	}
+	out.RunTimes = d.runTimes.dump()
 	return out
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -109,6 +109,7 @@
 func (d *Dispatcher) admit(j *job, plan []assignment) {
 	j.admitted = true
 	d.logPlan("job_admitted", j, plan)
+	d.emit(PlanMetrics{Queue: j.Queue.Name, Uncertain: uncertainTasks(plan) > 0})
 	d.applyChanges(d.containment.Step(d.now, containment.JobAdmitted{
 		Queue: j.Queue.Name, Service: j.Queue.Service, Work: float64(j.Tasks) * float64(j.CPU) / 1000 * j.Estimate.Seconds(),
 	}))
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -163,6 +163,11 @@
 	// CrashMetrics is counted in the metrics: crashes of servers that were reported,
 	// tasks given up because of them, and queues confined.
 	CrashMetrics struct{ Servers, TasksGivenUp, QueuesConfined int }
+	// PlanMetrics is counted in the metrics: one per admitted job.
+	PlanMetrics struct {
+		Queue     string
+		Uncertain bool // a task is not sure enough to end within the job's objective
+	}
 	// JobMetrics is counted in the metrics: one per answered job, and one per
 	// refused call.
 	JobMetrics struct {
@@ -193,3 +198,4 @@
 func (LogEvent) isEffect()      {}
 func (JobMetrics) isEffect()    {}
 func (CrashMetrics) isEffect()  {}
+func (PlanMetrics) isEffect()   {}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -12,6 +12,9 @@
 	agent   *agent
 	finish  time.Duration // expected time from now to the end
 	runTime time.Duration // expected run time
+	// uncertain is set if the agent is not sure enough to end the task within the
+	// objective of the job.
+	uncertain bool
 }
 
 // plan chooses an agent for each of the tasks. It returns an error if there is a
@@ -55,10 +58,11 @@
 			return nil, structs.Errorf(structs.CodeOverloaded, structs.NotRun, "no server can take another task of %d thousandths of a core", j.CPU).
 				WithRetryAfter(d.retryAfter(j))
 		}
+		uncertain := !best.finishesOnTime(j, finish, j.objective.Sub(d.now))
 		best.timeline.Reserve(j.CPU, best.runTime)
 		best.jobTasks++
 		best.freeShare -= float64(j.CPU) / float64(max(best.agent.identity.Capacity, 1))
-		plan = append(plan, assignment{index: index, agent: best.agent, finish: finish, runTime: best.runTime})
+		plan = append(plan, assignment{index: index, agent: best.agent, finish: finish, runTime: best.runTime, uncertain: uncertain})
 	}
 	last := lastFinish(plan)
 	if d.now.Add(last + answerMargin).After(latest) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -42,6 +42,11 @@
 	}
 	r.Register("jobs.open", metrics.NewFunctionalGauge(func() int64 { return int64(g.openJobs()) }))
 	r.Register("bytes.sent", metrics.NewFunctionalGauge(func() int64 { return rpcconn.TotalTraffic().BytesSent }))
+	r.Register("run_times.queues", metrics.NewFunctionalGauge(func() int64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return int64(g.dispatcher.RunTimeQueues())
+	}))
 	r.Register("sessions", metrics.NewFunctionalGauge(func() int64 {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -64,6 +69,13 @@
 	instance.Histogram(name+".time", m.registry).Update(e.Took.Microseconds())
 }
 
+// recordPlan counts an admitted job that may miss its objective.
+func (m *gatewayMetrics) recordPlan(e *dispatch.PlanMetrics) {
+	if e.Uncertain {
+		metrics.GetOrRegisterCounter("jobs."+e.Queue+".uncertain", m.registry).Inc(1)
+	}
+}
+
 // recordCrash counts crashes of servers and what followed from them.
 func (m *gatewayMetrics) recordCrash(e *dispatch.CrashMetrics) {
 	m.serversCrashed.Inc(int64(e.Servers))
--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -23,6 +23,8 @@
 	// AdvertiseAddr is the address at which entries reach the agent. It defaults to
 	// PeerAddr.
 	AdvertiseAddr string `toml:"advertise_addr" validate:"omitempty,ipport"`
+	// RunTimes learns the distributions of run times, see taskrunner.Options.
+	RunTimes bool `toml:"run_times"`
 }
 
 // defaultMemoryMB is the memory of the instance type commonly used for an agent.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -107,7 +107,7 @@
 		Token:      time.Now().UnixMilli(),
 		Lease:      min(taskrunner.DefaultLease, opts.LeaseMax.D()),
 		SessionTTL: taskrunner.DefaultSessionTTL, RenewalWait: taskrunner.DefaultRenewalWait, PollWait: taskrunner.DefaultPollWait,
-		StopTimeout: opts.StopTimeout.D(),
+		StopTimeout: opts.StopTimeout.D(), RunTimes: opts.RunTimes,
 	})
 	s.metrics = newMetrics(s)
 	s.background, s.stop = context.WithCancel(context.Background())
--- a/taskrunner/dump.go
+++ b/taskrunner/dump.go
@@ -4,21 +4,22 @@
 
 // Dump is the state of a Runner as shown to operators.
 type Dump struct {
-	Server            string        `json:"server"`
-	ServerIncarnation int64         `json:"server_run"`
-	Active            bool          `json:"active"`
-	Draining          bool          `json:"draining"`
-	Leaving           bool          `json:"leaving"`
-	Evacuated         bool          `json:"zone_evacuated"` // the availability zone is evacuated
-	Clean             bool          `json:"clean"`          // no task of an earlier agent is running at the server
-	Token             int64         `json:"token"`
-	ClockMs           int64         `json:"clock_ms"` // newest reading of the server's clock
-	ClockAgeMs        int64         `json:"clock_age_ms"`
-	SeenEnd           int64         `json:"seen_end"` // highest EndRow.Index that has been processed
-	Slowness          int           `json:"slowness"` // expected run time over estimate, in thousandths
-	Failing           int           `json:"failing"`  // share of failed tasks, in thousandths
-	Sessions          []SessionDump `json:"sessions"`
-	Runs              []RunDump     `json:"runs"`
+	Server            string         `json:"server"`
+	ServerIncarnation int64          `json:"server_run"`
+	Active            bool           `json:"active"`
+	Draining          bool           `json:"draining"`
+	Leaving           bool           `json:"leaving"`
+	Evacuated         bool           `json:"zone_evacuated"` // the availability zone is evacuated
+	Clean             bool           `json:"clean"`          // no task of an earlier agent is running at the server
+	Token             int64          `json:"token"`
+	ClockMs           int64          `json:"clock_ms"` // newest reading of the server's clock
+	ClockAgeMs        int64          `json:"clock_age_ms"`
+	SeenEnd           int64          `json:"seen_end"` // highest EndRow.Index that has been processed
+	Slowness          int            `json:"slowness"` // expected run time over estimate, in thousandths
+	Failing           int            `json:"failing"`  // share of failed tasks, in thousandths
+	Sessions          []SessionDump  `json:"sessions"`
+	RunTimes          []RunTimesDump `json:"run_times"` // of the queues whose distribution is known
+	Runs              []RunDump      `json:"runs"`
 }
 
 // SessionDump is the state of an entry's session in a Dump.
@@ -36,6 +37,7 @@
 	Phase   string `json:"phase"`
 	CPU     int    `json:"cpu"`     // thousandths of a core
 	Percent int    `json:"percent"` // progress reported by the server
+	LeftMs  int64  `json:"left_ms"` // expected remaining run time; of a queued task its run time
 }
 
 // Dump returns the state of the Runner. Ages are relative to now.
@@ -49,8 +51,9 @@
 		d.Sessions = append(d.Sessions, SessionDump{Entry: s.name, Open: s.open, HeardAgeMs: now.Sub(s.lastHeard).Milliseconds(), UnseenReports: len(s.reports), Canceled: len(s.canceled)})
 	}
 	for _, r := range m.sortedRuns() {
-		d.Runs = append(d.Runs, RunDump{Task: r.key.String(), Phase: phaseNames[r.phase], CPU: r.cpu, Percent: r.percent})
+		d.Runs = append(d.Runs, RunDump{Task: r.key.String(), Phase: phaseNames[r.phase], CPU: r.cpu, Percent: r.percent, LeftMs: m.remaining(r).Milliseconds()})
 	}
+	d.RunTimes = m.runTimes.dump()
 	return d
 }
 
--- a/taskrunner/forecast.go
+++ b/taskrunner/forecast.go
@@ -27,7 +27,10 @@
 		return m.opts.StopTimeout
 	}
 	if !r.confirmed {
-		return m.health.expectedRunTime(r.estimate)
+		return m.expectedRunTime(r)
+	}
+	if d := m.distributionOf(r); d.Known() {
+		return m.conditionalRemaining(r, &d)
 	}
 	ran := m.now.Sub(r.startedAt)
 	return max(m.totalRunTime(r)-ran, 0)
--- a/taskrunner/options.go
+++ b/taskrunner/options.go
@@ -38,6 +38,9 @@
 	// StopTimeout is the longest time that the server takes to end a stopped
 	// task.
 	StopTimeout time.Duration
+	// RunTimes learns the distributions of run times, forecasts by them and sends them to
+	// the entries.
+	RunTimes bool
 }
 
 // Default timings. They stop a task whose entry has failed within InDoubtTimeout,
--- a/taskrunner/order.go
+++ b/taskrunner/order.go
@@ -106,7 +106,7 @@
 	t := m.timeline()
 	for _, q := range m.queue {
 		if q.startBy.Before(r.startBy) {
-			t.Reserve(q.cpu, m.health.expectedRunTime(q.estimate))
+			t.Reserve(q.cpu, m.expectedRunTime(q))
 		}
 	}
 	wait, ok := t.EarliestStart(r.cpu)
--- a/taskrunner/poll.go
+++ b/taskrunner/poll.go
@@ -76,10 +76,11 @@
 		st.Identity = &session.Identity{Service: m.server.Service, Server: m.server.ID, Labels: m.server.Labels, Capacity: m.server.CPU, MemMB: m.server.MemMB, GPU: m.server.GPU}
 	}
 	st.Crashes = m.unsentCrashes(s)
+	st.RunTimes = m.unsentRunTimes(s)
 	st.Running = m.runningTasks()
 	for _, r := range m.queue {
 		st.Queue = append(st.Queue, session.QueuedTask{
-			CPU: r.cpu, Ms: int(m.health.expectedRunTime(r.estimate).Milliseconds()), StartWithin: int(r.startBy.Sub(m.now).Milliseconds()),
+			CPU: r.cpu, Ms: int(m.expectedRunTime(r).Milliseconds()), StartWithin: int(r.startBy.Sub(m.now).Milliseconds()),
 		})
 	}
 	return st
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -44,6 +44,7 @@
 	confirmed      bool            // the server has acknowledged the start or listed the run
 	ackIncarnation int64           // server incarnation that confirmed the run; zero if unknown
 	percent        int             // progress reported by the server
+	listedFor      time.Duration   // run time by the server's clock when it reported percent; zero if unknown
 	progressAt     time.Time       // when percent last changed
 	stopAckedAt    time.Time       // when the stop was acknowledged; zero if it has not been
 	stopRetryAt    time.Time       // when a failed stop is sent again; zero if none has failed
@@ -126,6 +127,9 @@
 			inFlight.add(m.totalRunTime(r), r.estimate)
 		}
 	}
+	if m.opts.RunTimes {
+		inFlight = m.withoutTails(inFlight)
+	}
 	m.health.inFlight = inFlight
 }
 
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -247,7 +247,7 @@
 	case EndDone:
 		m.health.recordSuccess()
 		if r.startClock > 0 && clock > r.startClock {
-			m.health.recordRunTime(m.now, r.estimate, clock-r.startClock)
+			m.recordRunTime(r, clock-r.startClock)
 		}
 		m.finish(r, session.Done, "")
 	case EndFailed:
@@ -304,6 +304,9 @@
 		r.percent = percent
 		r.progressAt = m.now
 	}
+	if r.startClock > 0 {
+		r.listedFor = max(m.clock-r.startClock, 0)
+	}
 	if r.phase == running && m.now.Sub(r.progressAt) > stallTimeout {
 		m.health.recordFailure()
 		m.stop(r, session.Lost, fmt.Sprintf("no progress at %d %% for %v", percent, m.now.Sub(r.progressAt)))
--- a/taskrunner/session.go
+++ b/taskrunner/session.go
@@ -25,6 +25,7 @@
 	identitySent  bool // sentIdentity has been sent to the entry
 	sentIdentity  serverIdentity
 	crashSent     uint64 // number of the last crash that was sent to the entry
+	runTimesSent  uint64 // version of the last run times that were sent to the entry
 	// canceled holds the placements that were stopped while they had no run here,
 	// mostly because the stop arrived before the start.
 	canceled map[uint64]bool
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -45,6 +45,8 @@
 	lastCrash uint64  // number of the last one
 	starts    startRates
 
+	runTimes learnedRunTimes
+
 	stateSeq uint64 // of the last state sent to an entry
 	leaving  bool
 	drained  bool // Drained has been emitted
