Dispatch: servers weighed by the probability of ending a job on time

Cause: with quantiles as a bound, servers slower than the objective allows were left idle because of the three tasks in a hundred that would be late there. Change: free share times the probability; below one half, the earliest end.

--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -14,11 +14,11 @@
 	agent     *agent
 	timeline  *capacity.Timeline
 	runTime   time.Duration
-	runTimes  runtimes.Range // of the run time relative to runTime, see finishesOnTime
-	overhead  time.Duration  // expected time besides the work, see hopOverhead
-	jobTasks  int            // tasks of the job placed there
-	sameZone  bool           // in this entry's availability zone
-	freeShare float64        // see agent.unreservedShare, less the tasks planned so far
+	runTimes  runtimes.Distribution // relative to the expected run time
+	overhead  time.Duration         // expected time besides the work, see hopOverhead
+	jobTasks  int                   // tasks of the job placed there
+	sameZone  bool                  // in this entry's availability zone
+	freeShare float64               // see agent.unreservedShare, less the tasks planned so far
 }
 
 // finish returns the expected time from now to the end of another task of the
@@ -47,13 +47,14 @@
 }
 
 // pickCandidate chooses the agent for one task that should end within the given
-// time. Of the candidates that are sure enough to do so, see finishesOnTime, it
-// prefers the one with the most weighted free capacity, whatever
-// its speed, so that fast servers stay free for tasks that need them. If there is
-// none, it chooses the candidate that would end the task first.
+// time. Of the candidates that are likely enough to do so, it prefers the one with the
+// most free capacity, weighted and multiplied by the probability, so that fast servers
+// stay free for tasks that need them. If there is none, it chooses the candidate that
+// would end the task first.
 func pickCandidate(candidates []*candidate, j *job, within time.Duration) (*candidate, time.Duration) {
 	var earliest, preferred *candidate
 	var earliestFinish, preferredFinish time.Duration
+	var preferredScore float64
 	for _, c := range candidates {
 		if j.MaxPerServer > 0 && c.jobTasks >= j.MaxPerServer {
 			continue
@@ -65,8 +66,12 @@
 		if earliest == nil || finish < earliestFinish {
 			earliest, earliestFinish = c, finish
 		}
-		if c.finishesOnTime(j, finish, within) && (preferred == nil || c.weightedFreeShare() > preferred.weightedFreeShare()) {
-			preferred, preferredFinish = c, finish
+		p := c.onTimeProbability(j, finish, within)
+		if p < minOnTime {
+			continue
+		}
+		if score := c.score(p); preferred == nil || score > preferredScore {
+			preferred, preferredFinish, preferredScore = c, finish, score
 		}
 	}
 	if preferred != nil {
@@ -75,6 +80,14 @@
 	return earliest, earliestFinish
 }
 
+// score returns the candidate's weighted free share, less the more likely the job is late.
+func (c *candidate) score(onTime float64) float64 {
+	if share := c.weightedFreeShare(); share < 0 {
+		return share / onTime
+	}
+	return c.weightedFreeShare() * onTime
+}
+
 // fits reports whether a task of the job fits an idle server. Agents of earlier
 // builds state the processor capacity only.
 func fits(j *job, id *session.Identity) bool {
@@ -106,7 +119,7 @@
 		}
 		runTime := d.expectedRunTime(a, j)
 		c := &candidate{
-			agent: a, runTimes: d.runTimeRange(a, j), timeline: d.capacityTimeline(a, d.queuedAhead(a, j.objective.Sub(d.now))), runTime: runTime, overhead: hopOverhead,
+			agent: a, runTimes: d.runTimesAt(a, j), timeline: d.capacityTimeline(a, d.queuedAhead(a, j.objective.Sub(d.now))), runTime: runTime, overhead: hopOverhead,
 			jobTasks: d.tasksAt(j, a), sameZone: a.zone == d.opts.Zone, freeShare: a.unreservedShare(),
 		}
 		if !c.sameZone {
--- a/dispatch/runtimes.go
+++ b/dispatch/runtimes.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// jobCertainty is the probability with which all tasks of a job must end within its
-	// objective for their servers to be considered safe: nineteen of twenty jobs.
-	jobCertainty = 0.95
+	// minOnTime is the probability of a job's being on time below which the agent that
+	// ends a task first is chosen, because the job is more likely late than not.
+	minOnTime = 0.5
 	// relevantChange is the relative change of a quantile from which on it is logged.
 	relevantChange = 0.25
 )
@@ -73,31 +73,39 @@
 	return expected
 }
 
-// runTimeRange returns the range that encloses the run times of all tasks of a job with
-// jobCertainty.
-func (d *Dispatcher) runTimeRange(a *agent, j *job) runtimes.Range {
+// runTimesAt returns the distribution of the run times of a job's tasks at an agent.
+func (d *Dispatcher) runTimesAt(a *agent, j *job) runtimes.Distribution {
 	if !d.opts.Scheduling.RunTimes {
-		return runtimes.Range{}
+		return runtimes.Distribution{}
 	}
-	if r := d.runTimes.fleet.At(d.now, a.name, j.Queue.Name); r.Known() {
-		return r.Range(jobCertainty, j.Tasks)
-	}
-	return runtimes.Range{}
+	return d.runTimes.fleet.At(d.now, a.name, j.Queue.Name)
 }
 
-// finishesOnTime reports whether the candidate is sure enough to end a task by the
-// objective of its job, which is expected within the given time. The objective follows
-// the true run time: the shorter that is, the less time there is for waiting, and the
-// longer, the less for a slow server.
-func (c *candidate) finishesOnTime(j *job, finish, within time.Duration) bool {
+// onTimeProbability returns the probability that all tasks of the job would end within
+// its objective, which is in the given time, if each of them was expected to end at this
+// candidate as the given one is. The objective follows the true run time: the shorter
+// that is, the less time there is for waiting, and the longer, the less for a slow server.
+func (c *candidate) onTimeProbability(j *job, finish, within time.Duration) float64 {
 	if !c.runTimes.Known() {
-		return finish+c.finishMargin() <= within
+		if finish+c.finishMargin() <= within {
+			return 1
+		}
+		return 0
 	}
-	onTime := func(ratio float64) bool {
-		longer := func(t time.Duration) time.Duration { return time.Duration((ratio - 1) * float64(t)) }
-		return finish+longer(c.runTime)+minFinishMargin <= within+longer(j.Queue.Objective(j.Estimate)-j.Queue.TargetLatency)
+	slack := float64(within - finish - minFinishMargin)
+	// gain is by how much the slack grows with the run time, if that is twice the expected.
+	gain := float64(j.Queue.Objective(j.Estimate)-j.Queue.TargetLatency) - float64(c.runTime)
+	bound := c.runTimes.Median() * (1 - slack/gain)
+	p := 0.0
+	switch {
+	case gain > 0:
+		p = 1 - c.runTimes.Below(bound)
+	case gain < 0:
+		p = c.runTimes.Below(bound)
+	case slack >= 0:
+		p = 1
 	}
-	return onTime(c.runTimes.Low) && onTime(c.runTimes.High)
+	return math.Pow(p, float64(j.Tasks))
 }
 
 func uncertainTasks(plan []assignment) int {
