--- a/dispatch/load_bench_test.go
+++ b/dispatch/load_bench_test.go
@@ -12,9 +12,13 @@
 // BenchmarkSubmit measures placing and answering a job of eight tasks on busy
 // servers.
 func BenchmarkSubmit(b *testing.B) {
-	for _, agents := range []int{11, 72} {
-		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
-			d := dispatch.New(dispatch.Options{Entry: "entry-1", Zone: "zone-a", InDoubtTimeout: inDoubtTimeout, AnswerRetention: dispatch.DefaultAnswerRetention})
+	for _, v := range []struct {
+		agents   int
+		runTimes bool
+	}{{11, false}, {72, false}, {72, true}} {
+		b.Run(fmt.Sprintf("agents=%d/run_times=%t", v.agents, v.runTimes), func(b *testing.B) {
+			d := dispatch.New(dispatch.Options{Entry: "entry-1", Zone: "zone-a", InDoubtTimeout: inDoubtTimeout, AnswerRetention: dispatch.DefaultAnswerRetention,
+				Scheduling: dispatch.Scheduling{RunTimes: v.runTimes}})
 			now := start
 			var seq uint64
 			state := func() session.State {
@@ -25,8 +29,10 @@
 					Running: []session.RunningTask{{CPU: 6800, Ms: 20}, {CPU: 6800, Ms: 40}, {CPU: 6800, Ms: 60}, {CPU: 6800, Ms: 90}, {CPU: 6800, Ms: 200}, {CPU: 12_000, Ms: 700}},
 				}
 			}
-			for i := range agents {
-				d.Step(now, dispatch.SessionOpened{ID: dispatch.SessionID(i + 1), Agent: fmt.Sprintf("agent-%d", i), Zone: "zone-a", State: state()})
+			for i := range v.agents {
+				st := state()
+				st.RunTimes = []session.RunTimes{{Queue: queue().Name, Samples: 400, Ratios: []int{500, 600, 650, 750, 1000, 1200, 1350, 1400, 2000, 5000, 6500, 7000}}}
+				d.Step(now, dispatch.SessionOpened{ID: dispatch.SessionID(i + 1), Agent: fmt.Sprintf("agent-%d", i), Zone: "zone-a", State: st})
 			}
 			b.ReportAllocs()
 			for i := range b.N {
--- a/runtimes/distribution.go
+++ b/runtimes/distribution.go
@@ -85,17 +85,3 @@
 	}
 	return max(d.Quantile((1+d.Below(ran))/2)-ran, 0)
 }
-
-// Range returns the quantiles that enclose the ratios of all of n tasks with the given
-// certainty, relative to the median.
-func (d *Distribution) Range(certainty float64, n int) Range {
-	p := math.Pow(certainty, 1/float64(max(n, 1)))
-	m := d.Median()
-	return Range{Low: d.Quantile(1-p) / m, High: d.Quantile(p) / m}
-}
-
-// Range is a range of run times, relative to the expected one. The zero value is unknown.
-type Range struct{ Low, High float64 }
-
-// Known reports whether the range is known.
-func (r Range) Known() bool { return r.High > 0 }
--- a/runtimes/tracker.go
+++ b/runtimes/tracker.go
@@ -96,3 +96,6 @@
 	}
 	return names
 }
+
+// Tracked returns the number of queues that are kept, known or not.
+func (t *Tracker) Tracked() int { return len(t.queues) }
