Run times: forecasts by the bounds that progress sets; late jobs weigh more

Cause: the server's clock and progress are whole ms and percents, so that the first report of a task overstated its run time by up to 40 %; learned speeds are uncertain by some percent, which the probability left out.

--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -82,10 +83,11 @@
 
 // score returns the candidate's weighted free share, less the more likely the job is late.
 func (c *candidate) score(onTime float64) float64 {
+	weight := math.Pow(onTime, lateWeight)
 	if share := c.weightedFreeShare(); share < 0 {
-		return share / onTime
+		return share / weight
 	}
-	return c.weightedFreeShare() * onTime
+	return c.weightedFreeShare() * weight
 }
 
 // fits reports whether a task of the job fits an idle server. Agents of earlier
--- a/dispatch/runtimes.go
+++ b/dispatch/runtimes.go
@@ -13,6 +13,9 @@
 	// minOnTime is the probability of a job's being on time below which the agent that
 	// ends a task first is chosen, because the job is more likely late than not.
 	minOnTime = 0.5
+	// lateWeight is the exponent of that probability when servers are compared by their free
+	// capacity: a late job costs its caller more than an uneven load.
+	lateWeight = 3
 	// relevantChange is the relative change of a quantile from which on it is logged.
 	relevantChange = 0.25
 )
@@ -92,9 +95,9 @@
 		}
 		return 0
 	}
-	slack := float64(within - finish - minFinishMargin)
+	slack := float64(within - finish - c.finishMargin())
 	// gain is by how much the slack grows with the run time, if that is twice the expected.
-	gain := float64(j.Queue.Objective(j.Estimate)-j.Queue.TargetLatency) - float64(c.runTime)
+	gain := float64(j.Queue.Objective(j.Estimate)-j.Queue.TargetLatency) - (1+finishMarginShare)*float64(c.runTime)
 	bound := c.runTimes.Median() * (1 - slack/gain)
 	p := 0.0
 	switch {
--- a/runtimes/runtimes.go
+++ b/runtimes/runtimes.go
@@ -16,7 +16,7 @@
 const (
 	// MinSamples is the weight, in tasks, from which on a distribution is used: with
 	// fewer, its outer quantiles are those of single tasks.
-	MinSamples = 50
+	MinSamples = 30
 	// decayTime is the time constant with which earlier tasks lose their weight. A queue
 	// with three tasks a second at a server keeps some 200, of which three in a hundred
 	// show a tail.
@@ -29,6 +29,9 @@
 	// publishInterval is the least time between two publications of one queue by a
 	// Tracker, so that a polled session carries them rarely.
 	publishInterval = 2 * time.Second
+	// growthToPublish is by how much the weight must have grown for an earlier publication,
+	// so that a new queue is soon known.
+	growthToPublish = 2
 	// combineInterval is the least time between two combinations of one queue in a Fleet.
 	combineInterval = time.Second
 	// bodyFactor times the quantile at bodyProbability bounds the run times that errors of
--- a/runtimes/runtimes_test.go
+++ b/runtimes/runtimes_test.go
@@ -152,12 +152,12 @@
 	median := func(at time.Duration) float64 { d := f.Of(epoch.Add(at), "check"); return d.Median() }
 	f.Update(epoch, "agent-1", 10, []session.RunTimes{now})
 	f.Update(epoch, "agent-1", 9, []session.RunTimes{before})
-	g.Expect(median(2*time.Second)).To(BeNumerically("~", 2, 0.12))
+	g.Expect(median(2 * time.Second)).To(BeNumerically("~", 2, 0.12))
 	f.Open("agent-1")
 	f.Update(epoch, "agent-1", 1, nil)
-	g.Expect(median(4*time.Second)).To(BeNumerically("~", 2, 0.12))
+	g.Expect(median(4 * time.Second)).To(BeNumerically("~", 2, 0.12))
 	f.Update(epoch, "agent-1", 2, []session.RunTimes{before})
-	g.Expect(median(6*time.Second)).To(BeNumerically("~", 1, 0.06))
+	g.Expect(median(6 * time.Second)).To(BeNumerically("~", 1, 0.06))
 }
 
 func TestOnlyChangedRunTimesAreSent(t *testing.T) {
--- a/runtimes/tracker.go
+++ b/runtimes/tracker.go
@@ -20,7 +20,7 @@
 type trackedQueue struct {
 	name         string
 	histogram    histogram
-	current      Distribution // recomputed with each publication
+	current      Distribution // as published
 	publishedAt  time.Time
 	publishedVer uint64
 }
@@ -33,7 +33,7 @@
 	q := t.queue(queue)
 	q.histogram.decay(now)
 	q.histogram.add(ratio, 1)
-	if q.publishedAt.IsZero() || now.Sub(q.publishedAt) >= publishInterval {
+	if now.Sub(q.publishedAt) >= publishInterval || q.histogram.total >= growthToPublish*float64(q.current.Samples) {
 		t.version++
 		q.current, q.publishedAt, q.publishedVer = q.histogram.distribution(), now, t.version
 	}
@@ -72,14 +72,15 @@
 }
 
 // Since returns the distributions published after a version, and the version to pass the
-// next time. Version zero stands for all.
+// next time. Version zero stands for all. Those of few samples are included, because many
+// servers together may have enough.
 func (t *Tracker) Since(version uint64) ([]session.RunTimes, uint64) {
 	if version == t.version {
 		return nil, version
 	}
 	var list []session.RunTimes
 	for _, q := range t.queues {
-		if q.publishedVer > version && q.current.Known() {
+		if q.publishedVer > version {
 			list = append(list, q.current.Message(q.name))
 		}
 	}
--- a/taskrunner/runtimes.go
+++ b/taskrunner/runtimes.go
@@ -61,21 +61,33 @@
 	return expected
 }
 
-// conditionalRemaining predicts the time until a started run ends: from its progress,
-// or from its distribution given how long it has run without enough progress.
+// conditionalRemaining predicts the time until a started run ends: by its distribution,
+// given how long it has run, within the bounds that its progress sets.
 func (m *Runner) conditionalRemaining(r *run, d *runtimes.Distribution) time.Duration {
 	ran := m.now.Sub(r.startedAt)
-	if r.listedFor > 0 && r.percent >= minPredictivePercent {
-		total := scale(r.listedFor, perCent/(float64(r.percent)+0.5)) // percent is rounded down
-		return max(total-ran, ran-total)                              // one that is overdue has slowed down since
-	}
+	least, most := r.totalBounds()
+	least = max(least, ran)
 	expected := m.health.expectedRunTime(r.estimate)
-	// The total run time exceeds what it would be if the progress reached the next percent.
-	least := max(ran, scale(r.listedFor, perCent/float64(r.percent+1)))
-	return least - ran + scale(expected, d.Remaining(float64(least)/float64(expected)))
+	total := min(least+scale(expected, d.Remaining(float64(least)/float64(expected))), most)
+	return max(total-ran, ran-total) // one that is overdue has slowed down since
 }
 
-const perCent = 100
+// clockGrain is the resolution of the server's clock in its replies.
+const clockGrain = time.Millisecond
+
+// totalBounds returns the least and the most total run time of a run by its progress,
+// which the server rounds down to whole percents.
+func (r *run) totalBounds() (least, most time.Duration) {
+	most = math.MaxInt64
+	if r.listedFor <= clockGrain {
+		return 0, most
+	}
+	least = (r.listedFor - clockGrain) * 100 / time.Duration(r.percent+1)
+	if r.percent > 0 {
+		most = (r.listedFor + clockGrain) * 100 / time.Duration(r.percent)
+	}
+	return least, most
+}
 
 func scale(d time.Duration, factor float64) time.Duration {
 	return time.Duration(float64(d) * factor)
