Dispatch: the probability of a task decides whether a server is likely, that of the job orders them

Cause: with the probability of the whole job as the bound, tasks of wide jobs went to the server that ends them first at half the wait of before, all from each entry.

--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -71,7 +71,7 @@
 		if p < minOnTime {
 			continue
 		}
-		if score := c.score(p); preferred == nil || score > preferredScore {
+		if score := c.score(j, p); preferred == nil || score > preferredScore {
 			preferred, preferredFinish, preferredScore = c, finish, score
 		}
 	}
@@ -81,9 +81,11 @@
 	return earliest, earliestFinish
 }
 
-// score returns the candidate's weighted free share, less the more likely the job is late.
-func (c *candidate) score(onTime float64) float64 {
-	weight := math.Pow(onTime, lateWeight)
+// score returns the candidate's weighted free share, less the more likely the job would be
+// late if each of its tasks was on time with the given probability. Wide jobs thereby take
+// the servers that are sure, and leave the others to narrow ones.
+func (c *candidate) score(j *job, onTime float64) float64 {
+	weight := math.Pow(onTime, float64(j.Tasks))
 	if share := c.weightedFreeShare(); share < 0 {
 		return share / weight
 	}
--- a/dispatch/runtimes.go
+++ b/dispatch/runtimes.go
@@ -10,12 +10,9 @@
 )
 
 const (
-	// minOnTime is the probability of a job's being on time below which the agent that
-	// ends a task first is chosen, because the job is more likely late than not.
+	// minOnTime is the probability of being on time below which a task goes to the agent
+	// that ends it first, because it is more likely late than not.
 	minOnTime = 0.5
-	// lateWeight is the exponent of that probability when servers are compared by their free
-	// capacity: a late job costs its caller more than an uneven load.
-	lateWeight = 3
 	// relevantChange is the relative change of a quantile from which on it is logged.
 	relevantChange = 0.25
 )
@@ -84,9 +81,8 @@
 	return d.runTimes.fleet.At(d.now, a.name, j.Queue.Name)
 }
 
-// onTimeProbability returns the probability that all tasks of the job would end within
-// its objective, which is in the given time, if each of them was expected to end at this
-// candidate as the given one is. The objective follows the true run time: the shorter
+// onTimeProbability returns the probability that a task ends within the objective of its
+// job, which is in the given time. The objective follows the true run time: the shorter
 // that is, the less time there is for waiting, and the longer, the less for a slow server.
 func (c *candidate) onTimeProbability(j *job, finish, within time.Duration) float64 {
 	if !c.runTimes.Known() {
@@ -108,7 +104,7 @@
 	case slack >= 0:
 		p = 1
 	}
-	return math.Pow(p, float64(j.Tasks))
+	return p
 }
 
 func uncertainTasks(plan []assignment) int {
--- a/runtimes/load_test.go
+++ b/runtimes/load_test.go
@@ -53,7 +53,6 @@
 	id      dispatch.SessionID
 	runner  *taskrunner.Runner
 	slow    float64 // run time over work
-	running map[taskrunner.RunKey]int
 	started map[taskrunner.RunKey][2]int
 	ended   []taskrunner.EndRow
 	endSeq  int64
