Run times: servers are likely by the rule of before; tails only where a distribution has one

Ordering waiting servers by their probability follows the forecast of waits, which is stale at the other entries, and learned medians were applied also where they were within the error of learned speeds. Change: the probability is that of a start at once, and only orders servers that the rule of before takes; a median counts from a quarter off; a queue whose quantile at 0.98 is within its body is treated as before.

--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -183,7 +183,7 @@
 			slowness = last.slowness
 		}
 	}
-	return d.correctRunTime(a, j, j.Estimate*time.Duration(slowness)/1000)
+	return d.correctRunTime(j, j.Estimate*time.Duration(slowness)/1000)
 }
 
 // queuedAhead returns a filter for the agent's queued tasks that are assumed to
--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -1,12 +1,10 @@
 package dispatch
 
 import (
-	"math"
 	"slices"
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/capacity"
-	"github.com/chestnuthollow/chestnuthollow/runtimes"
 	"github.com/chestnuthollow/chestnuthollow/session"
 )
 
@@ -15,11 +13,11 @@
 	agent     *agent
 	timeline  *capacity.Timeline
 	runTime   time.Duration
-	runTimes  runtimes.Distribution // relative to the expected run time
-	overhead  time.Duration         // expected time besides the work, see hopOverhead
-	jobTasks  int                   // tasks of the job placed there
-	sameZone  bool                  // in this entry's availability zone
-	freeShare float64               // see agent.unreservedShare, less the tasks planned so far
+	overhead  time.Duration // expected time besides the work, see hopOverhead
+	jobTasks  int           // tasks of the job placed there
+	sameZone  bool          // in this entry's availability zone
+	freeShare float64       // see agent.unreservedShare, less the tasks planned so far
+	onTime    float64       // see Dispatcher.onTimeProbability
 }
 
 // finish returns the expected time from now to the end of another task of the
@@ -48,14 +46,13 @@
 }
 
 // pickCandidate chooses the agent for one task that should end within the given
-// time. Of the candidates that are likely enough to do so, it prefers the one with the
-// most free capacity, weighted and multiplied by the probability, so that fast servers
-// stay free for tasks that need them. If there is none, it chooses the candidate that
-// would end the task first.
+// time. Of the candidates that are expected to end it at least finishMargin
+// before that, it prefers the one with the most weighted free capacity, whatever
+// its speed, so that fast servers stay free for tasks that need them. If there is
+// none, it chooses the candidate that would end the task first.
 func pickCandidate(candidates []*candidate, j *job, within time.Duration) (*candidate, time.Duration) {
 	var earliest, preferred *candidate
 	var earliestFinish, preferredFinish time.Duration
-	var preferredScore float64
 	for _, c := range candidates {
 		if j.MaxPerServer > 0 && c.jobTasks >= j.MaxPerServer {
 			continue
@@ -67,12 +64,8 @@
 		if earliest == nil || finish < earliestFinish {
 			earliest, earliestFinish = c, finish
 		}
-		p := c.onTimeProbability(j, finish, within)
-		if p < minOnTime {
-			continue
-		}
-		if score := c.score(j, p); preferred == nil || score > preferredScore {
-			preferred, preferredFinish, preferredScore = c, finish, score
+		if finish+c.finishMargin() <= within && (preferred == nil || c.score() > preferred.score()) {
+			preferred, preferredFinish = c, finish
 		}
 	}
 	if preferred != nil {
@@ -82,14 +75,13 @@
 }
 
 // score returns the candidate's weighted free share, less the more likely the job would be
-// late if each of its tasks was on time with the given probability. Wide jobs thereby take
-// the servers that are sure, and leave the others to narrow ones.
-func (c *candidate) score(j *job, onTime float64) float64 {
-	weight := math.Pow(onTime, float64(j.Tasks))
+// late there. Wide jobs thereby take the servers that are sure, and leave the others to
+// narrow ones.
+func (c *candidate) score() float64 {
 	if share := c.weightedFreeShare(); share < 0 {
-		return share / weight
+		return share / c.onTime
 	}
-	return c.weightedFreeShare() * weight
+	return c.weightedFreeShare() * c.onTime
 }
 
 // fits reports whether a task of the job fits an idle server. Agents of earlier
@@ -123,12 +115,13 @@
 		}
 		runTime := d.expectedRunTime(a, j)
 		c := &candidate{
-			agent: a, runTimes: d.runTimesAt(a, j), timeline: d.capacityTimeline(a, d.queuedAhead(a, j.objective.Sub(d.now))), runTime: runTime, overhead: hopOverhead,
+			agent: a, timeline: d.capacityTimeline(a, d.queuedAhead(a, j.objective.Sub(d.now))), runTime: runTime, overhead: hopOverhead,
 			jobTasks: d.tasksAt(j, a), sameZone: a.zone == d.opts.Zone, freeShare: a.unreservedShare(),
 		}
 		if !c.sameZone {
 			c.overhead += crossZoneOverhead
 		}
+		c.onTime = d.onTimeProbability(c, j)
 		if a.state.Failing >= failingThreshold || avoidsAgent(j, tasks, a.name) {
 			fallback = append(fallback, c)
 		} else {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -58,7 +58,7 @@
 			return nil, structs.Errorf(structs.CodeOverloaded, structs.NotRun, "no server can take another task of %d thousandths of a core", j.CPU).
 				WithRetryAfter(d.retryAfter(j))
 		}
-		uncertain := best.onTimeProbability(j, finish, j.objective.Sub(d.now)) < minOnTime
+		uncertain := finish+best.finishMargin() > j.objective.Sub(d.now)
 		best.timeline.Reserve(j.CPU, best.runTime)
 		best.jobTasks++
 		best.freeShare -= float64(j.CPU) / float64(max(best.agent.identity.Capacity, 1))
--- a/dispatch/runtimes.go
+++ b/dispatch/runtimes.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// minOnTime is the probability of being on time below which a task goes to the agent
-	// that ends it first, because it is more likely late than not.
-	minOnTime = 0.5
+	// minOnTime is the least probability of being on time that servers are weighed by, so
+	// that their free capacity still counts.
+	minOnTime = 0.01
 	// relevantChange is the relative change of a quantile from which on it is logged.
 	relevantChange = 0.25
 )
@@ -63,48 +63,30 @@
 
 // correctRunTime corrects an expected run time by the constant error of the queue's
 // estimates.
-func (d *Dispatcher) correctRunTime(a *agent, j *job, expected time.Duration) time.Duration {
+func (d *Dispatcher) correctRunTime(j *job, expected time.Duration) time.Duration {
 	if !d.opts.Scheduling.RunTimes {
 		return expected
 	}
-	if r := d.runTimes.fleet.At(d.now, a.name, j.Queue.Name); r.Known() {
-		return time.Duration(float64(expected) * r.Median())
-	}
-	return expected
+	r := d.runTimes.fleet.Of(d.now, j.Queue.Name)
+	return time.Duration(float64(expected) * r.Correction())
 }
 
-// runTimesAt returns the distribution of the run times of a job's tasks at an agent.
-func (d *Dispatcher) runTimesAt(a *agent, j *job) runtimes.Distribution {
+// onTimeProbability returns the probability that all tasks of the job end within its
+// objective if they start now at the candidate. The objective follows the true run time:
+// a server that is slower than it allows for is late with the longest tasks.
+func (d *Dispatcher) onTimeProbability(c *candidate, j *job) float64 {
 	if !d.opts.Scheduling.RunTimes {
-		return runtimes.Distribution{}
-	}
-	return d.runTimes.fleet.At(d.now, a.name, j.Queue.Name)
-}
-
-// onTimeProbability returns the probability that a task ends within the objective of its
-// job, which is in the given time. The objective follows the true run time: the shorter
-// that is, the less time there is for waiting, and the longer, the less for a slow server.
-func (c *candidate) onTimeProbability(j *job, finish, within time.Duration) float64 {
-	if !c.runTimes.Known() {
-		if finish+c.finishMargin() <= within {
-			return 1
-		}
-		return 0
+		return 1
 	}
-	slack := float64(within - finish - c.finishMargin())
-	// gain is by how much the slack grows with the run time, if that is twice the expected.
-	gain := float64(j.Queue.Objective(j.Estimate)-j.Queue.TargetLatency) - (1+finishMarginShare)*float64(c.runTime)
-	bound := c.runTimes.Median() * (1 - slack/gain)
-	p := 0.0
-	switch {
-	case gain > 0:
-		p = 1 - c.runTimes.Below(bound)
-	case gain < 0:
-		p = c.runTimes.Below(bound)
-	case slack >= 0:
-		p = 1
+	r := d.runTimes.fleet.At(d.now, c.agent.name, j.Queue.Name)
+	allowed := float64(j.Queue.Objective(j.Estimate) - j.Queue.TargetLatency)
+	deficit := float64(c.runTime) - allowed
+	if !r.Known() || deficit <= 0 {
+		return 1
 	}
-	return p
+	slack := j.objective.Sub(d.now) - c.runTime - c.overhead - minFinishMargin
+	longest := r.Correction() * (1 + float64(slack)/deficit)
+	return max(math.Pow(r.Below(longest), float64(j.Tasks)), minOnTime)
 }
 
 func uncertainTasks(plan []assignment) int {
--- a/runtimes/distribution.go
+++ b/runtimes/distribution.go
@@ -57,9 +57,18 @@
 	return d.ratios[i-1] + share*(d.ratios[i]-d.ratios[i-1])
 }
 
-// Median returns the quantile at 0.5: the constant error of the queue's estimates.
+// Median returns the quantile at 0.5.
 func (d *Distribution) Median() float64 { return d.Quantile(0.5) }
 
+// Correction returns the factor that corrects a constant error of the queue's estimates;
+// 1 if the distribution is unknown.
+func (d *Distribution) Correction() float64 {
+	if m := d.Median(); d.Known() && math.Abs(m-1) >= minConstantError {
+		return m
+	}
+	return 1
+}
+
 // Below returns the share of the tasks whose ratio is at most x.
 func (d *Distribution) Below(x float64) float64 {
 	i := sort.SearchFloat64s(d.ratios[:], x)
@@ -76,6 +85,15 @@
 // Body returns the ratio beyond which a task is in the tail of the distribution.
 func (d *Distribution) Body() float64 { return bodyFactor * d.Quantile(bodyProbability) }
 
+// HasTail reports whether more tasks take far longer than the others than errors of
+// estimates explain.
+func (d *Distribution) HasTail() bool {
+	return d.Known() && d.Quantile(tailProbability) > d.Body()
+}
+
+// InTail reports whether a ratio is in the tail of the distribution.
+func (d *Distribution) InTail(ratio float64) bool { return d.HasTail() && ratio > d.Body() }
+
 // Remaining returns the median of what remains, as a ratio, of a task that has run for
 // the ratio ran. A task that has run longer than all known ones is expected to go on for
 // as long as it has exceeded the longest.
--- a/runtimes/runtimes.go
+++ b/runtimes/runtimes.go
@@ -38,6 +38,11 @@
 	// estimates explain. What is longer is in the tail of its distribution.
 	bodyFactor      = 1.5
 	bodyProbability = 0.9
+	// A distribution has a tail if its quantile at tailProbability is beyond the body.
+	tailProbability = 0.98
+	// minConstantError is the least deviation of the median from 1 that counts as a constant
+	// error of the queue's estimates. Smaller ones are within the error of learned speeds.
+	minConstantError = 0.25
 	// perMille scales ratios to the thousandths used in messages.
 	perMille = 1000
 )
--- a/taskrunner/runtimes.go
+++ b/taskrunner/runtimes.go
@@ -54,39 +54,36 @@
 // expectedRunTime returns the expected run time of a run that has not started. It
 // corrects the constant error of its queue's estimates.
 func (m *Runner) expectedRunTime(r *run) time.Duration {
-	expected := m.health.expectedRunTime(r.estimate)
-	if d := m.distributionOf(r); d.Known() {
-		return scale(expected, d.Median())
-	}
-	return expected
+	d := m.distributionOf(r)
+	return scale(m.health.expectedRunTime(r.estimate), d.Correction())
 }
 
-// conditionalRemaining predicts the time until a started run ends: by its distribution,
-// given how long it has run, within the bounds that its progress sets.
+// conditionalRemaining predicts the time until a started run ends: by its progress, or,
+// while there is too little, by its distribution if it has outrun the expected time or is
+// in the tail.
 func (m *Runner) conditionalRemaining(r *run, d *runtimes.Distribution) time.Duration {
 	ran := m.now.Sub(r.startedAt)
-	least, most := r.totalBounds()
-	least = max(least, ran)
-	expected := m.health.expectedRunTime(r.estimate)
-	total := min(least+scale(expected, d.Remaining(float64(least)/float64(expected))), most)
-	return max(total-ran, ran-total) // one that is overdue has slowed down since
+	if r.percent >= minPredictivePercent {
+		left := m.totalRunTime(r) - ran
+		return max(left, -left) // one that is overdue has slowed down since
+	}
+	unit := float64(m.health.expectedRunTime(r.estimate)) // of the ratios
+	if least := r.leastRunTime(); least > ran && d.InTail(float64(least)/unit) {
+		return least - ran + time.Duration(unit*d.Remaining(float64(least)/unit))
+	}
+	if left := m.expectedRunTime(r) - ran; left > 0 {
+		return left
+	}
+	return time.Duration(unit * d.Remaining(float64(ran)/unit))
 }
 
 // clockGrain is the resolution of the server's clock in its replies.
 const clockGrain = time.Millisecond
 
-// totalBounds returns the least and the most total run time of a run by its progress,
-// which the server rounds down to whole percents.
-func (r *run) totalBounds() (least, most time.Duration) {
-	most = math.MaxInt64
-	if r.listedFor <= clockGrain {
-		return 0, most
-	}
-	least = (r.listedFor - clockGrain) * 100 / time.Duration(r.percent+1)
-	if r.percent > 0 {
-		most = (r.listedFor + clockGrain) * 100 / time.Duration(r.percent)
-	}
-	return least, most
+// leastRunTime returns the least total run time of a run by its progress, which the server
+// rounds down to whole percents.
+func (r *run) leastRunTime() time.Duration {
+	return max(r.listedFor-clockGrain, 0) * 100 / time.Duration(r.percent+1)
 }
 
 func scale(d time.Duration, factor float64) time.Duration {
@@ -103,7 +100,7 @@
 	expected := m.health.expectedRunTime(r.estimate)
 	ratio := float64(ran) / float64(expected)
 	d := m.distributionOf(r)
-	tail := d.Known() && ratio > d.Body()
+	tail := d.InTail(ratio)
 	m.runTimes.finished.record(m.now, tail)
 	slow := m.runTimes.slow || m.runTimes.finished.exceeded()
 	if !tail || slow {
@@ -129,7 +126,7 @@
 		}
 		started++
 		total := m.totalRunTime(r)
-		if d := m.distributionOf(r); d.Known() && float64(total) > d.Body()*float64(m.health.expectedRunTime(r.estimate)) {
+		if d := m.distributionOf(r); d.InTail(float64(total) / float64(m.health.expectedRunTime(r.estimate))) {
 			tails++
 			continue
 		}
