--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -204,6 +204,7 @@
 	for _, r := range a.state.Running {
 		releases = append(releases, capacity.Release{At: time.Duration(r.Ms)*time.Millisecond - age, CPU: r.CPU})
 	}
+	releases = append(releases, a.warmUpRelease(age)...)
 	t := capacity.New(a.state.FreeCPU, releases)
 	for _, q := range a.state.Queue {
 		if isAhead(q) {
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -30,6 +30,9 @@
 	Running  int    `json:"running"`
 	Waiting  int    `json:"waiting"`
 	AgeMs    int64  `json:"state_age_ms"`
+	ColdMs   int    `json:"cold_ms"` // how much longer the server runs slowly
+	// Evacuated means that the agent's availability zone is evacuated.
+	Evacuated bool `json:"zone_evacuated"`
 }
 
 // JobDump is one job that is open, or answered with tasks not yet ended.
@@ -55,6 +58,7 @@
 			Name: a.name, Zone: a.zone, Server: a.identity.Server, Ready: a.state.Ready, Capacity: a.identity.Capacity,
 			FreeCPU: a.state.FreeCPU, Slowness: a.state.Slowness, Failing: a.state.Failing,
 			Running: len(a.state.Running), Waiting: len(a.state.Queue), AgeMs: now.Sub(a.stateReceivedAt).Milliseconds(),
+			ColdMs: a.state.ColdMs, Evacuated: d.evacuated(a.zone),
 		})
 	}
 	for _, j := range d.sortedJobs(func(*job) bool { return true }) {
--- a/dispatch/evacuation.go
+++ b/dispatch/evacuation.go
@@ -3,7 +3,9 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
+	"github.com/chestnuthollow/chestnuthollow/capacity"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -42,3 +44,16 @@
 	return structs.Errorf(structs.CodeOverloaded, structs.NotRun, "all servers of service %s are in evacuated availability zones (%s)",
 		j.Queue.Service, strings.Join(d.evacuatedZones, ", ")).WithRetryAfter(max(d.zoneExpectedAt.Sub(d.now), unavailableRetryAfter))
 }
+
+// warmUpRelease returns the capacity that an agent withholds while its server is cold, and
+// when it is used. Age is that of the agent's state.
+func (a *agent) warmUpRelease(age time.Duration) []capacity.Release {
+	if a.state.ColdMs <= 0 {
+		return nil
+	}
+	withheld := a.identity.Capacity - a.state.FreeCPU
+	for _, r := range a.state.Running {
+		withheld -= r.CPU
+	}
+	return []capacity.Release{{At: time.Duration(a.state.ColdMs)*time.Millisecond - age, CPU: max(withheld, 0)}}
+}
--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -79,16 +79,16 @@
 	return s.replace(now, session.Evacuation{Version: r.Offset + 1, Zones: zones})
 }
 
-// ApplySnapshot replaces the state by a snapshot of the topic and returns what changed. A
-// record from Snapshot.Next on was written while the snapshot was read and is read again
-// as the next record; until then its zone stays as it was.
+// ApplySnapshot replaces the state by a snapshot of the topic and returns what changed.
+// Records from Snapshot.Next on were written while the snapshot was read; they are
+// included, and change nothing when they are read again.
 func (s *State) ApplySnapshot(now time.Time, snap Snapshot) []Change {
 	if snap.Next <= s.current.Version {
 		return nil
 	}
 	var zones []string
 	for _, r := range snap.Records {
-		if r.Offset >= snap.Next && s.Evacuated(r.Zone) || r.Offset < snap.Next && r.Evacuated {
+		if r.Evacuated {
 			zones = append(zones, r.Zone)
 		}
 	}
--- /dev/null
+++ b/taskrunner/evacuation_test.go
@@ -0,0 +1,124 @@
+package taskrunner_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/taskrunner"
+)
+
+// evacuate delivers evacuations with a poll of the session.
+func (h *harness) evacuate(sessionID uint64, version int64, zones ...string) {
+	h.lastCall++
+	h.step(taskrunner.PollCalled{Call: h.lastCall, Session: sessionID, Request: session.PollRequest{
+		Echo: h.reading(), Evacuation: session.Evacuation{Version: version, Zones: zones},
+	}})
+}
+
+func (h *harness) pollOutcomes() map[session.Outcome]int {
+	outcomes := make(map[session.Outcome]int)
+	for _, p := range effects[taskrunner.ReplyPoll](h) {
+		for _, r := range p.Reply.Reports {
+			outcomes[r.Outcome]++
+		}
+	}
+	return outcomes
+}
+
+func TestEvacuationReturnsQueuedTasksAndLetsStartedOnesEnd(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	h.order(1, h.reading(), "running", 15_000, 1)
+	h.Expect(effects[taskrunner.StartTask](h)).To(HaveLen(1))
+	h.order(1, h.reading(), "queued", 15_000, 2)
+	h.evacuate(1, 5, "zone-a")
+	h.Expect(h.pollOutcomes()).To(Equal(map[session.Outcome]int{session.NotStarted: 1}))
+	h.Expect(effects[taskrunner.StopTask](h)).To(BeEmpty(), "what runs ends by itself")
+	h.Expect(effects[taskrunner.ReplyPoll](h)[0].Reply.State.Ready).To(BeFalse())
+}
+
+// An entry that is cut off from the store and its peers, or was frozen, does not know of
+// the evacuation. Its session is alive, and another entry has informed the agent.
+func TestOrderOfEntryWithOldViewStartsNothing(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	h.open(2, 22)
+	h.evacuate(2, 5, "zone-a")
+	h.order(1, h.reading(), "late", 1000, 1)
+	h.Expect(effects[taskrunner.StartTask](h)).To(BeEmpty())
+	h.evacuate(1, 4) // the old view says that no zone is evacuated
+	h.order(1, h.reading(), "later", 1000, 2)
+	h.Expect(effects[taskrunner.StartTask](h)).To(BeEmpty())
+}
+
+func TestEvacuationThatComesWithAnOrderAppliesToIt(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	h.step(taskrunner.OrderCalled{Call: 9, Session: 1, Request: session.OrderRequest{
+		Echo: h.reading(), Evacuation: session.Evacuation{Version: 5, Zones: []string{"zone-a"}},
+		Start: []session.JobPart{{Job: "job", Service: "booking", CPU: 1000, Estimate: time.Second, StartWithin: time.Second, Tasks: []session.Placement{{ID: 1, Attempt: 1}}}},
+	}})
+	h.Expect(effects[taskrunner.StartTask](h)).To(BeEmpty())
+}
+
+// A start without a reply is sent again; during an evacuation it is stopped instead.
+func TestUnansweredStartIsNotRepeatedDuringEvacuation(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	h.order(1, h.reading(), "job", 1000, 1)
+	h.evacuate(1, 5, "zone-a")
+	h.step(taskrunner.StartReplied{Key: runKey("job", 0), Result: taskrunner.StartUnknown, Reason: "timed out"})
+	h.Expect(effects[taskrunner.StartTask](h)).To(BeEmpty())
+	h.Expect(effects[taskrunner.StopTask](h)).To(HaveLen(1))
+}
+
+func TestTasksStartAgainWhenZoneIsRestored(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	h.evacuate(1, 5, "zone-a", "zone-b")
+	h.evacuate(1, 6, "zone-b")
+	h.order(1, h.reading(), "job", 1000, 1)
+	h.Expect(effects[taskrunner.StartTask](h)).To(HaveLen(1))
+}
+
+// An agent that has just started is told by the first entry that opens a session, before
+// any order, and passes it on to entries that open one later.
+func TestStartedAgentLearnsOfEvacuationWithItsFirstSession(t *testing.T) {
+	h := newHarness(t)
+	h.step(taskrunner.Ticked{})
+	id := h.newestRenewalID()
+	h.heartbeat(1, false)
+	h.answerRenewal(id, nil)
+	known := session.Evacuation{Version: 7, Zones: []string{"zone-a"}}
+	h.step(taskrunner.HelloCalled{Call: 1, Session: 1, Request: session.HelloRequest{Entry: "entry-1", Incarnation: 11, Evacuation: known}})
+	h.Expect(effects[taskrunner.ReplyHello](h)[0].Reply.State.Ready).To(BeFalse())
+	h.step(taskrunner.HelloCalled{Call: 2, Session: 2, Request: session.HelloRequest{Entry: "entry-2", Incarnation: 22}})
+	h.Expect(effects[taskrunner.ReplyHello](h)[0].Reply.Evacuation).To(Equal(known))
+}
+
+// A zone that is back with cold servers got its full load at once, and all of it was late.
+func TestColdServerIsTakenUpStepByStep(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	heartbeat := func(seq int64, cold time.Duration) {
+		h.step(taskrunner.ServerReported{Info: taskrunner.ServerInfo{
+			ID: "server-1", Incarnation: incarnation, Seq: seq, Service: "booking", CPU: 20_000, MemMB: 1000, Cold: cold,
+		}})
+	}
+	free := func() int {
+		h.evacuate(1, 1)
+		h.advance(taskrunner.DefaultPollWait)
+		h.step(taskrunner.Ticked{})
+		return effects[taskrunner.ReplyPoll](h)[0].Reply.State.FreeCPU
+	}
+	heartbeat(2, 4*time.Second)
+	h.Expect(free()).To(BeNumerically("~", 5_000, 800))
+	h.advance(200 * time.Millisecond)
+	heartbeat(3, 2*time.Second)
+	h.Expect(free()).To(BeNumerically(">", 5_800))
+	heartbeat(4, 0)
+	h.Expect(free()).To(Equal(20_000))
+}
--- a/taskrunner/forecast.go
+++ b/taskrunner/forecast.go
@@ -18,7 +18,10 @@
 			releases = append(releases, capacity.Release{At: m.remaining(r), CPU: r.cpu})
 		}
 	}
-	return capacity.New(m.server.CPU-m.used.cpu, releases)
+	if withheld := m.withheldCPU(); withheld > 0 {
+		releases = append(releases, capacity.Release{At: m.warmUp.remaining(m.now), CPU: withheld})
+	}
+	return capacity.New(m.freeCPU(), releases)
 }
 
 // remaining predicts the time until a run ends.
--- a/taskrunner/poll.go
+++ b/taskrunner/poll.go
@@ -64,10 +64,11 @@
 		Seq:      m.stateSeq,
 		Stamp:    session.ClockReading{Run: m.clockIncarnation, Clock: m.clock},
 		Ready:    m.active(),
-		FreeCPU:  m.server.CPU - m.used.cpu,
+		FreeCPU:  m.freeCPU(),
 		FreeMem:  m.server.MemMB - m.used.mem,
 		Slowness: m.health.slownessPerMille(),
 		Samples:  m.health.samples,
+		ColdMs:   int(m.warmUp.remaining(m.now).Milliseconds()),
 		Failing:  m.health.failingPerMille(),
 		Laggards: m.stragglers(s),
 	}
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -135,7 +135,7 @@
 	if m.health.suspect && m.used.cpu > 0 {
 		return false
 	}
-	return m.used.cpu+r.cpu <= m.server.CPU && m.used.mem+r.mem <= m.server.MemMB && m.used.gpu+r.gpu <= m.server.GPU
+	return r.cpu <= m.freeCPU() && m.used.mem+r.mem <= m.server.MemMB && m.used.gpu+r.gpu <= m.server.GPU
 }
 
 // startQueued starts the queued tasks for which there is free capacity, in the
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -17,6 +17,7 @@
 	}
 	previous := m.server
 	m.server = info
+	m.updateWarmUp(info.Cold)
 	if info.Incarnation != previous.Incarnation {
 		m.serverRegistered("server_registered")
 		m.renewNow()
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -18,6 +18,7 @@
 	config         session.Config
 	newestConfig   int64 // highest version that an entry has named
 	evacuations    evacuation.State
+	warmUp         warmUp // of the server
 	sessions       map[uint64]*entrySession
 	sortedSessions []*entrySession  // the same, ordered by ID so that effects are deterministic
 	runs           map[TaskKey]*run // queued, running and stopping tasks
