--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -51,6 +51,7 @@
 type soak struct {
 	*system
 	rng      *rand.Rand // draws the faults
+	zones    *rand.Rand // draws the evacuations
 	sizes    *rand.Rand // draws the sizes of configurations and the rate of the store's link
 	faults   sync.WaitGroup
 	mu       sync.Mutex
@@ -59,7 +60,7 @@
 }
 
 func soakOnce(t *testing.T, seed int64) {
-	s := &soak{system: newSystem(t, *soakEntries, *soakAgents), rng: rand.New(rand.NewSource(seed)), sizes: rand.New(rand.NewSource(-seed)), counts: make(map[string]int)}
+	s := &soak{system: newSystem(t, *soakEntries, *soakAgents), rng: rand.New(rand.NewSource(seed)), zones: rand.New(rand.NewSource(seed + 1)), sizes: rand.New(rand.NewSource(-seed)), counts: make(map[string]int)}
 	t.Cleanup(func() {
 		if t.Failed() || s.invariants.err() != nil {
 			s.saveLogs(seed)
@@ -77,9 +78,11 @@
 	for end := time.Now().Add(*soakDuration); time.Now().Before(end); {
 		time.Sleep(time.Duration(s.rng.Intn(900)) * time.Millisecond)
 		s.injectFault()
+		s.evacuateZone()
 	}
 	s.faults.Wait()
 	s.clearFaults()
+	s.expectEvacuation(zoneOf(s.zones.Intn(2)))
 	s.changeConfigOverSlowLink()
 	s.expectRecovery()
 	cancel()
@@ -229,6 +232,21 @@
 	s.count(fmt.Sprintf("fault %d", kind))
 }
 
+// evacuateZone begins or withdraws the evacuation of a drawn zone in one of four calls, and
+// at times drops the history of the topic.
+func (s *soak) evacuateZone() {
+	zone := zoneOf(s.zones.Intn(2))
+	switch s.zones.Intn(8) {
+	case 0:
+		s.evacuate(zone)
+	case 1:
+		s.restore(zone)
+		if s.zones.Intn(2) == 0 {
+			s.store.Truncate("keyed.op")
+		}
+	}
+}
+
 // resize changes the capacity of a server. A larger one counts at once, since the
 // server may report it before this returns.
 func (s *soak) resize(server, cpu int) {
@@ -252,6 +270,21 @@
 	}
 }
 
+// expectEvacuation checks that nothing starts in an evacuated zone after the bound of the
+// platform, and takes all zones back.
+func (s *soak) expectEvacuation(zone string) {
+	s.restore("zone-a")
+	s.restore("zone-b")
+	s.evacuate(zone)
+	time.Sleep(evacuationBound)
+	before := s.startsIn(zone)
+	time.Sleep(time.Second)
+	if n := s.startsIn(zone) - before; n > 0 {
+		s.t.Errorf("%d tasks started in %s later than %v after its evacuation", n, zone, evacuationBound)
+	}
+	s.restore(zone)
+}
+
 // changeConfigOverSlowLink writes a large configuration while the link of the store
 // gives each entry so little that reading it takes three to four seconds.
 func (s *soak) changeConfigOverSlowLink() {
--- a/test/platform/system_test.go
+++ b/test/platform/system_test.go
@@ -74,6 +74,7 @@
 	sys       *system
 	name      string
 	role      string
+	zone      string
 	settings  string // path of the settings file
 	jobsAddr  string // of an entry
 	readyAddr string // of an entry
@@ -85,6 +86,9 @@
 	done chan struct{} // closed when cmd has ended
 }
 
+// zoneOf returns the availability zone of the i-th entry or agent: they alternate.
+func zoneOf(i int) string { return []string{"zone-a", "zone-b"}[i%2] }
+
 func newSystem(t *testing.T, entries, agents int) *system {
 	program, err := buildOnce()
 	if err != nil {
@@ -184,13 +188,13 @@
 }
 
 func (s *system) addEntry(i int, peer string, seeds []string, storeAddr string) {
-	p := &process{sys: s, name: fmt.Sprintf("entry-%d", i), role: "entry", jobsAddr: freeAddr(s.t), readyAddr: freeAddr(s.t)}
+	p := &process{sys: s, name: fmt.Sprintf("entry-%d", i), role: "entry", zone: zoneOf(i), jobsAddr: freeAddr(s.t), readyAddr: freeAddr(s.t)}
 	p.writeSettings(map[string]any{"jobs_addr": p.jobsAddr, "ready_addr": p.readyAddr, "peer_addr": peer}, seeds, storeAddr, "")
 	s.entries = append(s.entries, p)
 }
 
 func (s *system) addAgent(i int, seeds []string, storeAddr string) {
-	p := &process{sys: s, name: fmt.Sprintf("agent-%d", i), role: "agent"}
+	p := &process{sys: s, name: fmt.Sprintf("agent-%d", i), role: "agent", zone: zoneOf(i)}
 	heartbeatAddr, peer := freeAddr(s.t), freeAddr(s.t)
 	server := leaseserver.NewHTTPServer(leaseserver.Options{
 		ID: fmt.Sprintf("server-%d", i), Service: "booking", CPU: serverCPU, MemMB: 4096,
@@ -218,7 +222,7 @@
 func (p *process) writeSettings(roleSettings map[string]any, seeds []string, storeAddr, serverAddr string) {
 	var b strings.Builder
 	p.opsAddr = freeAddr(p.sys.t)
-	fmt.Fprintf(&b, "name = %q\nzone = \"zone-a\"\nregion = \"local\"\nops_addr = %q\ngrace = \"%ds\"\n", p.name, p.opsAddr, graceSeconds)
+	fmt.Fprintf(&b, "name = %q\nzone = %q\nregion = \"local\"\nops_addr = %q\ngrace = \"%ds\"\n", p.name, p.zone, p.opsAddr, graceSeconds)
 	for k, v := range roleSettings {
 		fmt.Fprintf(&b, "%s = %q\n", k, v)
 	}
@@ -433,15 +437,16 @@
 // twice at the same time, that no server runs more than its capacity, and that tasks
 // that crash servers are given up.
 type invariantChecker struct {
-	mu          sync.Mutex
-	running     map[string]string // server that runs the task, by task name
-	startsByJob map[string]int    // number of task starts, by job
-	used        map[string]int    // thousandths of a core in use, by server
-	capacity    map[string]serverCapacity
-	crashes     map[string]int // servers that crashed while they ran the task, by task name
-	startsAfter map[string]int // starts after maxCrashes, by task name
-	specs       map[string]taskSpec
-	violations  []string
+	mu             sync.Mutex
+	running        map[string]string // server that runs the task, by task name
+	startsByServer map[string]int
+	startsByJob    map[string]int // number of task starts, by job
+	used           map[string]int // thousandths of a core in use, by server
+	capacity       map[string]serverCapacity
+	crashes        map[string]int // servers that crashed while they ran the task, by task name
+	startsAfter    map[string]int // starts after maxCrashes, by task name
+	specs          map[string]taskSpec
+	violations     []string
 }
 
 // serverCapacity is the capacity of a server, in thousandths of a core.
@@ -457,7 +462,7 @@
 
 func newInvariantChecker() *invariantChecker {
 	return &invariantChecker{
-		running: make(map[string]string), startsByJob: make(map[string]int), used: make(map[string]int),
+		running: make(map[string]string), startsByJob: make(map[string]int), startsByServer: make(map[string]int), used: make(map[string]int),
 		capacity: make(map[string]serverCapacity), crashes: make(map[string]int), startsAfter: make(map[string]int), specs: make(map[string]taskSpec),
 	}
 }
@@ -498,6 +503,7 @@
 	c.running[t.Name] = server
 	job, _, _ := strings.Cut(t.Name, ".")
 	c.startsByJob[job]++
+	c.startsByServer[server]++
 	spec := c.specs[job]
 	c.used[server] += spec.cpu
 	if limit := c.limit(server); c.used[server] > limit {
