Evacuation: findings of the review

Cause, each found by reading and shown in a scratch test by the reviewer: - an entry that resumes, with the session of an evacuated agent open first, refused jobs that it holds otherwise; - Retry-After had no bound; a job that only evacuated servers fit was told that it fits none; - the warm-up kept its beginning across incarnations, and fell back when a heartbeat reported a little more than predicted; forecasts counted the withheld capacity only at its end; - a confined queue could have all its servers in the evacuated zone; - a start given up because of the evacuation counted as a failure of the server.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -72,3 +72,17 @@
 	i, _ := slices.BinarySearchFunc(t.releases, r, func(a, b Release) int { return int(a.At - b.At) })
 	t.releases = slices.Insert(t.releases, i, r)
 }
+
+// rampSteps is the number of releases into which Ramp divides the capacity.
+const rampSteps = 4
+
+// Ramp returns the releases of capacity that becomes available evenly until a time from
+// now, in thousandths of a core.
+func Ramp(cpu int, until time.Duration) []Release {
+	releases := make([]Release, 0, rampSteps)
+	for i := range rampSteps {
+		step := cpu*(i+1)/rampSteps - cpu*i/rampSteps
+		releases = append(releases, Release{At: until * time.Duration(i+1) / rampSteps, CPU: step})
+	}
+	return releases
+}
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -11,6 +11,9 @@
 // need not be held, if agents of its service are ready and none is large enough or
 // has the required label.
 func (d *Dispatcher) noCandidateError(j *job) *structs.Error {
+	if err := d.evacuatedError(j); err != nil {
+		return err
+	}
 	ofService := func(a *agent) bool { return d.isReady(a) && a.identity.Service == j.Queue.Service }
 	shrunk := func(a *agent) bool { return ofService(a) && !fits(j, &a.identity) && fits(j, &a.largest) }
 	if slices.ContainsFunc(d.sortedAgents, shrunk) {
@@ -25,9 +28,6 @@
 		return structs.Errorf(structs.CodeRejected, structs.NotRun, "no server of service %s has %d thousandths of a core, %d MB, %d GPUs and the label %q",
 			j.Queue.Service, j.CPU, j.MemMB, j.GPU, j.RequiredLabel).WithRetryAfter(retryAfter)
 	}
-	if err := d.evacuatedError(j); err != nil {
-		return err
-	}
 	return structs.Errorf(structs.CodeUnavailable, structs.NotRun, "no agent of service %s can run the job now", j.Queue.Service).
 		WithRetryAfter(unavailableRetryAfter)
 }
--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -116,6 +116,7 @@
 func (d *Dispatcher) removeAgent(a *agent, reason string) {
 	delete(d.agents, a.id)
 	delete(d.orders, a.id)
+	d.recordLostAgent(a)
 	if i := slices.Index(d.sortedAgents, a); i >= 0 {
 		d.sortedAgents = slices.Delete(d.sortedAgents, i, i+1)
 	}
--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -89,8 +89,12 @@
 // of the job's service, is large enough for a task and has the required label.
 func (d *Dispatcher) eligible(a *agent, j *job) bool {
 	return d.isReady(a) &&
-		a.identity.Service == j.Queue.Service && fits(j, &a.identity) &&
-		(j.RequiredLabel == "" || slices.Contains(a.identity.Labels, j.RequiredLabel))
+		a.identity.Service == j.Queue.Service && fits(j, &a.identity) && hasLabel(a, j.RequiredLabel)
+}
+
+// hasLabel reports whether the agent's server has a label, if one is required.
+func hasLabel(a *agent, required string) bool {
+	return required == "" || slices.Contains(a.identity.Labels, required)
 }
 
 // candidates returns the agents that may run the tasks. Agents whose tasks often
--- a/dispatch/confine.go
+++ b/dispatch/confine.go
@@ -56,11 +56,12 @@
 	return l
 }
 
-// agentsOf returns the names of the agents of a service, ready or not.
+// agentsOf returns the names of the agents of a service, ready or not, except those in
+// evacuated availability zones.
 func (d *Dispatcher) agentsOf(service string) []string {
 	var list []string
 	for _, a := range d.sortedAgents {
-		if a.identity.Service == service {
+		if a.identity.Service == service && !d.evacuated(a.zone) {
 			list = append(list, a.name)
 		}
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -21,8 +21,9 @@
 	sortedAgents []*agent                  // the same, ordered by name so that decisions are deterministic
 	lastSlowness map[string]serverSlowness // cached beyond sessions, by the agent's name
 
-	evacuatedZones  []string  // sorted
-	zoneExpectedAt  time.Time // when the first of them is expected back; zero if unknown
+	evacuatedZones  []string             // sorted
+	zoneExpectedAt  time.Time            // when the first of them is expected to be restored; in the past if unknown
+	usableAgentLost map[string]time.Time // by service: when an agent outside these zones was lost last
 	containment     *containment.Tracker
 	suspects        map[*placement]bool // of tasks that may have crashed a server
 	recoveryTime    time.Duration       // expected from a crash until the server is back
@@ -57,6 +58,7 @@
 		recoveryTime:    initialRecoveryTime,
 		longestSlack:    make(longestSlack),
 		jobs:            make(map[string]*job),
+		usableAgentLost: make(map[string]time.Time),
 		noAgentSince:    make(map[string]time.Time),
 		calls:           make(map[CallID]*job),
 		placements:      make(map[uint64]*placement),
--- a/dispatch/evacuation.go
+++ b/dispatch/evacuation.go
@@ -9,8 +9,12 @@
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
+// maxEvacuationRetryAfter bounds the retry hint during an evacuation. An operator may end
+// one at any time, however long earlier ones lasted.
+const maxEvacuationRetryAfter = 30 * time.Second
+
 // evacuationChanged stops placing tasks in evacuated availability zones, and uses zones
-// that are back again. Agents of an evacuated zone return their queued tasks by
+// that are restored. Agents of an evacuated zone return their queued tasks by
 // themselves; what runs there ends.
 func (d *Dispatcher) evacuationChanged(e EvacuationChanged) {
 	d.evacuatedZones = e.Zones
@@ -24,25 +28,38 @@
 	return found
 }
 
-// evacuatedError returns why a job cannot be placed if all agents of its service are in
-// evacuated zones; nil otherwise. The job is not held, because an evacuation lasts longer
-// than the callers wait, unless this entry has just started and may not know all agents.
+// evacuatedError returns why a job cannot be placed if no agent of its service could run
+// it but for those in evacuated zones; nil otherwise. The job is not held, because an
+// evacuation lasts longer than the callers wait, unless this entry has just started, or
+// has just lost an agent of another zone, as after a suspension.
 func (d *Dispatcher) evacuatedError(j *job) *structs.Error {
 	evacuated := 0
 	for _, a := range d.sortedAgents {
-		if a.identity.Service != j.Queue.Service {
-			continue
-		}
-		if !d.evacuated(a.zone) {
+		switch {
+		case a.identity.Service != j.Queue.Service || !fits(j, &a.identity) || !hasLabel(a, j.RequiredLabel):
+		case d.evacuated(a.zone):
+			evacuated++
+		default:
 			return nil
 		}
-		evacuated++
 	}
-	if evacuated == 0 || d.now.Before(d.opts.Started.Add(HoldTimeout)) {
+	incompleteUntil := d.opts.Started.Add(HoldTimeout)
+	if lost := d.usableAgentLost[j.Queue.Service].Add(HoldTimeout); lost.After(incompleteUntil) {
+		incompleteUntil = lost
+	}
+	if evacuated == 0 || d.now.Before(incompleteUntil) {
 		return nil
 	}
-	return structs.Errorf(structs.CodeOverloaded, structs.NotRun, "all servers of service %s are in evacuated availability zones (%s)",
-		j.Queue.Service, strings.Join(d.evacuatedZones, ", ")).WithRetryAfter(max(d.zoneExpectedAt.Sub(d.now), unavailableRetryAfter))
+	return structs.Errorf(structs.CodeOverloaded, structs.NotRun, "all servers of service %s that could run the job are in evacuated availability zones (%s)",
+		j.Queue.Service, strings.Join(d.evacuatedZones, ", ")).
+		WithRetryAfter(min(max(d.zoneExpectedAt.Sub(d.now), unavailableRetryAfter), maxEvacuationRetryAfter))
+}
+
+// recordLostAgent records that an agent that was not evacuated has been lost.
+func (d *Dispatcher) recordLostAgent(a *agent) {
+	if !d.evacuated(a.zone) {
+		d.usableAgentLost[a.identity.Service] = d.now
+	}
 }
 
 // warmUpRelease returns the capacity that an agent withholds while its server is cold, and
@@ -55,5 +72,5 @@
 	for _, r := range a.state.Running {
 		withheld -= r.CPU
 	}
-	return []capacity.Release{{At: time.Duration(a.state.ColdMs)*time.Millisecond - age, CPU: max(withheld, 0)}}
+	return capacity.Ramp(max(withheld, 0), time.Duration(a.state.ColdMs)*time.Millisecond-age)
 }
--- a/dispatch/evacuation_test.go
+++ b/dispatch/evacuation_test.go
@@ -94,6 +94,30 @@
 	h.Expect(counts).To(Equal(map[dispatch.SessionID]int{2: 1}))
 }
 
+// An entry that resumes has lost its sessions; the one with an evacuated agent may be open
+// again first.
+func TestResumedEntryHoldsJobsUntilAgentsOfOtherZonesJoin(t *testing.T) {
+	h := newZonedHarness(t, "zone-a", "zone-b")
+	h.evacuate(0, "zone-a")
+	h.now = h.now.Add(10 * time.Second)
+	h.step(dispatch.SessionEnded{ID: 2, LastHeard: h.now})
+	h.step(dispatch.SessionOpened{ID: 3, Agent: "agent-1", Zone: "zone-a", State: h.state(idle)})
+	h.submit("job", 1, 1000, 100*time.Millisecond)
+	h.Expect(effects[dispatch.Refused](h)).To(BeEmpty())
+}
+
+func TestJobThatOnlyEvacuatedServersFitIsToldOfTheEvacuation(t *testing.T) {
+	h := newHarness(t)
+	h.agent(1, idle) // in zone-a
+	h.step(dispatch.SessionOpened{ID: 2, Agent: "agent-2", Zone: "zone-b", State: h.state(serverState{capacity: 5_000, free: 5_000, slowness: 1000})})
+	h.evacuate(3*time.Hour, "zone-a")
+	h.submit("large", 1, 6_000, 100*time.Millisecond)
+	refused := effects[dispatch.Refused](h)
+	h.Expect(refused).To(HaveLen(1))
+	h.Expect(refused[0].Error.Message).To(ContainSubstring("evacuated"))
+	h.Expect(refused[0].Error.RetryAfter).To(Equal(30 * time.Second))
+}
+
 // The capacity that a cold server withholds counts as free when it is warm.
 func TestJobWaitsForColdServerOnlyIfItIsWarmInTime(t *testing.T) {
 	h := newHarness(t)
--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -128,8 +128,8 @@
 }
 
 // ExpectedRemaining returns the expected time until the first of the evacuated zones is
-// used again, from the durations of past evacuations. It reports false if no zone is
-// evacuated, none has been before, or the present ones have lasted longer.
+// restored, from the durations of past evacuations. It leaves out zones that have been
+// evacuated for longer than these, and reports false if no zone is left.
 func (s *State) ExpectedRemaining(now time.Time) (time.Duration, bool) {
 	var least time.Duration
 	for _, since := range s.since {
--- a/keyedlog/keyedlog.go
+++ b/keyedlog/keyedlog.go
@@ -23,8 +23,8 @@
 	Records []Record
 	Next    int64 // offset at which to continue with Read
 	More    bool  // there were further records at the time of the reply
-	// Snapshot is set if the records are the newest of each key, so that a key without a
-	// record here has none before Next.
+	// Snapshot is set by Follow if the records are the newest of each key, so that a key
+	// without a record here has been deleted or never had one.
 	Snapshot bool
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -259,7 +259,9 @@
 		default: // exchangeLoop has already been signaled
 		}
 	}
-	s.step(taskrunner.EvacuationReceived{Evacuation: reply.Evacuation})
+	if reply.Evacuation.Version > 0 {
+		s.step(taskrunner.EvacuationReceived{Evacuation: reply.Evacuation})
+	}
 	cfg, err := reply.Config.Decompress()
 	if err != nil {
 		level.Warn(s.logger).Log("event", "config_unread", "source", "peer "+p.Name, "version", reply.Config.Version, "reason", err)
--- a/taskrunner/cold.go
+++ b/taskrunner/cold.go
@@ -10,21 +10,20 @@
 // that its first tasks show is known before it is full.
 const minColdShare = 0.25
 
-// warmUp is the time in which a server that has started, or was not used, runs slowly.
+// warmUp is the time in which a server runs slowly after its start.
 type warmUp struct {
-	began, ends time.Time
+	ends    time.Time
+	longest time.Duration // the longest remaining time reported since the server was warm
 }
 
 // update applies the remaining time that a heartbeat states.
 func (w *warmUp) update(now time.Time, remaining time.Duration) {
-	switch {
-	case remaining <= 0:
+	if remaining <= 0 {
 		*w = warmUp{}
-	case !now.Before(w.ends):
-		*w = warmUp{began: now, ends: now.Add(remaining)}
-	default:
-		w.ends = now.Add(remaining)
+		return
 	}
+	w.ends = now.Add(remaining)
+	w.longest = max(w.longest, remaining)
 }
 
 // remaining returns how much longer the server is cold.
@@ -32,28 +31,32 @@
 
 // share returns the share of the capacity that may be used.
 func (w *warmUp) share(now time.Time) float64 {
-	left, total := w.remaining(now), w.ends.Sub(w.began)
+	left := w.remaining(now)
 	if left == 0 {
 		return 1
 	}
-	return 1 - (1-minColdShare)*float64(left)/float64(total)
+	return 1 - (1-minColdShare)*float64(left)/float64(w.longest)
 }
 
-// updateWarmUp applies the heartbeat's statement of how much longer the server is cold.
-func (m *Runner) updateWarmUp(cold time.Duration) {
-	before := m.warmUp.remaining(m.now)
+// updateWarmUp applies a heartbeat's statement of how much longer the server is cold. A
+// new incarnation of the server begins anew.
+func (m *Runner) updateWarmUp(cold time.Duration, newIncarnation bool) {
+	if newIncarnation {
+		m.warmUp = warmUp{}
+	}
+	wasCold := m.warmUp.longest > 0
 	m.warmUp.update(m.now, cold)
-	if before == 0 && cold > 0 {
+	if !wasCold && cold > 0 {
 		m.log("server_cold", fmt.Sprintf("server=%s cold_ms=%d", m.server.ID, cold.Milliseconds()))
 	}
 }
 
-// withheldCPU returns the processor capacity that is not used because the server is cold,
-// in thousandths of a core.
-func (m *Runner) withheldCPU() int { return m.server.CPU - m.used.cpu - m.freeCPU() }
-
 // freeCPU returns the processor capacity that started tasks may still take, in thousandths
 // of a core; negative if they have taken more.
 func (m *Runner) freeCPU() int {
 	return int(m.warmUp.share(m.now)*float64(m.server.CPU)) - m.used.cpu
 }
+
+// withheldCPU returns the processor capacity that is not used because the server is cold,
+// in thousandths of a core.
+func (m *Runner) withheldCPU() int { return m.server.CPU - m.used.cpu - m.freeCPU() }
--- a/taskrunner/evacuation_test.go
+++ b/taskrunner/evacuation_test.go
@@ -122,3 +122,22 @@
 	heartbeat(4, 0)
 	h.Expect(free()).To(Equal(20_000))
 }
+
+// Heartbeats come late, and a server may be replaced while it is cold.
+func TestWarmUpFollowsHeartbeatsAndIncarnations(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	freeAfterHeartbeat := func(incarnation, seq int64, cold time.Duration) int {
+		h.step(taskrunner.ServerReported{Info: taskrunner.ServerInfo{
+			ID: "server-1", Incarnation: incarnation, Seq: seq, Service: "booking", CPU: 20_000, MemMB: 1000, Cold: cold,
+		}})
+		h.order(1, h.reading(), "none", 1)
+		return effects[taskrunner.ReplyOrder](h)[0].Reply.State.FreeCPU
+	}
+	h.Expect(freeAfterHeartbeat(incarnation, 2, 4*time.Second)).To(BeNumerically("~", 5_000, 100))
+	h.advance(400 * time.Millisecond)
+	h.Expect(freeAfterHeartbeat(incarnation, 3, 100*time.Millisecond)).To(BeNumerically(">", 19_000))
+	h.advance(200 * time.Millisecond)
+	h.Expect(freeAfterHeartbeat(incarnation, 4, 100*time.Millisecond)).To(BeNumerically(">", 19_000), "a little later than predicted")
+	h.Expect(freeAfterHeartbeat(incarnation+1, 1, 2*time.Second)).To(BeNumerically("~", 5_000, 100), "a new incarnation")
+}
--- a/taskrunner/forecast.go
+++ b/taskrunner/forecast.go
@@ -19,7 +19,7 @@
 		}
 	}
 	if withheld := m.withheldCPU(); withheld > 0 {
-		releases = append(releases, capacity.Release{At: m.warmUp.remaining(m.now), CPU: withheld})
+		releases = append(releases, capacity.Ramp(withheld, m.warmUp.remaining(m.now))...)
 	}
 	return capacity.New(m.freeCPU(), releases)
 }
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -236,7 +236,11 @@
 func (m *Runner) startUnanswered(r *run, reason string) {
 	r.unansweredStarts++
 	m.emit(LogEvent{Event: "start_unanswered", Task: r.key.String(), Entry: r.session.entry, Detail: fmt.Sprintf("try=%d reason=%q", r.unansweredStarts, reason)})
-	if r.unansweredStarts < maxStartTries && r.session.fresh(m) && !m.zoneEvacuated() && !m.leaseExpired() {
+	if m.zoneEvacuated() {
+		m.stop(r, session.NotStarted, reasonEvacuated)
+		return
+	}
+	if r.unansweredStarts < maxStartTries && r.session.fresh(m) && !m.leaseExpired() {
 		m.start(r)
 		return
 	}
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -17,7 +17,7 @@
 	}
 	previous := m.server
 	m.server = info
-	m.updateWarmUp(info.Cold)
+	m.updateWarmUp(info.Cold, info.Incarnation != previous.Incarnation)
 	if info.Incarnation != previous.Incarnation {
 		m.serverRegistered("server_registered")
 		m.renewNow()
