Places: how long a wait for a place near the data pays

Cause: jobs name the rack that holds their data, or want all tasks on one rack, and run a multiple of the time elsewhere. The tasks ran wherever they fell, planned with the run time near the data, and their servers learned to be slow; jobs for one rack were refused. Change: package places learns how long waits really were over the expected ones, by rack, and decides by job between the place, a part of the tasks there, and elsewhere. The plan scales run times away; orders carry the estimate so scaled. A queued task whose wait does not pay any more is recalled: OrderRequest.Recall returns it only if it has not started. Agents announce the rack of their server, and entries keep sessions with the racks that jobs want beyond their subset. One-rack jobs are placed whole on a rack, or spread by the same rule. Switch: [scheduling] places, and far_factor. Fields added: session.Identity.Rack, session.Process.Rack, QueuedTask.ID, OrderRequest.Recall; all ignored by earlier builds.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -30,6 +30,11 @@
 	return t
 }
 
+// Clone returns a copy that is independent of t.
+func (t *Timeline) Clone() *Timeline {
+	return &Timeline{freeNow: t.freeNow, releases: slices.Clone(t.releases)}
+}
+
 // EarliestStart returns when a task of the given size can start. It reports false
 // if the server never has enough free capacity for it.
 func (t *Timeline) EarliestStart(cpu int) (time.Duration, bool) {
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -89,7 +89,7 @@
 func (d *Dispatcher) retryAfter(j *job) time.Duration {
 	wait := time.Second
 	limits := d.limitsOf(j, nil)
-	if c := d.candidates(j, nil, &limits); len(c) > 0 {
+	if c := d.candidatesForReturn(j, d.candidates(j, nil, &limits)); len(c) > 0 {
 		if best, finish := pickCandidate(c, j, 0); best != nil {
 			wait = max(wait, finish-best.runTime)
 		}
--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -30,6 +30,7 @@
 	// unacknowledged are the placements whose order has no reply yet, so that the
 	// state does not include them.
 	unacknowledged map[uint64]*placement
+	recallable     []*placement // of jobs that have a place, in the order of placing
 }
 
 // serverSlowness is the last known slowness of an agent's server, kept beyond the
@@ -168,6 +169,7 @@
 	d.endOutageIfReady(a)
 	d.recordRecovery(a)
 	d.moveStragglers(a, s.Laggards)
+	d.recallWaiting(a)
 	if s.Samples >= minSlownessSamples {
 		d.lastSlowness[a.name] = serverSlowness{server: a.identity.Server, slowness: s.Slowness}
 	}
@@ -199,19 +201,30 @@
 // is reserved for queued tasks that isAhead selects and for placements that the
 // agent has not acknowledged.
 func (d *Dispatcher) capacityTimeline(a *agent, isAhead func(session.QueuedTask) bool) *capacity.Timeline {
+	ahead := make([]session.QueuedTask, 0, len(a.state.Queue))
+	for _, q := range a.state.Queue {
+		if isAhead(q) {
+			ahead = append(ahead, q)
+		}
+	}
+	t := d.timelineAfter(a, ahead)
+	for _, p := range sortedUnacknowledged(a) {
+		t.Reserve(p.job.CPU, scale(d.expectedRunTime(a, p.job.Estimate), p.place.runFactor()))
+	}
+	return t
+}
+
+// timelineAfter returns the free capacity of the agent over time, less what is reserved
+// for the given tasks of its queue.
+func (d *Dispatcher) timelineAfter(a *agent, queue []session.QueuedTask) *capacity.Timeline {
 	age := d.now.Sub(a.stateReceivedAt)
 	releases := make([]capacity.Release, 0, len(a.state.Running))
 	for _, r := range a.state.Running {
 		releases = append(releases, capacity.Release{At: time.Duration(r.Ms)*time.Millisecond - age, CPU: r.CPU})
 	}
 	t := capacity.New(a.state.FreeCPU, releases)
-	for _, q := range a.state.Queue {
-		if isAhead(q) {
-			t.Reserve(q.CPU, time.Duration(q.Ms)*time.Millisecond)
-		}
-	}
-	for _, p := range sortedUnacknowledged(a) {
-		t.Reserve(p.job.CPU, d.expectedRunTime(a, p.job.Estimate))
+	for _, q := range queue {
+		t.Reserve(q.CPU, time.Duration(q.Ms)*time.Millisecond)
 	}
 	return t
 }
--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/capacity"
+	"github.com/chestnuthollow/chestnuthollow/places"
 	"github.com/chestnuthollow/chestnuthollow/session"
 )
 
@@ -17,6 +18,8 @@
 	jobTasks  int           // tasks of the job placed there
 	sameZone  bool          // in this entry's availability zone
 	freeShare float64       // see agent.unreservedShare, less the tasks planned so far
+	factor    float64       // of the run time, included in it; see awayFactor
+	choice    *places.Choice
 }
 
 // finish returns the expected time from now to the end of another task of the
@@ -39,9 +42,16 @@
 	return c.freeShare * weight
 }
 
-// finishMargin returns the uncertainty of the candidate's finish.
-func (c *candidate) finishMargin() time.Duration {
-	return minFinishMargin + time.Duration(finishMarginShare*float64(c.runTime))
+// reserve reserves the candidate's capacity for a task of the job.
+func (c *candidate) reserve(j *job) {
+	c.timeline.Reserve(j.CPU, c.runTime)
+	c.jobTasks++
+	c.freeShare -= float64(j.CPU) / float64(max(c.agent.identity.Capacity, 1))
+}
+
+// finishMargin returns the uncertainty of the finish of a task.
+func finishMargin(runTime time.Duration) time.Duration {
+	return minFinishMargin + time.Duration(finishMarginShare*float64(runTime))
 }
 
 // pickCandidate chooses the agent for one task that should end within the given
@@ -63,7 +73,7 @@
 		if earliest == nil || finish < earliestFinish {
 			earliest, earliestFinish = c, finish
 		}
-		if finish+c.finishMargin() <= within && (preferred == nil || c.weightedFreeShare() > preferred.weightedFreeShare()) {
+		if finish+finishMargin(c.runTime) <= within && (preferred == nil || c.weightedFreeShare() > preferred.weightedFreeShare()) {
 			preferred, preferredFinish = c, finish
 		}
 	}
@@ -102,10 +112,11 @@
 		if !d.eligible(a, j) || !limits.permits(a.name) {
 			continue
 		}
-		runTime := d.expectedRunTime(a, j.Estimate)
+		factor := d.awayFactor(j, a)
+		runTime := scale(d.expectedRunTime(a, j.Estimate), factor)
 		c := &candidate{
-			agent: a, timeline: d.capacityTimeline(a, d.queuedAhead(a, j.objective.Sub(d.now))), runTime: runTime, overhead: hopOverhead,
-			jobTasks: d.tasksAt(j, a), sameZone: a.zone == d.opts.Zone, freeShare: a.unreservedShare(),
+			agent: a, timeline: d.capacityTimeline(a, d.queuedAhead(a, d.overtakenWithin(j))), runTime: runTime, overhead: hopOverhead,
+			jobTasks: d.tasksAt(j, a), sameZone: a.zone == d.opts.Zone, freeShare: a.unreservedShare(), factor: factor,
 		}
 		if !c.sameZone {
 			c.overhead += crossZoneOverhead
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/containment"
+	"github.com/chestnuthollow/chestnuthollow/places"
 	"github.com/chestnuthollow/chestnuthollow/session"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
@@ -25,7 +26,9 @@
 	zoneExpectedAt  time.Time // when the first of them is expected back; zero if unknown
 	containment     *containment.Tracker
 	suspects        map[*placement]bool // of tasks that may have crashed a server
-	recoveryTime    time.Duration       // expected from a crash until the server is back
+	waits           places.Waits
+	placeDemand     places.Demand
+	recoveryTime    time.Duration // expected from a crash until the server is back
 	longestSlack    longestSlack
 	jobs            map[string]*job // open, or answered with tasks not yet ended, by name
 	calls           map[CallID]*job
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/places"
+)
 
 // maxDumpJobs bounds the number of jobs in a dump.
 const maxDumpJobs = 200
@@ -15,6 +19,16 @@
 	// ConfinedQueues are the queues whose tasks run on some of the servers only,
 	// because they have crashed others.
 	ConfinedQueues []string `json:"confined_queues"`
+	// Places is nil unless places are served.
+	Places *PlacesDump `json:"places,omitempty"`
+}
+
+// PlacesDump is what is known of jobs that have a place.
+type PlacesDump struct {
+	WantedRacks []string           `json:"wanted_racks"` // of late, the most wanted first
+	Groups      bool               `json:"groups"`       // jobs wanted any one rack
+	Open        int                `json:"open"`         // tasks of jobs that have a place
+	Waits       []places.RackWaits `json:"waits"`
 }
 
 // AgentDump is one agent with an open session.
@@ -50,6 +64,7 @@
 			out.InDoubt++
 		}
 	}
+	out.Places = d.placesDump(now)
 	for _, a := range d.sortedAgents {
 		out.Agents = append(out.Agents, AgentDump{
 			Name: a.name, Zone: a.zone, Server: a.identity.Server, Ready: a.state.Ready, Capacity: a.identity.Capacity,
@@ -67,3 +82,15 @@
 	}
 	return out
 }
+
+func (d *Dispatcher) placesDump(now time.Time) *PlacesDump {
+	if !d.servesPlaces() {
+		return nil
+	}
+	out := &PlacesDump{Waits: d.waits.Dump(now)}
+	out.WantedRacks, out.Groups = d.WantedRacks(now)
+	for _, a := range d.sortedAgents {
+		out.Open += len(a.recallable)
+	}
+	return out
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -25,6 +25,7 @@
 	admitted       bool           // tasks were placed
 	holdUntil      time.Time      // end of the hold time if it is held
 	livePlacements int            // placements that have not ended
+	group          group          // where its tasks run if it wants one rack
 	// successor is a duplicate of the submission that arrived after the answer
 	// while tasks were still being stopped.
 	successor *SubmitCalled
@@ -47,8 +48,10 @@
 	job           *job
 	index         int
 	agent         *agent
-	orderNumber   uint64    // of the order that starts it
-	stopRequested bool      // an order to stop it was emitted
+	orderNumber   uint64 // of the order that starts it
+	stopRequested bool   // an order to stop it was emitted
+	recalled      bool   // an order to return it if it has not been started was emitted
+	place         placementPlace
 	inDoubtUntil  time.Time // by when it must have ended, once its session has; zero while the session is open
 }
 
@@ -80,6 +83,7 @@
 	if d.longestSlack.isResubmission(j.Queue.Name, j.Timeout, objective) {
 		j.target = d.latestUsefulEnd(j)
 	}
+	d.recordDemand(j)
 	plan, err := d.planNew(j)
 	held := err != nil && d.mayHold(j, err)
 	if err != nil && !held {
@@ -109,6 +113,7 @@
 func (d *Dispatcher) admit(j *job, plan []assignment) {
 	j.admitted = true
 	d.logPlan("job_admitted", j, plan)
+	d.logPlaces(j, plan)
 	d.applyChanges(d.containment.Step(d.now, containment.JobAdmitted{
 		Queue: j.Queue.Name, Service: j.Queue.Service, Work: float64(j.Tasks) * float64(j.CPU) / 1000 * j.Estimate.Seconds(),
 	}))
@@ -284,6 +289,7 @@
 	delete(d.placements, p.id)
 	delete(d.suspects, p)
 	delete(p.agent.unacknowledged, p.id)
+	d.learnWait(p, r)
 	j := p.job
 	t := &j.tasks[p.index]
 	j.livePlacements--
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -130,6 +130,7 @@
 		Number uint64
 		Start  []session.JobPart
 		Stop   []uint64 // ids of placements
+		Recall []uint64 // ids of placements to return if they have not been started
 	}
 	// CloseSession closes a session that has no tasks.
 	CloseSession struct{ ID SessionID }
@@ -163,6 +164,9 @@
 	// CrashMetrics is counted in the metrics: crashes of servers that were reported,
 	// tasks given up because of them, and queues confined.
 	CrashMetrics struct{ Servers, TasksGivenUp, QueuesConfined int }
+	// PlaceMetrics is counted in the metrics: tasks placed at the place of their job, away
+	// from it, and recalled from its queue.
+	PlaceMetrics struct{ Kept, Away, GivenUp int }
 	// JobMetrics is counted in the metrics: one per answered job, and one per
 	// refused call.
 	JobMetrics struct {
@@ -193,3 +197,4 @@
 func (LogEvent) isEffect()      {}
 func (JobMetrics) isEffect()    {}
 func (CrashMetrics) isEffect()  {}
+func (PlaceMetrics) isEffect()  {}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -24,6 +24,7 @@
 // place adds the planned tasks to the orders to their agents.
 func (d *Dispatcher) place(j *job, plan []assignment) {
 	limit := d.completionLimit(j, plan)
+	d.updateGroup(j, plan)
 	for _, as := range plan {
 		t := &j.tasks[as.index]
 		t.placements++
@@ -38,12 +39,13 @@
 		as.agent.unacknowledged[p.id] = p
 		j.livePlacements++
 		startWithin := limit.Sub(d.now) - as.runTime - as.agent.networkOverhead(d)
-		addToOrder(o, j, session.Placement{ID: p.id, Index: as.index, Attempt: t.placements}, max(startWithin, time.Millisecond))
+		d.notePlace(p, as)
+		addToOrder(o, j, session.Placement{ID: p.id, Index: as.index, Attempt: t.placements}, max(startWithin, time.Millisecond), scale(j.Estimate, as.factor))
 	}
 }
 
 // addToOrder adds a task to the part of the order that belongs to its job.
-func addToOrder(o *Order, j *job, p session.Placement, startWithin time.Duration) {
+func addToOrder(o *Order, j *job, p session.Placement, startWithin, estimate time.Duration) {
 	for i := range o.Start {
 		if o.Start[i].Job == j.Name {
 			o.Start[i].Tasks = append(o.Start[i].Tasks, p)
@@ -52,7 +54,7 @@
 	}
 	o.Start = append(o.Start, session.JobPart{
 		Job: j.Name, Queue: j.Queue.Name, Spec: j.Spec, Service: j.Queue.Service, CPU: j.CPU, MemMB: j.MemMB, GPU: j.GPU,
-		Estimate: j.Estimate, StartWithin: startWithin, Tasks: []session.Placement{p},
+		Estimate: estimate, StartWithin: startWithin, Tasks: []session.Placement{p},
 	})
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chestnuthollow/chestnuthollow/places"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -12,6 +13,8 @@
 	agent   *agent
 	finish  time.Duration // expected time from now to the end
 	runTime time.Duration // expected run time
+	factor  float64       // of the run time, see awayFactor
+	choice  *places.Choice
 }
 
 // plan chooses an agent for each of the tasks. It returns an error if there is a
@@ -48,17 +51,16 @@
 	if len(candidates) == 0 {
 		return nil, d.noCandidateError(j)
 	}
+	candidates = d.choosePlace(j, tasks, candidates, latest)
 	plan := make([]assignment, 0, len(tasks))
 	for _, index := range tasks {
-		best, finish := pickCandidate(candidates, j, j.objective.Sub(d.now))
+		best, finish := d.pick(candidates, j)
 		if best == nil {
 			return nil, structs.Errorf(structs.CodeOverloaded, structs.NotRun, "no server can take another task of %d thousandths of a core", j.CPU).
 				WithRetryAfter(d.retryAfter(j))
 		}
-		best.timeline.Reserve(j.CPU, best.runTime)
-		best.jobTasks++
-		best.freeShare -= float64(j.CPU) / float64(max(best.agent.identity.Capacity, 1))
-		plan = append(plan, assignment{index: index, agent: best.agent, finish: finish, runTime: best.runTime})
+		best.reserve(j)
+		plan = append(plan, assignment{index: index, agent: best.agent, finish: finish, runTime: best.runTime, factor: best.factor, choice: best.choice})
 	}
 	last := lastFinish(plan)
 	if d.now.Add(last + answerMargin).After(latest) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -23,6 +23,8 @@
 	zonesEvacuated metrics.Gauge
 
 	serversCrashed, tasksGivenUp, queuesConfined metrics.Counter
+
+	placesKept, placesAway, placesGivenUp metrics.Counter
 }
 
 func newMetrics(g *Gateway) *gatewayMetrics {
@@ -39,6 +41,10 @@
 		serversCrashed: metrics.NewRegisteredCounter("crashes.servers", r),
 		tasksGivenUp:   metrics.NewRegisteredCounter("crashes.tasks_given_up", r),
 		queuesConfined: metrics.NewRegisteredCounter("crashes.queues_confined", r),
+
+		placesKept:    metrics.NewRegisteredCounter("places.tasks_kept", r),
+		placesAway:    metrics.NewRegisteredCounter("places.tasks_away", r),
+		placesGivenUp: metrics.NewRegisteredCounter("places.waits_given_up", r),
 	}
 	r.Register("jobs.open", metrics.NewFunctionalGauge(func() int64 { return int64(g.openJobs()) }))
 	r.Register("bytes.sent", metrics.NewFunctionalGauge(func() int64 { return rpcconn.TotalTraffic().BytesSent }))
@@ -71,6 +77,13 @@
 	m.queuesConfined.Inc(int64(e.QueuesConfined))
 }
 
+// recordPlaces counts the tasks of jobs that have a place.
+func (m *gatewayMetrics) recordPlaces(e *dispatch.PlaceMetrics) {
+	m.placesKept.Inc(int64(e.Kept))
+	m.placesAway.Inc(int64(e.Away))
+	m.placesGivenUp.Inc(int64(e.GivenUp))
+}
+
 // Dump implements ops.Source.
 func (g *Gateway) Dump() any {
 	evacuated := g.evacuation()
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -249,7 +249,7 @@
 		case <-s.closed:
 			return
 		case o := <-s.orders:
-			req := &session.OrderRequest{Echo: *s.clockReading.Load(), Start: o.Start, Stop: o.Stop, Evacuation: s.unsentEvacuation()}
+			req := &session.OrderRequest{Echo: *s.clockReading.Load(), Start: o.Start, Stop: o.Stop, Recall: o.Recall, Evacuation: s.unsentEvacuation()}
 			s.client.Go(structs.AgentService+".Order", req, &orderReply{number: o.Number}, s.replies)
 		}
 	}
--- a/gateway/step.go
+++ b/gateway/step.go
@@ -30,6 +30,8 @@
 			g.metrics.recordJob(&ef)
 		case dispatch.CrashMetrics:
 			g.metrics.recordCrash(&ef)
+		case dispatch.PlaceMetrics:
+			g.metrics.recordPlaces(&ef)
 		}
 	}
 	return effects
--- a/gateway/subset.go
+++ b/gateway/subset.go
@@ -61,11 +61,13 @@
 func (g *Gateway) updateSubset() {
 	now := time.Now()
 	services := membership.ByService(g.members.List(session.RoleAgent))
+	racks := g.wantedRacks(now)
 	g.connectorsMu.Lock()
 	defer g.connectorsMu.Unlock()
 	wanted := make(map[string]bool)
 	for _, agents := range services {
 		g.connectSubset(agents, now, wanted)
+		g.connectRacks(agents, racks, wanted)
 	}
 	for addr, c := range g.connectors {
 		if !wanted[addr] {
@@ -85,17 +87,23 @@
 		if usable >= size {
 			return
 		}
-		wanted[p.Addr] = true
-		c := g.connectors[p.Addr]
-		if c == nil {
-			c = g.startConnector(p.Addr)
-		}
-		if !c.unusableFor(now, unusableAfter) {
+		if c := g.want(p.Addr, wanted); !c.unusableFor(now, unusableAfter) {
 			usable++
 		}
 	}
 }
 
+// want adds the address of an agent to wanted and returns its connector. The caller holds
+// g.connectorsMu.
+func (g *Gateway) want(addr string, wanted map[string]bool) *agentConnector {
+	wanted[addr] = true
+	c := g.connectors[addr]
+	if c == nil {
+		c = g.startConnector(addr)
+	}
+	return c
+}
+
 // subsetSize returns the number of usable agents wanted. The caller holds
 // g.connectorsMu.
 func (g *Gateway) subsetSize(agents int, now time.Time) int {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -57,6 +57,8 @@
 		} else if p.Incarnation != 0 && p.Incarnation != mem.process.Incarnation {
 			mem.process = p
 			mem.lastHeard = now
+		} else if p.Incarnation != 0 && p.Rack != "" {
+			mem.process.Rack = p.Rack // an agent learns it from its backend server
 		}
 	}
 	return added
--- a/session/messages.go
+++ b/session/messages.go
@@ -83,6 +83,9 @@
 	Echo  ClockReading // the newest that the entry has received
 	Start []JobPart
 	Stop  []uint64 // ids of placements
+	// Recall are ids of placements that are reported as NotStarted if they have not been
+	// started, and are not affected otherwise. Agents of earlier builds ignore it.
+	Recall []uint64
 	// Evacuation is set if it has changed since the session's last request.
 	Evacuation Evacuation
 }
@@ -225,8 +228,9 @@
 	Service  string
 	Server   string // id of the backend server on the platform
 	Labels   []string
-	Capacity int // thousandths of a core
-	MemMB    int // zero if the agent is of an earlier build; GPU is then unknown too
+	Rack     string // one of the labels; empty if the agent is of an earlier build
+	Capacity int    // thousandths of a core
+	MemMB    int    // zero if the agent is of an earlier build; GPU is then unknown too
 	GPU      int
 }
 
@@ -266,6 +270,9 @@
 
 // QueuedTask is a task in the agent's queue.
 type QueuedTask struct {
+	// ID is the placement if the task was ordered in the session that the state is sent
+	// in; zero otherwise, and if the agent is of an earlier build.
+	ID          uint64
 	CPU         int // thousandths of a core
 	Ms          int // expected run time, in ms
 	StartWithin int // time left until its latest start, in ms
@@ -305,6 +312,9 @@
 	// Service is the service of an agent's backend server; empty for entries and for
 	// agents of earlier builds.
 	Service string `json:"service,omitempty"`
+	// Rack is the rack of an agent's backend server; empty if it is not known yet, for
+	// entries, and for agents of earlier builds.
+	Rack string `json:"rack,omitempty"`
 }
 
 // Roles of a Process.
--- a/sidecar/announce.go
+++ b/sidecar/announce.go
@@ -38,6 +38,7 @@
 func (s *Sidecar) announce() {
 	a := announcement{Process: s.self}
 	if previous, ok := s.loadRecord(); ok {
+		a.Rack = previous.Server.Rack
 		a.Server, a.Baseline = previous.Server, previous.Baseline
 		s.step(taskrunner.RecordLoaded{Server: previous.Server, Baseline: previous.Baseline})
 	}
@@ -66,6 +67,9 @@
 	if server.ID != "" && !server.SameRecord(&a.Server) {
 		a.Server, changed = server, true
 	}
+	if rack := server.Rack; rack != "" && rack != a.Rack {
+		a.Rack, changed = rack, true
+	}
 	if baseline.Slowness > 0 && math.Abs(float64(baseline.Slowness)/float64(max(a.Baseline.Slowness, 1))-1) > minBaselineChange {
 		a.Baseline, changed = baseline, true
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -243,8 +243,17 @@
 	return s.runner.InSession(entry)
 }
 
+// process returns how this agent announces itself.
+func (s *Sidecar) process() session.Process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.self
+	p.Rack = s.runner.Server().Rack
+	return p
+}
+
 func (s *Sidecar) exchangeWith(p session.Process) {
-	reply, err := membership.Exchange(p.Addr, session.ExchangeRequest{From: s.self, ConfigVersion: s.configVersion(), AcceptGzip: true, Evacuation: s.evacuation()})
+	reply, err := membership.Exchange(p.Addr, session.ExchangeRequest{From: s.process(), ConfigVersion: s.configVersion(), AcceptGzip: true, Evacuation: s.evacuation()})
 	now := time.Now()
 	if err != nil {
 		if s.members.MarkUnreachable(now, p.Addr) {
--- a/taskrunner/messages.go
+++ b/taskrunner/messages.go
@@ -23,6 +23,7 @@
 	MemMB       int      `json:"mem_mb"`
 	GPU         int      `json:"gpu"`
 	Labels      []string `json:"labels"`
+	Rack        string   `json:"rack"` // one of the labels; empty if unknown
 	// Cold is how much longer the server runs slowly after its start, at the time of the
 	// heartbeat.
 	Cold time.Duration `json:"-"`
--- a/taskrunner/order.go
+++ b/taskrunner/order.go
@@ -27,6 +27,7 @@
 	for _, id := range e.Request.Stop {
 		m.stopPlacement(s, id)
 	}
+	m.recall(s, e.Request.Recall)
 	for i := range e.Request.Start {
 		m.admit(s, &e.Request.Start[i])
 	}
--- a/taskrunner/poll.go
+++ b/taskrunner/poll.go
@@ -73,13 +73,13 @@
 	}
 	if id := (serverIdentity{m.server.Incarnation, m.server.ID, m.server.capacity()}); !s.identitySent || s.sentIdentity != id {
 		s.identitySent, s.sentIdentity = true, id
-		st.Identity = &session.Identity{Service: m.server.Service, Server: m.server.ID, Labels: m.server.Labels, Capacity: m.server.CPU, MemMB: m.server.MemMB, GPU: m.server.GPU}
+		st.Identity = &session.Identity{Service: m.server.Service, Server: m.server.ID, Labels: m.server.Labels, Rack: m.server.Rack, Capacity: m.server.CPU, MemMB: m.server.MemMB, GPU: m.server.GPU}
 	}
 	st.Crashes = m.unsentCrashes(s)
 	st.Running = m.runningTasks()
 	for _, r := range m.queue {
 		st.Queue = append(st.Queue, session.QueuedTask{
-			CPU: r.cpu, Ms: int(m.health.expectedRunTime(r.estimate).Milliseconds()), StartWithin: int(r.startBy.Sub(m.now).Milliseconds()),
+			ID: r.idFor(s), CPU: r.cpu, Ms: int(m.health.expectedRunTime(r.estimate).Milliseconds()), StartWithin: int(r.startBy.Sub(m.now).Milliseconds()),
 		})
 	}
 	return st
