--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -293,11 +293,24 @@
 		return
 	}
 	if j.Rack != "" {
-		d.placeDemand.Add(d.now, j.Rack)
+		if d.placeDemand.Add(d.now, j.Rack) {
+			d.emit(LogEvent{Event: "rack_wanted", Job: j.Name, Queue: j.Queue.Name, Detail: fmt.Sprintf("rack=%s servers=%d", j.Rack, d.serversOnRack(j.Rack))})
+		}
 	}
 	if j.wantsOneRack() {
-		d.placeDemand.Add(d.now, "")
+		d.placeDemand.AddGroup(d.now)
+	}
+}
+
+// serversOnRack returns the number of agents in session whose servers have the label.
+func (d *Dispatcher) serversOnRack(rack string) int {
+	n := 0
+	for _, a := range d.sortedAgents {
+		if slices.Contains(a.identity.Labels, rack) {
+			n++
+		}
 	}
+	return n
 }
 
 // WantedRacks returns the racks that jobs have wanted of late, the most wanted ones
--- a/dispatch/places_test.go
+++ b/dispatch/places_test.go
@@ -150,6 +150,19 @@
 	h.Expect(effects[dispatch.Refused](h)[0].Error.Verdict).To(Equal(structs.NotRun))
 }
 
+// A rack whose servers are busy for longer than the caller waits, and a job that takes too
+// long elsewhere: it is refused at once until the rack is expected to be free.
+func TestReturnWhenRackIsFree(t *testing.T) {
+	h := newHarness(t).withPlaces(3)
+	h.agentOnRack(1, "r0", serverState{capacity: slotCPU, slowness: 1000, running: []session.RunningTask{{CPU: slotCPU, Ms: 5000}}})
+	h.agentOnRack(2, "r1", idle)
+	long := placeJob("long", 1, false)
+	long.Estimate, long.Timeout = time.Second, 2500*time.Millisecond
+	h.Expect(h.submitJob(long)).To(BeEmpty())
+	h.Expect(effects[dispatch.Refused](h)).To(HaveLen(1))
+	h.Expect(effects[dispatch.Refused](h)[0].Error.RetryAfter).To(BeNumerically("~", 5*time.Second, 50*time.Millisecond))
+}
+
 // A task that waits at its place is recalled when the server turns out to be busy for
 // longer, and placed elsewhere only once its agent has returned it.
 func TestWaitThatDoesNotPayIsGivenUp(t *testing.T) {
--- a/places/demand.go
+++ b/places/demand.go
@@ -28,12 +28,11 @@
 	newest time.Time
 }
 
-// Add records a job that wants a rack, or any one rack if rack is empty.
-func (d *Demand) Add(now time.Time, rack string) {
-	if rack == "" {
-		d.groupAt = now
-		return
-	}
+// AddGroup records a job that wants any one rack for all its tasks.
+func (d *Demand) AddGroup(now time.Time) { d.groupAt = now }
+
+// Add records a job that wants a rack. It reports whether the rack was not wanted before.
+func (d *Demand) Add(now time.Time, rack string) bool {
 	if d.racks == nil {
 		d.racks = make(map[string]wanted)
 	}
@@ -41,10 +40,11 @@
 	if !known && len(d.racks) >= maxRacks {
 		d.forget(now)
 		if len(d.racks) >= maxRacks {
-			return
+			return false
 		}
 	}
 	d.racks[rack] = wanted{jobs: r.jobs + 1, newest: now}
+	return !known
 }
 
 func (d *Demand) forget(now time.Time) {
