--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -2,75 +2,97 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
-	"github.com/chestnuthollow/chestnuthollow/capacity"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
-// maxEvacuationRetryAfter bounds the retry hint during an evacuation. An operator may end
-// one at any time, however long earlier ones lasted.
-const maxEvacuationRetryAfter = 30 * time.Second
+// noCandidateError returns why no agent can run the job. The job is unsuitable, and
+// need not be held, if agents of its service are ready and none is large enough or
+// has the required label.
+func (d *Dispatcher) noCandidateError(j *job) *structs.Error {
+	ofService := func(a *agent) bool { return d.isReady(a) && a.identity.Service == j.Queue.Service }
+	shrunk := func(a *agent) bool { return ofService(a) && !fits(j, &a.identity) && fits(j, &a.largest) }
+	if slices.ContainsFunc(d.sortedAgents, shrunk) {
+		return structs.Errorf(structs.CodeOverloaded, structs.NotRun, "the servers of service %s that had %d thousandths of a core, %d MB and %d GPUs have shrunk",
+			j.Queue.Service, j.CPU, j.MemMB, j.GPU).WithRetryAfter(unavailableRetryAfter)
+	}
+	if slices.ContainsFunc(d.sortedAgents, ofService) {
+		retryAfter := unsuitableRetryAfter
+		if j.RequiredLabel != "" {
+			retryAfter = unavailableRetryAfter // a server with the label may be in the subset of another entry
+		}
+		return structs.Errorf(structs.CodeRejected, structs.NotRun, "no server of service %s has %d thousandths of a core, %d MB, %d GPUs and the label %q",
+			j.Queue.Service, j.CPU, j.MemMB, j.GPU, j.RequiredLabel).WithRetryAfter(retryAfter)
+	}
+	if err := d.evacuatedError(j); err != nil {
+		return err
+	}
+	return structs.Errorf(structs.CodeUnavailable, structs.NotRun, "no agent of service %s can run the job now", j.Queue.Service).
+		WithRetryAfter(unavailableRetryAfter)
+}
 
-// evacuationChanged stops placing tasks in evacuated availability zones, and uses zones
-// that are restored. Agents of an evacuated zone return their queued tasks by
-// themselves; what runs there ends.
-func (d *Dispatcher) evacuationChanged(e EvacuationChanged) {
-	d.evacuatedZones = e.Zones
-	d.zoneExpectedAt = d.now.Add(e.ExpectedRemaining)
-	d.agentsChanged = true
+// planNew plans a job that is not admitted yet. It returns an error if the job is
+// not expected to end while its answer is useful. Unless all its tasks can start
+// at once, it also returns an error if the backlog exceeds maxBacklog, because
+// another job would then delay the queued ones until their answers are useless.
+func (d *Dispatcher) planNew(j *job) ([]assignment, *structs.Error) {
+	plan, err := d.plan(j, j.unplaced(), d.latestUsefulEnd(j))
+	if err != nil {
+		return nil, err
+	}
+	startsNow := func(as assignment) bool { return as.finish-as.runTime-as.agent.networkOverhead(d) <= 0 }
+	if backlog := d.backlog(j); backlog > maxBacklog && !all(plan, startsNow) {
+		return nil, structs.Errorf(structs.CodeOverloaded, structs.NotRun, "queued tasks need %d ms, over the limit of %d ms",
+			backlog.Milliseconds(), maxBacklog.Milliseconds()).WithRetryAfter(d.retryAfter(j))
+	}
+	return plan, nil
 }
 
-// evacuated reports whether no task may be placed in the availability zone.
-func (d *Dispatcher) evacuated(zone string) bool {
-	_, found := slices.BinarySearch(d.evacuatedZones, zone)
-	return found
+func all(plan []assignment, match func(assignment) bool) bool {
+	return !slices.ContainsFunc(plan, func(as assignment) bool { return !match(as) })
 }
 
-// evacuatedError returns why a job cannot be placed if no agent of its service could run
-// it but for those in evacuated zones; nil otherwise. The job is not held, because an
-// evacuation lasts longer than the callers wait, unless this entry has just started, or
-// has just lost an agent of another zone, as after a suspension.
-func (d *Dispatcher) evacuatedError(j *job) *structs.Error {
-	evacuated := 0
+// backlog returns how long all servers that may run the job need together for
+// their queued tasks.
+func (d *Dispatcher) backlog(j *job) time.Duration {
+	limits := d.limitsOf(j, nil)
+	if !limits.confined {
+		limits = placementLimits{}
+	}
+	var work, cpu float64 // work in thousandths of a core times ms, cpu in thousandths of a core
 	for _, a := range d.sortedAgents {
-		switch {
-		case a.identity.Service != j.Queue.Service || !fits(j, &a.identity) || !hasLabel(a, j.RequiredLabel):
-		case d.evacuated(a.zone):
-			evacuated++
-		default:
-			return nil
+		if !d.eligible(a, j) || a.state.Failing >= failingThreshold || !limits.permits(a.name) {
+			continue
+		}
+		cpu += float64(a.identity.Capacity)
+		for _, q := range a.state.Queue {
+			work += float64(q.CPU) * float64(q.Ms)
 		}
 	}
-	incompleteUntil := d.opts.Started.Add(HoldTimeout)
-	if lost := d.usableAgentLost[j.Queue.Service].Add(HoldTimeout); lost.After(incompleteUntil) {
-		incompleteUntil = lost
-	}
-	if evacuated == 0 || d.now.Before(incompleteUntil) {
-		return nil
+	if cpu == 0 {
+		return 0
 	}
-	return structs.Errorf(structs.CodeOverloaded, structs.NotRun, "all servers of service %s that could run the job are in evacuated availability zones (%s)",
-		j.Queue.Service, strings.Join(d.evacuatedZones, ", ")).
-		WithRetryAfter(min(max(d.zoneExpectedAt.Sub(d.now), unavailableRetryAfter), maxEvacuationRetryAfter))
+	return time.Duration(work / cpu * float64(time.Millisecond))
 }
 
-// recordLostAgent records that an agent that was not evacuated has been lost.
-func (d *Dispatcher) recordLostAgent(a *agent) {
-	if !d.evacuated(a.zone) {
-		d.usableAgentLost[a.identity.Service] = d.now
-	}
-}
+// unsuitableRetryAfter is the retry hint for a job that fits no server: it may only
+// fit after the service was changed.
+const unsuitableRetryAfter = 30 * time.Second
 
-// warmUpRelease returns the capacity that an agent withholds while its server is cold, and
-// when it is used. Age is that of the agent's state.
-func (a *agent) warmUpRelease(age time.Duration) []capacity.Release {
-	if a.state.ColdMs <= 0 {
-		return nil
-	}
-	withheld := a.identity.Capacity - a.state.FreeCPU
-	for _, r := range a.state.Running {
-		withheld -= r.CPU
+// unavailableRetryAfter is the retry hint while no agent is available: sessions
+// and heartbeats are restored in about two seconds.
+const unavailableRetryAfter = 2 * time.Second
+
+// retryAfter returns the expected time until the job's service has free capacity,
+// at least one second.
+func (d *Dispatcher) retryAfter(j *job) time.Duration {
+	wait := time.Second
+	limits := d.limitsOf(j, nil)
+	if c := d.candidatesForReturn(j, d.candidates(j, nil, &limits)); len(c) > 0 {
+		if best, finish := pickCandidate(c, j, 0); best != nil {
+			wait = max(wait, finish-best.runTime)
+		}
 	}
-	return capacity.Ramp(max(withheld, 0), time.Duration(a.state.ColdMs)*time.Millisecond-age)
+	return wait
 }
