--- a/dispatch/places_test.go
+++ b/dispatch/places_test.go
@@ -48,14 +48,18 @@
 	return counts
 }
 
-// hotRack submits 180 jobs of four tasks for one rack at 1.35 times its capacity. It
-// returns how many ended within their objective.
-func hotRack(f *fleet) (onTime int, worst time.Duration) {
+// play submits jobs of four tasks with a pause after each, and returns how many ended
+// within their objective. Every wanting-th of them wants the rack r0.
+func (f *fleet) play(jobs, wanting int, pause time.Duration) (onTime int, worst time.Duration) {
 	arrivals := make(map[dispatch.CallID]time.Time)
-	for i := range 180 {
-		f.submitJob(placeJob(fmt.Sprint(i), 4, false))
+	for i := range jobs {
+		j := placeJob(fmt.Sprint(i), 4, false)
+		if i%wanting > 0 {
+			j.Rack = ""
+		}
+		f.submitJob(j)
 		arrivals[f.call] = f.now
-		f.advance(11 * time.Millisecond)
+		f.advance(pause)
 	}
 	f.advance(2 * time.Second)
 	for call, end := range f.ends {
@@ -68,7 +72,7 @@
 	return onTime, worst
 }
 
-// A rack that all want, with run times as expected, and a third longer so that waits are
+// A rack that all want: jobs for it arrive at 1.35 times its capacity, with run times as expected, and a third longer so that waits are
 // longer than expected too. Where a task is in time away from the rack, all jobs can be,
 // otherwise those that the rack has capacity for: 0.95 of them must be.
 func TestHotRack(t *testing.T) {
@@ -84,7 +88,7 @@
 					h.withPlaces(believed)
 				}
 				f := newFleet(h, c.factor, c.longer)
-				onTime, worst := hotRack(f)
+				onTime, worst := f.play(180, 1, 11*time.Millisecond)
 				t.Logf("believed factor %v: on time %d, answered %d, refused %d, longest %v, work %v", believed, onTime, len(f.ends), f.refused, worst, f.work)
 				return f, onTime, worst
 			}
@@ -100,6 +104,16 @@
 	}
 }
 
+// A rack that a third of the jobs want, at 0.83 of its capacity, among others that could
+// take it: all jobs can be in time, and no task need run away from the rack.
+func TestJobsForRackAmongOthers(t *testing.T) {
+	h := newHarness(t).withPlaces(3)
+	f := newFleet(h, 3, 1)
+	onTime, _ := f.play(300, 3, 6*time.Millisecond)
+	h.Expect(onTime).To(Equal(300))
+	h.Expect(f.work).To(Equal(300 * 4 * 60 * time.Millisecond))
+}
+
 // A rack whose servers are busy for a short, or for a long time.
 func TestWaitForBusyRack(t *testing.T) {
 	for busy, want := range map[int]map[dispatch.SessionID]int{40: {1: 1}, 110: {2: 1}} {
