--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -137,12 +137,12 @@
 // time there.
 func (d *Dispatcher) pick(candidates []*candidate, j *job) (*candidate, time.Duration) {
 	within := j.objective.Sub(d.now)
-	if !d.wantsPlace(j) {
+	if allAtOnePlace(candidates) {
 		return pickCandidate(candidates, j, within)
 	}
 	near, away := splitByPlace(candidates)
 	best, finish := pickCandidate(near, j, within)
-	if best != nil && (len(away) == 0 || d.waits.InTime(d.now, best.option(finish), within)) {
+	if best != nil && d.waits.InTime(d.now, best.option(finish), within) {
 		return best, finish
 	}
 	if other, otherFinish := pickCandidate(away, j, within); other != nil {
@@ -151,6 +151,12 @@
 	return best, finish
 }
 
+// allAtOnePlace reports whether the candidates are all at the place of the job, or all
+// away from it.
+func allAtOnePlace(candidates []*candidate) bool {
+	return !slices.ContainsFunc(candidates, func(c *candidate) bool { return c.factor > 1 != (candidates[0].factor > 1) })
+}
+
 func splitByPlace(candidates []*candidate) (near, away []*candidate) {
 	for _, c := range candidates {
 		if c.factor > 1 {
--- a/dispatch/places_test.go
+++ b/dispatch/places_test.go
@@ -149,7 +149,12 @@
 	h := newHarness(t).withPlaces(3)
 	h.agentOnRack(1, "r0", idle)
 	h.agentOnRack(2, "r1", idle)
+	h.Expect(h.submitJob(placeJob("returned", 1, false))).To(Equal(map[dispatch.SessionID]int{1: 1}))
+	_, ids := h.placed()
 	h.step(dispatch.EvacuationChanged{Zones: []string{"zone-r0"}})
+	h.step(dispatch.PollReplied{ID: 1, Reply: session.PollReply{State: h.rackState("r0", idle), Reports: []session.Report{{ID: ids[0], Outcome: session.NotStarted}}}})
+	counts, _ := h.placed()
+	h.Expect(counts).To(Equal(map[dispatch.SessionID]int{2: 1}), "a queued task that its agent has returned")
 	h.Expect(h.submitJob(placeJob("evacuated", 1, false))).To(Equal(map[dispatch.SessionID]int{2: 1}))
 
 	h.step(dispatch.SessionEnded{ID: 1, LastHeard: h.now, Reason: "closed"})
