--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/places"
@@ -30,13 +28,17 @@
 // fit no rack.
 func (d *Dispatcher) bestRack(j *job, tasks []int, candidates []*candidate) []*candidate {
 	racks := make(map[string][]*candidate)
+	var order []string
 	for _, c := range candidates {
 		rack := rackOf(c.agent)
+		if racks[rack] == nil {
+			order = append(order, rack)
+		}
 		racks[rack] = append(racks[rack], c)
 	}
 	var best []*candidate
 	earliest := time.Duration(places.Never)
-	for _, rack := range slices.Sorted(maps.Keys(racks)) {
+	for _, rack := range order {
 		if end := d.trial(j, tasks, racks[rack]).End(); end < earliest {
 			best, earliest = racks[rack], end
 		}
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -69,6 +69,7 @@
 	if !d.wantsPlace(j) {
 		return candidates
 	}
+	candidates = d.rotate(candidates)
 	near, away := splitByPlace(candidates)
 	mixed := candidates
 	if j.wantsOneRack() && !j.groupPlaced() {
@@ -99,6 +100,13 @@
 	return chosen
 }
 
+// rotate returns the candidates in an order of this entry's own, so that entries which see
+// the same free servers do not all take the first of them.
+func (d *Dispatcher) rotate(candidates []*candidate) []*candidate {
+	first := int(uint64(d.opts.Incarnation) % uint64(len(candidates)))
+	return slices.Concat(candidates[first:], candidates[:first])
+}
+
 // overtakenWithin returns within which time tasks of the agents' queues that must start by
 // then start before the job's. A job with a place that has missed its objective is queued
 // by its deadline.
--- a/places/waits.go
+++ b/places/waits.go
@@ -17,7 +17,7 @@
 	memory = 5 * time.Second
 	// priorSamples is the weight of the assumption that a wait is as long as expected,
 	// and the largest weight of what was observed at other racks.
-	priorSamples = 8
+	priorSamples = 4
 	// maxRacks bounds the racks whose waits are learned separately.
 	maxRacks = 256
 )
