--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -30,6 +30,7 @@
 	// unacknowledged are the placements whose order has no reply yet, so that the
 	// state does not include them.
 	unacknowledged map[uint64]*placement
+	recallable     []*placement // of jobs that have a place, in the order of placing
 }
 
 // serverSlowness is the last known slowness of an agent's server, kept beyond the
@@ -169,6 +170,7 @@
 	d.endOutageIfReady(a)
 	d.recordRecovery(a)
 	d.moveStragglers(a, s.Laggards)
+	d.recallWaiting(a)
 	if s.Samples >= minSlownessSamples {
 		d.lastSlowness[a.name] = serverSlowness{server: a.identity.Server, slowness: s.Slowness}
 	}
@@ -200,6 +202,16 @@
 // is reserved for queued tasks that isAhead selects and for placements that the
 // agent has not acknowledged.
 func (d *Dispatcher) capacityTimeline(a *agent, isAhead func(session.QueuedTask) bool) *capacity.Timeline {
+	t := d.timelineAfter(a, func(_ int, q session.QueuedTask) bool { return isAhead(q) })
+	for _, p := range sortedUnacknowledged(a) {
+		t.Reserve(p.job.CPU, scale(d.expectedRunTime(a, p.job.Estimate), p.place.runFactor()))
+	}
+	return t
+}
+
+// timelineAfter returns the free capacity of the agent over time, less what is reserved
+// for queued tasks that isAhead selects by their position and size.
+func (d *Dispatcher) timelineAfter(a *agent, isAhead func(int, session.QueuedTask) bool) *capacity.Timeline {
 	age := d.now.Sub(a.stateReceivedAt)
 	releases := make([]capacity.Release, 0, len(a.state.Running))
 	for _, r := range a.state.Running {
@@ -207,14 +219,11 @@
 	}
 	releases = append(releases, a.warmUpRelease(age)...)
 	t := capacity.New(a.state.FreeCPU, releases)
-	for _, q := range a.state.Queue {
-		if isAhead(q) {
+	for i, q := range a.state.Queue {
+		if isAhead(i, q) {
 			t.Reserve(q.CPU, time.Duration(q.Ms)*time.Millisecond)
 		}
 	}
-	for _, p := range sortedUnacknowledged(a) {
-		t.Reserve(p.job.CPU, d.expectedRunTime(a, p.job.Estimate))
-	}
 	return t
 }
 
