--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnuthollow/chestnuthollow/capacity"
 	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/spread"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -30,6 +31,7 @@
 	// unacknowledged are the placements whose order has no reply yet, so that the
 	// state does not include them.
 	unacknowledged map[uint64]*placement
+	othersFlow     spread.Flow // what other entries place there
 }
 
 // serverSlowness is the last known slowness of an agent's server, kept beyond the
@@ -49,6 +51,7 @@
 	if e.State.Identity != nil {
 		a.setIdentity(*e.State.Identity)
 	}
+	a.othersFlow.Observe(d.now, e.State.OthersCPU)
 	d.agents[e.ID] = a
 	d.recordCrashes(a, e.State.Crashes)
 	d.endOutageIfReady(a)
@@ -165,6 +168,7 @@
 	}
 	a.state = s
 	a.stateReceivedAt = d.now
+	a.othersFlow.Observe(d.now, s.OthersCPU)
 	d.endOutageIfReady(a)
 	d.recordRecovery(a)
 	d.moveStragglers(a, s.Laggards)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnuthollow/chestnuthollow/containment"
 	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/spread"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -27,6 +28,9 @@
 	suspects        map[*placement]bool // of tasks that may have crashed a server
 	recoveryTime    time.Duration       // expected from a crash until the server is back
 	longestSlack    longestSlack
+	chooser         *spread.Chooser
+	inTime          []*candidate    // of the last choice; its memory is used again
+	servers         []spread.Server // the same for the chooser
 	jobs            map[string]*job // open, or answered with tasks not yet ended, by name
 	calls           map[CallID]*job
 	heldJobs        []*job               // open, with tasks to place once agents are available
@@ -55,6 +59,7 @@
 		containment:     containment.New(),
 		suspects:        make(map[*placement]bool),
 		recoveryTime:    initialRecoveryTime,
+		chooser:         spread.NewChooser(uint64(opts.Incarnation)),
 		longestSlack:    make(longestSlack),
 		jobs:            make(map[string]*job),
 		noAgentSince:    make(map[string]time.Time),
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -30,6 +30,9 @@
 	Running  int    `json:"running"`
 	Waiting  int    `json:"waiting"`
 	AgeMs    int64  `json:"state_age_ms"`
+	// OthersPerSecond is the rate at which other entries place work there, in thousandths
+	// of a core per second.
+	OthersPerSecond int `json:"others_cpu_per_s"`
 }
 
 // JobDump is one job that is open, or answered with tasks not yet ended.
@@ -55,6 +58,7 @@
 			Name: a.name, Zone: a.zone, Server: a.identity.Server, Ready: a.state.Ready, Capacity: a.identity.Capacity,
 			FreeCPU: a.state.FreeCPU, Slowness: a.state.Slowness, Failing: a.state.Failing,
 			Running: len(a.state.Running), Waiting: len(a.state.Queue), AgeMs: now.Sub(a.stateReceivedAt).Milliseconds(),
+			OthersPerSecond: int(a.othersFlow.PerSecond()),
 		})
 	}
 	for _, j := range d.sortedJobs(func(*job) bool { return true }) {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -318,6 +318,9 @@
 			return
 		}
 	default:
+		if r.Outcome == session.NotStarted {
+			d.countReturned()
+		}
 		t.avoidedAgents = append(t.avoidedAgents, p.agent.name)
 		if r.Outcome == session.Lost && d.taskLost(j, p.index, r.Reason) {
 			return
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -163,6 +163,9 @@
 	// CrashMetrics is counted in the metrics: crashes of servers that were reported,
 	// tasks given up because of them, and queues confined.
 	CrashMetrics struct{ Servers, TasksGivenUp, QueuesConfined int }
+	// PlacementMetrics is counted in the metrics with Scheduling.Spread: tasks placed, those
+	// of them in other availability zones, and tasks that an agent has not started.
+	PlacementMetrics struct{ Placed, OtherZone, Returned int }
 	// JobMetrics is counted in the metrics: one per answered job, and one per
 	// refused call.
 	JobMetrics struct {
@@ -185,11 +188,12 @@
 func (EvacuationChanged) isEvent() {}
 func (Ticked) isEvent()            {}
 
-func (Order) isEffect()         {}
-func (CloseSession) isEffect()  {}
-func (Answered) isEffect()      {}
-func (Refused) isEffect()       {}
-func (CancelReplied) isEffect() {}
-func (LogEvent) isEffect()      {}
-func (JobMetrics) isEffect()    {}
-func (CrashMetrics) isEffect()  {}
+func (Order) isEffect()            {}
+func (CloseSession) isEffect()     {}
+func (Answered) isEffect()         {}
+func (Refused) isEffect()          {}
+func (CancelReplied) isEffect()    {}
+func (LogEvent) isEffect()         {}
+func (JobMetrics) isEffect()       {}
+func (CrashMetrics) isEffect()     {}
+func (PlacementMetrics) isEffect() {}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -24,6 +24,7 @@
 // place adds the planned tasks to the orders to their agents.
 func (d *Dispatcher) place(j *job, plan []assignment) {
 	limit := d.completionLimit(j, plan)
+	d.countPlacements(plan)
 	for _, as := range plan {
 		t := &j.tasks[as.index]
 		t.placements++
@@ -38,14 +39,15 @@
 		as.agent.unacknowledged[p.id] = p
 		j.livePlacements++
 		startWithin := limit.Sub(d.now) - as.runTime - as.agent.networkOverhead(d)
-		addToOrder(o, j, session.Placement{ID: p.id, Index: as.index, Attempt: t.placements}, max(startWithin, time.Millisecond))
+		addToOrder(o, j, session.Placement{ID: p.id, Index: as.index, Attempt: t.placements}, max(d.firstWait(&as, t, startWithin), time.Millisecond))
 	}
 }
 
-// addToOrder adds a task to the part of the order that belongs to its job.
+// addToOrder adds a task to the part of the order that belongs to its job and may wait as
+// long.
 func addToOrder(o *Order, j *job, p session.Placement, startWithin time.Duration) {
 	for i := range o.Start {
-		if o.Start[i].Job == j.Name {
+		if o.Start[i].Job == j.Name && o.Start[i].StartWithin == startWithin {
 			o.Start[i].Tasks = append(o.Start[i].Tasks, p)
 			return
 		}
@@ -65,7 +67,7 @@
 		to.WriteString(as.agent.name)
 	}
 	d.emit(LogEvent{Event: event, Job: j.Name, Queue: j.Queue.Name,
-		Detail: fmt.Sprintf("tasks=%d cpu=%d estimate_ms=%d expected_ms=%d objective_ms=%d target_ms=%d deadline_ms=%d to=%s", j.Tasks, j.CPU,
+		Detail: fmt.Sprintf("tasks=%d cpu=%d estimate_ms=%d expected_ms=%d objective_ms=%d target_ms=%d deadline_ms=%d%s to=%s", j.Tasks, j.CPU,
 			j.Estimate.Milliseconds(), lastFinish(plan).Milliseconds(), j.objective.Sub(j.arrived).Milliseconds(),
-			j.target.Sub(j.arrived).Milliseconds(), j.deadline.Sub(j.arrived).Milliseconds(), to.String())})
+			j.target.Sub(j.arrived).Milliseconds(), j.deadline.Sub(j.arrived).Milliseconds(), d.spreadDetail(plan), to.String())})
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -14,6 +14,11 @@
 	runTime time.Duration // expected run time
 }
 
+// startsNow reports whether the task is expected to start when the order arrives.
+func (as *assignment) startsNow(d *Dispatcher) bool {
+	return as.finish-as.runTime-as.agent.networkOverhead(d) <= 0
+}
+
 // plan chooses an agent for each of the tasks. It returns an error if there is a
 // task that no agent can take, or if the job is not expected to end by the latest
 // time.
@@ -50,7 +55,7 @@
 	}
 	plan := make([]assignment, 0, len(tasks))
 	for _, index := range tasks {
-		best, finish := pickCandidate(candidates, j, j.objective.Sub(d.now))
+		best, finish := d.choose(candidates, j, j.objective.Sub(d.now))
 		if best == nil {
 			return nil, structs.Errorf(structs.CodeOverloaded, structs.NotRun, "no server can take another task of %d thousandths of a core", j.CPU).
 				WithRetryAfter(d.retryAfter(j))
--- /dev/null
+++ b/dispatch/spread.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/spread"
+)
+
+// choose chooses the agent for one task that should end within the given time. With
+// Scheduling.Spread, these are the candidates that are expected to start it at once and to
+// end it at least finishMargin before that. If there is none, see pickCandidate.
+func (d *Dispatcher) choose(candidates []*candidate, j *job, within time.Duration) (*candidate, time.Duration) {
+	if d.opts.Scheduling.Spread {
+		if c := d.chooseIdle(candidates, j, within); c != nil {
+			return c, c.runTime + c.overhead
+		}
+	}
+	return pickCandidate(candidates, j, within)
+}
+
+// chooseIdle chooses among the candidates that are expected to start the task at once and
+// end it in time; nil if there is none.
+func (d *Dispatcher) chooseIdle(candidates []*candidate, j *job, within time.Duration) *candidate {
+	d.inTime, d.servers = d.inTime[:0], d.servers[:0]
+	for _, c := range candidates {
+		if j.MaxPerServer > 0 && c.jobTasks >= j.MaxPerServer || c.runTime+c.overhead+c.finishMargin() > within {
+			continue
+		}
+		if start, ok := c.timeline.EarliestStart(j.CPU); !ok || start > 0 {
+			continue
+		}
+		untilArrival := d.now.Sub(c.agent.stateReceivedAt) + c.overhead
+		d.inTime = append(d.inTime, c)
+		d.servers = append(d.servers, spread.Server{
+			Local: c.sameZone, Weight: c.weightedFreeShare(),
+			Spare: c.freeShare*float64(c.agent.identity.Capacity) - float64(j.CPU) - c.agent.othersFlow.Expected(untilArrival),
+		})
+	}
+	if i, ok := d.chooser.Choose(d.servers); ok {
+		return d.inTime[i]
+	}
+	return nil
+}
+
+// firstWait bounds how long the agent may keep a task waiting. One that is expected to
+// start at once, and finds that others were placed there first, is returned if it would
+// wait for longer than placing it again takes. It may wait where it is placed next, so that
+// tasks are not passed around when all servers are full.
+func (d *Dispatcher) firstWait(as *assignment, t *task, startWithin time.Duration) time.Duration {
+	if !d.opts.Scheduling.Spread || t.placements > 1 || !as.startsNow(d) {
+		return startWithin
+	}
+	return min(startWithin, as.agent.networkOverhead(d))
+}
+
+// countPlacements counts planned tasks by availability zone.
+func (d *Dispatcher) countPlacements(plan []assignment) {
+	if !d.opts.Scheduling.Spread {
+		return
+	}
+	d.emit(PlacementMetrics{Placed: len(plan), OtherZone: d.inOtherZones(plan)})
+}
+
+// countReturned counts a task that an agent has not started.
+func (d *Dispatcher) countReturned() {
+	if d.opts.Scheduling.Spread {
+		d.emit(PlacementMetrics{Returned: 1})
+	}
+}
+
+func (d *Dispatcher) inOtherZones(plan []assignment) int {
+	n := 0
+	for _, as := range plan {
+		if as.agent.zone != d.opts.Zone {
+			n++
+		}
+	}
+	return n
+}
+
+// spreadDetail is the part of the log line of a plan that says how its tasks were spread.
+func (d *Dispatcher) spreadDetail(plan []assignment) string {
+	if !d.opts.Scheduling.Spread {
+		return ""
+	}
+	atOnce := 0
+	for _, as := range plan {
+		if as.startsNow(d) {
+			atOnce++
+		}
+	}
+	return fmt.Sprintf(" at_once=%d other_zone=%d", atOnce, d.inOtherZones(plan))
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -23,6 +23,7 @@
 	zonesEvacuated metrics.Gauge
 
 	serversCrashed, tasksGivenUp, queuesConfined metrics.Counter
+	tasksPlaced, tasksOtherZone, tasksReturned   metrics.Counter
 }
 
 func newMetrics(g *Gateway) *gatewayMetrics {
@@ -39,6 +40,10 @@
 		serversCrashed: metrics.NewRegisteredCounter("crashes.servers", r),
 		tasksGivenUp:   metrics.NewRegisteredCounter("crashes.tasks_given_up", r),
 		queuesConfined: metrics.NewRegisteredCounter("crashes.queues_confined", r),
+
+		tasksPlaced:    metrics.NewRegisteredCounter("tasks.placed", r),
+		tasksOtherZone: metrics.NewRegisteredCounter("tasks.placed_other_zone", r),
+		tasksReturned:  metrics.NewRegisteredCounter("tasks.returned", r),
 	}
 	r.Register("jobs.open", metrics.NewFunctionalGauge(func() int64 { return int64(g.openJobs()) }))
 	r.Register("bytes.sent", metrics.NewFunctionalGauge(func() int64 { return rpcconn.TotalTraffic().BytesSent }))
@@ -71,6 +76,13 @@
 	m.queuesConfined.Inc(int64(e.QueuesConfined))
 }
 
+// recordPlacement counts where tasks were placed, and those that agents returned.
+func (m *gatewayMetrics) recordPlacement(e *dispatch.PlacementMetrics) {
+	m.tasksPlaced.Inc(int64(e.Placed))
+	m.tasksOtherZone.Inc(int64(e.OtherZone))
+	m.tasksReturned.Inc(int64(e.Returned))
+}
+
 // Dump implements ops.Source.
 func (g *Gateway) Dump() any {
 	evacuated := g.evacuation()
--- a/session/messages.go
+++ b/session/messages.go
@@ -192,6 +192,10 @@
 	Failing int
 	Running []RunningTask
 	Queue   []QueuedTask
+	// OthersCPU is the sum of the sizes of all tasks that the agent has admitted from other
+	// sessions since it started, in thousandths of a core. Agents of earlier builds leave
+	// it zero.
+	OthersCPU uint64
 	// ColdMs is how much longer the server runs slowly after its start, in ms.
 	ColdMs int
 	// RunTimes are the distributions of run times of the queues whose tasks the server
--- a/taskrunner/order.go
+++ b/taskrunner/order.go
@@ -63,6 +63,7 @@
 		}
 		m.runs[r.key.TaskKey] = r
 		m.enqueue(r)
+		m.countAdmitted(s, r)
 	}
 }
 
--- a/taskrunner/poll.go
+++ b/taskrunner/poll.go
@@ -75,6 +75,7 @@
 		s.identitySent, s.sentIdentity = true, id
 		st.Identity = &session.Identity{Service: m.server.Service, Server: m.server.ID, Labels: m.server.Labels, Capacity: m.server.CPU, MemMB: m.server.MemMB, GPU: m.server.GPU}
 	}
+	st.OthersCPU = m.othersCPU(s)
 	st.Crashes = m.unsentCrashes(s)
 	st.Running = m.runningTasks()
 	for _, r := range m.queue {
--- a/taskrunner/session.go
+++ b/taskrunner/session.go
@@ -29,6 +29,8 @@
 	// mostly because the stop arrived before the start.
 	canceled map[uint64]bool
 	ended    bool
+	// admittedCPU is the sum of the sizes of the admitted tasks, in thousandths of a core.
+	admittedCPU uint64
 }
 
 // serverIdentity identifies an incarnation of a server and its capacity.
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -43,7 +43,9 @@
 
 	crashes   []crash // recent ones, oldest first
 	lastCrash uint64  // number of the last one
-	starts    startRates
+	// admittedCPU is the sum of the sizes of all admitted tasks, in thousandths of a core.
+	admittedCPU uint64
+	starts      startRates
 
 	stateSeq uint64 // of the last state sent to an entry
 	leaving  bool
