Spread: servers that break connections are taken last

Change: agents tell the recent share of starts whose connection broke (State.Broken, a new field), and entries with `spread` use such a server only if no other has capacity. Metric server.connections at the agent. Timeouts of starts are as before.

--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -35,7 +35,7 @@
 		untilArrival := d.now.Sub(c.agent.stateReceivedAt) + c.overhead
 		d.inTime = append(d.inTime, c)
 		d.servers = append(d.servers, spread.Server{
-			Local: c.sameZone, Weight: c.weightedFreeShare() * math.Sqrt(1-float64(c.runTime+c.overhead)/float64(within)),
+			Local: c.sameZone, Unreliable: c.agent.state.Broken >= unreliableThreshold, Weight: c.weightedFreeShare() * math.Sqrt(1-float64(c.runTime+c.overhead)/float64(within)),
 			Spare: c.freeShare*float64(c.agent.identity.Capacity) - float64(j.CPU) - c.agent.othersFlow.Expected(untilArrival),
 		})
 	}
@@ -45,6 +45,11 @@
 	return nil
 }
 
+// unreliableThreshold is the share of broken calls, in thousandths, from which on a server
+// is used only if no other has spare capacity. One broken call counts 200, and is
+// forgotten after two seconds.
+const unreliableThreshold = 100
+
 // maxImpatientPlacements is how often a task is returned rather than kept waiting. After
 // that it waits, so that tasks are not passed around while all servers are full.
 const maxImpatientPlacements = 2
--- a/session/messages.go
+++ b/session/messages.go
@@ -190,6 +190,10 @@
 	Samples  int
 	// Failing is the recent share of tasks that failed or hung, in thousandths.
 	Failing int
+	// Broken is the recent share of calls that start tasks for which the server closed
+	// the connection instead of replying, in thousandths. Agents of earlier builds leave it
+	// zero.
+	Broken  int
 	Running []RunningTask
 	Queue   []QueuedTask
 	// OthersCPU is the sum of the sizes of all tasks that the agent has admitted from other
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -19,6 +19,7 @@
 
 func newMetrics(s *Sidecar) *sidecarMetrics {
 	r := metrics.NewRegistry()
+	r.Register("server.connections", metrics.NewFunctionalGauge(func() int64 { return s.platform.Server.Connections() }))
 	r.Register("sessions", metrics.NewFunctionalGauge(func() int64 { return int64(s.connections()) }))
 	return &sidecarMetrics{
 		registry:  r,
--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -39,6 +39,8 @@
 	Start(ctx context.Context, o taskrunner.StartTask) taskrunner.StartReplied
 	Stop(ctx context.Context, o taskrunner.StopTask) taskrunner.StopReplied
 	RenewLease(ctx context.Context, o taskrunner.RenewLease) taskrunner.RenewReplied
+	// Connections returns how many connections to the server were opened.
+	Connections() int64
 }
 
 // Platform contains the parts of the users' platform that a Sidecar depends on.
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -69,3 +69,19 @@
 	f.Observe(at.Add(time.Second), 0)
 	g.Expect(f.PerSecond()).To(BeNumerically("~", 390_000, 10_000), "a restart is no work of others")
 }
+
+// Servers that reset connections: a start is sent up to three times there, and renewals of
+// the lease fail.
+func TestUnreliableServersAreLast(t *testing.T) {
+	g := NewWithT(t)
+	c := spread.NewChooser(1)
+	servers := []spread.Server{{Local: true, Unreliable: true, Spare: 9000, Weight: 1}, {Spare: 1000, Weight: 0.1}}
+	for range 20 {
+		i, ok := c.Choose(servers)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(i).To(Equal(1))
+	}
+	i, ok := c.Choose(servers[:1])
+	g.Expect(ok).To(BeTrue())
+	g.Expect(i).To(Equal(0), "better than none")
+}
--- a/taskrunner/health.go
+++ b/taskrunner/health.go
@@ -13,6 +13,7 @@
 	failures  float64   // moving average of the share of failed tasks
 	decayedAt time.Time // when failures was last decayed
 	suspect   bool      // fails so many tasks that it gets only one at a time
+	broken    float64   // moving average of the share of starts whose connection broke
 	recent    runTimes  // of finished tasks, for the current slowness
 	longTerm  runTimes  // of finished tasks, for the baseline slowness
 	inFlight  runTimes  // of running tasks, extrapolated from their progress
@@ -66,6 +67,16 @@
 	}
 }
 
+// recordStartReply records whether the connection of a start broke.
+func (h *health) recordStartReply(broken bool) {
+	h.broken *= 1 - failureWeight
+	if broken {
+		h.broken += failureWeight
+	}
+}
+
+func (h *health) brokenPerMille() int { return int(h.broken * perMille) }
+
 func (h *health) failingPerMille() int { return int(h.failures * perMille) }
 
 // recordRunTime records the run time of a finished task. Long tasks have more
@@ -84,7 +95,9 @@
 // failed its tasks and therefore gets no more of them is tried again this way.
 func (h *health) decay(now time.Time) {
 	if !h.decayedAt.IsZero() && now.After(h.decayedAt) {
-		h.setFailures(h.failures * math.Exp(-float64(now.Sub(h.decayedAt))/float64(failureDecayTime)))
+		f := math.Exp(-float64(now.Sub(h.decayedAt)) / float64(failureDecayTime))
+		h.setFailures(h.failures * f)
+		h.broken *= f
 	}
 	h.decayedAt = now
 	h.recent.decay(now, recentDecayTime)
--- a/taskrunner/messages.go
+++ b/taskrunner/messages.go
@@ -131,6 +131,8 @@
 		Clock             time.Duration // reading of the server's clock; zero if unknown
 		ServerIncarnation int64         // zero if unknown
 		Reason            string        // logged if the result is StartUnknown
+		// Broken means that the server closed the connection instead of replying.
+		Broken bool
 	}
 	// StopReplied is the reply to StopTask.
 	StopReplied struct {
--- a/taskrunner/poll.go
+++ b/taskrunner/poll.go
@@ -69,6 +69,7 @@
 		Slowness: m.health.slownessPerMille(),
 		Samples:  m.health.samples,
 		Failing:  m.health.failingPerMille(),
+		Broken:   m.health.brokenPerMille(),
 		Laggards: m.stragglers(s),
 	}
 	if id := (serverIdentity{m.server.Incarnation, m.server.ID, m.server.capacity()}); !s.identitySent || s.sentIdentity != id {
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -184,6 +184,7 @@
 
 func (m *Runner) startReplied(e StartReplied) {
 	m.readClock(e.ServerIncarnation, e.Clock)
+	m.health.recordStartReply(e.Broken)
 	r := m.runs[e.Key.TaskKey]
 	if r == nil || r.key != e.Key {
 		return
