--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -33,10 +33,13 @@
 			continue
 		}
 		untilArrival := d.now.Sub(c.agent.stateReceivedAt) + c.overhead
+		timeLeft := 1 - float64(c.runTime+c.overhead)/float64(within)
 		d.inTime = append(d.inTime, c)
 		d.servers = append(d.servers, spread.Server{
-			Local: c.sameZone, Unreliable: c.agent.state.Broken >= unreliableThreshold, Weight: c.weightedFreeShare() * math.Sqrt(1-float64(c.runTime+c.overhead)/float64(within)),
-			Spare: c.freeShare*float64(c.agent.identity.Capacity) - float64(j.CPU) - c.agent.othersFlow.Expected(untilArrival),
+			Local:      c.sameZone,
+			Unreliable: c.agent.state.Broken >= unreliableThreshold,
+			Spare:      c.freeShare*float64(c.agent.identity.Capacity) - float64(j.CPU) - c.agent.othersFlow.Expected(untilArrival),
+			Weight:     c.weightedFreeShare() * math.Sqrt(timeLeft),
 		})
 	}
 	if i, ok := d.chooser.Choose(d.servers); ok {
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -39,8 +39,8 @@
 // same choices.
 func NewChooser(seed uint64) *Chooser { return &Chooser{random: rand.New(rand.NewPCG(seed, 0))} }
 
-// Choose returns the index of the server for a task. It reports false if none has spare capacity, so
-// that the task has to wait wherever it is placed.
+// Choose returns the index of the server for a task. It reports false if none has spare
+// capacity, so that the task has to wait wherever it is placed.
 func (c *Chooser) Choose(servers []Server) (int, bool) {
 	for i := range c.pools {
 		c.pools[i] = c.pools[i][:0]
--- a/test/sessions/entry_test.go
+++ b/test/sessions/entry_test.go
@@ -64,6 +64,7 @@
 	e.dispatcher = dispatch.New(dispatch.Options{
 		Entry: e.name, Incarnation: e.incarnation, Zone: "z", Started: e.monotonicNow(),
 		InDoubtTimeout: taskrunner.InDoubtTimeout(time.Second, stopTimeout), AnswerRetention: dispatch.DefaultAnswerRetention,
+		Scheduling: dispatch.Scheduling{Spread: e.incarnation&2 != 0}, // entries of both kinds run side by side
 	})
 	for _, a := range e.sim.agents {
 		e.dial(a)
