Dispatch: parts of an order by waiting time only with spread

Without spread, tasks of one job for one agent stay in one part, as before. TestTaskThatIsExpectedToWaitIsNotReturned fails if the parts are merged.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -39,15 +39,15 @@
 		as.agent.unacknowledged[p.id] = p
 		j.livePlacements++
 		startWithin := limit.Sub(d.now) - as.runTime - as.agent.networkOverhead(d)
-		addToOrder(o, j, session.Placement{ID: p.id, Index: as.index, Attempt: t.placements}, max(d.maxWait(&as, t, startWithin), time.Millisecond))
+		d.addToOrder(o, j, session.Placement{ID: p.id, Index: as.index, Attempt: t.placements}, max(d.maxWait(&as, t, startWithin), time.Millisecond))
 	}
 }
 
-// addToOrder adds a task to the part of the order that belongs to its job and may wait as
-// long.
-func addToOrder(o *Order, j *job, p session.Placement, startWithin time.Duration) {
+// addToOrder adds a task to the part of the order that belongs to its job. With
+// Scheduling.Spread, tasks of a job that may wait for different times are in different parts.
+func (d *Dispatcher) addToOrder(o *Order, j *job, p session.Placement, startWithin time.Duration) {
 	for i := range o.Start {
-		if o.Start[i].Job == j.Name && o.Start[i].StartWithin == startWithin {
+		if o.Start[i].Job == j.Name && (!d.opts.Scheduling.Spread || o.Start[i].StartWithin == startWithin) {
 			o.Start[i].Tasks = append(o.Start[i].Tasks, p)
 			return
 		}
--- a/dispatch/spread_test.go
+++ b/dispatch/spread_test.go
@@ -363,3 +363,15 @@
 		h.Expect(counts).To(Equal(map[dispatch.SessionID]int{1 + dispatch.SessionID(others/10_000): 1}))
 	}
 }
+
+// A wide job: a task that has to wait for another one of its job keeps the time to do so.
+func TestTaskThatIsExpectedToWaitIsNotReturned(t *testing.T) {
+	h := newHarness(t)
+	h.d = dispatch.New(dispatch.Options{Zone: "zone-a", InDoubtTimeout: inDoubtTimeout, Scheduling: dispatch.Scheduling{Spread: true}})
+	h.agent(1, serverState{capacity: 10_000, free: 10_000, slowness: 1000})
+	h.submit("hold", 2, 6000, 20*time.Millisecond)
+	parts := effects[dispatch.Order](h)[0].Start
+	h.Expect(parts).To(HaveLen(2))
+	h.Expect(parts[0].StartWithin).To(BeNumerically("<=", 10*time.Millisecond))
+	h.Expect(parts[1].StartWithin).To(BeNumerically(">=", 20*time.Millisecond))
+}
