--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnuthollow/chestnuthollow/capacity"
 	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/spread"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -31,6 +32,7 @@
 	// state does not include them.
 	unacknowledged map[uint64]*placement
 	recallable     []*placement // of jobs that have a place, in the order of placing
+	othersFlow     spread.Flow  // what other entries place there
 }
 
 // serverSlowness is the last known slowness of an agent's server, kept beyond the
@@ -50,6 +52,7 @@
 	if e.State.Identity != nil {
 		a.setIdentity(*e.State.Identity)
 	}
+	a.othersFlow.Observe(d.now, e.State.OthersCPU)
 	d.agents[e.ID] = a
 	d.recordCrashes(a, e.State.Crashes)
 	d.endOutageIfReady(a)
@@ -167,6 +170,7 @@
 	}
 	a.state = s
 	a.stateReceivedAt = d.now
+	a.othersFlow.Observe(d.now, s.OthersCPU)
 	d.endOutageIfReady(a)
 	d.recordRecovery(a)
 	d.moveStragglers(a, s.Laggards)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/chestnuthollow/chestnuthollow/containment"
 	"github.com/chestnuthollow/chestnuthollow/places"
 	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/spread"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -31,6 +32,9 @@
 	placeDemand     places.Demand
 	recoveryTime    time.Duration // expected from a crash until the server is back
 	longestSlack    longestSlack
+	chooser         *spread.Chooser
+	inTime          []*candidate    // of the last choice; its memory is used again
+	servers         []spread.Server // the same for the chooser
 	jobs            map[string]*job // open, or answered with tasks not yet ended, by name
 	calls           map[CallID]*job
 	heldJobs        []*job               // open, with tasks to place once agents are available
@@ -59,6 +63,7 @@
 		containment:     containment.New(),
 		suspects:        make(map[*placement]bool),
 		recoveryTime:    initialRecoveryTime,
+		chooser:         spread.NewChooser(uint64(opts.Incarnation)),
 		longestSlack:    make(longestSlack),
 		jobs:            make(map[string]*job),
 		usableAgentLost: make(map[string]time.Time),
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -47,6 +47,9 @@
 	ColdMs   int    `json:"cold_ms"` // how much longer the server runs slowly
 	// Evacuated means that the agent's availability zone is evacuated.
 	Evacuated bool `json:"zone_evacuated"`
+	// OthersPerSecond is the rate at which other entries place work there, in thousandths
+	// of a core per second.
+	OthersPerSecond int `json:"others_cpu_per_s"`
 }
 
 // JobDump is one job that is open, or answered with tasks not yet ended.
@@ -74,6 +77,7 @@
 			FreeCPU: a.state.FreeCPU, Slowness: a.state.Slowness, Failing: a.state.Failing,
 			Running: len(a.state.Running), Waiting: len(a.state.Queue), AgeMs: now.Sub(a.stateReceivedAt).Milliseconds(),
 			ColdMs: a.state.ColdMs, Evacuated: d.evacuated(a.zone),
+			OthersPerSecond: int(a.othersFlow.PerSecond()),
 		})
 	}
 	for _, j := range d.sortedJobs(func(*job) bool { return true }) {
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -167,6 +167,9 @@
 	// PlaceMetrics is counted in the metrics: tasks placed at the place of their job, away
 	// from it, and recalled from its queue.
 	PlaceMetrics struct{ Kept, Away, GivenUp int }
+	// PlacementMetrics is counted in the metrics with Scheduling.Spread: tasks placed, those
+	// of them in other availability zones, and tasks that an agent has not started.
+	PlacementMetrics struct{ Placed, OtherZone, Returned int }
 	// JobMetrics is counted in the metrics: one per answered job, and one per
 	// refused call.
 	JobMetrics struct {
@@ -189,12 +192,13 @@
 func (EvacuationChanged) isEvent() {}
 func (Ticked) isEvent()            {}
 
-func (Order) isEffect()         {}
-func (CloseSession) isEffect()  {}
-func (Answered) isEffect()      {}
-func (Refused) isEffect()       {}
-func (CancelReplied) isEffect() {}
-func (LogEvent) isEffect()      {}
-func (JobMetrics) isEffect()    {}
-func (CrashMetrics) isEffect()  {}
-func (PlaceMetrics) isEffect()  {}
+func (Order) isEffect()            {}
+func (CloseSession) isEffect()     {}
+func (Answered) isEffect()         {}
+func (Refused) isEffect()          {}
+func (CancelReplied) isEffect()    {}
+func (LogEvent) isEffect()         {}
+func (JobMetrics) isEffect()       {}
+func (CrashMetrics) isEffect()     {}
+func (PlacementMetrics) isEffect() {}
+func (PlaceMetrics) isEffect()     {}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -25,6 +25,7 @@
 func (d *Dispatcher) place(j *job, plan []assignment) {
 	limit := d.completionLimit(j, plan)
 	d.updateGroup(j, plan)
+	d.countPlacements(plan)
 	for _, as := range plan {
 		t := &j.tasks[as.index]
 		t.placements++
@@ -40,14 +41,15 @@
 		j.livePlacements++
 		startWithin := limit.Sub(d.now) - as.runTime - as.agent.networkOverhead(d)
 		d.notePlace(p, as)
-		addToOrder(o, j, session.Placement{ID: p.id, Index: as.index, Attempt: t.placements}, max(startWithin, time.Millisecond), scale(j.Estimate, as.factor))
+		d.addToOrder(o, j, session.Placement{ID: p.id, Index: as.index, Attempt: t.placements}, max(d.maxWait(&as, t, startWithin), time.Millisecond), scale(j.Estimate, as.factor))
 	}
 }
 
-// addToOrder adds a task to the part of the order that belongs to its job.
-func addToOrder(o *Order, j *job, p session.Placement, startWithin, estimate time.Duration) {
+// addToOrder adds a task to the part of the order that belongs to its job. With
+// Scheduling.Spread, tasks of a job that may wait for different times are in different parts.
+func (d *Dispatcher) addToOrder(o *Order, j *job, p session.Placement, startWithin, estimate time.Duration) {
 	for i := range o.Start {
-		if o.Start[i].Job == j.Name {
+		if o.Start[i].Job == j.Name && (!d.opts.Scheduling.Spread || o.Start[i].StartWithin == startWithin) {
 			o.Start[i].Tasks = append(o.Start[i].Tasks, p)
 			return
 		}
@@ -67,7 +69,7 @@
 		to.WriteString(as.agent.name)
 	}
 	d.emit(LogEvent{Event: event, Job: j.Name, Queue: j.Queue.Name,
-		Detail: fmt.Sprintf("tasks=%d cpu=%d estimate_ms=%d expected_ms=%d objective_ms=%d target_ms=%d deadline_ms=%d to=%s", j.Tasks, j.CPU,
+		Detail: fmt.Sprintf("tasks=%d cpu=%d estimate_ms=%d expected_ms=%d objective_ms=%d target_ms=%d deadline_ms=%d%s to=%s", j.Tasks, j.CPU,
 			j.Estimate.Milliseconds(), lastFinish(plan).Milliseconds(), j.objective.Sub(j.arrived).Milliseconds(),
-			j.target.Sub(j.arrived).Milliseconds(), j.deadline.Sub(j.arrived).Milliseconds(), to.String())})
+			j.target.Sub(j.arrived).Milliseconds(), j.deadline.Sub(j.arrived).Milliseconds(), d.spreadDetail(plan), to.String())})
 }
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -146,7 +146,7 @@
 func (d *Dispatcher) pick(candidates []*candidate, j *job) (*candidate, time.Duration) {
 	within := j.objective.Sub(d.now)
 	if allAtOnePlace(candidates) {
-		return pickCandidate(candidates, j, within)
+		return d.choose(candidates, j, within)
 	}
 	near, away := splitByPlace(candidates)
 	best, finish := pickCandidate(near, j, within)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -17,6 +17,11 @@
 	choice  *places.Choice
 }
 
+// startsNow reports whether the task is expected to start when the order arrives.
+func (as *assignment) startsNow(d *Dispatcher) bool {
+	return as.finish-as.runTime-as.agent.networkOverhead(d) <= 0
+}
+
 // plan chooses an agent for each of the tasks. It returns an error if there is a
 // task that no agent can take, or if the job is not expected to end by the latest
 // time.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,7 +24,8 @@
 
 	serversCrashed, tasksGivenUp, queuesConfined metrics.Counter
 
-	placesKept, placesAway, placesGivenUp metrics.Counter
+	placesKept, placesAway, placesGivenUp      metrics.Counter
+	tasksPlaced, tasksOtherZone, tasksReturned metrics.Counter
 }
 
 func newMetrics(g *Gateway) *gatewayMetrics {
@@ -45,6 +46,10 @@
 		placesKept:    metrics.NewRegisteredCounter("places.tasks_kept", r),
 		placesAway:    metrics.NewRegisteredCounter("places.tasks_away", r),
 		placesGivenUp: metrics.NewRegisteredCounter("places.waits_given_up", r),
+
+		tasksPlaced:    metrics.NewRegisteredCounter("tasks.placed", r),
+		tasksOtherZone: metrics.NewRegisteredCounter("tasks.placed_other_zone", r),
+		tasksReturned:  metrics.NewRegisteredCounter("tasks.returned", r),
 	}
 	r.Register("jobs.open", metrics.NewFunctionalGauge(func() int64 { return int64(g.openJobs()) }))
 	r.Register("bytes.sent", metrics.NewFunctionalGauge(func() int64 { return rpcconn.TotalTraffic().BytesSent }))
@@ -84,6 +89,13 @@
 	m.placesGivenUp.Inc(int64(e.GivenUp))
 }
 
+// recordPlacement counts where tasks were placed, and those that agents returned.
+func (m *gatewayMetrics) recordPlacement(e *dispatch.PlacementMetrics) {
+	m.tasksPlaced.Inc(int64(e.Placed))
+	m.tasksOtherZone.Inc(int64(e.OtherZone))
+	m.tasksReturned.Inc(int64(e.Returned))
+}
+
 // Dump implements ops.Source.
 func (g *Gateway) Dump() any {
 	evacuated := g.evacuation()
--- a/taskrunner/poll.go
+++ b/taskrunner/poll.go
@@ -70,12 +70,14 @@
 		Samples:  m.health.samples,
 		ColdMs:   int(m.warmUp.remaining(m.now).Milliseconds()),
 		Failing:  m.health.failingPerMille(),
+		Broken:   m.health.brokenPerMille(),
 		Laggards: m.stragglers(s),
 	}
 	if id := (serverIdentity{m.server.Incarnation, m.server.ID, m.server.capacity()}); !s.identitySent || s.sentIdentity != id {
 		s.identitySent, s.sentIdentity = true, id
 		st.Identity = &session.Identity{Service: m.server.Service, Server: m.server.ID, Labels: m.server.Labels, Rack: m.server.Rack, Capacity: m.server.CPU, MemMB: m.server.MemMB, GPU: m.server.GPU}
 	}
+	st.OthersCPU = m.othersCPU(s)
 	st.Crashes = m.unsentCrashes(s)
 	st.Running = m.runningTasks()
 	for _, r := range m.queue {
