--- a/dispatch/spread_test.go
+++ b/dispatch/spread_test.go
@@ -288,9 +288,9 @@
 
 var spreadPatterns = []loadPattern{
 	{name: "entries of equal load", entries: 8, agents: 53, sessions: 53, load: 0.7, weight: equalLoad},
-	{name: "entries of unequalLoad load", entries: 8, agents: 53, sessions: 53, load: 0.65, weight: unequalLoad},
-	{name: "a zoneSwing of 55 percent with zones out of phase", entries: 8, agents: 53, sessions: 53, load: 0.65, weight: zoneSwing},
-	{name: "a zoneSurge from one zone", entries: 8, agents: 53, sessions: 53, load: 0.55, weight: zoneSurge},
+	{name: "entries of unequal load", entries: 8, agents: 53, sessions: 53, load: 0.65, weight: unequalLoad},
+	{name: "a swing of 55 percent with zones out of phase", entries: 8, agents: 53, sessions: 53, load: 0.65, weight: zoneSwing},
+	{name: "a surge from one zone", entries: 8, agents: 53, sessions: 53, load: 0.55, weight: zoneSurge},
 	{name: "a third of the servers slow", entries: 8, agents: 53, sessions: 53, load: 0.6, weight: equalLoad, slow: true},
 	{name: "more than the capacity", entries: 8, agents: 53, sessions: 53, load: 1.05, weight: equalLoad},
 	{name: "3 entries", entries: 3, agents: 11, sessions: 11, load: 0.65, weight: zoneSwing},
