Shares: ranks for jobs under shortage, at admission and in the agents' queues

Entries rank jobs by the priority of their queue and by what their own callers ask for and get; agents order their queues by rank while not all queued tasks can start in time. Switched on by Scheduling.Shares. No tests of its own yet.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -37,6 +37,9 @@
 // at once, it also returns an error if the backlog exceeds maxBacklog, because
 // another job would then delay the queued ones until their answers are useless.
 func (d *Dispatcher) planNew(j *job) ([]assignment, *structs.Error) {
+	if d.opts.Scheduling.Shares {
+		return d.planByShare(j)
+	}
 	plan, err := d.plan(j, j.unplaced(), d.latestUsefulEnd(j))
 	if err != nil {
 		return nil, err
@@ -54,7 +57,7 @@
 }
 
 // backlog returns how long all servers that may run the job need together for
-// their queued tasks.
+// their queued tasks, except those that give way to the job.
 func (d *Dispatcher) backlog(j *job) time.Duration {
 	limits := d.limitsOf(j, nil)
 	if !limits.confined {
@@ -67,6 +70,9 @@
 		}
 		cpu += float64(a.identity.Capacity)
 		for _, q := range a.state.Queue {
+			if d.opts.Scheduling.Shares && j.overtaken(q) {
+				continue
+			}
 			work += float64(q.CPU) * float64(q.Ms)
 		}
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/containment"
+	"github.com/chestnuthollow/chestnuthollow/quota"
 	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/shares"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -27,7 +29,9 @@
 	suspects        map[*placement]bool // of tasks that may have crashed a server
 	recoveryTime    time.Duration       // expected from a crash until the server is back
 	longestSlack    longestSlack
-	jobs            map[string]*job // open, or answered with tasks not yet ended, by name
+	ledger          shares.Ledger
+	returns         map[int]*quota.RetrySchedule // of refused jobs, by priority
+	jobs            map[string]*job              // open, or answered with tasks not yet ended, by name
 	calls           map[CallID]*job
 	heldJobs        []*job               // open, with tasks to place once agents are available
 	agentsChanged   bool                 // an agent joined or changed in this step
@@ -56,6 +60,7 @@
 		suspects:        make(map[*placement]bool),
 		recoveryTime:    initialRecoveryTime,
 		longestSlack:    make(longestSlack),
+		returns:         make(map[int]*quota.RetrySchedule),
 		jobs:            make(map[string]*job),
 		noAgentSince:    make(map[string]time.Time),
 		calls:           make(map[CallID]*job),
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/shares"
+)
 
 // maxDumpJobs bounds the number of jobs in a dump.
 const maxDumpJobs = 200
@@ -15,6 +19,8 @@
 	// ConfinedQueues are the queues whose tasks run on some of the servers only,
 	// because they have crashed others.
 	ConfinedQueues []string `json:"confined_queues"`
+	// Shares is what the callers of each queue ask for and get at this entry.
+	Shares []shares.Row `json:"shares"`
 }
 
 // AgentDump is one agent with an open session.
@@ -44,7 +50,7 @@
 
 // Dump returns a snapshot of bounded size. Ages are relative to now.
 func (d *Dispatcher) Dump(now time.Time) Dump {
-	out := Dump{Jobs: len(d.jobs), Placements: len(d.placements), ConfinedQueues: d.containment.ConfinedQueues()}
+	out := Dump{Jobs: len(d.jobs), Placements: len(d.placements), ConfinedQueues: d.containment.ConfinedQueues(), Shares: d.ledger.Rows(now)}
 	for _, p := range d.placements {
 		if !p.inDoubtUntil.IsZero() {
 			out.InDoubt++
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -163,6 +163,12 @@
 	// CrashMetrics is counted in the metrics: crashes of servers that were reported,
 	// tasks given up because of them, and queues confined.
 	CrashMetrics struct{ Servers, TasksGivenUp, QueuesConfined int }
+	// ShareMetrics is counted in the metrics, if Scheduling.Shares is set: decisions on
+	// jobs that could not simply be queued.
+	ShareMetrics struct {
+		Queue   string
+		Outcome string // overtook or owed if admitted, displaces or full if not by its own rank
+	}
 	// JobMetrics is counted in the metrics: one per answered job, and one per
 	// refused call.
 	JobMetrics struct {
@@ -193,3 +199,4 @@
 func (LogEvent) isEffect()      {}
 func (JobMetrics) isEffect()    {}
 func (CrashMetrics) isEffect()  {}
+func (ShareMetrics) isEffect()  {}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -52,7 +52,7 @@
 	}
 	o.Start = append(o.Start, session.JobPart{
 		Job: j.Name, Queue: j.Queue.Name, Spec: j.Spec, Service: j.Queue.Service, CPU: j.CPU, MemMB: j.MemMB, GPU: j.GPU,
-		Estimate: j.Estimate, StartWithin: startWithin, Tasks: []session.Placement{p},
+		Estimate: j.Estimate, Priority: int(j.rank), StartWithin: startWithin, Tasks: []session.Placement{p},
 	})
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -64,6 +64,11 @@
 	instance.Histogram(name+".time", m.registry).Update(e.Took.Microseconds())
 }
 
+// recordShare counts decisions under shortage by queue and outcome.
+func (m *gatewayMetrics) recordShare(e *dispatch.ShareMetrics) {
+	metrics.GetOrRegisterCounter("shares."+e.Queue+"."+e.Outcome, m.registry).Inc(1)
+}
+
 // recordCrash counts crashes of servers and what followed from them.
 func (m *gatewayMetrics) recordCrash(e *dispatch.CrashMetrics) {
 	m.serversCrashed.Inc(int64(e.Servers))
--- a/gateway/step.go
+++ b/gateway/step.go
@@ -28,6 +28,8 @@
 			g.log(&ef)
 		case dispatch.JobMetrics:
 			g.metrics.recordJob(&ef)
+		case dispatch.ShareMetrics:
+			g.metrics.recordShare(&ef)
 		case dispatch.CrashMetrics:
 			g.metrics.recordCrash(&ef)
 		}
--- a/session/messages.go
+++ b/session/messages.go
@@ -97,8 +97,8 @@
 	MemMB    int
 	GPU      int
 	Estimate time.Duration // run time of each task on a server of reference speed
-	// Priority is that of the queue: 0 comes first. Entries that do not divide capacity
-	// by priority leave it zero.
+	// Priority is a rank of package shares: 0 comes first. Entries that do not divide
+	// capacity by priority leave it zero.
 	Priority int
 	// StartWithin bounds the time that each task waits at the agent. A task that
 	// has not been started by then is reported as NotStarted.
@@ -269,6 +269,9 @@
 	CPU         int // thousandths of a core
 	Ms          int // expected run time, in ms
 	StartWithin int // time left until its latest start, in ms
+	// Priority is that of its JobPart. Agents of earlier builds leave it zero, so that
+	// their queued tasks give way to no job.
+	Priority int
 }
 
 // ExchangeRequest announces a process to an entry and asks for the processes that
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -20,6 +20,11 @@
 func newMetrics(s *Sidecar) *sidecarMetrics {
 	r := metrics.NewRegistry()
 	r.Register("sessions", metrics.NewFunctionalGauge(func() int64 { return int64(s.connections()) }))
+	r.Register("tasks.deferred", metrics.NewFunctionalGauge(func() int64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return int64(s.runner.Deferred())
+	}))
 	return &sidecarMetrics{
 		registry:  r,
 		starts:    metrics.NewRegisteredCounter("tasks.start_orders", r),
--- a/taskrunner/dump.go
+++ b/taskrunner/dump.go
@@ -17,6 +17,7 @@
 	SeenEnd           int64         `json:"seen_end"` // highest EndRow.Index that has been processed
 	Slowness          int           `json:"slowness"` // expected run time over estimate, in thousandths
 	Failing           int           `json:"failing"`  // share of failed tasks, in thousandths
+	Deferred          int           `json:"deferred"` // queued tasks that give way to others and cannot start in time
 	Sessions          []SessionDump `json:"sessions"`
 	Runs              []RunDump     `json:"runs"`
 }
@@ -36,6 +37,7 @@
 	Phase   string `json:"phase"`
 	CPU     int    `json:"cpu"`     // thousandths of a core
 	Percent int    `json:"percent"` // progress reported by the server
+	Rank    int    `json:"rank"`    // under shortage, lower ones start first
 }
 
 // Dump returns the state of the Runner. Ages are relative to now.
@@ -43,13 +45,13 @@
 	d := Dump{
 		Server: m.server.ID, ServerIncarnation: m.clockIncarnation, Active: m.active(), Draining: m.server.Draining, Leaving: m.leaving, Evacuated: m.zoneEvacuated(),
 		Clean: m.noForeignRuns, Token: m.token, ClockMs: m.clock.Milliseconds(), ClockAgeMs: now.Sub(m.clockReadAt).Milliseconds(),
-		SeenEnd: m.seenEnd, Slowness: m.health.slownessPerMille(), Failing: m.health.failingPerMille(),
+		SeenEnd: m.seenEnd, Slowness: m.health.slownessPerMille(), Failing: m.health.failingPerMille(), Deferred: m.deferred,
 	}
 	for _, s := range m.sortedSessions {
 		d.Sessions = append(d.Sessions, SessionDump{Entry: s.name, Open: s.open, HeardAgeMs: now.Sub(s.lastHeard).Milliseconds(), UnseenReports: len(s.reports), Canceled: len(s.canceled)})
 	}
 	for _, r := range m.sortedRuns() {
-		d.Runs = append(d.Runs, RunDump{Task: r.key.String(), Phase: phaseNames[r.phase], CPU: r.cpu, Percent: r.percent})
+		d.Runs = append(d.Runs, RunDump{Task: r.key.String(), Phase: phaseNames[r.phase], CPU: r.cpu, Percent: r.percent, Rank: int(r.rank)})
 	}
 	return d
 }
--- a/taskrunner/order.go
+++ b/taskrunner/order.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/shares"
 )
 
 // openSession returns the session with the ID, or nil if it is not open.
@@ -55,7 +56,7 @@
 		r := &run{
 			key: RunKey{TaskKey: TaskKey{Job: part.Job, Index: p.Index}, Number: max(p.Attempt, 1)},
 			id:  p.ID, session: s, queue: part.Queue, spec: part.Spec, cpu: part.CPU, mem: part.MemMB, gpu: part.GPU,
-			estimate: part.Estimate, startBy: m.now.Add(part.StartWithin),
+			estimate: part.Estimate, startBy: m.now.Add(part.StartWithin), rank: shares.Rank(part.Priority),
 		}
 		if reason := m.refusalReason(s, r, part.Service); reason != "" {
 			m.finish(r, session.NotStarted, reason)
@@ -98,19 +99,12 @@
 }
 
 // startsInTime predicts whether a task added to the queue would start by its latest
-// start time.
+// start time, and leave those of lower ranks theirs.
 func (m *Runner) startsInTime(r *run) bool {
 	if m.health.suspect && len(m.runs) > 0 {
 		return false
 	}
-	t := m.timeline()
-	for _, q := range m.queue {
-		if q.startBy.Before(r.startBy) {
-			t.Reserve(q.cpu, m.health.expectedRunTime(q.estimate))
-		}
-	}
-	wait, ok := t.EarliestStart(r.cpu)
-	return ok && !m.now.Add(wait).After(r.startBy)
+	return shares.Admits(m.waiting(), m.asWaiting(r), m.timeline)
 }
 
 // enqueue inserts a run into the queue, which is ordered by latest start time.
--- a/taskrunner/poll.go
+++ b/taskrunner/poll.go
@@ -79,7 +79,7 @@
 	st.Running = m.runningTasks()
 	for _, r := range m.queue {
 		st.Queue = append(st.Queue, session.QueuedTask{
-			CPU: r.cpu, Ms: int(m.health.expectedRunTime(r.estimate).Milliseconds()), StartWithin: int(r.startBy.Sub(m.now).Milliseconds()),
+			CPU: r.cpu, Ms: int(m.health.expectedRunTime(r.estimate).Milliseconds()), StartWithin: int(r.startBy.Sub(m.now).Milliseconds()), Priority: int(r.rank),
 		})
 	}
 	return st
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/shares"
 )
 
 // phase is the state of a run.
@@ -33,6 +35,7 @@
 	gpu      int
 	estimate time.Duration
 	startBy  time.Time // latest start time
+	rank     shares.Rank
 	phase    phase
 	// numberTries counts the run numbers that the server refused as used,
 	// unansweredStarts the starts without a reply.
@@ -138,19 +141,25 @@
 	return m.used.cpu+r.cpu <= m.server.CPU && m.used.mem+r.mem <= m.server.MemMB && m.used.gpu+r.gpu <= m.server.GPU
 }
 
-// startQueued starts the queued tasks for which there is free capacity, in the
-// order of their latest start times.
+// startQueued starts the queued tasks for which there is free capacity, in the order of
+// startOrder. Smaller tasks pass larger ones, except those that give way to them.
 func (m *Runner) startQueued() {
-	if !m.active() {
+	if !m.active() || len(m.queue) == 0 {
+		m.recordShortage(0)
 		return
 	}
-	for _, r := range slices.Clone(m.queue) {
+	waitingRank := shares.Rank(math.MaxInt)
+	order, deferred := m.startOrder()
+	for i, r := range order {
 		if !r.session.fresh(m) {
 			continue
 		}
-		if m.fits(r) {
+		givesWay := i >= len(order)-deferred && r.rank > waitingRank
+		if m.fits(r) && !givesWay {
 			m.queue = slices.DeleteFunc(m.queue, func(q *run) bool { return q == r })
 			m.start(r)
+		} else {
+			waitingRank = min(waitingRank, r.rank)
 		}
 	}
 }
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -45,6 +45,9 @@
 	lastCrash uint64  // number of the last one
 	starts    startRates
 
+	deferred      int       // queued tasks that give way to others and cannot start in time
+	shortageSince time.Time // since when there are any; zero if there are none
+
 	stateSeq uint64 // of the last state sent to an entry
 	leaving  bool
 	drained  bool // Drained has been emitted
