--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -104,7 +104,7 @@
 		}
 		runTime := d.expectedRunTime(a, j.Estimate)
 		c := &candidate{
-			agent: a, timeline: d.capacityTimeline(a, notOvertaken(j, d.queuedAhead(a, j.objective.Sub(d.now)))), runTime: runTime, overhead: hopOverhead,
+			agent: a, timeline: d.capacityTimeline(a, d.queuedAhead(a, j.objective.Sub(d.now))), runTime: runTime, overhead: hopOverhead,
 			jobTasks: d.tasksAt(j, a), sameZone: a.zone == d.opts.Zone, freeShare: a.unreservedShare(),
 		}
 		if !c.sameZone {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -30,6 +30,7 @@
 	recoveryTime    time.Duration       // expected from a crash until the server is back
 	longestSlack    longestSlack
 	ledger          shares.Ledger
+	pressure        shares.Pressure
 	returns         map[int]*quota.RetrySchedule // of refused jobs, by priority
 	jobs            map[string]*job              // open, or answered with tasks not yet ended, by name
 	calls           map[CallID]*job
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -25,7 +25,6 @@
 	answered       bool           // or closed without an answer, because no caller is left
 	admitted       bool           // tasks were placed
 	rank           shares.Rank    // under shortage; zero unless Scheduling.Shares is set
-	overtakes      bool           // being planned ahead of queued tasks of higher ranks
 	holdUntil      time.Time      // end of the hold time if it is held
 	livePlacements int            // placements that have not ended
 	// successor is a duplicate of the submission that arrived after the answer
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -163,11 +163,11 @@
 	// CrashMetrics is counted in the metrics: crashes of servers that were reported,
 	// tasks given up because of them, and queues confined.
 	CrashMetrics struct{ Servers, TasksGivenUp, QueuesConfined int }
-	// ShareMetrics is counted in the metrics, if Scheduling.Shares is set: decisions on
-	// jobs that could not simply be queued.
+	// ShareMetrics is counted in the metrics, if Scheduling.Shares is set: jobs that were
+	// admitted because they were owed capacity, or refused because of their share.
 	ShareMetrics struct {
 		Queue   string
-		Outcome string // overtook or owed if admitted, displaces or full if not by its own rank
+		Outcome string // owed if admitted; exceeds, late or displaces if refused
 	}
 	// JobMetrics is counted in the metrics: one per answered job, and one per
 	// refused call.
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"hash/fnv"
-	"slices"
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/capacity"
@@ -19,31 +18,36 @@
 
 // Outcomes of ShareMetrics.
 const (
-	shareOvertook  = "overtook"  // taken ahead of queued tasks of higher ranks
-	shareOwed      = "owed"      // taken because the queue is below its floor
-	shareDisplaces = "displaces" // refused: admitted jobs would miss their objective
-	shareFull      = "full"      // refused: would end too late
+	shareOwed      = "owed"      // admitted late or ahead of others, because the queue or its large jobs were owed capacity
+	shareExceeds   = "exceeds"   // refused: the queue has got more than its allotment
+	shareDisplaces = "displaces" // refused: jobs that were admitted before would miss their objective
+	shareLate      = "late"      // refused: would be late while the servers are saturated
 )
 
-// work returns the core-seconds that the job needs on servers of reference speed.
-func (j *job) work() float64 {
-	return float64(j.Tasks) * float64(j.CPU) / 1000 * j.Estimate.Seconds()
+// demand returns what the job asks for on servers of reference speed.
+func (j *job) demand() shares.Demand {
+	return shares.Demand{
+		Queue: j.Queue.Name, Priority: j.Queue.Priority, Tasks: j.Tasks,
+		Work: float64(j.Tasks) * float64(j.CPU) / 1000 * j.Estimate.Seconds(),
+	}
 }
 
-// planByShare plans a job that is not admitted yet by its rank: see package shares. A job
-// of a queue that gets less than its floor goes ahead of all others.
+// planByShare plans a job that is not admitted yet, and refuses it if its queue's share of
+// the capacity leaves no room for it: see package shares.
 func (d *Dispatcher) planByShare(j *job) ([]assignment, *structs.Error) {
-	queue := j.Queue.Name
-	d.ledger.Ask(d.now, queue, j.work())
-	returned := d.returnsOf(j).IsDue(d.now, returnKey(j))
-	j.rank = shares.RankOf(j.Queue.Priority, returned, d.ledger.Surplus(d.now, queue))
-	plan, err := d.planAtRank(j)
-	if err != nil && err.Code == structs.CodeOverloaded && d.ledger.Owes(d.now, queue) {
-		j.rank = shares.Owed
-		plan, err = d.planAtRank(j)
-		if err == nil {
-			d.recordShare(j, shareOwed)
-		}
+	demand := j.demand()
+	if free, ok := d.FreeShare(); ok {
+		d.pressure.Observe(d.now, free)
+	}
+	d.ledger.Ask(d.now, demand)
+	owed := d.pressure.Saturated() && d.ledger.Owes(d.now, demand)
+	j.rank = shares.Owed
+	if !owed {
+		j.rank = shares.RankOf(j.Queue.Priority, d.returnsOf(j).IsDue(d.now, returnKey(j)), d.ledger.Surplus(d.now, demand.Queue))
+	}
+	plan, err := d.plan(j, j.unplaced(), d.latestUsefulEnd(j))
+	if err == nil {
+		plan, err = d.withinShare(j, plan, owed)
 	}
 	if err != nil {
 		if err.Code == structs.CodeOverloaded {
@@ -52,54 +56,65 @@
 		return nil, err
 	}
 	d.returnsOf(j).Consume(d.now, returnKey(j))
-	d.ledger.Serve(d.now, queue, j.work())
+	d.ledger.Serve(d.now, demand)
 	return plan, nil
 }
 
-// planAtRank plans a job behind all queued tasks that have to start before its own, or
-// ahead of those of higher ranks if it would be late otherwise.
-func (d *Dispatcher) planAtRank(j *job) ([]assignment, *structs.Error) {
-	plan, err := d.plan(j, j.unplaced(), d.latestUsefulEnd(j))
-	if (err != nil || !d.onTime(j, plan)) && d.mayOvertake(j) {
-		j.overtakes = true
-		ahead, aheadErr := d.plan(j, j.unplaced(), d.latestUsefulEnd(j))
-		j.overtakes = false
-		if aheadErr == nil && (err != nil || lastFinish(ahead) < lastFinish(plan)) {
-			plan, err = ahead, nil
-			d.recordShare(j, shareOvertook)
-		}
+// withinShare returns the plan, or another one for the same job, if the queue's share
+// leaves room for it. While the servers are not saturated, capacity is lent to whoever
+// asks. Then a job is taken unless it would take capacity from queues that go first, make
+// admitted jobs late, or be late itself: what ends late takes the capacity from others
+// that could end in time, so that all end late.
+func (d *Dispatcher) withinShare(j *job, plan []assignment, owed bool) ([]assignment, *structs.Error) {
+	saturated := d.pressure.Saturated()
+	startsNow := func(as assignment) bool { return as.finish-as.runTime-as.agent.networkOverhead(d) <= 0 }
+	if all(plan, startsNow) {
+		return plan, nil
 	}
-	if err != nil {
-		d.recordShare(j, shareFull)
-		return nil, err
+	if saturated && !owed && d.ledger.Exceeds(d.now, j.Queue.Name) {
+		return nil, d.shareError(j, shareExceeds, "the queue has got its share of the capacity")
+	}
+	late := !d.onTime(j, plan)
+	if saturated && late && !owed {
+		return nil, d.shareError(j, shareLate, fmt.Sprintf("expected to end in %d ms, after its objective, while the servers are saturated", lastFinish(plan).Milliseconds()))
 	}
-	return d.withinShare(j, plan)
-}
-
-// withinShare returns the plan, or another one, if what is queued up to the job's rank
-// leaves room for it: there is a free slot for each task, or all that is queued ends soon,
-// or the job meets its objective and no task that was admitted before becomes late.
-func (d *Dispatcher) withinShare(j *job, plan []assignment) ([]assignment, *structs.Error) {
-	startsNow := func(as assignment) bool { return as.finish-as.runTime-as.agent.networkOverhead(d) <= 0 }
 	backlog := d.backlog(j)
-	if backlog <= maxBacklog || all(plan, startsNow) {
+	if backlog <= maxBacklog {
+		if owed && late {
+			d.recordShare(j, shareOwed)
+		}
 		return plan, nil
 	}
-	displaced := 0
-	if d.onTime(j, plan) {
-		var full []string
-		if displaced, full = d.displaced(j, plan); displaced == 0 {
+	if !late {
+		if plan = d.withoutDisplacing(j, plan); plan != nil {
 			return plan, nil
 		}
-		if other, err := d.planWithin(j, j.unplaced(), j.objective, &placementLimits{avoided: full}); err == nil && d.unlimited(j) {
-			if n, _ := d.displaced(j, other); n == 0 {
-				return other, nil
-			}
-		}
 	}
-	d.recordShare(j, shareDisplaces)
-	return nil, structs.Errorf(structs.CodeOverloaded, structs.NotRun, "queued tasks up to rank %d need %d ms, over the limit of %d ms, and %d of them would be late",
-		j.rank, backlog.Milliseconds(), maxBacklog.Milliseconds(), displaced).WithRetryAfter(d.retryAfter(j))
+	return nil, d.shareError(j, shareDisplaces, fmt.Sprintf("queued tasks up to rank %d need %d ms, over the limit of %d ms, and would be late",
+		j.rank, backlog.Milliseconds(), maxBacklog.Milliseconds()))
+}
+
+// withoutDisplacing returns the plan, or another one that meets the objective, if it makes
+// no queued task late; nil if there is none.
+func (d *Dispatcher) withoutDisplacing(j *job, plan []assignment) []assignment {
+	full := d.displacing(j, plan)
+	if len(full) == 0 {
+		return plan
+	}
+	if !d.unlimited(j) {
+		return nil
+	}
+	other, err := d.planWithin(j, j.unplaced(), j.objective, &placementLimits{avoided: full})
+	if err != nil || len(d.displacing(j, other)) > 0 {
+		return nil
+	}
+	return other
+}
+
+// shareError refuses a job because of the named limit.
+func (d *Dispatcher) shareError(j *job, limit, reason string) *structs.Error {
+	d.recordShare(j, limit)
+	return structs.Errorf(structs.CodeOverloaded, structs.NotRun, "limit %s of queue %s: %s", limit, j.Queue.Name, reason).WithRetryAfter(d.retryAfter(j))
 }
 
 // unlimited reports whether the job may be placed on all servers.
@@ -115,43 +130,26 @@
 // overtaken reports whether a queued task gives way to the job.
 func (j *job) overtaken(q session.QueuedTask) bool { return shares.Rank(q.Priority) > j.rank }
 
-// notOvertaken restricts a filter of queued tasks to those that do not give way to the
-// job while it overtakes.
-func notOvertaken(j *job, isAhead func(session.QueuedTask) bool) func(session.QueuedTask) bool {
-	if !j.overtakes {
-		return isAhead
-	}
-	return func(q session.QueuedTask) bool { return !j.overtaken(q) && isAhead(q) }
-}
-
-func (d *Dispatcher) mayOvertake(j *job) bool {
-	return slices.ContainsFunc(d.sortedAgents, func(a *agent) bool {
-		return d.eligible(a, j) && slices.ContainsFunc(a.state.Queue, j.overtaken)
-	})
-}
-
-// displaced returns how many queued tasks up to the job's rank would miss their latest
-// starts because of the plan, and the names of their agents.
-func (d *Dispatcher) displaced(j *job, plan []assignment) (int, []string) {
+// displacing returns the agents at which the plan would make a queued task up to the job's
+// rank miss its latest start.
+func (d *Dispatcher) displacing(j *job, plan []assignment) []string {
 	none := func(session.QueuedTask) bool { return false }
 	added := make(map[*agent][]shares.Waiting)
 	for _, as := range plan {
 		within := j.objective.Sub(d.now) - as.runTime - as.agent.networkOverhead(d)
 		added[as.agent] = append(added[as.agent], shares.Waiting{Rank: j.rank, CPU: j.CPU, RunTime: as.runTime, Within: within})
 	}
-	total := 0
 	var names []string
 	for _, a := range d.sortedAgents {
 		if added[a] == nil {
 			continue
 		}
 		forecast := func() *capacity.Timeline { return d.capacityTimeline(a, none) }
-		if n := shares.Displaced(d.waitingUpTo(a, j.rank), added[a], forecast); n > 0 {
-			total += n
+		if shares.Displaced(d.waitingUpTo(a, j.rank), added[a], forecast) > 0 {
 			names = append(names, a.name)
 		}
 	}
-	return total, names
+	return names
 }
 
 // waitingUpTo returns the agent's queued tasks up to a rank.
@@ -184,7 +182,7 @@
 func (d *Dispatcher) returnAfter(j *job, earliest time.Duration) time.Duration {
 	perTask := time.Duration(0)
 	if served := d.ledger.Served(d.now, j.Queue.Name); served > 0 {
-		perTask = time.Duration(j.work() / float64(max(j.Tasks, 1)) / served * float64(time.Second))
+		perTask = time.Duration(j.demand().Work / float64(max(j.Tasks, 1)) / served * float64(time.Second))
 	}
 	at := d.now.Add((earliest + time.Second - 1).Truncate(time.Second))
 	wait := d.returnsOf(j).Assign(d.now, returnKey(j), j.Tasks, at, perTask).Sub(d.now)
@@ -200,7 +198,7 @@
 
 func (d *Dispatcher) recordShare(j *job, outcome string) {
 	d.emit(ShareMetrics{Queue: j.Queue.Name, Outcome: outcome})
-	if outcome == shareOwed || outcome == shareOvertook {
-		d.emit(LogEvent{Event: "job_" + outcome, Job: j.Name, Queue: j.Queue.Name, Detail: fmt.Sprintf("rank=%d priority=%d", j.rank, j.Queue.Priority)})
+	if outcome == shareOwed {
+		d.emit(LogEvent{Event: "job_owed", Job: j.Name, Queue: j.Queue.Name, Detail: fmt.Sprintf("tasks=%d priority=%d free=%.3f", j.Tasks, j.Queue.Priority, d.pressure.Free())})
 	}
 }
--- a/shares/ledger.go
+++ b/shares/ledger.go
@@ -1,40 +1,72 @@
 package shares
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
 )
 
-// Ledger keeps what the callers of one entry ask for and get, by queue. Work is in
-// core-seconds. The zero value is ready to use. It is not safe for concurrent use.
+// Ledger keeps what the callers of one entry ask for and get, by queue. The zero value is
+// ready to use. It is not safe for concurrent use.
 type Ledger struct {
 	accounts map[string]*account
 }
 
+// Demand is what a job asks for.
+type Demand struct {
+	Queue    string
+	Priority int // of the queue; 0 first
+	Tasks    int
+	Work     float64 // core-seconds
+}
+
+// account is what is kept of one queue. All but usual are recent.
 type account struct {
-	asked, served meter // recent
+	queue         string
+	priority      int
+	asked, served meter
 	usual         meter // demand over a longer time
+	jobs, tasks   meter // asked for
+	largeAsked    meter // of asked, by large jobs
+	largeServed   meter
+}
+
+// large reports whether jobs of so many tasks are large ones of the queue.
+func (a *account) large(now time.Time, tasks int) bool {
+	jobs := a.jobs.decayed(now, recentTime)
+	return jobs > 0 && float64(tasks) >= largeFactor*a.tasks.decayed(now, recentTime)/jobs
 }
 
-// Ask records the demand of a job that a caller has submitted.
-func (l *Ledger) Ask(now time.Time, queue string, work float64) {
-	if l.accounts == nil || len(l.accounts) >= maxAccounts && l.accounts[queue] == nil {
+// Ask records a job that a caller has submitted.
+func (l *Ledger) Ask(now time.Time, d Demand) {
+	if l.accounts == nil || len(l.accounts) >= maxAccounts && l.accounts[d.Queue] == nil {
 		l.accounts = make(map[string]*account)
 	}
-	a := l.accounts[queue]
+	a := l.accounts[d.Queue]
 	if a == nil {
-		a = &account{}
-		l.accounts[queue] = a
+		a = &account{queue: d.Queue}
+		l.accounts[d.Queue] = a
+	}
+	a.priority = d.Priority
+	a.asked.add(now, d.Work, recentTime)
+	a.usual.add(now, d.Work, usualTime)
+	a.jobs.add(now, 1, recentTime)
+	a.tasks.add(now, float64(d.Tasks), recentTime)
+	if a.large(now, d.Tasks) {
+		a.largeAsked.add(now, d.Work, recentTime)
 	}
-	a.asked.add(now, work, recentTime)
-	a.usual.add(now, work, usualTime)
 }
 
 // Serve records that a job was admitted.
-func (l *Ledger) Serve(now time.Time, queue string, work float64) {
-	if a := l.accounts[queue]; a != nil {
-		a.served.add(now, work, recentTime)
+func (l *Ledger) Serve(now time.Time, d Demand) {
+	a := l.accounts[d.Queue]
+	if a == nil {
+		return
+	}
+	a.served.add(now, d.Work, recentTime)
+	if a.large(now, d.Tasks) {
+		a.largeServed.add(now, d.Work, recentTime)
 	}
 }
 
@@ -46,11 +78,56 @@
 	return 0
 }
 
-// Owes reports whether less than Floor of the queue's recent demand was served. The size
-// of the next job does not count, so that large jobs are served as often as small ones.
-func (l *Ledger) Owes(now time.Time, queue string) bool {
-	a := l.accounts[queue]
-	return a != nil && a.served.decayed(now, recentTime) < Floor*a.asked.decayed(now, recentTime)
+// Owes reports whether less than the floor of the queue's recent demand was served, or, for
+// a large job, less than of the other jobs of its queue. Its own size does not count
+// otherwise.
+func (l *Ledger) Owes(now time.Time, d Demand) bool {
+	a := l.accounts[d.Queue]
+	if a == nil {
+		return false
+	}
+	asked, served := a.asked.decayed(now, recentTime), a.served.decayed(now, recentTime)
+	if served < floor*asked {
+		return true
+	}
+	largeAsked, largeServed := a.largeAsked.decayed(now, recentTime), a.largeServed.decayed(now, recentTime)
+	return a.large(now, d.Tasks) && largeServed*asked < sizeShare*served*largeAsked
+}
+
+// Exceeds reports whether the queue got more than its allotment of what was served
+// recently. While less was served than asked for, each queue is allotted its floor, and
+// the rest goes by priority: so a queue that exceeds takes capacity from queues before it.
+func (l *Ledger) Exceeds(now time.Time, queue string) bool {
+	accounts := l.sorted()
+	allotted := make([]float64, len(accounts))
+	asked, rest := 0.0, 0.0
+	for i, a := range accounts {
+		demand := a.asked.decayed(now, recentTime)
+		allotted[i] = floor * demand
+		asked += demand
+		rest += a.served.decayed(now, recentTime)
+	}
+	if rest >= shortageShare*asked {
+		return false
+	}
+	for _, share := range allotted {
+		rest -= share
+	}
+	for i, a := range accounts {
+		more := min(a.asked.decayed(now, recentTime)-allotted[i], max(rest, 0))
+		if a.queue == queue {
+			return a.served.decayed(now, recentTime) > allotted[i]+more
+		}
+		rest -= more
+	}
+	return false
+}
+
+// sorted returns the accounts by priority.
+func (l *Ledger) sorted() []*account {
+	return slices.SortedFunc(maps.Values(l.accounts), func(a, b *account) int {
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.queue, b.queue))
+	})
 }
 
 // Surplus reports whether the queue's recent demand is far above its usual one. A queue
@@ -65,21 +142,21 @@
 
 // Row is the account of one queue for operators, in cores.
 type Row struct {
-	Queue  string  `json:"queue"`
-	Asked  float64 `json:"asked_cores"`  // recently
-	Served float64 `json:"served_cores"` // recently
-	Usual  float64 `json:"usual_cores"`
-	Owed   bool    `json:"owed"`
+	Queue    string  `json:"queue"`
+	Priority int     `json:"priority"`
+	Asked    float64 `json:"asked_cores"`  // recently
+	Served   float64 `json:"served_cores"` // recently
+	Usual    float64 `json:"usual_cores"`  // asked for over a longer time
+	Exceeds  bool    `json:"exceeds"`      // got more than its allotment under shortage
 }
 
-// Rows returns the accounts in the order of their queues.
+// Rows returns the accounts by priority.
 func (l *Ledger) Rows(now time.Time) []Row {
 	rows := make([]Row, 0, len(l.accounts))
-	for _, queue := range slices.Sorted(maps.Keys(l.accounts)) {
-		a := l.accounts[queue]
+	for _, a := range l.sorted() {
 		rows = append(rows, Row{
-			Queue: queue, Asked: a.asked.rate(now, recentTime), Served: a.served.rate(now, recentTime),
-			Usual: a.usual.rate(now, usualTime), Owed: l.Owes(now, queue),
+			Queue: a.queue, Priority: a.priority, Asked: a.asked.rate(now, recentTime), Served: a.served.rate(now, recentTime),
+			Usual: a.usual.rate(now, usualTime), Exceeds: l.Exceeds(now, a.queue),
 		})
 	}
 	return rows
--- a/shares/shares.go
+++ b/shares/shares.go
@@ -44,11 +44,23 @@
 	return Rank(1 + ranksPerPriority*max(priority, 0) + offset)
 }
 
-// Floor is the part of a queue's recent demand that is served also while work of higher
-// priority could use all of the capacity.
-const Floor = 0.5
-
 const (
+	// floor is the part of a queue's recent demand that is served also while work of
+	// higher priority could use all of the capacity.
+	floor = 0.5
+	// shortageShare is the part of the recent demand of all queues below which what was
+	// served counts as a shortage.
+	shortageShare = 0.9
+	// sizeShare is the ratio of the served part of large jobs to that of all jobs of their
+	// queue below which large jobs are owed capacity. largeFactor is the ratio of a job's
+	// tasks to the mean of its queue from which on it is large.
+	sizeShare   = 0.9
+	largeFactor = 1.5
+	// minFreeShare is the free share of the capacity below which the servers are
+	// saturated. It is averaged over pressureTime, which is longer than the random peaks
+	// of the usual load.
+	minFreeShare = 0.1
+	pressureTime = 300 * time.Millisecond
 	// recentTime is the time constant of what counts as recent demand. It is as long as
 	// callers wait for a short job, so that a queue below its floor is served before they
 	// give up.
