--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -7,9 +7,7 @@
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/containment"
-	"github.com/chestnuthollow/chestnuthollow/quota"
 	"github.com/chestnuthollow/chestnuthollow/session"
-	"github.com/chestnuthollow/chestnuthollow/shares"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -29,10 +27,8 @@
 	suspects        map[*placement]bool // of tasks that may have crashed a server
 	recoveryTime    time.Duration       // expected from a crash until the server is back
 	longestSlack    longestSlack
-	ledger          shares.Ledger
-	pressure        shares.Pressure
-	returns         map[int]*quota.RetrySchedule // of refused jobs, by priority
-	jobs            map[string]*job              // open, or answered with tasks not yet ended, by name
+	shares          map[string]*serviceShares // by service
+	jobs            map[string]*job           // open, or answered with tasks not yet ended, by name
 	calls           map[CallID]*job
 	heldJobs        []*job               // open, with tasks to place once agents are available
 	agentsChanged   bool                 // an agent joined or changed in this step
@@ -61,7 +57,7 @@
 		suspects:        make(map[*placement]bool),
 		recoveryTime:    initialRecoveryTime,
 		longestSlack:    make(longestSlack),
-		returns:         make(map[int]*quota.RetrySchedule),
+		shares:          make(map[string]*serviceShares),
 		jobs:            make(map[string]*job),
 		noAgentSince:    make(map[string]time.Time),
 		calls:           make(map[CallID]*job),
@@ -176,9 +172,14 @@
 // FreeShare returns the share of the capacity of all ready agents that is neither in
 // use nor reserved. It reports false if there is no such agent.
 func (d *Dispatcher) FreeShare() (float64, bool) {
+	return d.freeShare(func(*agent) bool { return true })
+}
+
+// freeShare is FreeShare for the agents that match.
+func (d *Dispatcher) freeShare(match func(*agent) bool) (float64, bool) {
 	free, capacity := 0.0, 0.0
 	for _, a := range d.sortedAgents {
-		if !a.state.Ready || a.identity.Capacity <= 0 || d.evacuated(a.zone) {
+		if !a.state.Ready || a.identity.Capacity <= 0 || d.evacuated(a.zone) || !match(a) {
 			continue
 		}
 		free += max(a.unreservedShare(), 0) * float64(a.identity.Capacity)
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/shares"
@@ -19,8 +21,16 @@
 	// ConfinedQueues are the queues whose tasks run on some of the servers only,
 	// because they have crashed others.
 	ConfinedQueues []string `json:"confined_queues"`
-	// Shares is what the callers of each queue ask for and get at this entry.
-	Shares []shares.Row `json:"shares"`
+	// Shares is what the callers of each queue ask for and get at this entry, by service.
+	Shares []SharesDump `json:"shares"`
+}
+
+// SharesDump is the demand for one service's capacity at this entry.
+type SharesDump struct {
+	Service   string       `json:"service"`
+	FreeShare float64      `json:"free_share"` // of the capacity, recent average
+	Saturated bool         `json:"saturated"`
+	Queues    []shares.Row `json:"queues"`
 }
 
 // AgentDump is one agent with an open session.
@@ -50,7 +60,11 @@
 
 // Dump returns a snapshot of bounded size. Ages are relative to now.
 func (d *Dispatcher) Dump(now time.Time) Dump {
-	out := Dump{Jobs: len(d.jobs), Placements: len(d.placements), ConfinedQueues: d.containment.ConfinedQueues(), Shares: d.ledger.Rows(now)}
+	out := Dump{Jobs: len(d.jobs), Placements: len(d.placements), ConfinedQueues: d.containment.ConfinedQueues()}
+	for _, service := range slices.Sorted(maps.Keys(d.shares)) {
+		s := d.shares[service]
+		out.Shares = append(out.Shares, SharesDump{Service: service, FreeShare: s.pressure.Free(), Saturated: s.pressure.Saturated(), Queues: s.ledger.Rows(now)})
+	}
 	for _, p := range d.placements {
 		if !p.inDoubtUntil.IsZero() {
 			out.InDoubt++
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -18,12 +18,29 @@
 
 // Outcomes of ShareMetrics.
 const (
-	shareOwed      = "owed"      // admitted late or ahead of others, because the queue or its large jobs were owed capacity
+	shareOwed      = "owed"      // admitted ahead of others, because the queue or its large jobs were owed capacity
 	shareExceeds   = "exceeds"   // refused: the queue has got more than its allotment
 	shareDisplaces = "displaces" // refused: jobs that were admitted before would miss their objective
 	shareLate      = "late"      // refused: would be late while the servers are saturated
 )
 
+// serviceShares is what the entry knows of the demand for one service's capacity.
+type serviceShares struct {
+	ledger   shares.Ledger
+	pressure shares.Pressure
+	returns  map[int]*quota.RetrySchedule // of refused jobs, by priority
+}
+
+// sharesOf returns the shares of the job's service.
+func (d *Dispatcher) sharesOf(j *job) *serviceShares {
+	s := d.shares[j.Queue.Service]
+	if s == nil {
+		s = &serviceShares{returns: make(map[int]*quota.RetrySchedule)}
+		d.shares[j.Queue.Service] = s
+	}
+	return s
+}
+
 // demand returns what the job asks for on servers of reference speed.
 func (j *job) demand() shares.Demand {
 	return shares.Demand{
@@ -35,15 +52,15 @@
 // planByShare plans a job that is not admitted yet, and refuses it if its queue's share of
 // the capacity leaves no room for it: see package shares.
 func (d *Dispatcher) planByShare(j *job) ([]assignment, *structs.Error) {
-	demand := j.demand()
-	if free, ok := d.FreeShare(); ok {
-		d.pressure.Observe(d.now, free)
+	demand, s := j.demand(), d.sharesOf(j)
+	if free, ok := d.freeShare(func(a *agent) bool { return a.identity.Service == j.Queue.Service }); ok {
+		s.pressure.Observe(d.now, free)
 	}
-	d.ledger.Ask(d.now, demand)
-	owed := d.pressure.Saturated() && d.ledger.Owes(d.now, demand)
+	owed := s.pressure.Saturated() && s.ledger.Owes(d.now, demand)
+	s.ledger.Ask(d.now, demand)
 	j.rank = shares.Owed
 	if !owed {
-		j.rank = shares.RankOf(j.Queue.Priority, d.returnsOf(j).IsDue(d.now, returnKey(j)), d.ledger.Surplus(d.now, demand.Queue))
+		j.rank = shares.RankOf(j.Queue.Priority, d.returnsOf(j).IsDue(d.now, returnKey(j)), s.ledger.Surplus(d.now, demand.Queue))
 	}
 	plan, err := d.plan(j, j.unplaced(), d.latestUsefulEnd(j))
 	if err == nil {
@@ -56,33 +73,36 @@
 		return nil, err
 	}
 	d.returnsOf(j).Consume(d.now, returnKey(j))
-	d.ledger.Serve(d.now, demand)
+	s.ledger.Serve(d.now, demand)
+	if owed {
+		d.recordShare(j, shareOwed)
+	}
 	return plan, nil
 }
 
 // withinShare returns the plan, or another one for the same job, if the queue's share
 // leaves room for it. While the servers are not saturated, capacity is lent to whoever
-// asks. Then a job is taken unless it would take capacity from queues that go first, make
-// admitted jobs late, or be late itself: what ends late takes the capacity from others
-// that could end in time, so that all end late.
+// asks, and what can start at once is never refused. Otherwise a job is refused if its
+// queue exceeds its allotment; if it would end after its objective, because it would take
+// the capacity from jobs that can still end in time, until all end late; or if the agents'
+// queues are long and it would make admitted jobs late.
 func (d *Dispatcher) withinShare(j *job, plan []assignment, owed bool) ([]assignment, *structs.Error) {
-	saturated := d.pressure.Saturated()
+	s := d.sharesOf(j)
 	startsNow := func(as assignment) bool { return as.finish-as.runTime-as.agent.networkOverhead(d) <= 0 }
 	if all(plan, startsNow) {
 		return plan, nil
 	}
-	if saturated && !owed && d.ledger.Exceeds(d.now, j.Queue.Name) {
-		return nil, d.shareError(j, shareExceeds, "the queue has got its share of the capacity")
-	}
 	late := !d.onTime(j, plan)
-	if saturated && late && !owed {
-		return nil, d.shareError(j, shareLate, fmt.Sprintf("expected to end in %d ms, after its objective, while the servers are saturated", lastFinish(plan).Milliseconds()))
+	if s.pressure.Saturated() {
+		if !owed && s.ledger.Exceeds(d.now, j.Queue.Name) {
+			return nil, d.shareError(j, shareExceeds, "the queue has got its share of the capacity")
+		}
+		if late {
+			return nil, d.shareError(j, shareLate, fmt.Sprintf("expected to end in %d ms, after its objective, while no capacity is free", lastFinish(plan).Milliseconds()))
+		}
 	}
 	backlog := d.backlog(j)
 	if backlog <= maxBacklog {
-		if owed && late {
-			d.recordShare(j, shareOwed)
-		}
 		return plan, nil
 	}
 	if !late {
@@ -168,12 +188,11 @@
 
 // returnsOf returns the schedule of the refused jobs of the same priority.
 func (d *Dispatcher) returnsOf(j *job) *quota.RetrySchedule {
-	s := d.returns[j.Queue.Priority]
-	if s == nil {
-		s = quota.NewRetrySchedule()
-		d.returns[j.Queue.Priority] = s
+	returns := d.sharesOf(j).returns
+	if returns[j.Queue.Priority] == nil {
+		returns[j.Queue.Priority] = quota.NewRetrySchedule()
 	}
-	return s
+	return returns[j.Queue.Priority]
 }
 
 // returnAfter returns when a refused caller should come back: when there is room, and
@@ -181,7 +200,7 @@
 // rounded up, because callers get whole seconds.
 func (d *Dispatcher) returnAfter(j *job, earliest time.Duration) time.Duration {
 	perTask := time.Duration(0)
-	if served := d.ledger.Served(d.now, j.Queue.Name); served > 0 {
+	if served := d.sharesOf(j).ledger.Served(d.now, j.Queue.Name); served > 0 {
 		perTask = time.Duration(j.demand().Work / float64(max(j.Tasks, 1)) / served * float64(time.Second))
 	}
 	at := d.now.Add((earliest + time.Second - 1).Truncate(time.Second))
@@ -199,6 +218,6 @@
 func (d *Dispatcher) recordShare(j *job, outcome string) {
 	d.emit(ShareMetrics{Queue: j.Queue.Name, Outcome: outcome})
 	if outcome == shareOwed {
-		d.emit(LogEvent{Event: "job_owed", Job: j.Name, Queue: j.Queue.Name, Detail: fmt.Sprintf("tasks=%d priority=%d free=%.3f", j.Tasks, j.Queue.Priority, d.pressure.Free())})
+		d.emit(LogEvent{Event: "job_owed", Job: j.Name, Queue: j.Queue.Name, Detail: fmt.Sprintf("tasks=%d priority=%d free_share=%.3f", j.Tasks, j.Queue.Priority, d.sharesOf(j).pressure.Free())})
 	}
 }
--- a/shares/ledger.go
+++ b/shares/ledger.go
@@ -10,6 +10,7 @@
 // Ledger keeps what the callers of one entry ask for and get, by queue. The zero value is
 // ready to use. It is not safe for concurrent use.
 type Ledger struct {
+	Policy   Policy // FloorsThenPriority if nil
 	accounts map[string]*account
 }
 
@@ -95,32 +96,27 @@
 }
 
 // Exceeds reports whether the queue got more than its allotment of what was served
-// recently. While less was served than asked for, each queue is allotted its floor, and
-// the rest goes by priority: so a queue that exceeds takes capacity from queues before it.
+// recently, while less was served than asked for: it takes capacity from others.
 func (l *Ledger) Exceeds(now time.Time, queue string) bool {
 	accounts := l.sorted()
-	allotted := make([]float64, len(accounts))
-	asked, rest := 0.0, 0.0
+	needs := make([]Need, len(accounts))
+	own, asked, served := -1, 0.0, 0.0
 	for i, a := range accounts {
-		demand := a.asked.decayed(now, recentTime)
-		allotted[i] = floor * demand
-		asked += demand
-		rest += a.served.decayed(now, recentTime)
+		needs[i] = Need{Priority: a.priority, Asked: a.asked.decayed(now, recentTime), Usual: a.usual.rate(now, usualTime)}
+		asked += needs[i].Asked
+		served += a.served.decayed(now, recentTime)
+		if a.queue == queue {
+			own = i
+		}
 	}
-	if rest >= shortageShare*asked {
+	if own < 0 || served >= shortageShare*asked {
 		return false
 	}
-	for _, share := range allotted {
-		rest -= share
-	}
-	for i, a := range accounts {
-		more := min(a.asked.decayed(now, recentTime)-allotted[i], max(rest, 0))
-		if a.queue == queue {
-			return a.served.decayed(now, recentTime) > allotted[i]+more
-		}
-		rest -= more
+	policy := l.Policy
+	if policy == nil {
+		policy = FloorsThenPriority
 	}
-	return false
+	return accounts[own].served.decayed(now, recentTime) > policy(needs, served)[own]
 }
 
 // sorted returns the accounts by priority.
--- a/shares/pressure.go
+++ b/shares/pressure.go
@@ -12,8 +12,7 @@
 	at   time.Time
 }
 
-// Observe records the free share of the capacity. Work in the agents' queues counts as
-// capacity in use, so that the share may be negative.
+// Observe records the free share of the capacity, less what queued tasks need.
 func (p *Pressure) Observe(now time.Time, free float64) {
 	weight := 1.0
 	if !p.at.IsZero() {
--- a/shares/shares.go
+++ b/shares/shares.go
@@ -46,8 +46,9 @@
 
 const (
 	// floor is the part of a queue's recent demand that is served also while work of
-	// higher priority could use all of the capacity.
-	floor = 0.5
+	// higher priority could use all of the capacity. Half of the demand is meant to be
+	// served; the rest is for what was admitted and is owed for a moment.
+	floor = 0.55
 	// shortageShare is the part of the recent demand of all queues below which what was
 	// served counts as a shortage.
 	shortageShare = 0.9
