--- a/dispatch/shares_load_test.go
+++ b/dispatch/shares_load_test.go
@@ -422,26 +422,6 @@
 	return allotted
 }
 
-// maxMin divides the capacity by weight, and what one queue does not need between others.
-func maxMin(needs []shares.Need, capacity float64, weight func(shares.Need) float64) []float64 {
-	allotted := make([]float64, len(needs))
-	for range needs {
-		weights, rest := 0.0, capacity
-		for i, n := range needs {
-			rest -= allotted[i]
-			if allotted[i] < n.Asked {
-				weights += weight(n)
-			}
-		}
-		for i, n := range needs {
-			if allotted[i] < n.Asked {
-				allotted[i] = min(n.Asked, allotted[i]+rest*weight(n)/weights)
-			}
-		}
-	}
-	return allotted
-}
-
 var policies = []struct {
 	name   string
 	on     bool
@@ -450,13 +430,13 @@
 	{"first come", false, nil},
 	{"strict priority", true, strictPriority},
 	{"weighted fair", true, func(n []shares.Need, c float64) []float64 {
-		return maxMin(n, c, func(n shares.Need) float64 { return n.Usual })
+		return shares.MaxMin(n, c, func(n shares.Need) float64 { return n.Usual })
 	}},
 	// Processor capacity is the dominant resource of all kinds.
 	{"dominant resource", true, func(n []shares.Need, c float64) []float64 {
-		return maxMin(n, c, func(shares.Need) float64 { return 1 })
+		return shares.MaxMin(n, c, func(shares.Need) float64 { return 1 })
 	}},
-	{"floors then priority", true, nil},
+	{"shares, then priority", true, nil},
 }
 
 // BenchmarkPolicies compares the policies under each load by the parts of the jobs of each
--- a/shares/allot.go
+++ b/shares/allot.go
@@ -2,32 +2,47 @@
 
 // Need is what one queue asked for recently.
 type Need struct {
-	Priority int
-	Asked    float64 // core-seconds
-	Usual    float64 // cores, over a longer time
+	Asked float64 // core-seconds
+	Usual float64 // cores, over a longer time
 }
 
 // Policy divides the capacity that was served recently, in core-seconds, between the
 // queues, and returns the allotment of each. Queues are in the order of their priorities.
 type Policy func(needs []Need, capacity float64) []float64
 
-// FloorsThenPriority allots each queue its floor, and the rest by priority. While there is
-// less capacity than that, each gets the same part of its floor.
-func FloorsThenPriority(needs []Need, capacity float64) []float64 {
-	floors := 0.0
-	for _, n := range needs {
-		floors += floor * n.Asked
+// SharesThenPriority divides a part of the capacity into equal shares, and the rest by
+// priority. What a queue does not need of its share is lent to the others.
+func SharesThenPriority(needs []Need, capacity float64) []float64 {
+	allotted := MaxMin(needs, sharedPart*capacity, func(Need) float64 { return 1 })
+	rest := capacity
+	for _, a := range allotted {
+		rest -= a
 	}
-	part := floor
-	if floors > capacity {
-		part *= capacity / floors
-	}
-	rest := max(capacity-floors, 0)
-	allotted := make([]float64, len(needs))
 	for i, n := range needs {
-		more := min((1-floor)*n.Asked, rest)
-		allotted[i] = part*n.Asked + more
+		more := min(n.Asked-allotted[i], rest)
+		allotted[i] += more
 		rest -= more
 	}
 	return allotted
 }
+
+// MaxMin divides the capacity by weight. What one queue does not need is divided between
+// the others.
+func MaxMin(needs []Need, capacity float64, weight func(Need) float64) []float64 {
+	allotted := make([]float64, len(needs))
+	for range needs {
+		weights, rest := 0.0, capacity
+		for i, n := range needs {
+			rest -= allotted[i]
+			if allotted[i] < n.Asked {
+				weights += weight(n)
+			}
+		}
+		for i, n := range needs {
+			if allotted[i] < n.Asked {
+				allotted[i] = min(n.Asked, allotted[i]+max(rest, 0)*weight(n)/weights)
+			}
+		}
+	}
+	return allotted
+}
--- a/shares/ledger.go
+++ b/shares/ledger.go
@@ -10,7 +10,7 @@
 // Ledger keeps what the callers of one entry ask for and get, by queue. The zero value is
 // ready to use. It is not safe for concurrent use.
 type Ledger struct {
-	Policy   Policy // FloorsThenPriority if nil
+	Policy   Policy // SharesThenPriority if nil
 	accounts map[string]*account
 }
 
@@ -102,7 +102,7 @@
 	needs := make([]Need, len(accounts))
 	own, asked, served := -1, 0.0, 0.0
 	for i, a := range accounts {
-		needs[i] = Need{Priority: a.priority, Asked: a.asked.decayed(now, recentTime), Usual: a.usual.rate(now, usualTime)}
+		needs[i] = Need{Asked: a.asked.decayed(now, recentTime), Usual: a.usual.rate(now, usualTime)}
 		asked += needs[i].Asked
 		served += a.served.decayed(now, recentTime)
 		if a.queue == queue {
@@ -114,7 +114,7 @@
 	}
 	policy := l.Policy
 	if policy == nil {
-		policy = FloorsThenPriority
+		policy = SharesThenPriority
 	}
 	return accounts[own].served.decayed(now, recentTime) > policy(needs, served)[own]
 }
--- a/shares/shares.go
+++ b/shares/shares.go
@@ -45,6 +45,8 @@
 }
 
 const (
+	// sharedPart is the part of scarce capacity that queues share equally.
+	sharedPart = 0.7
 	// floor is the part of a queue's recent demand that is served also while work of
 	// higher priority could use all of the capacity. Half of the demand is meant to be
 	// served; the rest is for what was admitted and is owed for a moment.
