--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -63,6 +63,9 @@
 		j.rank = shares.RankOf(j.Queue.Priority, d.returnsOf(j).IsDue(d.now, returnKey(j)), s.ledger.Surplus(d.now, demand.Queue))
 	}
 	plan, err := d.plan(j, j.unplaced(), d.latestUsefulEnd(j))
+	if err != nil || !d.onTime(j, plan) {
+		s.ledger.ExpectLate(d.now, demand)
+	}
 	if err == nil {
 		plan, err = d.withinShare(j, plan, owed)
 	}
@@ -83,9 +86,9 @@
 // withinShare returns the plan, or another one for the same job, if the queue's share
 // leaves room for it. While the servers are not saturated, capacity is lent to whoever
 // asks, and what can start at once is never refused. Otherwise a job is refused if its
-// queue exceeds its allotment; if it would end after its objective, because it would take
-// the capacity from jobs that can still end in time, until all end late; or if the agents'
-// queues are long and it would make admitted jobs late.
+// queue exceeds its allotment; if capacity is short and it would end after its objective,
+// because it would take the capacity from jobs that can still end in time, until all end
+// late; or if the agents' queues are long and it would make admitted jobs late.
 func (d *Dispatcher) withinShare(j *job, plan []assignment, owed bool) ([]assignment, *structs.Error) {
 	s := d.sharesOf(j)
 	startsNow := func(as assignment) bool { return as.finish-as.runTime-as.agent.networkOverhead(d) <= 0 }
@@ -97,7 +100,7 @@
 		if !owed && s.ledger.Exceeds(d.now, j.Queue.Name) {
 			return nil, d.shareError(j, shareExceeds, "the queue has got its share of the capacity")
 		}
-		if late {
+		if late && s.ledger.Short(d.now) {
 			return nil, d.shareError(j, shareLate, fmt.Sprintf("expected to end in %d ms, after its objective, while no capacity is free", lastFinish(plan).Milliseconds()))
 		}
 	}
--- a/shares/ledger.go
+++ b/shares/ledger.go
@@ -12,6 +12,8 @@
 type Ledger struct {
 	Policy   Policy // SharesThenPriority if nil
 	accounts map[string]*account
+	asked    meter // by all queues, recently
+	late     meter // of asked, by jobs that were expected to end late
 }
 
 // Demand is what a job asks for.
@@ -50,6 +52,7 @@
 		l.accounts[d.Queue] = a
 	}
 	a.priority = d.Priority
+	l.asked.add(now, d.Work, recentTime)
 	a.asked.add(now, d.Work, recentTime)
 	a.usual.add(now, d.Work, usualTime)
 	a.jobs.add(now, 1, recentTime)
@@ -71,6 +74,16 @@
 	}
 }
 
+// ExpectLate records that a job was expected to miss its objective, admitted or not.
+func (l *Ledger) ExpectLate(now time.Time, d Demand) { l.late.add(now, d.Work, recentTime) }
+
+// Short reports whether less than shortageShare of what was asked for recently could end
+// in time. It follows from the states of the agents, not from what this entry has refused,
+// so that entries agree.
+func (l *Ledger) Short(now time.Time) bool {
+	return l.late.decayed(now, recentTime) > (1-shortageShare)*l.asked.decayed(now, recentTime)
+}
+
 // Served returns the recent rate of admitted work, in cores.
 func (l *Ledger) Served(now time.Time, queue string) float64 {
 	if a := l.accounts[queue]; a != nil {
--- a/shares/shares.go
+++ b/shares/shares.go
@@ -51,9 +51,9 @@
 	// higher priority could use all of the capacity. Half of the demand is meant to be
 	// served; the rest is for what was admitted and is owed for a moment.
 	floor = 0.55
-	// shortageShare is the part of the recent demand of all queues below which what was
-	// served counts as a shortage.
-	shortageShare = 0.9
+	// shortageShare is the part of the recent demand of all queues that has to be served, or
+	// to be expected to end in time. Below it capacity is short.
+	shortageShare = 0.95
 	// sizeShare is the ratio of the served part of large jobs to that of all jobs of their
 	// queue below which large jobs are owed capacity. largeFactor is the ratio of a job's
 	// tasks to the mean of its queue from which on it is large.
