--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -167,7 +167,7 @@
 	// admitted because they were owed capacity, or refused because of their share.
 	ShareMetrics struct {
 		Queue   string
-		Outcome string // owed if admitted; exceeds, late or displaces if refused
+		Outcome string // owed if admitted; exceeds, late, displaces or full if refused
 	}
 	// JobMetrics is counted in the metrics: one per answered job, and one per
 	// refused call.
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -22,6 +22,7 @@
 	shareExceeds   = "exceeds"   // refused: the queue has got more than its allotment
 	shareDisplaces = "displaces" // refused: jobs that were admitted before would miss their objective
 	shareLate      = "late"      // refused: would be late while the servers are saturated
+	shareFull      = "full"      // refused: would end when its answer is of no use
 )
 
 // serviceShares is what the entry knows of the demand for one service's capacity.
@@ -66,13 +67,19 @@
 	if err != nil || !d.onTime(j, plan) {
 		s.ledger.ExpectLate(d.now, demand)
 	}
+	limit := shareFull
 	if err == nil {
-		plan, err = d.withinShare(j, plan, owed)
+		plan, limit, err = d.withinShare(j, plan, owed)
 	}
-	if err != nil {
-		if err.Code == structs.CodeOverloaded {
+	if err != nil && err.Code == structs.CodeOverloaded {
+		if free := d.planOnFree(j); free != nil {
+			plan, err = free, nil
+		} else {
+			d.recordShare(j, limit)
 			err = err.WithRetryAfter(d.returnAfter(j, err.RetryAfter))
 		}
+	}
+	if err != nil {
 		return nil, err
 	}
 	d.returnsOf(j).Consume(d.now, returnKey(j))
@@ -84,39 +91,65 @@
 }
 
 // withinShare returns the plan, or another one for the same job, if the queue's share
-// leaves room for it. While the servers are not saturated, capacity is lent to whoever
+// leaves room for it; otherwise the limit that stands in the way. While the servers are not saturated, capacity is lent to whoever
 // asks, and what can start at once is never refused. Otherwise a job is refused if its
 // queue exceeds its allotment; if capacity is short and it would end after its objective,
 // because it would take the capacity from jobs that can still end in time, until all end
 // late; or if the agents' queues are long and it would make admitted jobs late.
-func (d *Dispatcher) withinShare(j *job, plan []assignment, owed bool) ([]assignment, *structs.Error) {
+func (d *Dispatcher) withinShare(j *job, plan []assignment, owed bool) (within []assignment, limit string, err *structs.Error) {
 	s := d.sharesOf(j)
-	startsNow := func(as assignment) bool { return as.finish-as.runTime-as.agent.networkOverhead(d) <= 0 }
-	if all(plan, startsNow) {
-		return plan, nil
+	if d.startsNow(plan) {
+		return plan, "", nil
 	}
 	late := !d.onTime(j, plan)
 	if s.pressure.Saturated() {
 		if !owed && s.ledger.Exceeds(d.now, j.Queue.Name) {
-			return nil, d.shareError(j, shareExceeds, "the queue has got its share of the capacity")
+			return nil, shareExceeds, d.shareError(j, shareExceeds, "the queue has got its share of the capacity")
 		}
 		if late && s.ledger.Short(d.now) {
-			return nil, d.shareError(j, shareLate, fmt.Sprintf("expected to end in %d ms, after its objective, while no capacity is free", lastFinish(plan).Milliseconds()))
+			return nil, shareLate, d.shareError(j, shareLate, fmt.Sprintf("expected to end in %d ms, after its objective, while no capacity is free", lastFinish(plan).Milliseconds()))
 		}
 	}
 	backlog := d.backlog(j)
 	if backlog <= maxBacklog {
-		return plan, nil
+		return plan, "", nil
 	}
 	if !late {
 		if plan = d.withoutDisplacing(j, plan); plan != nil {
-			return plan, nil
+			return plan, "", nil
 		}
 	}
-	return nil, d.shareError(j, shareDisplaces, fmt.Sprintf("queued tasks up to rank %d need %d ms, over the limit of %d ms, and would be late",
+	return nil, shareDisplaces, d.shareError(j, shareDisplaces, fmt.Sprintf("queued tasks up to rank %d need %d ms, over the limit of %d ms, and would be late",
 		j.rank, backlog.Milliseconds(), maxBacklog.Milliseconds()))
 }
 
+// startsNow reports whether all tasks of the plan can start at once.
+func (d *Dispatcher) startsNow(plan []assignment) bool {
+	return all(plan, func(as assignment) bool { return as.finish-as.runTime-as.agent.networkOverhead(d) <= 0 })
+}
+
+// planOnFree plans a job on servers with free capacity only; nil if there is not enough.
+// These may be slow ones, on which it ends late.
+func (d *Dispatcher) planOnFree(j *job) []assignment {
+	if !d.unlimited(j) {
+		return nil
+	}
+	var busy []string
+	for _, a := range d.sortedAgents {
+		if a.unreservedShare()*float64(a.identity.Capacity) < float64(j.CPU) {
+			busy = append(busy, a.name)
+		}
+	}
+	if len(busy) == len(d.sortedAgents) {
+		return nil
+	}
+	plan, err := d.planWithin(j, j.unplaced(), d.latestUsefulEnd(j), &placementLimits{avoided: busy})
+	if err != nil || !d.startsNow(plan) {
+		return nil
+	}
+	return plan
+}
+
 // withoutDisplacing returns the plan, or another one that meets the objective, if it makes
 // no queued task late; nil if there is none.
 func (d *Dispatcher) withoutDisplacing(j *job, plan []assignment) []assignment {
@@ -136,7 +169,6 @@
 
 // shareError refuses a job because of the named limit.
 func (d *Dispatcher) shareError(j *job, limit, reason string) *structs.Error {
-	d.recordShare(j, limit)
 	return structs.Errorf(structs.CodeOverloaded, structs.NotRun, "limit %s of queue %s: %s", limit, j.Queue.Name, reason).WithRetryAfter(d.retryAfter(j))
 }
 
@@ -199,18 +231,31 @@
 }
 
 // returnAfter returns when a refused caller should come back: when there is room, and
-// after those refused before, at the rate at which the queue is served here. It is
-// rounded up, because callers get whole seconds.
+// after those refused before, at the rate at which the queue is served here, or by the
+// capacity of the service if nothing of it was served. It is rounded up, because callers
+// get whole seconds.
 func (d *Dispatcher) returnAfter(j *job, earliest time.Duration) time.Duration {
-	perTask := time.Duration(0)
-	if served := d.sharesOf(j).ledger.Served(d.now, j.Queue.Name); served > 0 {
-		perTask = time.Duration(j.demand().Work / float64(max(j.Tasks, 1)) / served * float64(time.Second))
+	cores := d.sharesOf(j).ledger.Served(d.now, j.Queue.Name)
+	if cores == 0 {
+		cores = d.coresOf(j.Queue.Service)
 	}
+	perTask := time.Duration(j.demand().Work / float64(max(j.Tasks, 1)) / max(cores, 1) * float64(time.Second))
 	at := d.now.Add((earliest + time.Second - 1).Truncate(time.Second))
 	wait := d.returnsOf(j).Assign(d.now, returnKey(j), j.Tasks, at, perTask).Sub(d.now)
 	return max(min(wait, maxReturnTime), earliest)
 }
 
+// coresOf returns the capacity of a service's servers.
+func (d *Dispatcher) coresOf(service string) float64 {
+	cores := 0.0
+	for _, a := range d.sortedAgents {
+		if d.isReady(a) && a.identity.Service == service {
+			cores += float64(a.identity.Capacity) / 1000
+		}
+	}
+	return cores
+}
+
 // returnKey identifies a job among those that were told when to come back.
 func returnKey(j *job) quota.Key {
 	h := fnv.New128a()
--- a/dispatch/shares_test.go
+++ b/dispatch/shares_test.go
@@ -91,6 +91,7 @@
 		hints = append(hints, refused.Error.RetryAfter)
 	}
 	h.Expect(hints[0]).To(BeNumerically(">=", time.Second))
+	h.Expect(hints[11]).To(BeNumerically(">=", hints[0]+time.Second), "twelve jobs of 2.4 core-seconds at 20 cores")
 
 	h.now = h.now.Add(hints[0])
 	h.agent(2, serverState{capacity: 80_000, free: 80_000, slowness: 1000})
--- a/shares/allot.go
+++ b/shares/allot.go
@@ -38,9 +38,12 @@
 				weights += weight(n)
 			}
 		}
+		if weights == 0 || rest <= negligible*capacity {
+			break
+		}
 		for i, n := range needs {
 			if allotted[i] < n.Asked {
-				allotted[i] = min(n.Asked, allotted[i]+max(rest, 0)*weight(n)/weights)
+				allotted[i] = min(n.Asked, allotted[i]+rest*weight(n)/weights)
 			}
 		}
 	}
--- a/shares/ledger.go
+++ b/shares/ledger.go
@@ -14,6 +14,9 @@
 	accounts map[string]*account
 	asked    meter // by all queues, recently
 	late     meter // of asked, by jobs that were expected to end late
+
+	allottedAt time.Time // when capacity was divided between the queues
+	scarce     bool      // less was served then than asked for
 }
 
 // Demand is what a job asks for.
@@ -33,6 +36,7 @@
 	jobs, tasks   meter // asked for
 	largeAsked    meter // of asked, by large jobs
 	largeServed   meter
+	allotted      float64 // core-seconds of what was served recently; only while capacity is scarce
 }
 
 // large reports whether jobs of so many tasks are large ones of the queue.
@@ -111,25 +115,37 @@
 // Exceeds reports whether the queue got more than its allotment of what was served
 // recently, while less was served than asked for: it takes capacity from others.
 func (l *Ledger) Exceeds(now time.Time, queue string) bool {
+	a := l.accounts[queue]
+	if a == nil {
+		return false
+	}
+	if now.Sub(l.allottedAt) >= allotmentTime {
+		l.allot(now)
+	}
+	return l.scarce && a.served.decayed(now, recentTime) > a.allotted
+}
+
+// allot divides what was served recently between the queues.
+func (l *Ledger) allot(now time.Time) {
 	accounts := l.sorted()
 	needs := make([]Need, len(accounts))
-	own, asked, served := -1, 0.0, 0.0
+	asked, served := 0.0, 0.0
 	for i, a := range accounts {
 		needs[i] = Need{Asked: a.asked.decayed(now, recentTime), Usual: a.usual.rate(now, usualTime)}
 		asked += needs[i].Asked
 		served += a.served.decayed(now, recentTime)
-		if a.queue == queue {
-			own = i
-		}
 	}
-	if own < 0 || served >= shortageShare*asked {
-		return false
+	l.allottedAt, l.scarce = now, served < shortageShare*asked
+	if !l.scarce {
+		return
 	}
 	policy := l.Policy
 	if policy == nil {
 		policy = SharesThenPriority
 	}
-	return accounts[own].served.decayed(now, recentTime) > policy(needs, served)[own]
+	for i, allotted := range policy(needs, served) {
+		accounts[i].allotted = allotted
+	}
 }
 
 // sorted returns the accounts by priority.
--- a/shares/shares.go
+++ b/shares/shares.go
@@ -73,6 +73,11 @@
 	// surplusFactor is the ratio of recent to usual demand above which a queue asks for
 	// more than its share. Demand swings by half on a usual day.
 	surplusFactor = 1.7
+	// allotmentTime is how long allotments are kept: they are sums over all queues, and
+	// change little between two jobs.
+	allotmentTime = 100 * time.Millisecond
+	// negligible is the part of the capacity, or of the demand, that is not divided.
+	negligible = 1e-6
 	// maxAccounts bounds the queues that a Ledger keeps.
 	maxAccounts = 4096
 )
