--- a/dispatch/shares_test.go
+++ b/dispatch/shares_test.go
@@ -93,6 +93,12 @@
 	h.Expect(hints[0]).To(BeNumerically(">=", time.Second))
 	h.Expect(hints[11]).To(BeNumerically(">=", hints[0]+time.Second), "twelve jobs of 2.4 core-seconds at 20 cores")
 
+	dump := h.d.Dump(h.now).Shares
+	h.Expect(dump).To(HaveLen(1))
+	h.Expect(dump[0].Saturated).To(BeTrue())
+	h.Expect(dump[0].Queues[0].Asked).To(BeNumerically(">", 0))
+	h.Expect(dump[0].Queues[0].Served).To(BeZero())
+
 	h.now = h.now.Add(hints[0])
 	h.agent(2, serverState{capacity: 80_000, free: 80_000, slowness: 1000})
 	h.Expect(h.offer("short-0", 0)).To(BeNil())
