--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -33,9 +33,10 @@
 	recoveryTime    time.Duration // expected from a crash until the server is back
 	longestSlack    longestSlack
 	chooser         *spread.Chooser
-	inTime          []*candidate    // of the last choice; its memory is used again
-	servers         []spread.Server // the same for the chooser
-	jobs            map[string]*job // open, or answered with tasks not yet ended, by name
+	inTime          []*candidate              // of the last choice; its memory is used again
+	servers         []spread.Server           // the same for the chooser
+	shares          map[string]*serviceShares // by service
+	jobs            map[string]*job           // open, or answered with tasks not yet ended, by name
 	calls           map[CallID]*job
 	heldJobs        []*job               // open, with tasks to place once agents are available
 	agentsChanged   bool                 // an agent joined or changed in this step
@@ -65,6 +66,7 @@
 		recoveryTime:    initialRecoveryTime,
 		chooser:         spread.NewChooser(uint64(opts.Incarnation)),
 		longestSlack:    make(longestSlack),
+		shares:          make(map[string]*serviceShares),
 		jobs:            make(map[string]*job),
 		usableAgentLost: make(map[string]time.Time),
 		noAgentSince:    make(map[string]time.Time),
@@ -180,9 +182,14 @@
 // FreeShare returns the share of the capacity of all ready agents that is neither in
 // use nor reserved. It reports false if there is no such agent.
 func (d *Dispatcher) FreeShare() (float64, bool) {
+	return d.freeShare(func(*agent) bool { return true })
+}
+
+// freeShare is FreeShare for the agents that match.
+func (d *Dispatcher) freeShare(match func(*agent) bool) (float64, bool) {
 	free, capacity := 0.0, 0.0
 	for _, a := range d.sortedAgents {
-		if !a.state.Ready || a.identity.Capacity <= 0 || d.evacuated(a.zone) {
+		if !a.state.Ready || a.identity.Capacity <= 0 || d.evacuated(a.zone) || !match(a) {
 			continue
 		}
 		free += max(a.unreservedShare(), 0) * float64(a.identity.Capacity)
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -1,9 +1,12 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/places"
+	"github.com/chestnuthollow/chestnuthollow/shares"
 )
 
 // maxDumpJobs bounds the number of jobs in a dump.
@@ -21,6 +24,8 @@
 	ConfinedQueues []string `json:"confined_queues"`
 	// Places is nil unless places are served.
 	Places *PlacesDump `json:"places,omitempty"`
+	// Shares is what the callers of each queue ask for and get at this entry, by service.
+	Shares []SharesDump `json:"shares"`
 }
 
 // PlacesDump is what is known of jobs that have a place.
@@ -31,6 +36,14 @@
 	Waits       []places.RackWaits `json:"waits"`
 }
 
+// SharesDump is the demand for one service's capacity at this entry.
+type SharesDump struct {
+	Service   string       `json:"service"`
+	FreeShare float64      `json:"free_share"` // of the capacity, recent average
+	Saturated bool         `json:"saturated"`
+	Queues    []shares.Row `json:"queues"`
+}
+
 // AgentDump is one agent with an open session.
 type AgentDump struct {
 	Name     string `json:"name"`
@@ -65,6 +78,10 @@
 // Dump returns a snapshot of bounded size. Ages are relative to now.
 func (d *Dispatcher) Dump(now time.Time) Dump {
 	out := Dump{Jobs: len(d.jobs), Placements: len(d.placements), ConfinedQueues: d.containment.ConfinedQueues()}
+	for _, service := range slices.Sorted(maps.Keys(d.shares)) {
+		s := d.shares[service]
+		out.Shares = append(out.Shares, SharesDump{Service: service, FreeShare: s.pressure.Free(), Saturated: s.pressure.Saturated(), Queues: s.ledger.Rows(now)})
+	}
 	for _, p := range d.placements {
 		if !p.inDoubtUntil.IsZero() {
 			out.InDoubt++
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -6,6 +6,7 @@
 
 	"github.com/chestnuthollow/chestnuthollow/containment"
 	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/shares"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -23,6 +24,7 @@
 	abandonErr     *structs.Error // why it was abandoned; nil if it was not
 	answered       bool           // or closed without an answer, because no caller is left
 	admitted       bool           // tasks were placed
+	rank           shares.Rank    // under shortage; zero unless Scheduling.Shares is set
 	holdUntil      time.Time      // end of the hold time if it is held
 	livePlacements int            // placements that have not ended
 	group          group          // where its tasks run if it wants one rack
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -170,6 +170,12 @@
 	// PlacementMetrics is counted in the metrics with Scheduling.Spread: tasks placed, those
 	// of them in other availability zones, and tasks that an agent has not started.
 	PlacementMetrics struct{ Placed, OtherZone, Returned int }
+	// ShareMetrics is counted in the metrics, if Scheduling.Shares is set: jobs that were
+	// admitted because they were owed capacity, or refused because of their share.
+	ShareMetrics struct {
+		Queue   string
+		Outcome string // owed if admitted; exceeds, late, displaces or full if refused
+	}
 	// JobMetrics is counted in the metrics: one per answered job, and one per
 	// refused call.
 	JobMetrics struct {
@@ -202,3 +208,4 @@
 func (CrashMetrics) isEffect()     {}
 func (PlacementMetrics) isEffect() {}
 func (PlaceMetrics) isEffect()     {}
+func (ShareMetrics) isEffect()     {}
--- a/dispatch/spread_test.go
+++ b/dispatch/spread_test.go
@@ -202,8 +202,8 @@
 	}
 }
 
-// kinds are the jobs of the load, with their shares of it: short and wide, medium, long.
-var kinds = []struct {
+// loadKinds are the jobs of the load, with their shares of it: short and wide, medium, long.
+var loadKinds = []struct {
 	tasks, ms int
 	share     float64
 }{{8, 60, 0.245}, {2, 200, 0.71}, {4, 900, 0.045}}
@@ -214,16 +214,16 @@
 	none := math.Exp(-rate * c.weight(entry, float64(c.now)/1000)) // probability of no arrival in this ms
 	for p := random.Float64(); p > none; p *= random.Float64() {
 		k, x := 0, random.Float64()
-		for ; k < 2 && x > kinds[k].share; k++ {
-			x -= kinds[k].share
+		for ; k < 2 && x > loadKinds[k].share; k++ {
+			x -= loadKinds[k].share
 		}
 		name := fmt.Sprint(entry, "-", len(c.submitted))
 		c.submitted[name] = c.now
 		if k == 0 {
 			c.wait[name] = 0
 		}
-		estimate := time.Duration(kinds[k].ms) * time.Millisecond
-		c.step(entry, dispatch.SubmitCalled{Call: dispatch.CallID(len(c.submitted)), Job: dispatch.Job{Name: name, Tasks: kinds[k].tasks, CPU: 5000, MemMB: 1,
+		estimate := time.Duration(loadKinds[k].ms) * time.Millisecond
+		c.step(entry, dispatch.SubmitCalled{Call: dispatch.CallID(len(c.submitted)), Job: dispatch.Job{Name: name, Tasks: loadKinds[k].tasks, CPU: 5000, MemMB: 1,
 			Queue:    routing.Queue{Name: fmt.Sprint(k), Service: "booking", Attempts: 2, Stretch: 1.6, TargetLatency: 60 * time.Millisecond},
 			Estimate: estimate, Timeout: 1500*time.Millisecond + 2*estimate}})
 	}
@@ -244,7 +244,7 @@
 		a.free = a.capacity
 		c.fakes = append(c.fakes, a)
 	}
-	for _, k := range kinds {
+	for _, k := range loadKinds {
 		work += k.share * float64(k.tasks*k.ms*5000)
 	}
 	random := rand.New(rand.NewPCG(1, 2))
--- a/gateway/step.go
+++ b/gateway/step.go
@@ -30,6 +30,8 @@
 			g.metrics.recordJob(&ef)
 		case dispatch.PlacementMetrics:
 			g.metrics.recordPlacement(&ef)
+		case dispatch.ShareMetrics:
+			g.metrics.recordShare(&ef)
 		case dispatch.CrashMetrics:
 			g.metrics.recordCrash(&ef)
 		case dispatch.PlaceMetrics:
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -48,6 +48,9 @@
 	admittedCPU uint64
 	starts      startRates
 
+	deferred      int       // queued tasks that give way to others and cannot start in time
+	shortageSince time.Time // since when there are any; zero if there are none
+
 	stateSeq uint64 // of the last state sent to an entry
 	leaving  bool
 	drained  bool // Drained has been emitted
