--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -11,6 +11,9 @@
 // need not be held, if agents of its service are ready and none is large enough or
 // has the required label.
 func (d *Dispatcher) noCandidateError(j *job) *structs.Error {
+	if err := d.evacuatedError(j); err != nil {
+		return err
+	}
 	ofService := func(a *agent) bool { return d.isReady(a) && a.identity.Service == j.Queue.Service }
 	shrunk := func(a *agent) bool { return ofService(a) && !fits(j, &a.identity) && fits(j, &a.largest) }
 	if slices.ContainsFunc(d.sortedAgents, shrunk) {
@@ -25,9 +28,6 @@
 		return structs.Errorf(structs.CodeRejected, structs.NotRun, "no server of service %s has %d thousandths of a core, %d MB, %d GPUs and the label %q",
 			j.Queue.Service, j.CPU, j.MemMB, j.GPU, j.RequiredLabel).WithRetryAfter(retryAfter)
 	}
-	if err := d.evacuatedError(j); err != nil {
-		return err
-	}
 	return structs.Errorf(structs.CodeUnavailable, structs.NotRun, "no agent of service %s can run the job now", j.Queue.Service).
 		WithRetryAfter(unavailableRetryAfter)
 }
@@ -37,11 +37,14 @@
 // at once, it also returns an error if the backlog exceeds maxBacklog, because
 // another job would then delay the queued ones until their answers are useless.
 func (d *Dispatcher) planNew(j *job) ([]assignment, *structs.Error) {
+	if d.opts.Scheduling.Shares {
+		return d.planByShare(j)
+	}
 	plan, err := d.plan(j, j.unplaced(), d.latestUsefulEnd(j))
 	if err != nil {
 		return nil, err
 	}
-	startsNow := func(as assignment) bool { return as.finish-as.runTime-as.agent.networkOverhead(d) <= 0 }
+	startsNow := func(as assignment) bool { return as.startsNow(d) }
 	if backlog := d.backlog(j); backlog > maxBacklog && !all(plan, startsNow) {
 		return nil, structs.Errorf(structs.CodeOverloaded, structs.NotRun, "queued tasks need %d ms, over the limit of %d ms",
 			backlog.Milliseconds(), maxBacklog.Milliseconds()).WithRetryAfter(d.retryAfter(j))
@@ -54,7 +57,7 @@
 }
 
 // backlog returns how long all servers that may run the job need together for
-// their queued tasks.
+// their queued tasks, except those that give way to the job.
 func (d *Dispatcher) backlog(j *job) time.Duration {
 	limits := d.limitsOf(j, nil)
 	if !limits.confined {
@@ -67,6 +70,9 @@
 		}
 		cpu += float64(a.identity.Capacity)
 		for _, q := range a.state.Queue {
+			if d.opts.Scheduling.Shares && j.overtaken(q) {
+				continue
+			}
 			work += float64(q.CPU) * float64(q.Ms)
 		}
 	}
@@ -89,7 +95,7 @@
 func (d *Dispatcher) retryAfter(j *job) time.Duration {
 	wait := time.Second
 	limits := d.limitsOf(j, nil)
-	if c := d.candidates(j, nil, &limits); len(c) > 0 {
+	if c := d.candidatesForReturn(j, d.candidates(j, nil, &limits)); len(c) > 0 {
 		if best, finish := pickCandidate(c, j, 0); best != nil {
 			wait = max(wait, finish-best.runTime)
 		}
--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnuthollow/chestnuthollow/capacity"
 	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/spread"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -30,6 +31,8 @@
 	// unacknowledged are the placements whose order has no reply yet, so that the
 	// state does not include them.
 	unacknowledged map[uint64]*placement
+	recallable     []*placement // of jobs that have a place, in the order of placing
+	othersFlow     spread.Flow  // what other entries place there
 }
 
 // serverSlowness is the last known slowness of an agent's server, kept beyond the
@@ -49,6 +52,7 @@
 	if e.State.Identity != nil {
 		a.setIdentity(*e.State.Identity)
 	}
+	a.othersFlow.Observe(d.now, e.State.OthersCPU)
 	d.agents[e.ID] = a
 	d.recordCrashes(a, e.State.Crashes)
 	d.runTimesOpened(a)
@@ -117,6 +121,7 @@
 func (d *Dispatcher) removeAgent(a *agent, reason string) {
 	delete(d.agents, a.id)
 	delete(d.orders, a.id)
+	d.recordLostAgent(a)
 	if i := slices.Index(d.sortedAgents, a); i >= 0 {
 		d.sortedAgents = slices.Delete(d.sortedAgents, i, i+1)
 	}
@@ -167,9 +172,11 @@
 	}
 	a.state = s
 	a.stateReceivedAt = d.now
+	a.othersFlow.Observe(d.now, s.OthersCPU)
 	d.endOutageIfReady(a)
 	d.recordRecovery(a)
 	d.moveStragglers(a, s.Laggards)
+	d.recallWaiting(a)
 	if s.Samples >= minSlownessSamples {
 		d.lastSlowness[a.name] = serverSlowness{server: a.identity.Server, slowness: s.Slowness}
 	}
@@ -201,20 +208,28 @@
 // is reserved for queued tasks that isAhead selects and for placements that the
 // agent has not acknowledged.
 func (d *Dispatcher) capacityTimeline(a *agent, isAhead func(session.QueuedTask) bool) *capacity.Timeline {
+	t := d.timelineAfter(a, func(_ int, q session.QueuedTask) bool { return isAhead(q) })
+	for _, p := range sortedUnacknowledged(a) {
+		t.Reserve(p.job.CPU, scale(d.expectedRunTime(a, p.job), p.place.runFactor()))
+	}
+	return t
+}
+
+// timelineAfter returns the free capacity of the agent over time, less what is reserved
+// for queued tasks that isAhead selects by their position and size.
+func (d *Dispatcher) timelineAfter(a *agent, isAhead func(int, session.QueuedTask) bool) *capacity.Timeline {
 	age := d.now.Sub(a.stateReceivedAt)
 	releases := make([]capacity.Release, 0, len(a.state.Running))
 	for _, r := range a.state.Running {
 		releases = append(releases, capacity.Release{At: time.Duration(r.Ms)*time.Millisecond - age, CPU: r.CPU})
 	}
+	releases = append(releases, a.warmUpRelease(age)...)
 	t := capacity.New(a.state.FreeCPU, releases)
-	for _, q := range a.state.Queue {
-		if isAhead(q) {
+	for i, q := range a.state.Queue {
+		if isAhead(i, q) {
 			t.Reserve(q.CPU, time.Duration(q.Ms)*time.Millisecond)
 		}
 	}
-	for _, p := range sortedUnacknowledged(a) {
-		t.Reserve(p.job.CPU, d.expectedRunTime(a, p.job))
-	}
 	return t
 }
 
--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/capacity"
+	"github.com/chestnuthollow/chestnuthollow/places"
 	"github.com/chestnuthollow/chestnuthollow/session"
 )
 
@@ -18,6 +19,8 @@
 	sameZone  bool          // in this entry's availability zone
 	freeShare float64       // see agent.unreservedShare, less the tasks planned so far
 	onTime    float64       // see Dispatcher.onTimeProbability
+	factor    float64       // of the run time, included in it; see awayFactor
+	choice    *places.Choice
 }
 
 // finish returns the expected time from now to the end of another task of the
@@ -40,9 +43,16 @@
 	return c.freeShare * weight
 }
 
-// finishMargin returns the uncertainty of the candidate's finish.
-func (c *candidate) finishMargin() time.Duration {
-	return minFinishMargin + time.Duration(finishMarginShare*float64(c.runTime))
+// reserve reserves the candidate's capacity for a task of the job.
+func (c *candidate) reserve(j *job) {
+	c.timeline.Reserve(j.CPU, c.runTime)
+	c.jobTasks++
+	c.freeShare -= float64(j.CPU) / float64(max(c.agent.identity.Capacity, 1))
+}
+
+// finishMargin returns the uncertainty of the finish of a task.
+func finishMargin(runTime time.Duration) time.Duration {
+	return minFinishMargin + time.Duration(finishMarginShare*float64(runTime))
 }
 
 // pickCandidate chooses the agent for one task that should end within the given
@@ -64,7 +74,7 @@
 		if earliest == nil || finish < earliestFinish {
 			earliest, earliestFinish = c, finish
 		}
-		if finish+c.finishMargin() <= within && (preferred == nil || c.score() > preferred.score()) {
+		if finish+finishMargin(c.runTime) <= within && (preferred == nil || c.score() > preferred.score()) {
 			preferred, preferredFinish = c, finish
 		}
 	}
@@ -100,8 +110,12 @@
 // of the job's service, is large enough for a task and has the required label.
 func (d *Dispatcher) eligible(a *agent, j *job) bool {
 	return d.isReady(a) &&
-		a.identity.Service == j.Queue.Service && fits(j, &a.identity) &&
-		(j.RequiredLabel == "" || slices.Contains(a.identity.Labels, j.RequiredLabel))
+		a.identity.Service == j.Queue.Service && fits(j, &a.identity) && hasLabel(a, j.RequiredLabel)
+}
+
+// hasLabel reports whether the agent's server has a label, if one is required.
+func hasLabel(a *agent, required string) bool {
+	return required == "" || slices.Contains(a.identity.Labels, required)
 }
 
 // candidates returns the agents that may run the tasks. Agents whose tasks often
@@ -113,10 +127,11 @@
 		if !d.eligible(a, j) || !limits.permits(a.name) {
 			continue
 		}
-		runTime := d.expectedRunTime(a, j)
+		factor := d.awayFactor(j, a)
+		runTime := scale(d.expectedRunTime(a, j), factor)
 		c := &candidate{
-			agent: a, timeline: d.capacityTimeline(a, d.queuedAhead(a, j.objective.Sub(d.now))), runTime: runTime, overhead: hopOverhead,
-			jobTasks: d.tasksAt(j, a), sameZone: a.zone == d.opts.Zone, freeShare: a.unreservedShare(),
+			agent: a, timeline: d.capacityTimeline(a, d.queuedAhead(a, d.overtakenWithin(j))), runTime: runTime, overhead: hopOverhead,
+			jobTasks: d.tasksAt(j, a), sameZone: a.zone == d.opts.Zone, freeShare: a.unreservedShare(), factor: factor,
 		}
 		if !c.sameZone {
 			c.overhead += crossZoneOverhead
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/containment"
+	"github.com/chestnuthollow/chestnuthollow/places"
 	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/spread"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -21,14 +23,21 @@
 	sortedAgents []*agent                  // the same, ordered by name so that decisions are deterministic
 	lastSlowness map[string]serverSlowness // cached beyond sessions, by the agent's name
 
-	evacuatedZones  []string  // sorted
-	zoneExpectedAt  time.Time // when the first of them is expected back; zero if unknown
+	evacuatedZones  []string             // sorted
+	zoneExpectedAt  time.Time            // when the first of them is expected to be restored; in the past if unknown
+	usableAgentLost map[string]time.Time // by service: when an agent outside these zones was lost last
 	containment     *containment.Tracker
 	suspects        map[*placement]bool // of tasks that may have crashed a server
-	recoveryTime    time.Duration       // expected from a crash until the server is back
+	waits           places.Waits
+	placeDemand     places.Demand
+	recoveryTime    time.Duration // expected from a crash until the server is back
 	longestSlack    longestSlack
 	runTimes        learnedRunTimes
-	jobs            map[string]*job // open, or answered with tasks not yet ended, by name
+	chooser         *spread.Chooser
+	inTime          []*candidate              // of the last choice; its memory is used again
+	servers         []spread.Server           // the same for the chooser
+	shares          map[string]*serviceShares // by service
+	jobs            map[string]*job           // open, or answered with tasks not yet ended, by name
 	calls           map[CallID]*job
 	heldJobs        []*job               // open, with tasks to place once agents are available
 	agentsChanged   bool                 // an agent joined or changed in this step
@@ -56,9 +65,12 @@
 		containment:     containment.New(),
 		suspects:        make(map[*placement]bool),
 		recoveryTime:    initialRecoveryTime,
+		chooser:         spread.NewChooser(uint64(opts.Incarnation)),
 		longestSlack:    make(longestSlack),
 		runTimes:        newLearnedRunTimes(),
+		shares:          make(map[string]*serviceShares),
 		jobs:            make(map[string]*job),
+		usableAgentLost: make(map[string]time.Time),
 		noAgentSince:    make(map[string]time.Time),
 		calls:           make(map[CallID]*job),
 		placements:      make(map[uint64]*placement),
@@ -172,9 +184,14 @@
 // FreeShare returns the share of the capacity of all ready agents that is neither in
 // use nor reserved. It reports false if there is no such agent.
 func (d *Dispatcher) FreeShare() (float64, bool) {
+	return d.freeShare(func(*agent) bool { return true })
+}
+
+// freeShare is FreeShare for the agents that match.
+func (d *Dispatcher) freeShare(match func(*agent) bool) (float64, bool) {
 	free, capacity := 0.0, 0.0
 	for _, a := range d.sortedAgents {
-		if !a.state.Ready || a.identity.Capacity <= 0 || d.evacuated(a.zone) {
+		if !a.state.Ready || a.identity.Capacity <= 0 || d.evacuated(a.zone) || !match(a) {
 			continue
 		}
 		free += max(a.unreservedShare(), 0) * float64(a.identity.Capacity)
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -1,6 +1,13 @@
 package dispatch
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/places"
+	"github.com/chestnuthollow/chestnuthollow/shares"
+)
 
 // maxDumpJobs bounds the number of jobs in a dump.
 const maxDumpJobs = 200
@@ -17,6 +24,26 @@
 	ConfinedQueues []string `json:"confined_queues"`
 	// RunTimes are the distributions of run times of the queues for which they are known.
 	RunTimes []RunTimesDump `json:"run_times"`
+	// Places is nil unless places are served.
+	Places *PlacesDump `json:"places,omitempty"`
+	// Shares is what the callers of each queue ask for and get at this entry, by service.
+	Shares []SharesDump `json:"shares"`
+}
+
+// PlacesDump is what is known of jobs that have a place.
+type PlacesDump struct {
+	WantedRacks []string           `json:"wanted_racks"` // of late, the most wanted first
+	Groups      bool               `json:"groups"`       // jobs wanted any one rack
+	Open        int                `json:"open"`         // tasks of jobs that have a place
+	Waits       []places.RackWaits `json:"waits"`
+}
+
+// SharesDump is the demand for one service's capacity at this entry.
+type SharesDump struct {
+	Service   string       `json:"service"`
+	FreeShare float64      `json:"free_share"` // of the capacity, recent average
+	Saturated bool         `json:"saturated"`
+	Queues    []shares.Row `json:"queues"`
 }
 
 // AgentDump is one agent with an open session.
@@ -32,6 +59,12 @@
 	Running  int    `json:"running"`
 	Waiting  int    `json:"waiting"`
 	AgeMs    int64  `json:"state_age_ms"`
+	ColdMs   int    `json:"cold_ms"` // how much longer the server runs slowly
+	// Evacuated means that the agent's availability zone is evacuated.
+	Evacuated bool `json:"zone_evacuated"`
+	// OthersPerSecond is the rate at which other entries place work there, in thousandths
+	// of a core per second.
+	OthersPerSecond int `json:"others_cpu_per_s"`
 }
 
 // JobDump is one job that is open, or answered with tasks not yet ended.
@@ -47,16 +80,23 @@
 // Dump returns a snapshot of bounded size. Ages are relative to now.
 func (d *Dispatcher) Dump(now time.Time) Dump {
 	out := Dump{Jobs: len(d.jobs), Placements: len(d.placements), ConfinedQueues: d.containment.ConfinedQueues()}
+	for _, service := range slices.Sorted(maps.Keys(d.shares)) {
+		s := d.shares[service]
+		out.Shares = append(out.Shares, SharesDump{Service: service, FreeShare: s.pressure.Free(), Saturated: s.pressure.Saturated(), Queues: s.ledger.Rows(now)})
+	}
 	for _, p := range d.placements {
 		if !p.inDoubtUntil.IsZero() {
 			out.InDoubt++
 		}
 	}
+	out.Places = d.placesDump(now)
 	for _, a := range d.sortedAgents {
 		out.Agents = append(out.Agents, AgentDump{
 			Name: a.name, Zone: a.zone, Server: a.identity.Server, Ready: a.state.Ready, Capacity: a.identity.Capacity,
 			FreeCPU: a.state.FreeCPU, Slowness: a.state.Slowness, Failing: a.state.Failing,
 			Running: len(a.state.Running), Waiting: len(a.state.Queue), AgeMs: now.Sub(a.stateReceivedAt).Milliseconds(),
+			ColdMs: a.state.ColdMs, Evacuated: d.evacuated(a.zone),
+			OthersPerSecond: int(a.othersFlow.PerSecond()),
 		})
 	}
 	for _, j := range d.sortedJobs(func(*job) bool { return true }) {
@@ -70,3 +110,15 @@
 	out.RunTimes = d.runTimes.dump()
 	return out
 }
+
+func (d *Dispatcher) placesDump(now time.Time) *PlacesDump {
+	if !d.servesPlaces() {
+		return nil
+	}
+	out := &PlacesDump{Waits: d.waits.Dump(now)}
+	out.WantedRacks, out.Groups = d.WantedRacks(now)
+	for _, a := range d.sortedAgents {
+		out.Open += len(a.recallable)
+	}
+	return out
+}
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -130,6 +130,7 @@
 		Number uint64
 		Start  []session.JobPart
 		Stop   []uint64 // ids of placements
+		Recall []uint64 // ids of placements to return if they have not been started
 	}
 	// CloseSession closes a session that has no tasks.
 	CloseSession struct{ ID SessionID }
@@ -168,6 +169,18 @@
 		Queue     string
 		Uncertain bool // a task is not sure enough to end within the job's objective
 	}
+	// PlaceMetrics is counted in the metrics: tasks placed at the place of their job, away
+	// from it, and recalled from its queue.
+	PlaceMetrics struct{ Kept, Away, GivenUp int }
+	// PlacementMetrics is counted in the metrics with Scheduling.Spread: tasks placed, those
+	// of them in other availability zones, and tasks that an agent has not started.
+	PlacementMetrics struct{ Placed, OtherZone, Returned int }
+	// ShareMetrics is counted in the metrics, if Scheduling.Shares is set: jobs that were
+	// admitted because they were owed capacity, or refused because of their share.
+	ShareMetrics struct {
+		Queue   string
+		Outcome string // owed if admitted; exceeds, late, displaces or full if refused
+	}
 	// JobMetrics is counted in the metrics: one per answered job, and one per
 	// refused call.
 	JobMetrics struct {
@@ -190,12 +203,15 @@
 func (EvacuationChanged) isEvent() {}
 func (Ticked) isEvent()            {}
 
-func (Order) isEffect()         {}
-func (CloseSession) isEffect()  {}
-func (Answered) isEffect()      {}
-func (Refused) isEffect()       {}
-func (CancelReplied) isEffect() {}
-func (LogEvent) isEffect()      {}
-func (JobMetrics) isEffect()    {}
-func (CrashMetrics) isEffect()  {}
-func (PlanMetrics) isEffect()   {}
+func (Order) isEffect()            {}
+func (CloseSession) isEffect()     {}
+func (Answered) isEffect()         {}
+func (Refused) isEffect()          {}
+func (CancelReplied) isEffect()    {}
+func (LogEvent) isEffect()         {}
+func (JobMetrics) isEffect()       {}
+func (CrashMetrics) isEffect()     {}
+func (PlacementMetrics) isEffect() {}
+func (PlaceMetrics) isEffect()     {}
+func (ShareMetrics) isEffect()     {}
+func (PlanMetrics) isEffect()      {}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -24,6 +24,8 @@
 // place adds the planned tasks to the orders to their agents.
 func (d *Dispatcher) place(j *job, plan []assignment) {
 	limit := d.completionLimit(j, plan)
+	d.updateGroup(j, plan)
+	d.countPlacements(plan)
 	for _, as := range plan {
 		t := &j.tasks[as.index]
 		t.placements++
@@ -38,21 +40,23 @@
 		as.agent.unacknowledged[p.id] = p
 		j.livePlacements++
 		startWithin := limit.Sub(d.now) - as.runTime - as.agent.networkOverhead(d)
-		addToOrder(o, j, session.Placement{ID: p.id, Index: as.index, Attempt: t.placements}, max(startWithin, time.Millisecond))
+		d.notePlace(p, as)
+		d.addToOrder(o, j, session.Placement{ID: p.id, Index: as.index, Attempt: t.placements}, max(d.maxWait(&as, t, startWithin), time.Millisecond), scale(j.Estimate, as.factor))
 	}
 }
 
-// addToOrder adds a task to the part of the order that belongs to its job.
-func addToOrder(o *Order, j *job, p session.Placement, startWithin time.Duration) {
+// addToOrder adds a task to the part of the order that belongs to its job. With
+// Scheduling.Spread, tasks of a job that may wait for different times are in different parts.
+func (d *Dispatcher) addToOrder(o *Order, j *job, p session.Placement, startWithin, estimate time.Duration) {
 	for i := range o.Start {
-		if o.Start[i].Job == j.Name {
+		if o.Start[i].Job == j.Name && (!d.opts.Scheduling.Spread || o.Start[i].StartWithin == startWithin) {
 			o.Start[i].Tasks = append(o.Start[i].Tasks, p)
 			return
 		}
 	}
 	o.Start = append(o.Start, session.JobPart{
 		Job: j.Name, Queue: j.Queue.Name, Spec: j.Spec, Service: j.Queue.Service, CPU: j.CPU, MemMB: j.MemMB, GPU: j.GPU,
-		Estimate: j.Estimate, StartWithin: startWithin, Tasks: []session.Placement{p},
+		Estimate: estimate, Priority: int(j.rank), StartWithin: startWithin, Tasks: []session.Placement{p},
 	})
 }
 
@@ -65,7 +69,7 @@
 		to.WriteString(as.agent.name)
 	}
 	d.emit(LogEvent{Event: event, Job: j.Name, Queue: j.Queue.Name,
-		Detail: fmt.Sprintf("tasks=%d uncertain=%d cpu=%d estimate_ms=%d expected_ms=%d objective_ms=%d target_ms=%d deadline_ms=%d to=%s", j.Tasks, uncertainTasks(plan), j.CPU,
+		Detail: fmt.Sprintf("tasks=%d uncertain=%d cpu=%d estimate_ms=%d expected_ms=%d objective_ms=%d target_ms=%d deadline_ms=%d%s to=%s", j.Tasks, uncertainTasks(plan), j.CPU,
 			j.Estimate.Milliseconds(), lastFinish(plan).Milliseconds(), j.objective.Sub(j.arrived).Milliseconds(),
-			j.target.Sub(j.arrived).Milliseconds(), j.deadline.Sub(j.arrived).Milliseconds(), to.String())})
+			j.target.Sub(j.arrived).Milliseconds(), j.deadline.Sub(j.arrived).Milliseconds(), d.spreadDetail(plan), to.String())})
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chestnuthollow/chestnuthollow/places"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -15,6 +16,13 @@
 	// uncertain is set if the agent is not sure enough to end the task within the
 	// objective of the job.
 	uncertain bool
+	factor    float64 // of the run time, see awayFactor
+	choice    *places.Choice
+}
+
+// startsNow reports whether the task is expected to start when the order arrives.
+func (as *assignment) startsNow(d *Dispatcher) bool {
+	return as.finish-as.runTime-as.agent.networkOverhead(d) <= 0
 }
 
 // plan chooses an agent for each of the tasks. It returns an error if there is a
@@ -51,18 +59,17 @@
 	if len(candidates) == 0 {
 		return nil, d.noCandidateError(j)
 	}
+	candidates = d.choosePlace(j, tasks, candidates, latest)
 	plan := make([]assignment, 0, len(tasks))
 	for _, index := range tasks {
-		best, finish := pickCandidate(candidates, j, j.objective.Sub(d.now))
+		best, finish := d.pick(candidates, j)
 		if best == nil {
 			return nil, structs.Errorf(structs.CodeOverloaded, structs.NotRun, "no server can take another task of %d thousandths of a core", j.CPU).
 				WithRetryAfter(d.retryAfter(j))
 		}
-		uncertain := finish+best.finishMargin() > j.objective.Sub(d.now)
-		best.timeline.Reserve(j.CPU, best.runTime)
-		best.jobTasks++
-		best.freeShare -= float64(j.CPU) / float64(max(best.agent.identity.Capacity, 1))
-		plan = append(plan, assignment{index: index, agent: best.agent, finish: finish, runTime: best.runTime, uncertain: uncertain})
+		uncertain := finish+finishMargin(best.runTime) > j.objective.Sub(d.now)
+		best.reserve(j)
+		plan = append(plan, assignment{index: index, agent: best.agent, finish: finish, runTime: best.runTime, factor: best.factor, choice: best.choice, uncertain: uncertain})
 	}
 	last := lastFinish(plan)
 	if d.now.Add(last + answerMargin).After(latest) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -23,6 +23,9 @@
 	zonesEvacuated metrics.Gauge
 
 	serversCrashed, tasksGivenUp, queuesConfined metrics.Counter
+
+	placesKept, placesAway, placesGivenUp      metrics.Counter
+	tasksPlaced, tasksOtherZone, tasksReturned metrics.Counter
 }
 
 func newMetrics(g *Gateway) *gatewayMetrics {
@@ -39,6 +42,14 @@
 		serversCrashed: metrics.NewRegisteredCounter("crashes.servers", r),
 		tasksGivenUp:   metrics.NewRegisteredCounter("crashes.tasks_given_up", r),
 		queuesConfined: metrics.NewRegisteredCounter("crashes.queues_confined", r),
+
+		placesKept:    metrics.NewRegisteredCounter("places.tasks_kept", r),
+		placesAway:    metrics.NewRegisteredCounter("places.tasks_away", r),
+		placesGivenUp: metrics.NewRegisteredCounter("places.waits_given_up", r),
+
+		tasksPlaced:    metrics.NewRegisteredCounter("tasks.placed", r),
+		tasksOtherZone: metrics.NewRegisteredCounter("tasks.placed_other_zone", r),
+		tasksReturned:  metrics.NewRegisteredCounter("tasks.returned", r),
 	}
 	r.Register("jobs.open", metrics.NewFunctionalGauge(func() int64 { return int64(g.openJobs()) }))
 	r.Register("bytes.sent", metrics.NewFunctionalGauge(func() int64 { return rpcconn.TotalTraffic().BytesSent }))
@@ -76,6 +87,11 @@
 	}
 }
 
+// recordShare counts decisions under shortage by queue and outcome.
+func (m *gatewayMetrics) recordShare(e *dispatch.ShareMetrics) {
+	metrics.GetOrRegisterCounter("shares."+e.Queue+"."+e.Outcome, m.registry).Inc(1)
+}
+
 // recordCrash counts crashes of servers and what followed from them.
 func (m *gatewayMetrics) recordCrash(e *dispatch.CrashMetrics) {
 	m.serversCrashed.Inc(int64(e.Servers))
@@ -83,6 +99,20 @@
 	m.queuesConfined.Inc(int64(e.QueuesConfined))
 }
 
+// recordPlaces counts the tasks of jobs that have a place.
+func (m *gatewayMetrics) recordPlaces(e *dispatch.PlaceMetrics) {
+	m.placesKept.Inc(int64(e.Kept))
+	m.placesAway.Inc(int64(e.Away))
+	m.placesGivenUp.Inc(int64(e.GivenUp))
+}
+
+// recordPlacement counts where tasks were placed, and those that agents returned.
+func (m *gatewayMetrics) recordPlacement(e *dispatch.PlacementMetrics) {
+	m.tasksPlaced.Inc(int64(e.Placed))
+	m.tasksOtherZone.Inc(int64(e.OtherZone))
+	m.tasksReturned.Inc(int64(e.Returned))
+}
+
 // Dump implements ops.Source.
 func (g *Gateway) Dump() any {
 	evacuated := g.evacuation()
--- a/session/messages.go
+++ b/session/messages.go
@@ -83,6 +83,9 @@
 	Echo  ClockReading // the newest that the entry has received
 	Start []JobPart
 	Stop  []uint64 // ids of placements
+	// Recall are ids of placements that are reported as NotStarted if they have not been
+	// started, and are not affected otherwise. Agents of earlier builds ignore it.
+	Recall []uint64
 	// Evacuation is set if it has changed since the session's last request.
 	Evacuation Evacuation
 }
@@ -97,8 +100,8 @@
 	MemMB    int
 	GPU      int
 	Estimate time.Duration // run time of each task on a server of reference speed
-	// Priority is that of the queue: 0 comes first. Entries that do not divide capacity
-	// by priority leave it zero.
+	// Priority is a rank of package shares: 0 comes first. Entries that do not divide
+	// capacity by priority leave it zero.
 	Priority int
 	// StartWithin bounds the time that each task waits at the agent. A task that
 	// has not been started by then is reported as NotStarted.
@@ -190,8 +193,16 @@
 	Samples  int
 	// Failing is the recent share of tasks that failed or hung, in thousandths.
 	Failing int
+	// Broken is the recent share of calls that start tasks for which the server closed
+	// the connection instead of replying, in thousandths. Agents of earlier builds leave it
+	// zero.
+	Broken  int
 	Running []RunningTask
 	Queue   []QueuedTask
+	// OthersCPU is the sum of the sizes of all tasks that the agent has admitted from other
+	// sessions since it started, in thousandths of a core. Agents of earlier builds leave
+	// it zero.
+	OthersCPU uint64
 	// ColdMs is how much longer the server runs slowly after its start, in ms.
 	ColdMs int
 	// RunTimes are the distributions of run times of the queues whose tasks the server
@@ -225,8 +236,9 @@
 	Service  string
 	Server   string // id of the backend server on the platform
 	Labels   []string
-	Capacity int // thousandths of a core
-	MemMB    int // zero if the agent is of an earlier build; GPU is then unknown too
+	Rack     string // one of the labels; empty if the agent is of an earlier build
+	Capacity int    // thousandths of a core
+	MemMB    int    // zero if the agent is of an earlier build; GPU is then unknown too
 	GPU      int
 }
 
@@ -266,9 +278,15 @@
 
 // QueuedTask is a task in the agent's queue.
 type QueuedTask struct {
+	// ID is the placement if the task was ordered in the session that the state is sent
+	// in; zero otherwise, and if the agent is of an earlier build.
+	ID          uint64
 	CPU         int // thousandths of a core
 	Ms          int // expected run time, in ms
 	StartWithin int // time left until its latest start, in ms
+	// Priority is that of its JobPart. Agents of earlier builds leave it zero, so that
+	// their queued tasks give way to no job.
+	Priority int
 }
 
 // ExchangeRequest announces a process to an entry and asks for the processes that
@@ -305,6 +323,9 @@
 	// Service is the service of an agent's backend server; empty for entries and for
 	// agents of earlier builds.
 	Service string `json:"service,omitempty"`
+	// Rack is the rack of an agent's backend server; empty if it is not known yet, for
+	// entries, and for agents of earlier builds.
+	Rack string `json:"rack,omitempty"`
 }
 
 // Roles of a Process.
--- a/taskrunner/messages.go
+++ b/taskrunner/messages.go
@@ -23,6 +23,7 @@
 	MemMB       int      `json:"mem_mb"`
 	GPU         int      `json:"gpu"`
 	Labels      []string `json:"labels"`
+	Rack        string   `json:"rack"` // one of the labels; empty if unknown
 	// Cold is how much longer the server runs slowly after its start, at the time of the
 	// heartbeat.
 	Cold time.Duration `json:"-"`
@@ -131,6 +132,8 @@
 		Clock             time.Duration // reading of the server's clock; zero if unknown
 		ServerIncarnation int64         // zero if unknown
 		Reason            string        // logged if the result is StartUnknown
+		// Broken means that the server closed the connection instead of replying.
+		Broken bool
 	}
 	// StopReplied is the reply to StopTask.
 	StopReplied struct {
--- a/taskrunner/poll.go
+++ b/taskrunner/poll.go
@@ -64,23 +64,26 @@
 		Seq:      m.stateSeq,
 		Stamp:    session.ClockReading{Run: m.clockIncarnation, Clock: m.clock},
 		Ready:    m.active(),
-		FreeCPU:  m.server.CPU - m.used.cpu,
+		FreeCPU:  m.freeCPU(),
 		FreeMem:  m.server.MemMB - m.used.mem,
 		Slowness: m.health.slownessPerMille(),
 		Samples:  m.health.samples,
+		ColdMs:   int(m.warmUp.remaining(m.now).Milliseconds()),
 		Failing:  m.health.failingPerMille(),
+		Broken:   m.health.brokenPerMille(),
 		Laggards: m.stragglers(s),
 	}
 	if id := (serverIdentity{m.server.Incarnation, m.server.ID, m.server.capacity()}); !s.identitySent || s.sentIdentity != id {
 		s.identitySent, s.sentIdentity = true, id
-		st.Identity = &session.Identity{Service: m.server.Service, Server: m.server.ID, Labels: m.server.Labels, Capacity: m.server.CPU, MemMB: m.server.MemMB, GPU: m.server.GPU}
+		st.Identity = &session.Identity{Service: m.server.Service, Server: m.server.ID, Labels: m.server.Labels, Rack: m.server.Rack, Capacity: m.server.CPU, MemMB: m.server.MemMB, GPU: m.server.GPU}
 	}
+	st.OthersCPU = m.othersCPU(s)
 	st.Crashes = m.unsentCrashes(s)
 	st.RunTimes = m.unsentRunTimes(s)
 	st.Running = m.runningTasks()
 	for _, r := range m.queue {
 		st.Queue = append(st.Queue, session.QueuedTask{
-			CPU: r.cpu, Ms: int(m.expectedRunTime(r).Milliseconds()), StartWithin: int(r.startBy.Sub(m.now).Milliseconds()),
+			ID: r.idFor(s), CPU: r.cpu, Ms: int(m.expectedRunTime(r).Milliseconds()), StartWithin: int(r.startBy.Sub(m.now).Milliseconds()), Priority: int(r.rank),
 		})
 	}
 	return st
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/shares"
 )
 
 // phase is the state of a run.
@@ -33,6 +35,7 @@
 	gpu      int
 	estimate time.Duration
 	startBy  time.Time // latest start time
+	rank     shares.Rank
 	phase    phase
 	// numberTries counts the run numbers that the server refused as used,
 	// unansweredStarts the starts without a reply.
@@ -139,22 +142,28 @@
 	if m.health.suspect && m.used.cpu > 0 {
 		return false
 	}
-	return m.used.cpu+r.cpu <= m.server.CPU && m.used.mem+r.mem <= m.server.MemMB && m.used.gpu+r.gpu <= m.server.GPU
+	return r.cpu <= m.freeCPU() && m.used.mem+r.mem <= m.server.MemMB && m.used.gpu+r.gpu <= m.server.GPU
 }
 
-// startQueued starts the queued tasks for which there is free capacity, in the
-// order of their latest start times.
+// startQueued starts the queued tasks for which there is free capacity, in the order of
+// startOrder. Smaller tasks pass larger ones, except those that give way to them.
 func (m *Runner) startQueued() {
-	if !m.active() {
+	if !m.active() || len(m.queue) == 0 {
+		m.recordShortage(0)
 		return
 	}
-	for _, r := range slices.Clone(m.queue) {
+	waitingRank := shares.Rank(math.MaxInt)
+	order, deferred := m.startOrder()
+	for i, r := range order {
 		if !r.session.fresh(m) {
 			continue
 		}
-		if m.fits(r) {
+		givesWay := i >= len(order)-deferred && r.rank > waitingRank
+		if m.fits(r) && !givesWay {
 			m.queue = slices.DeleteFunc(m.queue, func(q *run) bool { return q == r })
 			m.start(r)
+		} else {
+			waitingRank = min(waitingRank, r.rank)
 		}
 	}
 }
@@ -188,6 +197,7 @@
 
 func (m *Runner) startReplied(e StartReplied) {
 	m.readClock(e.ServerIncarnation, e.Clock)
+	m.health.recordStartReply(e.Broken)
 	r := m.runs[e.Key.TaskKey]
 	if r == nil || r.key != e.Key {
 		return
@@ -240,7 +250,11 @@
 func (m *Runner) startUnanswered(r *run, reason string) {
 	r.unansweredStarts++
 	m.emit(LogEvent{Event: "start_unanswered", Task: r.key.String(), Entry: r.session.entry, Detail: fmt.Sprintf("try=%d reason=%q", r.unansweredStarts, reason)})
-	if r.unansweredStarts < maxStartTries && r.session.fresh(m) && !m.zoneEvacuated() && !m.leaseExpired() {
+	if m.zoneEvacuated() {
+		m.stop(r, session.NotStarted, reasonEvacuated)
+		return
+	}
+	if r.unansweredStarts < maxStartTries && r.session.fresh(m) && !m.leaseExpired() {
 		m.start(r)
 		return
 	}
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -18,6 +18,7 @@
 	config         session.Config
 	newestConfig   int64 // highest version that an entry has named
 	evacuations    evacuation.State
+	warmUp         warmUp // of the server
 	sessions       map[uint64]*entrySession
 	sortedSessions []*entrySession  // the same, ordered by ID so that effects are deterministic
 	runs           map[TaskKey]*run // queued, running and stopping tasks
@@ -43,7 +44,12 @@
 
 	crashes   []crash // recent ones, oldest first
 	lastCrash uint64  // number of the last one
-	starts    startRates
+	// admittedCPU is the sum of the sizes of all admitted tasks, in thousandths of a core.
+	admittedCPU uint64
+	starts      startRates
+
+	deferred      int       // queued tasks that give way to others and cannot start in time
+	shortageSince time.Time // since when there are any; zero if there are none
 
 	runTimes learnedRunTimes
 
--- a/test/sessions/entry_test.go
+++ b/test/sessions/entry_test.go
@@ -63,7 +63,9 @@
 	e.callers = make(map[dispatch.CallID]*caller)
 	e.dispatcher = dispatch.New(dispatch.Options{
 		Entry: e.name, Incarnation: e.incarnation, Zone: "z", Started: e.monotonicNow(),
+		FarFactor: 3,
 		InDoubtTimeout: taskrunner.InDoubtTimeout(time.Second, stopTimeout), AnswerRetention: dispatch.DefaultAnswerRetention,
+		Scheduling: dispatch.Scheduling{Places: true, Spread: e.incarnation&2 != 0}, // entries of both kinds run side by side
 	})
 	for _, a := range e.sim.agents {
 		e.dial(a)
@@ -248,7 +250,7 @@
 		if c == nil {
 			return
 		}
-		req := session.OrderRequest{Echo: c.lastReading, Start: ef.Start, Stop: ef.Stop}
+		req := session.OrderRequest{Echo: c.lastReading, Start: ef.Start, Stop: ef.Stop, Recall: ef.Recall}
 		c.toAgent(func() {
 			call := c.agent.newCall(func(message any) {
 				reply, ok := message.(session.OrderReply)
