--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -55,6 +55,7 @@
 	a.othersFlow.Observe(d.now, e.State.OthersCPU)
 	d.agents[e.ID] = a
 	d.recordCrashes(a, e.State.Crashes)
+	d.runTimesOpened(a)
 	d.endOutageIfReady(a)
 	d.agentsChanged = true
 	i, _ := slices.BinarySearchFunc(d.sortedAgents, a, func(x, y *agent) int { return cmp.Compare(x.name, y.name) })
@@ -95,7 +96,7 @@
 	until := e.LastHeard.Add(d.opts.InDoubtTimeout)
 	for _, p := range d.sortedPlacements(func(p *placement) bool { return p.agent == a }) {
 		p.inDoubtUntil = until
-		if j := p.job; !j.answered && !until.Add(d.expectedRunTime(a, j.Estimate)).Before(j.deadline) {
+		if j := p.job; !j.answered && !until.Add(d.expectedRunTime(a, j)).Before(j.deadline) {
 			d.abandon(j, structs.CodeAgentLost, "agent "+a.name+" was lost, and the task cannot be run again before the job's deadline")
 		}
 	}
@@ -161,6 +162,7 @@
 		a.identitySeq = s.Seq
 	}
 	defer d.recordCrashes(a, s.Crashes)
+	d.recordRunTimes(a, s.Seq, s.RunTimes)
 	if s.Seq <= a.state.Seq {
 		return
 	}
@@ -180,15 +182,15 @@
 	}
 }
 
-// expectedRunTime returns the expected run time of a task at an agent.
-func (d *Dispatcher) expectedRunTime(a *agent, estimate time.Duration) time.Duration {
+// expectedRunTime returns the expected run time of a task of the job at an agent.
+func (d *Dispatcher) expectedRunTime(a *agent, j *job) time.Duration {
 	slowness := a.state.Slowness
 	if a.state.Samples < minSlownessSamples {
 		if last := d.lastSlowness[a.name]; last.server == a.identity.Server && last.server != "" {
 			slowness = last.slowness
 		}
 	}
-	return estimate * time.Duration(slowness) / 1000
+	return d.correctRunTime(j, j.Estimate*time.Duration(slowness)/1000)
 }
 
 // queuedAhead returns a filter for the agent's queued tasks that are assumed to
@@ -208,7 +210,7 @@
 func (d *Dispatcher) capacityTimeline(a *agent, isAhead func(session.QueuedTask) bool) *capacity.Timeline {
 	t := d.timelineAfter(a, func(_ int, q session.QueuedTask) bool { return isAhead(q) })
 	for _, p := range sortedUnacknowledged(a) {
-		t.Reserve(p.job.CPU, scale(d.expectedRunTime(a, p.job.Estimate), p.place.runFactor()))
+		t.Reserve(p.job.CPU, scale(d.expectedRunTime(a, p.job), p.place.runFactor()))
 	}
 	return t
 }
--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -18,6 +18,7 @@
 	jobTasks  int           // tasks of the job placed there
 	sameZone  bool          // in this entry's availability zone
 	freeShare float64       // see agent.unreservedShare, less the tasks planned so far
+	onTime    float64       // see Dispatcher.onTimeProbability
 	factor    float64       // of the run time, included in it; see awayFactor
 	choice    *places.Choice
 }
@@ -73,7 +74,7 @@
 		if earliest == nil || finish < earliestFinish {
 			earliest, earliestFinish = c, finish
 		}
-		if finish+finishMargin(c.runTime) <= within && (preferred == nil || c.weightedFreeShare() > preferred.weightedFreeShare()) {
+		if finish+finishMargin(c.runTime) <= within && (preferred == nil || c.score() > preferred.score()) {
 			preferred, preferredFinish = c, finish
 		}
 	}
@@ -83,6 +84,16 @@
 	return earliest, earliestFinish
 }
 
+// score returns the candidate's weighted free share, less the more likely the job would be
+// late there. Wide jobs thereby take the servers that are sure, and leave the others to
+// narrow ones.
+func (c *candidate) score() float64 {
+	if share := c.weightedFreeShare(); share < 0 {
+		return share / c.onTime
+	}
+	return c.weightedFreeShare() * c.onTime
+}
+
 // fits reports whether a task of the job fits an idle server. Agents of earlier
 // builds state the processor capacity only.
 func fits(j *job, id *session.Identity) bool {
@@ -117,7 +128,7 @@
 			continue
 		}
 		factor := d.awayFactor(j, a)
-		runTime := scale(d.expectedRunTime(a, j.Estimate), factor)
+		runTime := scale(d.expectedRunTime(a, j), factor)
 		c := &candidate{
 			agent: a, timeline: d.capacityTimeline(a, d.queuedAhead(a, d.overtakenWithin(j))), runTime: runTime, overhead: hopOverhead,
 			jobTasks: d.tasksAt(j, a), sameZone: a.zone == d.opts.Zone, freeShare: a.unreservedShare(), factor: factor,
@@ -125,6 +136,7 @@
 		if !c.sameZone {
 			c.overhead += crossZoneOverhead
 		}
+		c.onTime = d.onTimeProbability(c, j)
 		if a.state.Failing >= failingThreshold || avoidsAgent(j, tasks, a.name) {
 			fallback = append(fallback, c)
 		} else {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -32,6 +32,7 @@
 	placeDemand     places.Demand
 	recoveryTime    time.Duration // expected from a crash until the server is back
 	longestSlack    longestSlack
+	runTimes        learnedRunTimes
 	chooser         *spread.Chooser
 	inTime          []*candidate              // of the last choice; its memory is used again
 	servers         []spread.Server           // the same for the chooser
@@ -66,6 +67,7 @@
 		recoveryTime:    initialRecoveryTime,
 		chooser:         spread.NewChooser(uint64(opts.Incarnation)),
 		longestSlack:    make(longestSlack),
+		runTimes:        newLearnedRunTimes(),
 		shares:          make(map[string]*serviceShares),
 		jobs:            make(map[string]*job),
 		usableAgentLost: make(map[string]time.Time),
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -22,6 +22,8 @@
 	// ConfinedQueues are the queues whose tasks run on some of the servers only,
 	// because they have crashed others.
 	ConfinedQueues []string `json:"confined_queues"`
+	// RunTimes are the distributions of run times of the queues for which they are known.
+	RunTimes []RunTimesDump `json:"run_times"`
 	// Places is nil unless places are served.
 	Places *PlacesDump `json:"places,omitempty"`
 	// Shares is what the callers of each queue ask for and get at this entry, by service.
@@ -105,6 +107,7 @@
 			Name: j.Name, Queue: j.Queue.Name, Tasks: j.Tasks, Remaining: j.unfinished, Answered: j.answered, AgeMs: now.Sub(j.arrived).Milliseconds(),
 		})
 	}
+	out.RunTimes = d.runTimes.dump()
 	return out
 }
 
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -164,6 +164,11 @@
 	// CrashMetrics is counted in the metrics: crashes of servers that were reported,
 	// tasks given up because of them, and queues confined.
 	CrashMetrics struct{ Servers, TasksGivenUp, QueuesConfined int }
+	// PlanMetrics is counted in the metrics: one per admitted job.
+	PlanMetrics struct {
+		Queue     string
+		Uncertain bool // a task is not sure enough to end within the job's objective
+	}
 	// PlaceMetrics is counted in the metrics: tasks placed at the place of their job, away
 	// from it, and recalled from its queue.
 	PlaceMetrics struct{ Kept, Away, GivenUp int }
@@ -209,3 +214,4 @@
 func (PlacementMetrics) isEffect() {}
 func (PlaceMetrics) isEffect()     {}
 func (ShareMetrics) isEffect()     {}
+func (PlanMetrics) isEffect()      {}
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -262,7 +262,7 @@
 		return
 	}
 	waiting := places.Waiting{
-		Option: optionAt(a, p.place.wait, scale(d.expectedRunTime(a, j.Estimate), p.place.factor), a.networkOverhead(d)),
+		Option: optionAt(a, p.place.wait, scale(d.expectedRunTime(a, j), p.place.factor), a.networkOverhead(d)),
 		Waited: d.now.Sub(p.place.placedAt), Forecast: forecast,
 	}
 	to := plan[0].agent
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -13,8 +13,11 @@
 	agent   *agent
 	finish  time.Duration // expected time from now to the end
 	runTime time.Duration // expected run time
-	factor  float64       // of the run time, see awayFactor
-	choice  *places.Choice
+	// uncertain is set if the agent is not sure enough to end the task within the
+	// objective of the job.
+	uncertain bool
+	factor    float64 // of the run time, see awayFactor
+	choice    *places.Choice
 }
 
 // startsNow reports whether the task is expected to start when the order arrives.
@@ -64,8 +67,9 @@
 			return nil, structs.Errorf(structs.CodeOverloaded, structs.NotRun, "no server can take another task of %d thousandths of a core", j.CPU).
 				WithRetryAfter(d.retryAfter(j))
 		}
+		uncertain := finish+finishMargin(best.runTime) > j.objective.Sub(d.now)
 		best.reserve(j)
-		plan = append(plan, assignment{index: index, agent: best.agent, finish: finish, runTime: best.runTime, factor: best.factor, choice: best.choice})
+		plan = append(plan, assignment{index: index, agent: best.agent, finish: finish, runTime: best.runTime, factor: best.factor, choice: best.choice, uncertain: uncertain})
 	}
 	last := lastFinish(plan)
 	if d.now.Add(last + answerMargin).After(latest) {
--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -39,7 +39,7 @@
 			Local:      c.sameZone,
 			Unreliable: c.agent.state.Broken >= unreliableThreshold,
 			Spare:      c.freeShare*float64(c.agent.identity.Capacity) - float64(j.CPU) - c.agent.othersFlow.Expected(untilArrival),
-			Weight:     c.weightedFreeShare() * math.Sqrt(timeLeft),
+			Weight:     c.score() * math.Sqrt(timeLeft),
 		})
 	}
 	if i, ok := d.chooser.Choose(d.servers); ok {
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -21,6 +21,11 @@
 	r := metrics.NewRegistry()
 	r.Register("server.connections", metrics.NewFunctionalGauge(func() int64 { return s.platform.Server.Connections() }))
 	r.Register("sessions", metrics.NewFunctionalGauge(func() int64 { return int64(s.connections()) }))
+	r.Register("run_times.tail_tasks", metrics.NewFunctionalGauge(func() int64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.runner.TailTasks()
+	}))
 	r.Register("tasks.deferred", metrics.NewFunctionalGauge(func() int64 {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/taskrunner/poll.go
+++ b/taskrunner/poll.go
@@ -79,10 +79,11 @@
 	}
 	st.OthersCPU = m.othersCPU(s)
 	st.Crashes = m.unsentCrashes(s)
+	st.RunTimes = m.unsentRunTimes(s)
 	st.Running = m.runningTasks()
 	for _, r := range m.queue {
 		st.Queue = append(st.Queue, session.QueuedTask{
-			ID: r.idFor(s), CPU: r.cpu, Ms: int(m.health.expectedRunTime(r.estimate).Milliseconds()), StartWithin: int(r.startBy.Sub(m.now).Milliseconds()), Priority: int(r.rank),
+			ID: r.idFor(s), CPU: r.cpu, Ms: int(m.expectedRunTime(r).Milliseconds()), StartWithin: int(r.startBy.Sub(m.now).Milliseconds()), Priority: int(r.rank),
 		})
 	}
 	return st
--- a/taskrunner/shares.go
+++ b/taskrunner/shares.go
@@ -46,5 +46,5 @@
 }
 
 func (m *Runner) asWaiting(r *run) shares.Waiting {
-	return shares.Waiting{Rank: r.rank, CPU: r.cpu, RunTime: m.health.expectedRunTime(r.estimate), Within: r.startBy.Sub(m.now)}
+	return shares.Waiting{Rank: r.rank, CPU: r.cpu, RunTime: m.expectedRunTime(r), Within: r.startBy.Sub(m.now)}
 }
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -51,6 +51,8 @@
 	deferred      int       // queued tasks that give way to others and cannot start in time
 	shortageSince time.Time // since when there are any; zero if there are none
 
+	runTimes learnedRunTimes
+
 	stateSeq uint64 // of the last state sent to an entry
 	leaving  bool
 	drained  bool // Drained has been emitted
