--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -44,8 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	startsNow := func(as assignment) bool { return as.startsNow(d) }
-	if backlog := d.backlog(j); backlog > maxBacklog && !all(plan, startsNow) {
+	if backlog := d.backlog(j); backlog > maxBacklog && !d.startsNow(plan) {
 		return nil, structs.Errorf(structs.CodeOverloaded, structs.NotRun, "queued tasks need %d ms, over the limit of %d ms",
 			backlog.Milliseconds(), maxBacklog.Milliseconds()).WithRetryAfter(d.retryAfter(j))
 	}
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -91,11 +91,12 @@
 }
 
 // withinShare returns the plan, or another one for the same job, if the queue's share
-// leaves room for it; otherwise the limit that stands in the way. While the servers are not saturated, capacity is lent to whoever
-// asks, and what can start at once is never refused. Otherwise a job is refused if its
-// queue exceeds its allotment; if capacity is short and it would end after its objective,
-// because it would take the capacity from jobs that can still end in time, until all end
-// late; or if the agents' queues are long and it would make admitted jobs late.
+// leaves room for it; otherwise the limit that stands in the way. While the servers are not
+// saturated, capacity is lent to whoever asks, and what can start at once is never
+// refused. Otherwise a job is refused if its queue exceeds its allotment; if capacity is
+// short and it would end after its objective, because it would take the capacity from jobs
+// that can still end in time, until all end late; or if the agents' queues are long and it
+// would make admitted jobs late.
 func (d *Dispatcher) withinShare(j *job, plan []assignment, owed bool) (within []assignment, limit string, err *structs.Error) {
 	s := d.sharesOf(j)
 	if d.startsNow(plan) {
@@ -125,7 +126,7 @@
 
 // startsNow reports whether all tasks of the plan can start at once.
 func (d *Dispatcher) startsNow(plan []assignment) bool {
-	return all(plan, func(as assignment) bool { return as.finish-as.runTime-as.agent.networkOverhead(d) <= 0 })
+	return all(plan, func(as assignment) bool { return as.startsNow(d) })
 }
 
 // planOnFree plans a job on servers with free capacity only; nil if there is not enough.
