--- a/review/harness/executor.go
+++ b/review/harness/executor.go
@@ -22,6 +22,7 @@
 // executorOptions describe a stand-in of a backend server and what watches it.
 type executorOptions struct {
 	name      string // of its machine
+	zone      string
 	addr      string
 	agentAddr string // where its reports go
 	rack      string
@@ -133,7 +134,7 @@
 
 func (e *executor) report(id string, seq, born int64, kind string) {
 	body, err := json.Marshal(map[string]any{
-		"service": "booking", "address": e.addr, "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready", "coldMs": 0, "seq": seq, "born": born,
+		"service": "booking", "address": e.addr, "zone": e.zone, "version": "v1", "slots": 8, "state": "ready", "coldMs": 0, "seq": seq, "born": born,
 		"capacity": map[string]int{"cpu": e.cpu, wire.Memory: 131072, "gpu": 0}, "labels": []string{kind, e.rack},
 	})
 	if err != nil {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -17,11 +17,12 @@
 
 // cases are the cases by name. With trouble unset, a case leaves its disruption out.
 var cases = map[string]func(s *system, trouble bool) error{
-	"again":   againCase,
-	"cancel":  cancelCase,
-	"label":   labelCase,
-	"refusal": refusalCase,
-	"writer":  writerCase,
+	"again":    againCase,
+	"cancel":   cancelCase,
+	"evacuate": evacuateCase,
+	"label":    labelCase,
+	"refusal":  refusalCase,
+	"writer":   writerCase,
 }
 
 func main() {
--- a/review/harness/system.go
+++ b/review/harness/system.go
@@ -37,6 +37,7 @@
 	rec       *record
 	store     *keyedstore.Store
 	storeAddr string
+	links     []*link // from the entries to the store, in their order
 	entries   []*process
 	agents    []*process
 	servers   []*executor
@@ -181,10 +182,13 @@
 			return err
 		}
 		o.addr, o.agentAddr = a[0], a[1]
+		if o.zone == "" {
+			o.zone = zoneOf(0)
+		}
 		s.servers = append(s.servers, newExecutor(o, kinds[i]))
 		name := fmt.Sprintf("agent-%d", i)
 		file, err := s.settingsFile("deploy/agent.toml", name, map[string]any{
-			"node": name, "zone": "zone-a", "listen.control": a[1], "ip:portRange.0": a[2], "seeds": seeds, "app": a[0], "platform.address": s.storeAddr,
+			"node": name, "zone": o.zone, "listen.control": a[1], "ip:portRange.0": a[2], "seeds": seeds, "app": a[0], "platform.address": s.storeAddr,
 			"portRange.0": port(a[2]), "portRange.1": port(a[3]),
 		})
 		if err != nil {
@@ -197,13 +201,18 @@
 		s.agents = append(s.agents, p)
 	}
 	for i, seed := range seeds {
-		a, err := s.addrs(3)
+		a, err := s.addrs(4)
+		if err != nil {
+			return err
+		}
+		l, err := newLink(a[3], s.storeAddr)
 		if err != nil {
 			return err
 		}
+		s.links = append(s.links, l)
 		name := fmt.Sprintf("entry-%d", i)
 		file, err := s.settingsFile("deploy/entry.toml", name, map[string]any{
-			"node": name, "zone": "zone-a", "listen.front": a[0], "listen.ready": a[1], "listen.control": seed, "seeds": seeds, "platform.address": s.storeAddr,
+			"node": name, "zone": zoneOf(i), "listen.front": a[0], "listen.ready": a[1], "listen.control": seed, "seeds": seeds, "platform.address": l.addr,
 			"portRange.1": port(a[2]),
 		})
 		if err != nil {
@@ -225,6 +234,9 @@
 	return nil
 }
 
+// zoneOf returns the zone of the i-th process of a role: they alternate.
+func zoneOf(i int) string { return []string{"zone-a", "zone-b"}[i%2] }
+
 func port(addr string) string {
 	_, p, _ := net.SplitHostPort(addr)
 	return p
--- a/review/harness/wire.go
+++ b/review/harness/wire.go
@@ -11,7 +11,7 @@
 // wire holds the platform's names of paths, headers and fields, and the texts that its
 // operator writes.
 var wire = func() (w struct {
-	BootVariable, ConfigTopic, ConfigKey                              string
+	BootVariable, ConfigTopic, ConfigKey, EvacuationKey               string
 	StartPath, StopPath, RenewPath, ReportPath, ReadyPath             string
 	ServerHeader, TimeoutHeader                                       string
 	LeaseEnd, Token, Processed, Wait, Clock, Memory, Estimate, Unkept string
