--- a/test/sessions/agent_test.go
+++ b/test/sessions/agent_test.go
@@ -37,7 +37,7 @@
 
 func (sim *simulation) newAgent(i, cpu int) *agentProc {
 	a := &agentProc{process: process{sim: sim}, name: fmt.Sprintf("agent-%d", i)}
-	a.machine = &machine{sim: sim, name: a.name, cpu: cpu, rack: fmt.Sprint("rack-", i%2), cpuByTask: make(map[string]int), drift: 0.02 * sim.rng.Float64()}
+	a.machine = &machine{sim: sim, name: a.name, cpu: cpu, rack: fmt.Sprint("rack-", i%2), cpuByTask: make(map[string]int), drift: 0.02 * sim.rng.Float64(), keepsID: i%2 == 1}
 	a.machine.restart()
 	sim.agents = append(sim.agents, a)
 	a.sendHeartbeats()
@@ -90,7 +90,7 @@
 		return
 	}
 	m.heartbeatSeq++
-	info := taskrunner.ServerInfo{ID: fmt.Sprintf("%s-%d", m.name, m.incarnations), Incarnation: m.server.Incarnation, Seq: m.heartbeatSeq, Service: serviceName, CPU: m.cpu, MemMB: 1 << 20, Labels: []string{"a", m.rack}, Rack: m.rack}
+	info := taskrunner.ServerInfo{ID: m.id(), Incarnation: m.server.Incarnation, Seq: m.heartbeatSeq, Service: serviceName, CPU: m.cpu, MemMB: 1 << 20, Labels: []string{"a", m.rack}, Rack: m.rack}
 	a.sim.after(time.Millisecond, func() { a.deliver(func() { a.step(taskrunner.ServerReported{Info: info}) }) })
 	a.sim.after(heartbeatInterval, a.sendHeartbeats)
 }
@@ -120,6 +120,9 @@
 			if m.down {
 				return taskrunner.StartReplied{Key: ef.Key}
 			}
+			if m.declines() {
+				return taskrunner.StartReplied{Key: ef.Key, Result: taskrunner.StartDeclined}
+			}
 			reason := s.Start(leaseserver.TaskRun{Name: name, Number: ef.Key.Number}, behavior(ef.Spec), ef.Until, ef.Token)
 			return taskrunner.StartReplied{Key: ef.Key, Result: startResult(reason), Clock: s.Clock(), ServerIncarnation: s.Incarnation}
 		}, taskrunner.StartReplied{Key: ef.Key})
@@ -127,7 +130,7 @@
 		a.sim.traceEvent(a.name, "stop", ef.Key.String(), "")
 		a.callServer(callTimeout, func() any {
 			s := a.machine.advance()
-			if a.machine.down {
+			if a.machine.down || a.machine.declines() {
 				return taskrunner.StopReplied{Key: ef.Key}
 			}
 			ok := s.Stop(leaseserver.TaskRun{Name: taskName(ef.Key.TaskKey), Number: ef.Key.Number}, ef.Token)
--- a/test/sessions/interleavings_test.go
+++ b/test/sessions/interleavings_test.go
@@ -98,7 +98,7 @@
 	e := sim.entries[sim.rng.Intn(len(sim.entries))]
 	a := sim.agents[sim.rng.Intn(len(sim.agents))]
 	duration := sim.draw(100*time.Millisecond, 3*time.Second)
-	kind := sim.rng.Intn(9)
+	kind := sim.rng.Intn(10)
 	sim.traceEvent("simulation", "FAULT", "", fmt.Sprintf("kind=%d %s %s for %v", kind, e.name, a.name, duration))
 	switch kind {
 	case 0:
@@ -128,5 +128,7 @@
 		if sim.rng.Intn(2) == 0 {
 			sim.after(shrinkGrace, a.crash)
 		}
+	case 9:
+		a.machine.decliningUntil = sim.now + duration
 	}
 }
--- a/test/sessions/simulation_test.go
+++ b/test/sessions/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"fmt"
 	"maps"
 	"math/rand"
 	"slices"
@@ -171,6 +172,25 @@
 	heartbeatSeq int64
 	down         bool // crashed, and not started again yet
 	rack         string
+	// decliningUntil is until when the server answers some calls without carrying them out.
+	decliningUntil time.Duration
+	keepsID        bool // its incarnations have the same ID
+}
+
+// declinedCallShare is the share of calls that a declining server does not carry out.
+const declinedCallShare = 0.4
+
+// declines reports whether the server answers a call without carrying it out.
+func (m *machine) declines() bool {
+	return m.sim.now < m.decliningUntil && m.sim.rng.Float64() < declinedCallShare
+}
+
+// id returns the ID of the current incarnation of the server.
+func (m *machine) id() string {
+	if m.keepsID {
+		return m.name
+	}
+	return fmt.Sprintf("%s-%d", m.name, m.incarnations)
 }
 
 func (m *machine) clock() time.Duration {
