Agent: verdicts rest on every start that was sent

What callers saw: tasks that ran twice at the same time (TWICE), and jobs that were answered with 429 although a task of theirs had run (REFUSED).

Cause: the newest answer decided what was said of a run. An agent sends a start again when its answer is lost. If the copy was then rejected (503, 429, 400, 421, fence, room or late), the run was reported as not started, while the first copy ran; the entry placed the task elsewhere at once. In the same way a start whose answer was lost together with its server was reported as not started when the server came back, and a run that a new incarnation had accepted was given up with the leases by the clock of the earlier one.

Change: package attempts keeps, for one run, what each answer proves, and gives the verdict: never started, over, or open. Runner.finish is the only place that ends a run, and asks it. What is open is stopped first, and holds its capacity. The reply to a lease renewal counts for a run by the order in which it was sent, not by the time, and a cut list of ends proves nothing.

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -104,8 +104,8 @@
 	}
 	s.runner = taskrunner.New(taskrunner.Options{
 		Agent: opts.Name, Incarnation: s.self.Incarnation, Zone: opts.Zone, Service: opts.Service,
-		Token:      time.Now().UnixMilli(),
-		Lease:      min(taskrunner.DefaultLease, opts.LeaseMax.D()),
+		Token: time.Now().UnixMilli(),
+		Lease: min(taskrunner.DefaultLease, opts.LeaseMax.D()), LeaseMax: opts.LeaseMax.D(),
 		SessionTTL: taskrunner.DefaultSessionTTL, RenewalWait: taskrunner.DefaultRenewalWait, PollWait: taskrunner.DefaultPollWait,
 		StopTimeout: opts.StopTimeout.D(), RunTimes: opts.RunTimes,
 	})
--- a/taskrunner/attempts_test.go
+++ b/taskrunner/attempts_test.go
@@ -75,6 +75,20 @@
 	h.Expect(h.pollReports(1)).To(ConsistOf(HaveField("Outcome", session.Done)))
 }
 
+// Guards against a false "not started" if the server's list of ends is cut: the end of a
+// run whose start had no reply may be missing from it.
+func TestStoppedStartIsNotReportedAsNotStartedByCutList(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	h.order(1, h.reading(), "job", 1000, 1)
+	for range 3 {
+		h.step(taskrunner.StartReplied{Key: runKey("job", 0), Result: taskrunner.StartUnknown})
+	}
+	h.step(taskrunner.StopReplied{Key: runKey("job", 0), OK: true, Clock: h.clock})
+	h.step(taskrunner.RenewReplied{ID: h.newestRenewalID(), OK: true, ServerIncarnation: incarnation, Clock: h.clock, MoreEnds: true})
+	h.Expect(h.pollReports(1)).To(ConsistOf(HaveField("Outcome", session.Lost)))
+}
+
 // answerNextRenewal lets the time of a lease renewal pass and replies to it.
 func (h *harness) answerNextRenewal(running []taskrunner.RunningRow, ended ...taskrunner.EndRow) {
 	h.advance(taskrunner.DefaultRenewalWait + 25*time.Millisecond)
--- a/taskrunner/messages.go
+++ b/taskrunner/messages.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/chestnuthollow/chestnuthollow/attempts"
 	"github.com/chestnuthollow/chestnuthollow/session"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
@@ -51,7 +52,8 @@
 type StartResult uint8
 
 // Results of a StartTask. Every result other than StartAccepted and StartUnknown
-// means that the call has not started the task and will not start it later.
+// means that this call has not started the task and will not start it later. It proves
+// nothing about other calls for the same run, see package attempts.
 const (
 	StartUnknown     StartResult = iota // no reply: the task may have started, or may still start later
 	StartAccepted                       // the task is running
@@ -70,6 +72,17 @@
 // String returns the name of the result used in logs.
 func (r StartResult) String() string { return startNames[r] }
 
+// answer returns what the result proves about the start.
+func (r StartResult) answer() attempts.Answer {
+	switch r {
+	case StartAccepted:
+		return attempts.Accepted
+	case StartUnknown:
+		return attempts.Unanswered
+	}
+	return attempts.Rejected
+}
+
 // RunningRow is an entry in the server's list of running tasks.
 type RunningRow struct {
 	Key     RunKey
@@ -155,6 +168,8 @@
 		Clock             time.Duration // reading of the server's clock
 		Running           []RunningRow
 		Ended             []EndRow
+		// MoreEnds means that the server may have further ended tasks to list.
+		MoreEnds bool
 		// Unreadable is the number of rows that could not be decoded.
 		Unreadable int
 	}
--- a/taskrunner/options.go
+++ b/taskrunner/options.go
@@ -27,6 +27,8 @@
 	Token int64
 	// Lease is the duration of a lease, counted from the newest clock reading.
 	Lease time.Duration
+	// LeaseMax is the longest lease that a server grants, whatever a call asks for.
+	LeaseMax time.Duration
 	// SessionTTL is how long a session stays open without a new message from the
 	// entry. It also bounds the age of an echoed clock reading.
 	SessionTTL time.Duration
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/chestnuthollow/chestnuthollow/attempts"
 	"github.com/chestnuthollow/chestnuthollow/session"
 	"github.com/chestnuthollow/chestnuthollow/shares"
 )
@@ -37,26 +38,37 @@
 	startBy  time.Time // latest start time
 	rank     shares.Rank
 	phase    phase
-	// numberTries counts the run numbers that the server refused as used,
-	// unansweredStarts the starts without a reply.
-	numberTries, unansweredStarts int
+	attempts attempts.Log // starts sent under the run number
+	// numberTries counts the run numbers that the server refused as used, startTries the
+	// starts that were sent again because an earlier one had no reply.
+	numberTries, startTries int
 
 	sentAt         time.Time       // when the start was last sent
 	startedAt      time.Time       // when the start was acknowledged or inferred
 	startClock     time.Duration   // server's clock reading in the acknowledgement; zero if unknown
 	confirmed      bool            // the server has acknowledged the start or listed the run
-	ackIncarnation int64           // server incarnation that confirmed the run; zero if unknown
 	percent        int             // progress reported by the server
 	listedFor      time.Duration   // run time by the server's clock when it reported percent; zero if unknown
 	progressAt     time.Time       // when percent last changed
-	stopAckedAt    time.Time       // when the stop was acknowledged; zero if it has not been
+	listedAfter    uint64          // lease renewals with higher IDs list the run until it has ended
+	stopAcked      bool            // the current incarnation has acknowledged the stop
+	stopAckedAfter uint64          // lease renewals with higher IDs were sent after that
 	stopRetryAt    time.Time       // when a failed stop is sent again; zero if none has failed
 	outcome        session.Outcome // to report once a stopping run has ended
 	reason         string          // of outcome
 }
 
-// finish removes a run and adds a report of its outcome to its session.
+// finish removes a run and adds a report of its outcome to its session. A run that may be
+// running or may still start is stopped first, unless it is done, and one that may have
+// started is not reported as NotStarted.
 func (m *Runner) finish(r *run, o session.Outcome, reason string) {
+	switch verdict := r.attempts.Verdict(); {
+	case verdict == attempts.Open && o != session.Done:
+		m.stop(r, o, reason)
+		return
+	case verdict == attempts.Over && o == session.NotStarted:
+		o = session.Lost
+	}
 	if m.runs[r.key.TaskKey] == r {
 		delete(m.runs, r.key.TaskKey)
 		if r.phase != queued {
@@ -72,17 +84,25 @@
 	}
 	m.emit(LogEvent{
 		Event: "task_ended", Task: r.key.String(), Entry: r.session.entry,
-		Detail: fmt.Sprintf("outcome=%s reason=%q ran_ms=%d clock_ms=%d", o, reason, rep.Ran.Milliseconds(), m.clock.Milliseconds()),
+		Detail: fmt.Sprintf("outcome=%s reason=%q ran_ms=%d clock_ms=%d %s", o, reason, rep.Ran.Milliseconds(), m.clock.Milliseconds(), &r.attempts),
 	})
 	r.session.addReport(rep)
 }
 
-// finishLost finishes the matching runs as Lost. The caller knows that they are no
-// longer running.
-func (m *Runner) finishLost(reason string, match func(*run) bool) {
+// expireStarted ends the runs for which a start was sent, once every lease by the known
+// clock has expired. One that another incarnation of the server has accepted goes on, and
+// one of which that is possible is stopped first.
+func (m *Runner) expireStarted() {
 	for _, r := range m.sortedRuns() {
-		if match(r) {
-			m.finish(r, session.Lost, reason)
+		if r.phase == queued {
+			continue
+		}
+		r.attempts.LeaseExpired(m.clockIncarnation)
+		if m.longestLeaseExpired() {
+			r.attempts.LongestLeaseExpired()
+		}
+		if r.attempts.RunningAt() == 0 {
+			m.finish(r, session.Lost, "the lease expired")
 		}
 	}
 }
@@ -176,6 +196,7 @@
 	}
 	r.phase = starting
 	r.sentAt = m.now
+	r.attempts.Sent()
 	m.starts.record(m.now, r.queue)
 	m.emit(StartTask{Key: r.key, Spec: r.spec, Until: min(m.leaseEnd(), r.session.echoed.Clock+m.opts.SessionTTL), Token: m.token, ServerID: m.server.ID})
 }
@@ -202,16 +223,23 @@
 	if r == nil || r.key != e.Key {
 		return
 	}
+	r.attempts.Answered(e.Result.answer(), cmp.Or(e.ServerIncarnation, m.clockIncarnation))
 	if e.Result == StartAccepted && !r.confirmed {
-		r.confirmed = true
-		r.startedAt = m.now
+		r.confirm(m)
 		r.startClock = e.Clock
-		r.progressAt = m.now
-		r.ackIncarnation = e.ServerIncarnation
 	}
-	if r.phase != starting {
-		return
+	switch r.phase {
+	case starting:
+		m.startAnswered(r, e)
+	case stopping:
+		if r.attempts.Verdict() != attempts.Open {
+			m.finish(r, r.outcome, r.reason)
+		}
 	}
+}
+
+// startAnswered continues a start according to its reply.
+func (m *Runner) startAnswered(r *run, e StartReplied) {
 	switch e.Result {
 	case StartAccepted:
 		r.phase = running
@@ -220,41 +248,47 @@
 		}
 		m.emit(LogEvent{Event: "task_started", Task: r.key.String(), Entry: r.session.entry,
 			Detail: fmt.Sprintf("cpu=%d estimate_ms=%d clock_ms=%d", r.cpu, r.estimate.Milliseconds(), m.clock.Milliseconds())})
-	case StartNumberUsed:
-		if r.unansweredStarts > 0 {
-			m.earlierTryStarted(r)
-		} else {
-			m.retryWithNewNumber(r)
-		}
-	case StartFenced:
-		m.raiseToken()
-		m.finish(r, session.NotStarted, "fenced")
-	case StartRefused:
-		if r.unansweredStarts > 0 {
-			m.startUnanswered(r, e.Reason) // an earlier try may have started the task
-			return
-		}
-		m.finish(r, session.NotStarted, e.Result.String())
+		return
 	case StartUnknown:
 		m.startUnanswered(r, e.Reason)
+		return
 	case StartDeclined:
 		m.health.recordFailure()
+	case StartFenced:
+		m.raiseToken()
+	}
+	rejected := r.attempts.Verdict() == attempts.NeverStarted
+	switch {
+	case rejected && e.Result == StartNumberUsed:
+		m.retryWithNewNumber(r)
+	case rejected:
 		m.finish(r, session.NotStarted, e.Result.String())
+	case e.Result == StartNumberUsed:
+		m.earlierTryStarted(r)
+	case e.Result == StartRefused || e.Result == StartDeclined:
+		m.startUnanswered(r, e.Reason) // another try may find the run there
 	default:
 		m.finish(r, session.NotStarted, e.Result.String())
 	}
 }
 
-// startUnanswered sends a start without a reply again, or stops the run. An earlier
-// copy may still arrive later; it has the same run number and no further effect.
+// confirm records that the server has the run.
+func (r *run) confirm(m *Runner) {
+	r.confirmed = true
+	r.startedAt, r.progressAt = m.now, m.now
+	r.listedAfter = m.lastRenewalID
+}
+
+// startUnanswered sends a start again of which an earlier copy has no reply, or stops the
+// run. A copy that arrives later has the same run number and no further effect.
 func (m *Runner) startUnanswered(r *run, reason string) {
-	r.unansweredStarts++
-	m.emit(LogEvent{Event: "start_unanswered", Task: r.key.String(), Entry: r.session.entry, Detail: fmt.Sprintf("try=%d reason=%q", r.unansweredStarts, reason)})
+	r.startTries++
+	m.emit(LogEvent{Event: "start_unanswered", Task: r.key.String(), Entry: r.session.entry, Detail: fmt.Sprintf("try=%d reason=%q %s", r.startTries, reason, &r.attempts)})
 	if m.zoneEvacuated() {
 		m.stop(r, session.NotStarted, reasonEvacuated)
 		return
 	}
-	if r.unansweredStarts < maxStartTries && r.session.fresh(m) && !m.leaseExpired() {
+	if r.startTries < maxStartTries && r.session.fresh(m) && !m.leaseExpired() {
 		m.start(r)
 		return
 	}
@@ -267,9 +301,8 @@
 // returns its outcome.
 func (m *Runner) earlierTryStarted(r *run) {
 	r.phase = running
-	r.confirmed = true
-	r.startedAt, r.progressAt = m.now, m.now
-	r.ackIncarnation = m.clockIncarnation
+	r.attempts.Listed(m.clockIncarnation)
+	r.confirm(m)
 	m.renewNow()
 }
 
@@ -300,8 +333,8 @@
 		r.stopRetryAt = m.now.Add(stopRetryDelay)
 		return
 	}
-	if r.stopAckedAt.IsZero() {
-		r.stopAckedAt = m.now
+	if !r.stopAcked {
+		r.stopAcked, r.stopAckedAfter = true, m.lastRenewalID
 		m.renewNow()
 	}
 }
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/chestnuthollow/chestnuthollow/attempts"
 	"github.com/chestnuthollow/chestnuthollow/session"
 )
 
@@ -92,7 +93,7 @@
 	m.renewals = slices.DeleteFunc(m.renewals, func(p pendingRenewal) bool { return m.now.Sub(p.sentAt) > renewalExpiry })
 	m.lastRenewalID++
 	l := RenewLease{ID: m.lastRenewalID, Token: m.token, AckIndex: m.seenEnd, Wait: m.opts.RenewalWait}
-	if m.noForeignRuns && m.clockIncarnation != 0 && !m.fenced {
+	if m.noForeignRuns && m.clockIncarnation != 0 && !m.fenced && !m.leaseExpired() {
 		l.Until = m.leaseEnd()
 	} else {
 		l.Wait = 0
@@ -112,19 +113,18 @@
 	m.nextRenewal = m.now
 }
 
-// removeRenewal removes and returns a pending lease renewal.
-func (m *Runner) removeRenewal(id uint64) (pendingRenewal, bool) {
+// removeRenewal removes a lease renewal and reports whether it was pending.
+func (m *Runner) removeRenewal(id uint64) bool {
 	i := slices.IndexFunc(m.renewals, func(p pendingRenewal) bool { return p.id == id })
 	if i < 0 {
-		return pendingRenewal{}, false
+		return false
 	}
-	p := m.renewals[i]
 	m.renewals = slices.Delete(m.renewals, i, i+1)
-	return p, true
+	return true
 }
 
 func (m *Runner) renewReplied(e RenewReplied) {
-	p, pending := m.removeRenewal(e.ID)
+	pending := m.removeRenewal(e.ID)
 	if !e.OK {
 		m.renewalFailed(e)
 		return
@@ -157,7 +157,7 @@
 	}
 	m.reconcileRunning(e.Running)
 	if pending {
-		m.finishMissing(e.Running, p.sentAt)
+		m.finishMissing(e)
 	}
 	m.learnFromProgress()
 }
@@ -196,9 +196,10 @@
 }
 
 // serverReplaced switches to a new incarnation of the server. The tasks that the
-// earlier incarnation accepted ended with it. Starts without a reply may have
-// reached the new incarnation, which has not seen a fencing token yet: their tasks
-// are stopped there, under a higher token that fences off calls still in transit.
+// earlier incarnation ran ended with it. Starts without a reply may have been carried
+// out there, or may have reached the new incarnation, which has not seen a fencing token
+// yet: their tasks are stopped there, under a higher token that fences off calls still in
+// transit.
 func (m *Runner) serverReplaced(e RenewReplied) {
 	m.storeBaseline(m.Baseline())
 	m.log("server_run_changed", fmt.Sprintf("from=%d to=%d", m.clockIncarnation, e.ServerIncarnation))
@@ -209,15 +210,16 @@
 	m.token++
 	m.health = health{priorBaseline: m.storedBaselineFor(m.labels)}
 	for _, r := range m.sortedRuns() {
+		if r.phase == queued {
+			continue
+		}
+		r.attempts.ServerReplaced(e.ServerIncarnation)
+		r.stopAcked = false
 		switch {
-		case r.phase == queued || r.ackIncarnation == e.ServerIncarnation:
-		case r.phase == running || r.phase == stopping && r.ackIncarnation != 0:
-			m.finish(r, session.Lost, "the backend server was replaced")
-		case r.phase == starting:
-			m.stop(r, session.NotStarted, "the backend server was replaced")
-		default:
-			r.stopAckedAt = time.Time{}
+		case r.phase == stopping && r.attempts.Verdict() == attempts.Open:
 			m.emit(StopTask{Key: r.key, Token: m.token, ServerID: m.server.ID})
+		case r.attempts.RunningAt() == 0:
+			m.finish(r, session.Lost, "the backend server was replaced")
 		}
 	}
 	m.wakePolls()
@@ -240,9 +242,9 @@
 }
 
 func (m *Runner) applyEnd(r *run, outcome EndOutcome, clock time.Duration) {
+	r.attempts.Ended()
 	if !r.confirmed {
-		r.confirmed = true
-		r.startedAt = m.now
+		r.confirm(m)
 	}
 	switch outcome {
 	case EndDone:
@@ -255,7 +257,7 @@
 		m.health.recordFailure()
 		m.finish(r, session.Failed, "the backend server reported a failure")
 	default:
-		if r.phase == stopping && r.outcome != session.NotStarted {
+		if r.phase == stopping {
 			m.finish(r, r.outcome, r.reason)
 			return
 		}
@@ -296,11 +298,10 @@
 
 // updateProgress records the progress of a run and stops it if it has stalled.
 func (m *Runner) updateProgress(r *run, percent int) {
+	r.attempts.Listed(m.clockIncarnation)
 	if !r.confirmed {
-		r.confirmed = true
-		r.startedAt, r.progressAt = m.now, m.now
+		r.confirm(m)
 	}
-	r.ackIncarnation = m.clockIncarnation
 	if percent != r.percent {
 		r.percent = percent
 		r.progressAt = m.now
@@ -314,12 +315,12 @@
 	}
 }
 
-// finishMissing finishes the runs that the server no longer lists. rows is the list
-// of running tasks from the reply to a lease renewal. A run counts as missing only
-// if the renewal was sent after its start or its stop was acknowledged.
-func (m *Runner) finishMissing(rows []RunningRow, sentAt time.Time) {
-	seen := make(map[RunKey]bool, len(rows))
-	for _, row := range rows {
+// finishMissing finishes the runs that the server no longer lists in the reply to a lease
+// renewal. A run counts as missing only if the renewal was sent after its start or its
+// stop was acknowledged.
+func (m *Runner) finishMissing(e RenewReplied) {
+	seen := make(map[RunKey]bool, len(e.Running))
+	for _, row := range e.Running {
 		seen[row.Key] = true
 	}
 	for _, r := range m.sortedRuns() {
@@ -327,9 +328,11 @@
 			continue
 		}
 		switch {
-		case r.phase == stopping && !r.stopAckedAt.IsZero() && !sentAt.Before(r.stopAckedAt):
+		case r.phase == stopping && r.stopAcked && e.ID > r.stopAckedAfter:
+			r.attempts.Fenced(e.Unreadable == 0 && !e.MoreEnds)
 			m.finish(r, r.outcome, r.reason)
-		case r.phase == running && sentAt.After(r.startedAt):
+		case r.phase == running && e.ID > r.listedAfter:
+			r.attempts.Ended()
 			m.finish(r, session.Lost, "the backend server no longer lists the task")
 		}
 	}
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -170,7 +170,7 @@
 		m.endSession(s.id, reason) // removes the element at i
 	}
 	if m.leaseExpired() {
-		m.finishLost("the lease expired", func(r *run) bool { return r.phase != queued })
+		m.expireStarted()
 	}
 }
 
@@ -196,6 +196,14 @@
 	return m.now.Sub(m.clockReadAt) > longest
 }
 
+// longestLeaseExpired reports whether also a lease that an unknown incarnation of the
+// server has granted has certainly expired. It grants up to Options.LeaseMax from each call
+// that reaches it, and no call asks for a lease once leaseExpired reports true.
+func (m *Runner) longestLeaseExpired() bool {
+	longest := time.Duration(float64(m.opts.Lease+m.opts.LeaseMax)*(1+clockDrift)) + 2*m.opts.StopTimeout + renewalExpiry
+	return m.clockIncarnation == 0 || m.now.Sub(m.clockReadAt) > longest
+}
+
 // readClock updates the clock from a reading of the given server incarnation.
 // Zero stands for the current incarnation.
 func (m *Runner) readClock(incarnation int64, clock time.Duration) {
--- a/test/sessions/agent_test.go
+++ b/test/sessions/agent_test.go
@@ -57,7 +57,7 @@
 		// The wall clock may have been set back between two incarnations.
 		Token: 1_000_000 + int64(a.sim.now/time.Millisecond) + int64(a.sim.rng.Intn(4000)) - 2000,
 		Lease: taskrunner.DefaultLease, SessionTTL: taskrunner.DefaultSessionTTL, RenewalWait: taskrunner.DefaultRenewalWait,
-		PollWait: taskrunner.DefaultPollWait, StopTimeout: stopTimeout,
+		PollWait: taskrunner.DefaultPollWait, StopTimeout: stopTimeout, LeaseMax: time.Second,
 	})
 	a.step(taskrunner.Ticked{})
 	// The store may be unavailable, or reply before or after the first lease renewal.
