Agent: a clock that counts the time in which the machine is suspended

What callers saw: a task that runs on two servers for some milliseconds (seen in the simulation only). An agent was suspended for longer than its entry waits, and its server was replaced meanwhile under the same id. When it woke up, the order that had arrived before was fresh by its own clock, which had stood still, and the new server's clock, which starts anew, did not reject the start either.

Change: the runner's time comes from CLOCK_BOOTTIME.

--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -1,10 +1,9 @@
 package sidecar
 
 import (
-	"time"
-
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/chestnuthollow/chestnuthollow/internal/boottime"
 	"github.com/chestnuthollow/chestnuthollow/internal/instance"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
@@ -47,5 +46,5 @@
 		Name        string              `json:"name"`
 		Incarnation structs.Incarnation `json:"incarnation"`
 		State       any                 `json:"state"`
-	}{s.opts.Name, s.self.Incarnation, s.runner.Dump(time.Now())}
+	}{s.opts.Name, s.self.Incarnation, s.runner.Dump(boottime.Now())}
 }
--- a/sidecar/step.go
+++ b/sidecar/step.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/chestnuthollow/chestnuthollow/internal/boottime"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcserver"
 	"github.com/chestnuthollow/chestnuthollow/taskrunner"
 )
@@ -15,10 +16,12 @@
 const renewalTimeoutMargin = 250 * time.Millisecond
 
 // step applies an event to the runner and carries out the resulting effects in order.
-// Log lines are written after s.mu has been released. No effect blocks.
+// Log lines are written after s.mu has been released. No effect blocks. The runner's clock
+// counts the time in which the machine is suspended: entries and the backend server do not
+// wait for the agent meanwhile.
 func (s *Sidecar) step(ev taskrunner.Event) {
 	s.mu.Lock()
-	now := time.Now()
+	now := boottime.Now()
 	effects := s.runner.Step(now, ev)
 	for _, ef := range effects {
 		s.carryOut(ef)
