Dispatch: no copy of a job is refused as not run while another one goes on

Cause: an entry kept one waiting copy and refused the one that it replaced. Change: it keeps them all. When the tasks have ended, the first is submitted and the others join it.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/containment"
@@ -28,9 +29,9 @@
 	holdUntil      time.Time      // end of the hold time if it is held
 	livePlacements int            // placements that have not ended
 	group          group          // where its tasks run if it wants one rack
-	// successor is a duplicate of the submission that arrived after the answer
+	// successors are the duplicates of the submission that arrived after the answer
 	// while tasks were still being stopped.
-	successor *SubmitCalled
+	successors []SubmitCalled
 }
 
 // task is one task of a job.
@@ -124,15 +125,12 @@
 }
 
 // join attaches a duplicate submission to its open job. If the job is answered
-// already and its tasks are still being stopped, the duplicate is submitted when
+// already and its tasks are still being stopped, the duplicates are submitted when
 // they have ended.
 func (d *Dispatcher) join(j *job, e SubmitCalled) {
 	d.emit(LogEvent{Event: "job_joined", Job: j.Name, Queue: j.Queue.Name, Detail: fmt.Sprintf("answered=%t live=%d", j.answered, j.livePlacements)})
 	if j.answered {
-		if superseded := j.successor; superseded != nil {
-			d.emit(Refused{Call: superseded.Call, Error: structs.Errorf(structs.CodeConflict, structs.NotRun, "superseded by a newer submission of the same job")})
-		}
-		j.successor = &e
+		j.successors = append(j.successors, e)
 		d.calls[e.Call] = j
 		return
 	}
@@ -174,8 +172,8 @@
 		return
 	}
 	delete(d.calls, call)
-	if j.successor != nil && j.successor.Call == call {
-		j.successor = nil
+	if i := slices.IndexFunc(j.successors, func(e SubmitCalled) bool { return e.Call == call }); i >= 0 {
+		j.successors = slices.Delete(j.successors, i, i+1)
 		return
 	}
 	for i, c := range j.calls {
@@ -275,15 +273,15 @@
 }
 
 // releaseIfEnded removes a closed job once all its placements have ended, and
-// submits the duplicate that has arrived since its answer.
+// submits the duplicates that have arrived since its answer.
 func (d *Dispatcher) releaseIfEnded(j *job) {
 	if !j.answered || j.livePlacements > 0 || d.jobs[j.Name] != j {
 		return
 	}
 	delete(d.jobs, j.Name)
-	if next := j.successor; next != nil {
+	for _, next := range j.successors {
 		delete(d.calls, next.Call)
-		d.submit(*next)
+		d.submit(next)
 	}
 }
 
