Agent: a run's end is proved by the incarnation and the order of the replies

It believed a list of runs about starts that were answered after the list was asked for, a stop acknowledged by an earlier incarnation, and counted leases at a new incarnation as if they had been asked for by its clock.

Change: attempts.Log knows which incarnation has the run, or that it is not known, and whether a list is later than the starts. A reply without a name is the known incarnation's if its clock reading continues the known clock. Stops carry the incarnation that was known. The longest lease counts from the last call that asked for one. A run that never started is reported so although it was stopped; a failure that is listed while the run is being stopped counts.

--- a/attempts/attempts.go
+++ b/attempts/attempts.go
@@ -47,90 +47,130 @@
 // String returns the name of the verdict as written to logs.
 func (v Verdict) String() string { return verdictNames[v] }
 
+// Unnamed stands for an incarnation of the server that is not known: a reply does not say
+// which one has accepted a start.
+const Unnamed int64 = -1
+
 // Log is the record of the starts of one run. The zero value has sent none. Incarnations of
 // the server are numbered upwards; the known one is the newest that the agent has taken
-// note of.
+// note of. At most one start is in flight at a time.
+//
+// A list of runs is later than the starts if it was asked for after the call of the last
+// start had ended. It then proves that the incarnation that made it was alive by that time,
+// so that no start can have reached a newer one.
 type Log struct {
-	inFlight int // starts whose call has not ended
-	// unanswered counts the starts whose call has ended without a reply and that may still
-	// be carried out, or have been.
-	unanswered int
-	// runningAt is the incarnation that runs the run as far as is known; zero if none does.
+	inFlight bool // the call of a start has not ended
+	// crossed is set if the server was replaced while the start was in flight.
+	crossed bool
+	// unanswered is set if a start without a reply may still be carried out, or was, and
+	// nothing more is known of it.
+	unanswered bool
+	// runningAt is the incarnation that has the run as far as is known, or Unnamed; zero if
+	// none has.
 	runningAt int64
+	endedAt   int64 // newest incarnation that has listed the end of the run; zero if none has
 	// mayHaveRun is set once the run has certainly or possibly started.
 	mayHaveRun bool
 }
 
 // Sent records that a start was sent.
-func (l *Log) Sent() { l.inFlight++ }
+func (l *Log) Sent() { l.inFlight = true }
 
-// Answered records the end of the call of a start. Incarnation is the one that replied.
+// Answered records the end of the call of the start in flight. Incarnation is the one that
+// replied, or Unnamed.
 func (l *Log) Answered(a Answer, incarnation int64) {
-	l.inFlight = max(l.inFlight-1, 0)
+	crossed := l.crossed
+	l.inFlight, l.crossed = false, false
 	switch a {
 	case Accepted:
-		l.Listed(incarnation)
+		// A copy whose call had ended before is at the same incarnation, or went with an
+		// earlier one.
+		l.runningAt, l.mayHaveRun, l.unanswered = incarnation, true, false
 	case Unanswered:
-		l.unanswered++
+		l.unanswered = true
+		l.mayHaveRun = l.mayHaveRun || crossed
 	}
 }
 
-// Listed records that an incarnation of the server has the run.
-func (l *Log) Listed(incarnation int64) {
-	l.runningAt, l.mayHaveRun = max(incarnation, l.runningAt), true
+// Listed records that the known incarnation lists the run as running.
+func (l *Log) Listed(known int64, later bool) {
+	l.mayHaveRun = true
+	switch {
+	case later:
+		l.runningAt, l.unanswered = known, false
+	case l.runningAt != Unnamed && l.runningAt < known:
+		l.runningAt = known
+	}
 }
 
-// Ended records that the run has ended at the known incarnation.
-func (l *Log) Ended() {
-	l.mayHaveRun = true
-	l.close()
+// NumberUsed records that an incarnation, or Unnamed, has rejected a start because its run
+// number was used before, while an earlier copy has no reply: that copy may have used it, and
+// cannot start the run any more.
+func (l *Log) NumberUsed(incarnation int64) {
+	l.mayHaveRun, l.unanswered = true, false
+	l.runningAt = Unnamed
+	if incarnation == l.endedAt {
+		l.runningAt = 0
+	}
 }
 
-// Fenced records that the known incarnation does not have the run in a reply to a call that
-// was made after a stop of the run was acknowledged there, so that no copy received before
-// can start any more. Complete means that the reply listed all ends that were not known
-// before: a run that had started and ended would have been among them.
-func (l *Log) Fenced(complete bool) {
-	l.mayHaveRun = l.mayHaveRun || !complete && l.Pending() > 0
-	l.close()
+// Ended records that the known incarnation lists the end of the run.
+func (l *Log) Ended(known int64, later bool) {
+	l.mayHaveRun, l.endedAt = true, known
+	if later || l.runningAt == known && !l.unanswered && !l.inFlight {
+		l.runningAt, l.unanswered = 0, false
+	}
 }
 
-// close records that the known incarnation does not have the run and cannot start it by a
-// call that has ended.
-func (l *Log) close() { l.runningAt, l.unanswered = 0, 0 }
+// Missing records that the known incarnation lists neither the run nor its end. Fenced means
+// that the list was asked for after this incarnation had acknowledged a stop of the run, so
+// that no start received before can be carried out any more. Complete means that the end of
+// the run would have been listed.
+func (l *Log) Missing(later, fenced, complete bool) {
+	if !later {
+		return
+	}
+	l.runningAt = 0
+	if fenced {
+		l.mayHaveRun = l.mayHaveRun || l.unanswered && !complete
+		l.unanswered = false
+	}
+}
 
 // LeaseExpired records that every lease by the clock of the known incarnation has expired,
 // and what ran under one has been stopped. Starts without a reply may have reached another
 // incarnation, whose clock says nothing about these leases.
 func (l *Log) LeaseExpired(known int64) {
-	if l.runningAt <= known {
+	if l.runningAt == known {
 		l.runningAt = 0
 	}
 }
 
-// LongestLeaseExpired records that since the last call ended so much time has passed that
-// every incarnation has stopped whatever it ran.
+// LongestLeaseExpired records that since the last call for a lease ended so much time has
+// passed that every incarnation has stopped whatever it ran.
 func (l *Log) LongestLeaseExpired() {
-	l.mayHaveRun = l.mayHaveRun || l.Pending() > 0
-	l.close()
+	l.mayHaveRun = l.mayHaveRun || l.unanswered
+	l.runningAt, l.unanswered = 0, false
 }
 
 // ServerReplaced records that a newer incarnation of the server is the known one. Starts
 // without a reply may have been carried out by either.
 func (l *Log) ServerReplaced(known int64) {
-	l.mayHaveRun = l.mayHaveRun || l.Pending() > 0
-	if l.runningAt != known {
+	l.mayHaveRun = l.mayHaveRun || l.unanswered
+	l.crossed = l.inFlight
+	if l.runningAt != Unnamed && l.runningAt < known {
 		l.runningAt = 0
 	}
 }
 
-// RunningAt returns the incarnation that runs the run as far as is known; zero if none does.
+// RunningAt returns the incarnation that has the run as far as is known, or Unnamed; zero if
+// none has.
 func (l *Log) RunningAt() int64 { return l.runningAt }
 
 // Verdict returns what is certain about the run.
 func (l *Log) Verdict() Verdict {
 	switch {
-	case l.runningAt != 0 || l.Pending() > 0:
+	case l.runningAt != 0 || l.unanswered || l.inFlight:
 		return Open
 	case l.mayHaveRun:
 		return Over
@@ -138,10 +178,7 @@
 	return NeverStarted
 }
 
-// Pending returns the number of starts whose effect is unknown.
-func (l *Log) Pending() int { return l.inFlight + l.unanswered }
-
 // String summarizes the log.
 func (l *Log) String() string {
-	return fmt.Sprintf("verdict=%s in_flight=%d unanswered=%d may_have_run=%t", l.Verdict(), l.inFlight, l.unanswered, l.mayHaveRun)
+	return fmt.Sprintf("verdict=%s in_flight=%t unanswered=%t may_have_run=%t", l.Verdict(), l.inFlight, l.unanswered, l.mayHaveRun)
 }
--- a/attempts/explore_test.go
+++ b/attempts/explore_test.go
@@ -8,7 +8,7 @@
 
 const (
 	// exploredEvents bounds the events of an explored history.
-	exploredEvents = 20
+	exploredEvents = 24
 	// exploredStarts and exploredBoots bound the starts that are sent for the run, and the
 	// incarnations of the server.
 	exploredStarts = 3
@@ -26,6 +26,15 @@
 	gone               // without further effect, its call has ended
 )
 
+// callState is where a lease renewal or a stop is. At most one of each is under way.
+type callState uint8
+
+const (
+	noCall  callState = iota
+	sent              // not carried out yet
+	handled           // carried out, its reply is under way
+)
+
 // world is the truth about one run, which the agent sees only through replies.
 type world struct {
 	copies [exploredStarts]copyState
@@ -38,9 +47,20 @@
 	// leases have expired.
 	settled bool
 
+	renewal      callState
+	renewalLater bool // no start was answered since it was sent
+	renewalFence bool // it was sent after a stop was acknowledged
+	listedBy     int64
+	listsRun     bool
+	listsEnd     bool
+
+	stop      callState
+	stopKnown int64 // incarnation that was known when it was sent
+
 	// What the agent knows besides the log.
 	knownBoot int64
-	stopAcked bool // by the known incarnation, or by a newer one
+	endSeen   bool // the end of the run at the known incarnation
+	stopAcked bool // by the known incarnation
 }
 
 // history is a state of the exploration: the truth and what the rule under test made of
@@ -55,9 +75,10 @@
 	*R
 	Sent()
 	Answered(attempts.Answer, int64)
-	Listed(int64)
-	Ended()
-	Fenced(complete bool)
+	Listed(int64, bool)
+	NumberUsed(int64)
+	Ended(int64, bool)
+	Missing(later, fenced, complete bool)
 	LeaseExpired(int64)
 	LongestLeaseExpired()
 	ServerReplaced(int64)
@@ -131,37 +152,9 @@
 			list = append(list, step[R]{name, next})
 		}
 	}
-	for i, c := range h.world.copies {
-		switch c {
-		case unsent:
-			if !h.world.settled && (i == 0 || h.world.copies[i-1] == held || h.world.copies[i-1] == gone) {
-				add("send", func(w *world, r P) { w.copies[i] = inFlight; r.Sent() })
-			}
-		case inFlight:
-			add("200, or 409 old", func(w *world, r P) {
-				w.copies[i] = gone
-				if w.start() {
-					w.settled = true
-					r.Answered(attempts.Accepted, w.boot)
-					return
-				}
-				r.Answered(attempts.Rejected, w.boot)
-				if P(&h.rule).Verdict() == attempts.Open && !w.endRow {
-					r.Listed(w.knownBoot)
-				}
-			})
-			add("carried out", func(w *world, _ P) { w.copies[i] = executed; w.start() })
-			// 400, 409 of another reason, 421, 429, 503, or a refused connection.
-			add("rejected", func(w *world, r P) { w.copies[i] = gone; r.Answered(attempts.Rejected, w.boot) })
-			add("no reply, carried out late", func(w *world, r P) { w.copies[i] = held; r.Answered(attempts.Unanswered, 0) })
-			add("reset", func(w *world, r P) { w.copies[i] = gone; r.Answered(attempts.Unanswered, 0) })
-		case executed:
-			add("reply lost", func(w *world, r P) { w.copies[i] = gone; r.Answered(attempts.Unanswered, 0) })
-			add("reply", func(w *world, r P) { w.copies[i], w.settled = gone, true; r.Answered(attempts.Accepted, w.boot) })
-		case held:
-			add("late execution", func(w *world, _ P) { w.copies[i] = gone; w.start() })
-		}
-	}
+	addStarts(&h.world, add)
+	addRenewals(&h.world, add)
+	addStops(&h.world, add)
 	if h.world.runs {
 		add("end", func(w *world, _ P) { w.end() })
 	}
@@ -177,26 +170,6 @@
 			}
 		}
 	})
-	add("stop acknowledged", func(w *world, _ P) {
-		if w.runs {
-			w.end()
-		}
-		w.used, w.stopAcked = true, true
-	})
-	add("lease renewed", func(w *world, r P) {
-		if w.knownBoot != w.boot {
-			w.knownBoot, w.stopAcked = w.boot, false
-			r.ServerReplaced(w.boot)
-		}
-		switch {
-		case w.endRow:
-			r.Ended()
-		case w.runs:
-			r.Listed(w.boot)
-		case w.stopAcked:
-			r.Fenced(true)
-		}
-	})
 	add("lease end", func(w *world, r P) {
 		w.settled = true
 		if w.knownBoot == w.boot {
@@ -217,6 +190,110 @@
 	return list
 }
 
+// addStarts adds the events of starts. None is sent while one is in flight.
+func addStarts[R any, P rule[R]](h *world, add func(string, func(*world, P))) {
+	// answer ends the call of copy i.
+	answer := func(w *world, r P, i int, to copyState, a attempts.Answer, incarnation int64) {
+		w.copies[i], w.renewalLater = to, false
+		r.Answered(a, incarnation)
+	}
+	accept := func(i int, incarnation int64) func(*world, P) {
+		return func(w *world, r P) {
+			w.settled = true
+			answer(w, r, i, gone, attempts.Accepted, incarnation)
+		}
+	}
+	for i, c := range h.copies {
+		switch c {
+		case unsent:
+			if !h.settled && (i == 0 || h.copies[i-1] == held || h.copies[i-1] == gone) {
+				add("send", func(w *world, r P) { w.copies[i] = inFlight; r.Sent() })
+			}
+		case inFlight:
+			if h.used && !h.runs {
+				add("409 old", func(w *world, r P) {
+					answer(w, r, i, gone, attempts.Rejected, w.boot)
+					if r.Verdict() == attempts.Open {
+						w.settled = true
+						r.NumberUsed(w.boot)
+					}
+				})
+			}
+			add("carried out", func(w *world, _ P) {
+				if w.start() {
+					w.copies[i] = executed
+				}
+			})
+			// 400, 409 of another reason, 421, 429, 503, or a refused connection.
+			add("rejected", func(w *world, r P) { answer(w, r, i, gone, attempts.Rejected, w.boot) })
+			add("no reply, carried out late", func(w *world, r P) { answer(w, r, i, held, attempts.Unanswered, 0) })
+			add("reset", func(w *world, r P) { answer(w, r, i, gone, attempts.Unanswered, 0) })
+		case executed:
+			add("reply lost", func(w *world, r P) { answer(w, r, i, gone, attempts.Unanswered, 0) })
+			add("accepted", accept(i, h.boot))
+			add("accepted, unnamed", accept(i, attempts.Unnamed))
+		case held:
+			add("late execution", func(w *world, _ P) { w.copies[i] = gone; w.start() })
+		}
+	}
+}
+
+// addRenewals adds the events of lease renewals, whose replies list what runs and has ended.
+func addRenewals[R any, P rule[R]](h *world, add func(string, func(*world, P))) {
+	switch h.renewal {
+	case noCall:
+		add("renew", func(w *world, _ P) { w.renewal, w.renewalLater, w.renewalFence = sent, true, w.stopAcked })
+	case sent:
+		add("renewal carried out", func(w *world, _ P) {
+			w.renewal, w.listedBy, w.listsRun, w.listsEnd = handled, w.boot, w.runs, w.endRow
+		})
+	case handled:
+		add("renewal answered", func(w *world, r P) {
+			later, fenced := w.renewalLater, w.renewalFence
+			by, listsRun, listsEnd := w.listedBy, w.listsRun, w.listsEnd
+			w.renewal, w.renewalLater, w.renewalFence, w.listedBy, w.listsRun, w.listsEnd = noCall, false, false, 0, false, false
+			if by < w.knownBoot {
+				return
+			}
+			if by > w.knownBoot {
+				w.knownBoot, w.stopAcked, w.endSeen = by, false, false
+				r.ServerReplaced(by)
+			}
+			if listsEnd && !w.endSeen {
+				w.endSeen = true
+				r.Ended(by, later)
+			}
+			if listsRun {
+				r.Listed(by, later)
+			} else {
+				r.Missing(later, fenced && w.stopAcked, true)
+			}
+		})
+	}
+}
+
+// addStops adds the events of stops.
+func addStops[R any, P rule[R]](h *world, add func(string, func(*world, P))) {
+	switch h.stop {
+	case noCall:
+		if !h.stopAcked {
+			add("stop", func(w *world, _ P) { w.stop, w.stopKnown, w.settled = sent, w.knownBoot, true })
+		}
+	case sent:
+		add("stop carried out", func(w *world, _ P) {
+			if w.runs {
+				w.end()
+			}
+			w.used, w.stop = true, handled
+		})
+	case handled:
+		add("stop acknowledged", func(w *world, _ P) {
+			w.stopAcked = w.stopAcked || w.stopKnown == w.knownBoot
+			w.stop, w.stopKnown = noCall, 0
+		})
+	}
+}
+
 // explore visits all histories of up to exploredEvents events, and returns their number
 // and the events of a shortest one in which the rule is wrong, if there is one.
 func explore[R comparable, P rule[R]]() (states int, fault []string) {
@@ -279,7 +356,7 @@
 type lostWithServerRule struct{ attempts.Log }
 
 func (r *lostWithServerRule) ServerReplaced(known int64) {
-	if r.Pending() == 0 {
+	if r.Verdict() != attempts.Open || r.RunningAt() != 0 {
 		r.Log.ServerReplaced(known)
 	}
 }
@@ -289,12 +366,18 @@
 
 func (r *knownClockRule) LeaseExpired(int64) { r.Log.LongestLeaseExpired() }
 
+// anyListRule takes each list for later than the starts.
+type anyListRule struct{ attempts.Log }
+
+func (r *anyListRule) Missing(_, fenced, complete bool) { r.Log.Missing(true, fenced, complete) }
+
 // Guards against an exploration that would not find the faults that it was made for.
 func TestExplorationFindsEarlierFaults(t *testing.T) {
 	for name, find := range map[string]func() (int, []string){
 		"newest answer decides":       explore[newestAnswerRule],
 		"starts lost with the server": explore[lostWithServerRule],
 		"leases by the known clock":   explore[knownClockRule],
+		"lists from before the start": explore[anyListRule],
 	} {
 		t.Run(name, func(t *testing.T) {
 			states, fault := find()
--- a/taskrunner/attempts_test.go
+++ b/taskrunner/attempts_test.go
@@ -32,7 +32,7 @@
 
 			h.answerNextRenewal([]taskrunner.RunningRow{{Key: runKey("job", 0)}})
 			h.Expect(h.pollReports(1)).NotTo(ContainElement(HaveField("ID", uint64(1))), "the task is running")
-			h.step(taskrunner.StopReplied{Key: runKey("job", 0), OK: true, Clock: h.clock})
+			h.step(taskrunner.StopReplied{Key: runKey("job", 0), OK: true, Clock: h.clock, Known: incarnation})
 			h.answerNextRenewal(nil, taskrunner.EndRow{Index: 1, Key: runKey("job", 0), Outcome: taskrunner.EndStopped})
 			h.Expect(h.pollReports(1)).To(ContainElement(And(HaveField("ID", uint64(1)), HaveField("Outcome", session.Lost))))
 		})
@@ -50,7 +50,7 @@
 	h.step(taskrunner.RenewReplied{ID: 0, OK: true, ServerIncarnation: incarnation + 1, Clock: h.clock})
 	h.Expect(effects[taskrunner.StopTask](h)).To(HaveLen(1), "the start may have reached the new incarnation")
 	h.step(taskrunner.StartReplied{Key: runKey("job", 0), Result: taskrunner.StartUnknown})
-	h.step(taskrunner.StopReplied{Key: runKey("job", 0), OK: true, Clock: h.clock})
+	h.step(taskrunner.StopReplied{Key: runKey("job", 0), OK: true, Clock: h.clock, Known: incarnation + 1})
 	h.step(taskrunner.RenewReplied{ID: h.newestRenewalID(), OK: true, ServerIncarnation: incarnation + 1, Clock: h.clock})
 	h.Expect(h.pollReports(1)).To(ConsistOf(HaveField("Outcome", session.Lost)))
 }
@@ -75,18 +75,24 @@
 	h.Expect(h.pollReports(1)).To(ConsistOf(HaveField("Outcome", session.Done)))
 }
 
-// Guards against a false "not started" if the server's list of ends is cut: the end of a
-// run whose start had no reply may be missing from it.
-func TestStoppedStartIsNotReportedAsNotStartedByCutList(t *testing.T) {
-	h := newHarness(t)
-	h.makeReady()
-	h.order(1, h.reading(), "job", 1000, 1)
-	for range 3 {
-		h.step(taskrunner.StartReplied{Key: runKey("job", 0), Result: taskrunner.StartUnknown})
+// Guards against a false "not started" if the server's list of ends is cut or cannot be read:
+// the end of a run whose start had no reply may be missing from it.
+func TestStoppedStartIsNotReportedAsNotStartedByIncompleteList(t *testing.T) {
+	for name, incomplete := range map[string]taskrunner.RenewReplied{"cut": {MoreEnds: true}, "unreadable": {Unreadable: 1}} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.makeReady()
+			h.order(1, h.reading(), "job", 1000, 1)
+			for range 3 {
+				h.step(taskrunner.StartReplied{Key: runKey("job", 0), Result: taskrunner.StartUnknown})
+			}
+			h.step(taskrunner.StopReplied{Key: runKey("job", 0), OK: true, Clock: h.clock, Known: incarnation})
+			incomplete.ID, incomplete.OK, incomplete.ServerIncarnation, incomplete.Clock = h.newestRenewalID(), true, incarnation, h.clock
+			h.step(incomplete)
+			h.answerNextRenewal(nil, taskrunner.EndRow{Index: 501, Key: runKey("job", 0), Outcome: taskrunner.EndStopped})
+			h.Expect(h.pollReports(1)).To(ConsistOf(HaveField("Outcome", session.Lost)))
+		})
 	}
-	h.step(taskrunner.StopReplied{Key: runKey("job", 0), OK: true, Clock: h.clock})
-	h.step(taskrunner.RenewReplied{ID: h.newestRenewalID(), OK: true, ServerIncarnation: incarnation, Clock: h.clock, MoreEnds: true})
-	h.Expect(h.pollReports(1)).To(ConsistOf(HaveField("Outcome", session.Lost)))
 }
 
 // answerNextRenewal lets the time of a lease renewal pass and replies to it.
--- a/taskrunner/messages.go
+++ b/taskrunner/messages.go
@@ -154,6 +154,7 @@
 		OK     bool
 		Clock  time.Duration // reading of the server's clock; zero if unknown
 		Reason string        // logged if OK is false
+		Known  int64         // of the StopTask
 	}
 	// RenewReplied is the reply to RenewLease. Running and Ended are the server's
 	// lists of running and of ended tasks.
@@ -208,7 +209,8 @@
 	StopTask struct {
 		Key      RunKey
 		Token    int64
-		ServerID string
+		ServerID string // backend server that the call is addressed to; empty if unknown
+		Known    int64  // server incarnation that the agent knew; the reply repeats it
 	}
 	// RenewLease asks for the lists of running and ended tasks. It also renews the
 	// lease if Until is positive. The reply is RenewReplied.
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -44,13 +44,15 @@
 	numberTries, startTries int
 
 	sentAt         time.Time       // when the start was last sent
+	sentClock      time.Duration   // newest reading of the server's clock at that time
+	sentTo         int64           // known server incarnation at that time
+	answeredAfter  uint64          // lease renewals with higher IDs were sent after the last start was answered
 	startedAt      time.Time       // when the start was acknowledged or inferred
 	startClock     time.Duration   // server's clock reading in the acknowledgement; zero if unknown
 	confirmed      bool            // the server has acknowledged the start or listed the run
 	percent        int             // progress reported by the server
 	listedFor      time.Duration   // run time by the server's clock when it reported percent; zero if unknown
 	progressAt     time.Time       // when percent last changed
-	listedAfter    uint64          // lease renewals with higher IDs list the run until it has ended
 	stopAcked      bool            // the current incarnation has acknowledged the stop
 	stopAckedAfter uint64          // lease renewals with higher IDs were sent after that
 	stopRetryAt    time.Time       // when a failed stop is sent again; zero if none has failed
@@ -64,10 +66,15 @@
 func (m *Runner) finish(r *run, o session.Outcome, reason string) {
 	switch verdict := r.attempts.Verdict(); {
 	case verdict == attempts.Open && o != session.Done:
+		if o == session.Failed && r.phase == stopping {
+			r.outcome, r.reason = o, reason
+		}
 		m.stop(r, o, reason)
 		return
 	case verdict == attempts.Over && o == session.NotStarted:
 		o = session.Lost
+	case verdict == attempts.NeverStarted && (o == session.Lost || o == session.Stopped):
+		o = session.NotStarted
 	}
 	if m.runs[r.key.TaskKey] == r {
 		delete(m.runs, r.key.TaskKey)
@@ -101,7 +108,7 @@
 		if m.longestLeaseExpired() {
 			r.attempts.LongestLeaseExpired()
 		}
-		if r.attempts.RunningAt() == 0 {
+		if r.phase != running || r.attempts.RunningAt() == 0 {
 			m.finish(r, session.Lost, "the lease expired")
 		}
 	}
@@ -195,8 +202,9 @@
 		m.used.add(r)
 	}
 	r.phase = starting
-	r.sentAt = m.now
+	r.sentAt, r.sentClock, r.sentTo = m.now, m.clock, m.clockIncarnation
 	r.attempts.Sent()
+	m.leaseAsked()
 	m.starts.record(m.now, r.queue)
 	m.emit(StartTask{Key: r.key, Spec: r.spec, Until: min(m.leaseEnd(), r.session.echoed.Clock+m.opts.SessionTTL), Token: m.token, ServerID: m.server.ID})
 }
@@ -213,17 +221,27 @@
 	}
 	r.phase = stopping
 	r.outcome, r.reason = o, reason
-	m.emit(StopTask{Key: r.key, Token: m.token, ServerID: m.server.ID})
+	m.sendStop(r.key)
+}
+
+// sendStop sends a StopTask. It is addressed to the registered server only while that is the
+// known incarnation.
+func (m *Runner) sendStop(key RunKey) {
+	m.emit(StopTask{Key: key, Token: m.token, ServerID: m.addressee(), Known: m.clockIncarnation})
 }
 
 func (m *Runner) startReplied(e StartReplied) {
+	if e.Result == StartUnknown || e.Result == StartAccepted {
+		m.leaseAsked() // until now the call may have been carried out
+	}
 	m.readClock(e.ServerIncarnation, e.Clock)
 	m.health.recordStartReply(e.Broken)
 	r := m.runs[e.Key.TaskKey]
 	if r == nil || r.key != e.Key {
 		return
 	}
-	r.attempts.Answered(e.Result.answer(), cmp.Or(e.ServerIncarnation, m.clockIncarnation))
+	r.attempts.Answered(e.Result.answer(), m.replyingIncarnation(r, e))
+	r.answeredAfter = m.lastRenewalID
 	if e.Result == StartAccepted && !r.confirmed {
 		r.confirm(m)
 		r.startClock = e.Clock
@@ -232,6 +250,9 @@
 	case starting:
 		m.startAnswered(r, e)
 	case stopping:
+		if e.Result == StartNumberUsed && r.attempts.Verdict() == attempts.Open {
+			r.attempts.NumberUsed(m.replyingIncarnation(r, e))
+		}
 		if r.attempts.Verdict() != attempts.Open {
 			m.finish(r, r.outcome, r.reason)
 		}
@@ -243,7 +264,7 @@
 	switch e.Result {
 	case StartAccepted:
 		r.phase = running
-		if e.ServerIncarnation != m.clockIncarnation {
+		if r.attempts.RunningAt() != m.clockIncarnation {
 			m.renewNow() // accepted by another incarnation of the server
 		}
 		m.emit(LogEvent{Event: "task_started", Task: r.key.String(), Entry: r.session.entry,
@@ -264,7 +285,7 @@
 	case rejected:
 		m.finish(r, session.NotStarted, e.Result.String())
 	case e.Result == StartNumberUsed:
-		m.earlierTryStarted(r)
+		m.earlierTryStarted(r, m.replyingIncarnation(r, e))
 	case e.Result == StartRefused || e.Result == StartDeclined:
 		m.startUnanswered(r, e.Reason) // another try may find the run there
 	default:
@@ -276,7 +297,19 @@
 func (r *run) confirm(m *Runner) {
 	r.confirmed = true
 	r.startedAt, r.progressAt = m.now, m.now
-	r.listedAfter = m.lastRenewalID
+}
+
+// replyingIncarnation returns the incarnation that has replied to the last start of a run. A
+// reply that does not name it is of the known one if its clock reading continues that of the
+// known one: the clock of another incarnation starts anew.
+func (m *Runner) replyingIncarnation(r *run, e StartReplied) int64 {
+	switch {
+	case e.ServerIncarnation != 0:
+		return e.ServerIncarnation
+	case r.sentTo == m.clockIncarnation && e.Clock >= r.sentClock && m.continuesClock(e.Clock):
+		return m.clockIncarnation
+	}
+	return attempts.Unnamed
 }
 
 // startUnanswered sends a start again of which an earlier copy has no reply, or stops the
@@ -288,7 +321,7 @@
 		m.stop(r, session.NotStarted, reasonEvacuated)
 		return
 	}
-	if r.startTries < maxStartTries && r.session.fresh(m) && !m.leaseExpired() {
+	if r.startTries < maxStartTries && r.session.fresh(m) && !m.clockOutdated() {
 		m.start(r)
 		return
 	}
@@ -299,9 +332,9 @@
 // earlierTryStarted handles a run number that is in use because an earlier copy of
 // the same start has arrived. The run has ended since; the next lease renewal
 // returns its outcome.
-func (m *Runner) earlierTryStarted(r *run) {
+func (m *Runner) earlierTryStarted(r *run, incarnation int64) {
 	r.phase = running
-	r.attempts.Listed(m.clockIncarnation)
+	r.attempts.NumberUsed(incarnation)
 	r.confirm(m)
 	m.renewNow()
 }
@@ -325,7 +358,7 @@
 func (m *Runner) stopReplied(e StopReplied) {
 	m.readClock(0, e.Clock)
 	r := m.runs[e.Key.TaskKey]
-	if r == nil || r.key != e.Key || r.phase != stopping {
+	if r == nil || r.key != e.Key || r.phase != stopping || e.Known != m.clockIncarnation {
 		return
 	}
 	if !e.OK {
@@ -350,7 +383,7 @@
 	slices.SortFunc(due, compareRuns)
 	for _, r := range due {
 		r.stopRetryAt = time.Time{}
-		m.emit(StopTask{Key: r.key, Token: m.token, ServerID: m.server.ID})
+		m.sendStop(r.key)
 	}
 }
 
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -93,18 +93,28 @@
 	m.renewals = slices.DeleteFunc(m.renewals, func(p pendingRenewal) bool { return m.now.Sub(p.sentAt) > renewalExpiry })
 	m.lastRenewalID++
 	l := RenewLease{ID: m.lastRenewalID, Token: m.token, AckIndex: m.seenEnd, Wait: m.opts.RenewalWait}
-	if m.noForeignRuns && m.clockIncarnation != 0 && !m.fenced && !m.leaseExpired() {
+	if m.noForeignRuns && m.clockIncarnation != 0 && !m.fenced && !m.clockOutdated() {
 		l.Until = m.leaseEnd()
 	} else {
 		l.Wait = 0
 	}
-	if m.server.Incarnation == m.clockIncarnation {
-		l.ServerID = m.server.ID
+	l.ServerID = m.addressee()
+	if l.Until > 0 {
+		m.leaseAsked()
 	}
-	m.renewals = append(m.renewals, pendingRenewal{id: l.ID, sentAt: m.now, retransmitAt: m.now.Add(l.Wait + renewalRetransmitAfter)})
+	m.renewals = append(m.renewals, pendingRenewal{id: l.ID, sentAt: m.now, asksLease: l.Until > 0, retransmitAt: m.now.Add(l.Wait + renewalRetransmitAfter)})
 	m.emit(l)
 }
 
+// addressee returns the ID of the server that calls are addressed to; empty if the known
+// incarnation has not registered.
+func (m *Runner) addressee() string {
+	if m.server.Incarnation != m.clockIncarnation {
+		return ""
+	}
+	return m.server.ID
+}
+
 // renewNow makes the next lease renewal due without waiting for one in flight.
 func (m *Runner) renewNow() {
 	if n := len(m.renewals); n > 0 {
@@ -113,18 +123,22 @@
 	m.nextRenewal = m.now
 }
 
-// removeRenewal removes a lease renewal and reports whether it was pending.
-func (m *Runner) removeRenewal(id uint64) bool {
+// removeRenewal removes and returns a pending lease renewal.
+func (m *Runner) removeRenewal(id uint64) (pendingRenewal, bool) {
 	i := slices.IndexFunc(m.renewals, func(p pendingRenewal) bool { return p.id == id })
 	if i < 0 {
-		return false
+		return pendingRenewal{}, false
 	}
+	p := m.renewals[i]
 	m.renewals = slices.Delete(m.renewals, i, i+1)
-	return true
+	return p, true
 }
 
 func (m *Runner) renewReplied(e RenewReplied) {
-	pending := m.removeRenewal(e.ID)
+	p, pending := m.removeRenewal(e.ID)
+	if p.asksLease && !e.Refused {
+		m.leaseAsked() // until now the call may have been carried out
+	}
 	if !e.OK {
 		m.renewalFailed(e)
 		return
@@ -151,12 +165,12 @@
 	}
 	outdated := e.Clock < m.clock // the reply to a later renewal arrived first
 	m.readClock(e.ServerIncarnation, e.Clock)
-	m.applyEnds(e.Ended, e.Clock)
+	m.applyEnds(e.ID, e.Ended, e.Clock)
 	if outdated {
 		return
 	}
-	m.reconcileRunning(e.Running)
-	if pending {
+	m.reconcileRunning(e.ID, e.Running)
+	if pending && !e.MoreEnds {
 		m.finishMissing(e)
 	}
 	m.learnFromProgress()
@@ -203,6 +217,9 @@
 func (m *Runner) serverReplaced(e RenewReplied) {
 	m.storeBaseline(m.Baseline())
 	m.log("server_run_changed", fmt.Sprintf("from=%d to=%d", m.clockIncarnation, e.ServerIncarnation))
+	if m.clockIncarnation != 0 {
+		m.earlierLeasesEnd = m.now.Add(renewalExpiry + m.longestLease())
+	}
 	m.clockIncarnation = e.ServerIncarnation
 	m.clock = 0
 	m.noForeignRuns = false
@@ -217,32 +234,33 @@
 		r.stopAcked = false
 		switch {
 		case r.phase == stopping && r.attempts.Verdict() == attempts.Open:
-			m.emit(StopTask{Key: r.key, Token: m.token, ServerID: m.server.ID})
-		case r.attempts.RunningAt() == 0:
+			r.stopRetryAt = time.Time{}
+			m.sendStop(r.key)
+		case r.phase != running || r.attempts.RunningAt() == 0:
 			m.finish(r, session.Lost, "the backend server was replaced")
 		}
 	}
 	m.wakePolls()
 }
 
-// applyEnds processes the ended tasks listed in the reply to a lease renewal with
+// applyEnds processes the ended tasks listed in the reply to the given lease renewal, with
 // the given clock reading.
-func (m *Runner) applyEnds(ends []EndRow, clock time.Duration) {
+func (m *Runner) applyEnds(renewal uint64, ends []EndRow, clock time.Duration) {
 	for _, end := range ends {
 		if end.Index <= m.seenEnd {
 			continue
 		}
 		m.seenEnd = end.Index
 		r := m.runs[end.Key.TaskKey]
-		if r == nil || r.key != end.Key {
+		if r == nil || r.key != end.Key || r.phase == queued {
 			continue
 		}
+		r.attempts.Ended(m.clockIncarnation, renewal > r.answeredAfter)
 		m.applyEnd(r, end.Outcome, clock)
 	}
 }
 
 func (m *Runner) applyEnd(r *run, outcome EndOutcome, clock time.Duration) {
-	r.attempts.Ended()
 	if !r.confirmed {
 		r.confirm(m)
 	}
@@ -268,7 +286,7 @@
 // reconcileRunning compares the tasks that the server runs with those that this
 // agent has started. It stops unknown ones and records the progress of the others.
 // Once there are no unknown ones, it sets noForeignRuns.
-func (m *Runner) reconcileRunning(rows []RunningRow) {
+func (m *Runner) reconcileRunning(renewal uint64, rows []RunningRow) {
 	foreign := 0
 	for _, row := range rows {
 		r := m.runs[row.Key.TaskKey]
@@ -277,6 +295,7 @@
 			m.stopForeign(row.Key)
 			continue
 		}
+		r.attempts.Listed(m.clockIncarnation, renewal > r.answeredAfter)
 		m.updateProgress(r, row.Percent)
 	}
 	if !m.noForeignRuns && foreign == 0 {
@@ -293,12 +312,11 @@
 // ignores a stop of a run that has already ended.
 func (m *Runner) stopForeign(key RunKey) {
 	m.emit(LogEvent{Event: "foreign_run_stopped", Task: key.String()})
-	m.emit(StopTask{Key: key, Token: m.token, ServerID: m.server.ID})
+	m.sendStop(key)
 }
 
 // updateProgress records the progress of a run and stops it if it has stalled.
 func (m *Runner) updateProgress(r *run, percent int) {
-	r.attempts.Listed(m.clockIncarnation)
 	if !r.confirmed {
 		r.confirm(m)
 	}
@@ -315,9 +333,8 @@
 	}
 }
 
-// finishMissing finishes the runs that the server no longer lists in the reply to a lease
-// renewal. A run counts as missing only if the renewal was sent after its start or its
-// stop was acknowledged.
+// finishMissing finishes the runs that the server does not list in the reply to a lease
+// renewal, as far as that proves their end.
 func (m *Runner) finishMissing(e RenewReplied) {
 	seen := make(map[RunKey]bool, len(e.Running))
 	for _, row := range e.Running {
@@ -327,13 +344,16 @@
 		if seen[r.key] {
 			continue
 		}
+		if r.phase != stopping && r.phase != running {
+			continue
+		}
+		fenced := r.stopAcked && e.ID > r.stopAckedAfter
+		r.attempts.Missing(e.ID > r.answeredAfter, fenced, e.Unreadable == 0)
 		switch {
-		case r.phase == stopping && r.stopAcked && e.ID > r.stopAckedAfter:
-			r.attempts.Fenced(e.Unreadable == 0 && !e.MoreEnds)
-			m.finish(r, r.outcome, r.reason)
-		case r.phase == running && e.ID > r.listedAfter:
-			r.attempts.Ended()
+		case r.phase == running && r.attempts.RunningAt() == 0:
 			m.finish(r, session.Lost, "the backend server no longer lists the task")
+		case r.phase == stopping && r.attempts.Verdict() != attempts.Open:
+			m.finish(r, r.outcome, r.reason)
 		}
 	}
 }
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -33,7 +33,9 @@
 	noForeignRuns    bool             // confirmed that no task of an earlier agent is running at the server
 	clock            time.Duration    // newest reading of the server's clock
 	clockIncarnation int64            // server incarnation that clock belongs to; zero before the first reading
-	clockReadAt      time.Time        // when the last clock reading was received
+	clockReadAt      time.Time        // when the newest clock reading was received
+	earlierLeasesEnd time.Time        // until when leases by the clock of earlier incarnations may last at the known one
+	leaseAskedAt     time.Time        // when a call that asks for a lease was last sent or carried out
 	renewals         []pendingRenewal // no reply received yet, oldest first
 	lastRenewalID    uint64
 	nextRenewal      time.Time // no lease renewal is sent before this time
@@ -62,6 +64,7 @@
 type pendingRenewal struct {
 	id           uint64
 	sentAt       time.Time
+	asksLease    bool
 	retransmitAt time.Time // when another RenewLease is sent without waiting for the reply
 }
 
@@ -185,48 +188,61 @@
 	return ""
 }
 
-// leaseExpired reports whether every lease that this agent has requested has
-// certainly expired and its tasks have been stopped. No lease ends later than
-// Options.Lease after the newest clock reading.
-func (m *Runner) leaseExpired() bool {
-	if m.clockIncarnation == 0 {
-		return true
-	}
+// clockOutdated reports whether every lease by the newest clock reading has certainly
+// expired and its tasks have been stopped. No lease ends later than Options.Lease after it.
+func (m *Runner) clockOutdated() bool {
 	longest := time.Duration(float64(m.opts.Lease)*(1+clockDrift)) + m.opts.StopTimeout
-	return m.now.Sub(m.clockReadAt) > longest
+	return m.clockIncarnation == 0 || m.now.Sub(m.clockReadAt) > longest
 }
 
-// longestLeaseExpired reports whether also a lease that an unknown incarnation of the
-// server has granted has certainly expired. It grants up to Options.LeaseMax from each call
-// that reaches it, and no call asks for a lease once leaseExpired reports true.
+// leaseExpired reports whether every lease at the known incarnation has certainly expired
+// and its tasks have been stopped, also those by the clock of an earlier incarnation.
+func (m *Runner) leaseExpired() bool {
+	return m.clockOutdated() && !m.now.Before(m.earlierLeasesEnd)
+}
+
+// longestLease returns how long after a call a run may last that any incarnation of the
+// server has granted a lease for it, whatever end of the lease the call asked for.
+func (m *Runner) longestLease() time.Duration {
+	return time.Duration(float64(m.opts.LeaseMax)*(1+clockDrift)) + m.opts.StopTimeout
+}
+
+// leaseAsked records that a call that asks for a lease is sent, or may have been carried out
+// until now.
+func (m *Runner) leaseAsked() { m.leaseAskedAt = m.now }
+
+// longestLeaseExpired reports whether every lease that any incarnation of the server may
+// have granted has certainly expired.
 func (m *Runner) longestLeaseExpired() bool {
-	longest := time.Duration(float64(m.opts.Lease+m.opts.LeaseMax)*(1+clockDrift)) + 2*m.opts.StopTimeout + renewalExpiry
-	return m.clockIncarnation == 0 || m.now.Sub(m.clockReadAt) > longest
+	return m.leaseExpired() && m.now.Sub(m.leaseAskedAt) > m.longestLease()
 }
 
-// readClock updates the clock from a reading of the given server incarnation.
-// Zero stands for the current incarnation.
+// readClock updates the clock from a reading of the given server incarnation. Zero stands
+// for one that is not named: it is ignored unless it continues the clock.
 func (m *Runner) readClock(incarnation int64, clock time.Duration) {
-	if clock <= 0 {
+	if clock <= m.clock || incarnation == 0 && !m.continuesClock(clock) {
 		return
 	}
-	if incarnation == 0 {
-		incarnation = m.clockIncarnation
-	}
-	if incarnation != m.clockIncarnation {
+	if incarnation != 0 && incarnation != m.clockIncarnation {
 		return // only the reply to a lease renewal changes the current incarnation
 	}
-	m.clock = max(m.clock, clock)
+	m.clock = clock
 	m.clockReadAt = m.now
 }
 
+// continuesClock reports whether a clock reading is no later than the known incarnation's
+// clock may show by now. The newest reading is at most as old as a call lasts.
+func (m *Runner) continuesClock(clock time.Duration) bool {
+	return clock <= m.clock+m.now.Sub(m.clockReadAt)+renewalExpiry
+}
+
 // leaseEnd returns the end of a lease that starts at the newest clock reading.
 func (m *Runner) leaseEnd() time.Duration { return m.clock + m.opts.Lease }
 
 // active reports whether the agent currently starts tasks.
 func (m *Runner) active() bool {
 	return m.server.ID != "" && m.server.Incarnation == m.clockIncarnation && m.noForeignRuns && !m.fenced &&
-		!m.serverRefusing && !m.server.Draining && !m.leaving && !m.zoneEvacuated() && !m.leaseExpired()
+		!m.serverRefusing && !m.server.Draining && !m.leaving && !m.zoneEvacuated() && !m.clockOutdated()
 }
 
 // leave starts the graceful shutdown: queued tasks are refused, and started ones
--- a/taskrunner/taskrunner_test.go
+++ b/taskrunner/taskrunner_test.go
@@ -31,7 +31,7 @@
 	h.runner = taskrunner.New(taskrunner.Options{
 		Agent: "agent-1", Incarnation: 1, Zone: "zone-a", Service: "booking", Token: 100,
 		Lease: taskrunner.DefaultLease, SessionTTL: taskrunner.DefaultSessionTTL, RenewalWait: taskrunner.DefaultRenewalWait,
-		PollWait: taskrunner.DefaultPollWait, StopTimeout: 50 * time.Millisecond,
+		PollWait: taskrunner.DefaultPollWait, StopTimeout: 50 * time.Millisecond, LeaseMax: time.Second,
 	})
 	return h
 }
@@ -170,7 +170,7 @@
 	h.Expect(effects[taskrunner.StopTask](h)).To(HaveLen(1))
 	h.order(1, h.reading(), "second", 15_000, 2)
 	h.Expect(effects[taskrunner.StartTask](h)).To(BeEmpty(), "the first task still holds its capacity")
-	h.step(taskrunner.StopReplied{Key: runKey("first", 0), OK: true, Clock: h.clock})
+	h.step(taskrunner.StopReplied{Key: runKey("first", 0), OK: true, Clock: h.clock, Known: incarnation})
 	h.Expect(effects[taskrunner.StartTask](h)).To(BeEmpty(), "the end of the first task is not listed yet")
 	h.answerRenewal(h.newestRenewalID(), nil, taskrunner.EndRow{Index: 1, Key: runKey("first", 0), Outcome: taskrunner.EndStopped})
 	h.Expect(effects[taskrunner.StartTask](h)).To(HaveLen(1))
@@ -191,7 +191,7 @@
 	h.step(taskrunner.StartReplied{Key: runKey("job", 0), Result: taskrunner.StartUnknown})
 	h.Expect(effects[taskrunner.StopTask](h)).To(HaveLen(1))
 	h.Expect(h.pollReports(1)).To(BeEmpty(), "the task may still start")
-	h.step(taskrunner.StopReplied{Key: runKey("job", 0), OK: true, Clock: h.clock})
+	h.step(taskrunner.StopReplied{Key: runKey("job", 0), OK: true, Clock: h.clock, Known: incarnation})
 	h.answerRenewal(h.newestRenewalID(), nil)
 	h.Expect(h.pollReports(1)).To(ConsistOf(HaveField("Outcome", session.NotStarted)))
 }
@@ -229,7 +229,7 @@
 	h.acceptStart(runKey("job", 0))
 	h.step(taskrunner.SessionClosed{Session: 1})
 	h.Expect(effects[taskrunner.StopTask](h)).To(HaveLen(1))
-	h.step(taskrunner.StopReplied{Key: runKey("job", 0), Reason: "connection refused"})
+	h.step(taskrunner.StopReplied{Key: runKey("job", 0), Reason: "connection refused", Known: incarnation})
 	h.Expect(effects[taskrunner.StopTask](h)).To(BeEmpty())
 	h.Expect(h.runner.NextWake().Sub(h.now)).To(BeNumerically("<=", 20*time.Millisecond))
 	h.advance(20 * time.Millisecond)
@@ -246,7 +246,7 @@
 	for range 3 {
 		h.step(taskrunner.StartReplied{Key: runKey("job", 0), Result: taskrunner.StartUnknown})
 	}
-	h.step(taskrunner.StopReplied{Key: runKey("job", 0), OK: true, Clock: h.clock})
+	h.step(taskrunner.StopReplied{Key: runKey("job", 0), OK: true, Clock: h.clock, Known: incarnation})
 	h.answerRenewal(h.newestRenewalID(), nil, taskrunner.EndRow{Index: 1, Key: runKey("job", 0), Outcome: taskrunner.EndStopped})
 	h.Expect(h.pollReports(1)).To(ConsistOf(HaveField("Outcome", session.Lost)))
 }
@@ -328,7 +328,7 @@
 	h.step(taskrunner.HelloCalled{Call: h.lastCall, Session: 2, Request: session.HelloRequest{Incarnation: 11}})
 	h.Expect(effects[taskrunner.StopTask](h)).To(HaveLen(1))
 	h.Expect(effects[taskrunner.ReplyHello](h)).To(BeEmpty())
-	h.step(taskrunner.StopReplied{Key: runKey("job", 0), OK: true, Clock: h.clock})
+	h.step(taskrunner.StopReplied{Key: runKey("job", 0), OK: true, Clock: h.clock, Known: incarnation})
 	h.answerRenewal(h.newestRenewalID(), nil, taskrunner.EndRow{Index: 1, Key: runKey("job", 0), Outcome: taskrunner.EndStopped})
 	h.Expect(effects[taskrunner.ReplyHello](h)).To(HaveLen(1))
 }
--- a/test/sessions/agent_test.go
+++ b/test/sessions/agent_test.go
@@ -133,11 +133,11 @@
 		a.callServer(callTimeout, func() any {
 			s := a.machine.advance()
 			if a.machine.down || a.machine.declines() {
-				return taskrunner.StopReplied{Key: ef.Key}
+				return taskrunner.StopReplied{Key: ef.Key, Known: ef.Known}
 			}
 			ok := s.Stop(leaseserver.TaskRun{Name: taskName(ef.Key.TaskKey), Number: ef.Key.Number}, ef.Token)
-			return taskrunner.StopReplied{Key: ef.Key, OK: ok, Clock: s.Clock()}
-		}, taskrunner.StopReplied{Key: ef.Key})
+			return taskrunner.StopReplied{Key: ef.Key, OK: ok, Clock: s.Clock(), Known: ef.Known}
+		}, taskrunner.StopReplied{Key: ef.Key, Known: ef.Known})
 	case taskrunner.RenewLease:
 		a.renewLease(ef)
 	case taskrunner.ReplyHello:
