Agent: reports of its server take effect when the server confirms them

Callers saw no job served at all: one report of another writer, with a new id, a higher incarnation and a service that no configuration names, made each agent take it as a new incarnation of its server. What the server itself reported and replied then looked late until the agent was restarted. A report with the server's own id and incarnation and a high sequence number hid a later drain in the same way.

Cause: serverReported believed whatever a report said of incarnation and order.

A report now takes effect when the reply to a lease renewal has shown that its incarnation answers and that the server's clock has reached the reading in the report. Reports are ordered by that clock; the sequence number decides only where it is equal or missing. One that a renewal sent later contradicts is dropped (report_refuted). Until then a reported drain or new incarnation only holds starts, for one immediate renewal. A server that rejects a renewal as addressed to another is asked without an address, and a wrong id is withdrawn (server_id_refuted).

TestWarmUpFollowsHeartbeatsAndIncarnations expected a new incarnation to be registered by its report alone. It now lets that incarnation answer first; what it checks is unchanged.

--- a/taskrunner/evacuation_test.go
+++ b/taskrunner/evacuation_test.go
@@ -139,5 +139,6 @@
 	h.Expect(freeAfterHeartbeat(incarnation, 3, 100*time.Millisecond)).To(BeNumerically(">", 19_000))
 	h.advance(200 * time.Millisecond)
 	h.Expect(freeAfterHeartbeat(incarnation, 4, 100*time.Millisecond)).To(BeNumerically(">", 19_000), "a little later than predicted")
+	h.step(taskrunner.RenewReplied{OK: true, ServerIncarnation: incarnation + 1, Clock: time.Second})
 	h.Expect(freeAfterHeartbeat(incarnation+1, 1, 2*time.Second)).To(BeNumerically("~", 5_000, 100), "a new incarnation")
 }
--- a/taskrunner/messages.go
+++ b/taskrunner/messages.go
@@ -15,16 +15,18 @@
 
 // ServerInfo is the state that a backend server reports in a heartbeat.
 type ServerInfo struct {
-	ID          string   `json:"id"`
-	Incarnation int64    `json:"run"` // start of the server process in Unix ms; higher for each restart
-	Seq         int64    `json:"-"`   // sequence number of the heartbeat within the incarnation
-	Service     string   `json:"service"`
-	Draining    bool     `json:"draining"`
-	CPU         int      `json:"cpu"` // thousandths of a core
-	MemMB       int      `json:"mem_mb"`
-	GPU         int      `json:"gpu"`
-	Labels      []string `json:"labels"`
-	Rack        string   `json:"rack"` // one of the labels; empty if unknown
+	ID          string `json:"id"`
+	Incarnation int64  `json:"run"` // start of the server process in Unix ms; higher for each restart
+	Seq         int64  `json:"-"`   // sequence number of the heartbeat within the incarnation
+	// Clock is the reading of the server's clock in the heartbeat; zero if it has none.
+	Clock    time.Duration `json:"-"`
+	Service  string        `json:"service"`
+	Draining bool          `json:"draining"`
+	CPU      int           `json:"cpu"` // thousandths of a core
+	MemMB    int           `json:"mem_mb"`
+	GPU      int           `json:"gpu"`
+	Labels   []string      `json:"labels"`
+	Rack     string        `json:"rack"` // one of the labels; empty if unknown
 	// Cold is how much longer the server runs slowly after its start, at the time of the
 	// heartbeat.
 	Cold time.Duration `json:"-"`
@@ -134,7 +136,7 @@
 	}
 	// SessionClosed reports that the connection of a session was closed.
 	SessionClosed struct{ Session uint64 }
-	// ServerReported is a heartbeat of the backend server.
+	// ServerReported is a heartbeat of the backend server, or of someone else in its name.
 	ServerReported struct{ Info ServerInfo }
 	// ServerLeft reports that the server with the ID has deregistered.
 	ServerLeft struct{ ID string }
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -168,7 +168,7 @@
 // startQueued starts the queued tasks for which there is free capacity, in the order of
 // startOrder. Smaller tasks pass larger ones, except those that give way to them.
 func (m *Runner) startQueued() {
-	if !m.active() || len(m.queue) == 0 {
+	if !m.active() || m.awaitsVerification() || len(m.queue) == 0 {
 		m.recordShortage(0)
 		return
 	}
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -10,32 +10,6 @@
 	"github.com/chestnuthollow/chestnuthollow/session"
 )
 
-// serverReported processes a heartbeat. Heartbeats of an earlier incarnation, or
-// with an old sequence number, are ignored.
-func (m *Runner) serverReported(info ServerInfo) {
-	if info.Incarnation < m.server.Incarnation || info.Incarnation < m.clockIncarnation || info.Incarnation == m.server.Incarnation && info.Seq <= m.server.Seq {
-		return
-	}
-	previous := m.server
-	m.server = info
-	m.updateWarmUp(info.Cold, info.Incarnation != previous.Incarnation)
-	if info.Incarnation != previous.Incarnation {
-		m.serverRegistered("server_registered")
-		m.renewNow()
-	}
-	if !info.SameRecord(&previous) {
-		m.emit(ServerChanged{Info: info})
-	}
-	if info.Incarnation == previous.Incarnation && info.capacity() != previous.capacity() {
-		m.capacityChanged(previous)
-	}
-	if info.Draining && !previous.Draining {
-		m.log("server_draining", "server="+info.ID)
-		m.dropAllQueued("the backend server is draining")
-		m.wakePolls()
-	}
-}
-
 // capacityChanged reports the new capacity of the server to the entries, and refuses the
 // queued tasks that exceed it.
 func (m *Runner) capacityChanged(previous ServerInfo) {
@@ -98,10 +72,12 @@
 	} else {
 		l.Wait = 0
 	}
-	if m.server.Incarnation == m.clockIncarnation {
+	if m.awaitsVerification() {
+		l.Wait = 0
+	} else if m.server.Incarnation == m.clockIncarnation && m.misaddressedAfter == 0 {
 		l.ServerID = m.server.ID
 	}
-	m.renewals = append(m.renewals, pendingRenewal{id: l.ID, sentAt: m.now, retransmitAt: m.now.Add(l.Wait + renewalRetransmitAfter)})
+	m.renewals = append(m.renewals, pendingRenewal{id: l.ID, serverID: l.ServerID, sentAt: m.now, retransmitAt: m.now.Add(l.Wait + renewalRetransmitAfter)})
 	m.emit(l)
 }
 
@@ -113,23 +89,27 @@
 	m.nextRenewal = m.now
 }
 
-// removeRenewal removes a lease renewal and reports whether it was pending.
-func (m *Runner) removeRenewal(id uint64) bool {
+// removeRenewal removes a lease renewal and returns it if it was pending.
+func (m *Runner) removeRenewal(id uint64) (renewal pendingRenewal, pending bool) {
 	i := slices.IndexFunc(m.renewals, func(p pendingRenewal) bool { return p.id == id })
 	if i < 0 {
-		return false
+		return pendingRenewal{}, false
 	}
+	renewal = m.renewals[i]
 	m.renewals = slices.Delete(m.renewals, i, i+1)
-	return true
+	return renewal, true
 }
 
 func (m *Runner) renewReplied(e RenewReplied) {
-	pending := m.removeRenewal(e.ID)
+	renewal, pending := m.removeRenewal(e.ID)
 	if !e.OK {
+		if e.OtherServer {
+			m.misaddressed(renewal.serverID)
+		}
 		m.renewalFailed(e)
 		return
 	}
-	if e.ServerIncarnation < m.clockIncarnation || e.ServerIncarnation < m.server.Incarnation {
+	if e.ServerIncarnation < m.clockIncarnation {
 		m.nextRenewal = m.now.Add(renewalRetryDelay)
 		return // late reply of an earlier incarnation
 	}
@@ -151,6 +131,8 @@
 	}
 	outdated := e.Clock < m.clock // the reply to a later renewal arrived first
 	m.readClock(e.ServerIncarnation, e.Clock)
+	m.settleAddress(e)
+	m.settleReports(e)
 	m.applyEnds(e.Ended, e.Clock)
 	if outdated {
 		return
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -13,8 +13,9 @@
 	now     time.Time
 	effects []Effect
 
-	server         ServerInfo // ID is empty until a server has registered
-	storedServer   ServerInfo // as stored by an earlier agent; ID is empty if there is none
+	server         ServerInfo         // ID is empty until a server has registered
+	unverified     []unverifiedReport // oldest first
+	storedServer   ServerInfo         // as stored by an earlier agent; ID is empty if there is none
 	config         session.Config
 	newestConfig   int64 // highest version that an entry has named
 	evacuations    evacuation.State
@@ -36,11 +37,14 @@
 	clockReadAt      time.Time        // when the last clock reading was received
 	renewals         []pendingRenewal // no reply received yet, oldest first
 	lastRenewalID    uint64
-	nextRenewal      time.Time // no lease renewal is sent before this time
-	serverLost       bool      // renewals have failed for longer than the duration of a lease
-	serverRefusing   bool      // the connection of a renewal was refused since the last reply
-	failingSince     time.Time // first failed renewal since the last reply; zero if there is none
-	seenEnd          int64     // highest EndRow.Index that has been processed
+	// misaddressedAfter is the last renewal sent before the server rejected one as addressed
+	// to another server; zero if it has not, or if a later one was answered.
+	misaddressedAfter uint64
+	nextRenewal       time.Time // no lease renewal is sent before this time
+	serverLost        bool      // renewals have failed for longer than the duration of a lease
+	serverRefusing    bool      // the connection of a renewal was refused since the last reply
+	failingSince      time.Time // first failed renewal since the last reply; zero if there is none
+	seenEnd           int64     // highest EndRow.Index that has been processed
 
 	crashes   []crash // recent ones, oldest first
 	lastCrash uint64  // number of the last one
@@ -61,6 +65,7 @@
 // pendingRenewal is a RenewLease whose reply has not been received.
 type pendingRenewal struct {
 	id           uint64
+	serverID     string // that it is addressed to; empty if to none
 	sentAt       time.Time
 	retransmitAt time.Time // when another RenewLease is sent without waiting for the reply
 }
