Agent: an odd row in a server's list of runs hides no run

A task could run twice: a row of the list of running tasks that could not be decoded, for instance because its progress was too large, left its run out. The agent took the run for ended, and the entry started the task elsewhere. A progress of -1 ended the process (division by zero), if run_times is on.

A run that an unreadable row may stand for is stopped before it is reported as lost.

--- a/taskrunner/messages.go
+++ b/taskrunner/messages.go
@@ -88,9 +88,12 @@
 // RunningRow is an entry in the server's list of running tasks.
 type RunningRow struct {
 	Key     RunKey
-	Percent int
+	Percent int // progress; UnknownPercent if the server's statement cannot be used
 }
 
+// UnknownPercent is the Percent of a RunningRow that only shows that the run is there.
+const UnknownPercent = -1
+
 // EndOutcome is how a task ended at the server.
 type EndOutcome uint8
 
@@ -165,15 +168,16 @@
 		Fenced            bool   // the server has seen a higher fencing token
 		OtherServer       bool   // another incarnation of the server replied
 		Refused           bool   // the connection was refused
-		Reason            string // logged if OK is false
+		Reason            string // logged if OK is false, or if rows could not be decoded
 		ServerIncarnation int64
 		Clock             time.Duration // reading of the server's clock
 		Running           []RunningRow
 		Ended             []EndRow
 		// MoreEnds means that the server may have further ended tasks to list.
 		MoreEnds bool
-		// Unreadable is the number of rows that could not be decoded.
-		Unreadable int
+		// UnreadableRunning and UnreadableEnds are the numbers of rows of both lists that
+		// could not be decoded.
+		UnreadableRunning, UnreadableEnds int
 	}
 	// ConfigReceived delivers a version of the operators' configuration.
 	ConfigReceived struct{ Config session.Config }
--- a/taskrunner/report_test.go
+++ b/taskrunner/report_test.go
@@ -18,18 +18,17 @@
 	}
 }
 
-// renew lets the server answer the last lease renewal that was sent.
-func (h *harness) renew() {
+// renew lets the server answer the next lease renewal, or the last one if none is due.
+func (h *harness) renew() { h.answerRenewal(h.nextRenewalID(), nil) }
+
+func (h *harness) nextRenewalID() uint64 {
 	h.advance(10 * time.Millisecond)
 	h.pollReports(1)
-	renewals := effects[taskrunner.RenewLease](h)
-	if len(renewals) == 0 {
+	if len(effects[taskrunner.RenewLease](h)) == 0 {
 		h.advance(taskrunner.DefaultRenewalWait + 50*time.Millisecond)
 		h.step(taskrunner.Ticked{})
-		renewals = effects[taskrunner.RenewLease](h)
 	}
-	h.Expect(renewals).NotTo(BeEmpty())
-	h.answerRenewal(renewals[len(renewals)-1].ID, nil)
+	return h.newestRenewalID()
 }
 
 // starts orders a task and reports whether it is started at once.
--- /dev/null
+++ b/taskrunner/rows_test.go
@@ -0,0 +1,56 @@
+package taskrunner_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/taskrunner"
+)
+
+// Guards against a task that is started twice: its agent reported it as lost because the
+// row of its run could not be decoded, while it was running.
+func TestRunBehindUnreadableRowIsStoppedBeforeItIsLost(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	h.order(1, h.reading(), "job", 1000, 1)
+	h.acceptStart(runKey("job", 0))
+	renew := func(unreadable int) {
+		h.step(taskrunner.RenewReplied{
+			ID: h.nextRenewalID(), OK: true, ServerIncarnation: incarnation, Clock: h.clock, UnreadableRunning: unreadable, Reason: "running[0]: task: missing",
+		})
+	}
+	for range 2 {
+		renew(1)
+		h.Expect(effects[taskrunner.StopTask](h)).To(BeEmpty())
+		h.Expect(h.pollReports(1)).To(BeEmpty(), "the task may be running")
+	}
+	stopped := false
+	for range 5 {
+		renew(1)
+		stopped = stopped || len(effects[taskrunner.StopTask](h)) > 0
+	}
+	h.Expect(stopped).To(BeTrue(), "it may also have ended")
+	h.step(taskrunner.StopReplied{Key: runKey("job", 0), OK: true, Clock: h.clock})
+	renew(0)
+	h.Expect(h.pollReports(1)).To(ConsistOf(HaveField("Outcome", session.Lost)))
+}
+
+// Guards against an agent that ends by itself, because a server lists a progress below
+// zero, and against runs that are stopped as hung because their progress is unknown.
+func TestOddProgressIsIgnored(t *testing.T) {
+	for _, percent := range []int{taskrunner.UnknownPercent, math.MinInt, math.MaxInt, 101} {
+		h := newLearner(t)
+		h.learn("short", 160, 20)
+		key := h.startTask("short", 1, 1000)
+		for range 10 {
+			h.pass(50*time.Millisecond, taskrunner.RunningRow{Key: key, Percent: percent})
+			if percent < 0 {
+				h.Expect(effects[taskrunner.StopTask](h.harness)).To(BeEmpty())
+			}
+		}
+	}
+}
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -126,8 +126,8 @@
 		m.adoptStoredServer()
 	}
 	m.fenced = false
-	if e.Unreadable > 0 {
-		m.log("rows_unreadable", fmt.Sprintf("rows=%d", e.Unreadable))
+	if rows := e.UnreadableRunning + e.UnreadableEnds; rows > 0 {
+		m.log("rows_unreadable", fmt.Sprintf("rows=%d reason=%q", rows, e.Reason))
 	}
 	outdated := e.Clock < m.clock // the reply to a later renewal arrived first
 	m.readClock(e.ServerIncarnation, e.Clock)
@@ -284,7 +284,10 @@
 	if !r.confirmed {
 		r.confirm(m)
 	}
-	if percent != r.percent {
+	switch percent = min(percent, 100); {
+	case percent <= UnknownPercent:
+		r.progressAt = m.now
+	case percent != r.percent:
 		r.percent = percent
 		r.progressAt = m.now
 	}
@@ -311,8 +314,10 @@
 		}
 		switch {
 		case r.phase == stopping && r.stopAcked && e.ID > r.stopAckedAfter:
-			r.attempts.Fenced(e.Unreadable == 0 && !e.MoreEnds)
+			r.attempts.Fenced(e.UnreadableRunning+e.UnreadableEnds == 0 && !e.MoreEnds)
 			m.finish(r, r.outcome, r.reason)
+		case r.phase == running && e.UnreadableRunning > 0:
+			m.stopUnlisted(r)
 		case r.phase == running && e.ID > r.listedAfter:
 			r.attempts.Ended()
 			m.finish(r, session.Lost, "the backend server no longer lists the task")
@@ -320,6 +325,14 @@
 	}
 }
 
+// stopUnlisted stops a run that an unreadable row may stand for, if no readable one has
+// shown its progress for long. It is not known to have ended.
+func (m *Runner) stopUnlisted(r *run) {
+	if m.now.Sub(r.progressAt) > stallTimeout {
+		m.stop(r, session.Lost, "the backend server lists unreadable runs instead of the task")
+	}
+}
+
 // Server returns the information about the current server. Its ID is empty if none
 // has registered.
 func (m *Runner) Server() ServerInfo { return m.server }
