Entry: one odd queue does not keep a configuration out of force

Queues are decoded one by one. Those that cannot be are left out, and the log says how many and names the first with its field (config_incomplete). A version without any readable queue is refused as before.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -93,6 +93,10 @@
 	}
 	level.Info(g.logger).Log("event", "config_in_force", "version", t.Version, "before", g.config.current.Version,
 		"source", source, "queues", t.Len())
+	if n := len(t.Unreadable); n > 0 {
+		g.metrics.configErrors.Inc(1)
+		level.Warn(g.logger).Log("event", "config_incomplete", "version", t.Version, "left_out", n, "first", t.Unreadable[0])
+	}
 	g.config.current = session.Config{Version: t.Version, Text: cfg.Text}
 	if g.config.table.Swap(t) == nil {
 		close(g.config.loaded)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -14,6 +14,8 @@
 	Version int64
 	// MaxBody is the maximum size of the body of a submission, in bytes.
 	MaxBody int64
+	// Unreadable says which parts of the version could not be decoded and are left out.
+	Unreadable []error
 
 	queuesByHost map[string][]Queue // by host in lower case, longest prefix first
 	services     []string           // those that queues use, sorted
