Store: one odd record does not stop a follower

A page of the newest records was decoded as a whole, so that one odd item ended the read, which was then repeated for ever. Records without a complete key were left out without a trace.

Batch.Skipped says which records are left out and why.

--- a/keyedlog/keyedlog.go
+++ b/keyedlog/keyedlog.go
@@ -26,6 +26,8 @@
 	// Snapshot is set by Follow if the records are the newest of each key, so that a key
 	// without a record here has been deleted or never had one.
 	Snapshot bool
+	// Skipped says which records could not be decoded and are left out.
+	Skipped []error
 }
 
 // Store is a client of the platform's store. Its reads end with an error that wraps
@@ -120,7 +122,7 @@
 	f.backoff.Reset()
 	f.timeoutFactor = 1
 	f.next, f.positioned = batch.Next, !batch.More
-	if len(batch.Records) > 0 || batch.Snapshot {
+	if len(batch.Records) > 0 || batch.Snapshot || len(batch.Skipped) > 0 {
 		f.handler.HandleBatch(batch)
 	}
 	if len(batch.Records) > 0 && !batch.More {
