Entry: announcements with an unusable address are left out

An announcement whose port is out of range, or whose address is a name, became a member: it took the place of an agent in the subset of an entry for two seconds, was dialed for a minute, and a name was looked up. Entries passed it on to each other. A deleted key was logged as unreadable, records that the store's client leaves out were not logged.

Members need an IP address, a port and a known role; membership.Check names the field. An exchange from such a process is rejected.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -174,6 +174,7 @@
 
 // HandleBatch implements keyedlog.Handler.
 func (h *configHandler) HandleBatch(b keyedlog.Batch) {
+	h.gateway.logSkipped(h.gateway.platform.ConfigTopic, b)
 	h.gateway.readEvacuations(b)
 	for _, r := range b.Records {
 		if r.Key == h.gateway.platform.ConfigKey && len(r.Value) > 0 {
@@ -182,6 +183,13 @@
 	}
 }
 
+// logSkipped logs the records of a batch that could not be decoded.
+func (g *Gateway) logSkipped(topic string, b keyedlog.Batch) {
+	for _, err := range b.Skipped {
+		level.Warn(g.logger).Log("event", "record_unreadable", "topic", topic, "reason", err)
+	}
+}
+
 // StoreUnavailable implements keyedlog.Handler.
 func (h *configHandler) StoreUnavailable(err error) {
 	h.unavailableSince = time.Now()
--- a/gateway/configcopy.go
+++ b/gateway/configcopy.go
@@ -126,6 +126,7 @@
 	if err != nil {
 		return err
 	}
+	g.logSkipped(g.platform.ConfigCopyTopic, batch)
 	// The copy written last comes first, so that no older one comes into force.
 	slices.SortFunc(batch.Records, func(a, b keyedlog.Record) int { return cmp.Compare(b.Offset, a.Offset) })
 	// Evacuations come before the configuration that makes the entry admit jobs.
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -43,6 +43,10 @@
 // sender's.
 func (r *receiver) Exchange(req *session.ExchangeRequest, reply *session.ExchangeReply) error {
 	g := r.gateway
+	if err := membership.Check(req.From); err != nil {
+		level.Warn(g.logger).Log("event", "peer_rejected", "reason", err)
+		return err
+	}
 	now := time.Now()
 	g.members.Add(now, req.From)
 	g.members.MarkReachable(now, req.From.Addr)
@@ -119,10 +123,18 @@
 // HandleBatch implements keyedlog.Handler.
 func (h *membersHandler) HandleBatch(b keyedlog.Batch) {
 	g := h.gateway
+	g.logSkipped(g.platform.MembersTopic, b)
 	var restarted []string // addresses of agents with a new incarnation
 	for _, r := range b.Records {
+		if len(r.Value) == 0 {
+			continue // the key was deleted
+		}
 		var p session.Process
-		if err := json.Unmarshal(r.Value, &p); err != nil {
+		err := json.Unmarshal(r.Value, &p)
+		if err == nil {
+			err = membership.Check(p)
+		}
+		if err != nil {
 			level.Warn(g.logger).Log("event", "member_unreadable", "key", r.Key, "offset", r.Offset, "reason", err)
 			continue
 		}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -41,13 +41,14 @@
 }
 
 // Add adds processes learned from the store or from other processes, and updates
-// those with a changed incarnation. It reports whether any address is new.
+// those with a changed incarnation. Those that Check rejects are left out. It reports
+// whether any address is new.
 func (t *Table) Add(now time.Time, list ...session.Process) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	added := false
 	for _, p := range list {
-		if p.Addr == "" || p.Addr == t.self {
+		if p.Addr == t.self || Check(p) != nil {
 			continue
 		}
 		mem := t.members[p.Addr]
--- a/sidecar/announce.go
+++ b/sidecar/announce.go
@@ -83,6 +83,9 @@
 		level.Warn(s.logger).Log("event", "recall_failed", "topic", s.platform.MembersTopic, "reason", err)
 		return announcement{}, false
 	}
+	for _, err := range batch.Skipped {
+		level.Warn(s.logger).Log("event", "record_unreadable", "topic", s.platform.MembersTopic, "reason", err)
+	}
 	for _, r := range batch.Records {
 		if r.Key != s.opts.Name {
 			continue
