Entry: a copy of the evacuations with an impossible version is rejected

A copy, or another process, that stated a version near 2^63 kept every later evacuation out of force: versions are offsets of the operators' topic and only increase.

--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -7,6 +7,7 @@
 package evacuation
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -17,6 +18,18 @@
 // durations.
 const durationWeight = 0.5
 
+// maxVersion bounds the versions that other processes state. No topic has as many records,
+// and a higher version would keep all later ones out of force.
+const maxVersion = 1<<53 - 1
+
+// Check returns an error if another process cannot have learned the state from the topic.
+func Check(e session.Evacuation) error {
+	if e.Version < 0 || e.Version > maxVersion {
+		return fmt.Errorf("evacuations: version: expected 0 to %d, got %d", int64(maxVersion), e.Version)
+	}
+	return nil
+}
+
 // Record is a record of the operators' topic that evacuates a zone, or withdraws the
 // evacuation.
 type Record struct {
@@ -56,8 +69,9 @@
 }
 
 // Update takes over a state of another process if it is newer, and returns what changed.
+// One that Check rejects changes nothing.
 func (s *State) Update(now time.Time, e session.Evacuation) []Change {
-	if e.Version <= s.current.Version {
+	if e.Version <= s.current.Version || Check(e) != nil {
 		return nil
 	}
 	zones := slices.Clone(e.Zones)
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -108,7 +108,11 @@
 // useEvacuationCopy puts the copy of a record in force if it is newer.
 func (g *Gateway) useEvacuationCopy(r keyedlog.Record, source string) {
 	var e session.Evacuation
-	if err := json.Unmarshal(r.Value, &e); err != nil {
+	err := json.Unmarshal(r.Value, &e)
+	if err == nil {
+		err = evacuation.Check(e)
+	}
+	if err != nil {
 		g.metrics.configErrors.Inc(1)
 		level.Warn(g.logger).Log("event", "evacuations_unreadable", "source", source, "reason", err)
 		return
