Messages: the size of a reply is limited

A process that called whoever listens at an announced address read a reply of any length: gob accepts messages of a gigabyte. Requests have had a limit all along.

The client codec ends the connection after 16 MB of one reply.

Evidence: TestReplyWithoutEndIsCutOff fails on the old code, which reads the 512 MB.

--- a/internal/rpcconn/rpcconn.go
+++ b/internal/rpcconn/rpcconn.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return rpc.NewClient(&conn{Conn: c, idle: idle}), nil
+	return rpc.NewClientWithCodec(newCodec(&conn{Conn: c, idle: idle})), nil
 }
 
 // Timeouts bound a Call.
