--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN ?= bin
 
-.PHONY: build demo test check unit bench
+.PHONY: build demo test check unit fuzz bench
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -27,5 +27,16 @@
 	@skip=$$(grep -v '^#' KNOWN-RED.txt | cut -d'|' -f1 | tr -d ' ' | sed '/^$$/d; s/.*/^&$$/' | paste -sd'|'); \
 	$(GO) test -race -count=1 -timeout 10m $${skip:+-skip "$$skip"} ./...
 
+# Runs each fuzz target for FUZZTIME. `make test` runs their seeds only.
+FUZZTIME ?= 3s
+FUZZPARALLEL ?= 2
+fuzz:
+	@set -e; for dir in $$(grep -rl --include=*_test.go '^func Fuzz' . | xargs -n1 dirname | sort -u); do \
+		for target in $$(cat $$dir/*_test.go | sed -n 's/^func \(Fuzz[A-Za-z0-9]*\)(.*/\1/p'); do \
+			echo "$$dir $$target"; \
+			out=$$($(GO) test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZTIME) -parallel $(FUZZPARALLEL) $$dir 2>&1) || { echo "$$out"; exit 1; }; \
+		done; \
+	done
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
