--- a/gateway/members.go
+++ b/gateway/members.go
@@ -122,6 +122,9 @@
 
 // HandleBatch implements keyedlog.Handler.
 func (h *membersHandler) HandleBatch(b keyedlog.Batch) {
+	if len(b.Records) == 0 && !b.Snapshot {
+		return
+	}
 	g := h.gateway
 	g.logSkipped(g.platform.MembersTopic, b)
 	var restarted []string // addresses of agents with a new incarnation
