Marks of canceled jobs, and the messages that carry them

Messages gain fields that other builds ignore: TestCancelsBetweenOldAndNewBuilds; no golden name disappears.

--- a/session/compat_test.go
+++ b/session/compat_test.go
@@ -126,3 +126,46 @@
 	transcode(g, session.State{Seq: 3, Ready: true, Crashes: []session.Crash{{Run: 7, Tasks: []session.LostTask{{Job: "j"}}}}}, &oldS)
 	g.Expect(oldS).To(Equal(oldState{Seq: 3, Ready: true}))
 }
+
+// The messages of the builds before a cancel held for the job at all processes.
+type (
+	oldOrderRequest struct {
+		Echo  session.ClockReading
+		Start []session.JobPart
+		Stop  []uint64
+	}
+	oldOrderReply      struct{ State oldState }
+	oldPollReply       struct{ Reports []session.Report }
+	oldExchangeRequest struct{ ConfigVersion int64 }
+	oldExchangeReply   struct{ ConfigVersion int64 }
+)
+
+// Guards against messages with cancels that the other build cannot decode, and against an
+// agent of an old build that counts as having taken a cancel.
+func TestCancelsBetweenOldAndNewBuilds(t *testing.T) {
+	g := NewWithT(t)
+	canceled := []session.Cancel{{Job: "j", Queue: "q", AgoMs: 3}}
+	var order oldOrderRequest
+	transcode(g, session.OrderRequest{Stop: []uint64{4}, Cancels: canceled}, &order)
+	g.Expect(order).To(Equal(oldOrderRequest{Stop: []uint64{4}}))
+	var reply session.OrderReply
+	transcode(g, oldOrderReply{State: oldState{Seq: 3}}, &reply)
+	g.Expect(reply).To(Equal(session.OrderReply{State: session.State{Seq: 3}}), "an old agent takes no cancel")
+	var oldReply oldOrderReply
+	transcode(g, session.OrderReply{State: session.State{Seq: 3}, Cancels: 1}, &oldReply)
+	g.Expect(oldReply).To(Equal(oldOrderReply{State: oldState{Seq: 3}}))
+
+	var poll oldPollReply
+	transcode(g, session.PollReply{Reports: []session.Report{{ID: 1}}, Cancels: canceled}, &poll)
+	g.Expect(poll).To(Equal(oldPollReply{Reports: []session.Report{{ID: 1}}}))
+	var hello oldHelloReply
+	transcode(g, session.HelloReply{Agent: "a", Cancels: canceled}, &hello)
+	g.Expect(hello).To(Equal(oldHelloReply{Agent: "a"}))
+
+	var exchange oldExchangeRequest
+	transcode(g, session.ExchangeRequest{ConfigVersion: 2, WantCancels: true}, &exchange)
+	g.Expect(exchange).To(Equal(oldExchangeRequest{ConfigVersion: 2}))
+	var known oldExchangeReply
+	transcode(g, session.ExchangeReply{ConfigVersion: 2, Cancels: canceled}, &known)
+	g.Expect(known).To(Equal(oldExchangeReply{ConfigVersion: 2}))
+}
--- a/session/messages.go
+++ b/session/messages.go
@@ -47,6 +47,28 @@
 	ConfigVersion int64
 	Evacuation    Evacuation
 	State         State
+	// Cancels are all that the agent holds. Agents of earlier builds leave it empty.
+	Cancels []Cancel
+}
+
+// Cancel is a job that a caller has canceled: none of its tasks may be started.
+type Cancel struct {
+	Job   string // the caller's name of the job
+	Queue string
+	AgoMs int64 // time since the cancel, in ms
+}
+
+// CancelRequest tells an entry which jobs were canceled at another one (Entry.Cancel).
+type CancelRequest struct {
+	Entry   string // name of the sender
+	Cancels []Cancel
+}
+
+// CancelReply answers a CancelRequest.
+type CancelReply struct {
+	// Known reports, for each of CancelRequest.Cancels, whether the entry had the job, open
+	// or answered. Its tasks are being stopped.
+	Known []bool
 }
 
 // ConfigRequest asks an agent for its version of the configuration (Agent.Config).
@@ -88,6 +110,9 @@
 	Recall []uint64
 	// Evacuation is set if it has changed since the session's last request.
 	Evacuation Evacuation
+	// Cancels are the jobs of which the agent has to stop all tasks, whoever ordered them,
+	// and to start none. Agents of earlier builds ignore it.
+	Cancels []Cancel
 }
 
 // JobPart contains the tasks of one job that are placed on one agent.
@@ -120,6 +145,9 @@
 // PollReply.
 type OrderReply struct {
 	State State
+	// Cancels is the number of OrderRequest.Cancels that the agent has taken. Agents of
+	// earlier builds leave it zero.
+	Cancels int
 }
 
 // PollRequest asks for reports (Agent.Poll). The agent replies when there are
@@ -135,6 +163,8 @@
 type PollReply struct {
 	Reports []Report // those after PollRequest.Seen, oldest first
 	State   State
+	// Cancels are those that the agent has learned of since the session's last reply.
+	Cancels []Cancel
 }
 
 // Outcome is how a placement ended.
@@ -300,6 +330,9 @@
 	OmitConfig bool // ExchangeReply.Config is not wanted
 	AcceptGzip bool
 	Evacuation Evacuation
+	// WantCancels is set by an entry that has just started. Entries of earlier builds
+	// ignore it.
+	WantCancels bool
 }
 
 // ExchangeReply answers an ExchangeRequest.
@@ -312,6 +345,8 @@
 	Config        Config
 	ConfigVersion int64
 	Evacuation    Evacuation
+	// Cancels are those that the entry knows, if the request wants them.
+	Cancels []Cancel
 }
 
 // Process is a process of the system with the address at which others reach it.
