Agent: stops the tasks of a canceled job and starts none, whoever ordered them

Callers saw a canceled job run on, or again, if its cancel had reached another entry than the one that ordered its tasks, and the two could not reach each other. An agent took stops only from the session of a task. It now takes marks of canceled jobs with an order, stops the tasks of all sessions, returns later ones as not started, and tells every entry with its next poll or Hello.

--- a/taskrunner/order.go
+++ b/taskrunner/order.go
@@ -25,6 +25,7 @@
 	}
 	s.recordMessage(m, e.Request.Echo)
 	m.updateEvacuation(e.Request.Evacuation)
+	m.cancelJobs(s, e.Request.Cancels)
 	for _, id := range e.Request.Stop {
 		m.stopPlacement(s, id)
 	}
@@ -34,7 +35,7 @@
 	}
 	m.expireQueued()
 	m.startQueued()
-	m.emit(ReplyOrder{Call: e.Call, Reply: session.OrderReply{State: m.state(s)}})
+	m.emit(ReplyOrder{Call: e.Call, Reply: session.OrderReply{State: m.state(s), Cancels: len(e.Request.Cancels)}})
 }
 
 // stopPlacement stops the run of a placement, or keeps a later start from running.
@@ -76,6 +77,8 @@
 	case s.canceled[r.id]:
 		delete(s.canceled, r.id)
 		return "stopped by the entry"
+	case m.canceled(r):
+		return reasonCanceled
 	case m.leaving:
 		return "agent is leaving"
 	case m.server.ID == "":
--- a/taskrunner/poll.go
+++ b/taskrunner/poll.go
@@ -33,7 +33,7 @@
 		if s.poll == nil || len(s.reports) == 0 && m.now.Before(s.poll.due) {
 			continue
 		}
-		m.emit(ReplyPoll{Call: s.poll.call, Reply: session.PollReply{Reports: slices.Clone(s.reports), State: m.state(s)}})
+		m.emit(ReplyPoll{Call: s.poll.call, Reply: session.PollReply{Reports: slices.Clone(s.reports), State: m.state(s), Cancels: m.unsentCancels(s)}})
 		s.poll = nil
 	}
 }
--- a/taskrunner/session.go
+++ b/taskrunner/session.go
@@ -26,6 +26,7 @@
 	sentIdentity  serverIdentity
 	crashSent     uint64 // number of the last crash that was sent to the entry
 	runTimesSent  uint64 // version of the last run times that were sent to the entry
+	cancelsSent   uint64 // number of the last mark of a canceled job that was sent to the entry
 	// canceled holds the placements that were stopped while they had no run here,
 	// mostly because the stop arrived before the start.
 	canceled map[uint64]bool
@@ -125,7 +126,7 @@
 		req := s.hello.Request
 		reply := session.HelloReply{
 			Agent: m.opts.Agent, Incarnation: m.opts.Incarnation, Zone: m.opts.Zone, State: m.state(s),
-			Evacuation: m.evacuations.Current(),
+			Evacuation: m.evacuations.Current(), Cancels: m.unsentCancels(s),
 		}
 		reply.ConfigVersion = m.config.Version
 		if !req.OmitConfig && m.config.Version > req.Config.Version {
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chestnuthollow/chestnuthollow/cancels"
 	"github.com/chestnuthollow/chestnuthollow/evacuation"
 	"github.com/chestnuthollow/chestnuthollow/session"
 )
@@ -18,6 +19,7 @@
 	config         session.Config
 	newestConfig   int64 // highest version that an entry has named
 	evacuations    evacuation.State
+	cancels        cancels.Marks
 	warmUp         warmUp // of the server
 	sessions       map[uint64]*entrySession
 	sortedSessions []*entrySession  // the same, ordered by ID so that effects are deterministic
