Entry: a cancel holds for the job at all entries

Cause: an entry remembered only its own answers (retainedAnswers), and Gateway.Cancel asked only its own dispatcher.

Entries now tell each other (Entry.Cancel, one call for all that wait for a peer). The caller's cancel is answered by what all entries know. If one does not reply, all agents in session have to hold the mark; if an agent does not confirm that either, the answer is 503 with Retry-After instead of a claim. A copy that waited for the end of an abandoned job is canceled with it. A new entry asks its peers for their marks.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/chestnuthollow/chestnuthollow/cancels"
 	"github.com/chestnuthollow/chestnuthollow/containment"
 	"github.com/chestnuthollow/chestnuthollow/places"
 	"github.com/chestnuthollow/chestnuthollow/session"
@@ -46,6 +47,8 @@
 	lastPlacementID uint64
 	retainedAnswers map[string]Status
 	answerExpiry    []retainedAnswer // when each of retainedAnswers was given, oldest first
+	cancels         cancels.Marks
+	pendingCancels  map[CallID]*pendingCancel
 
 	orders        map[SessionID]*Order // to be emitted at the end of the step
 	leaveDeadline time.Time            // when a graceful shutdown abandons open jobs; zero if none
@@ -75,6 +78,7 @@
 		calls:           make(map[CallID]*job),
 		placements:      make(map[uint64]*placement),
 		retainedAnswers: make(map[string]Status),
+		pendingCancels:  make(map[CallID]*pendingCancel),
 		orders:          make(map[SessionID]*Order),
 	}
 }
@@ -91,6 +95,10 @@
 		d.callClosed(e.Call)
 	case CancelCalled:
 		d.cancel(e)
+	case PeersTold:
+		d.peersTold(e)
+	case CancelsLearned:
+		d.emit(CancelsRecorded{Known: d.cancelsLearned(e.From, e.Cancels)})
 	case SessionOpened:
 		d.sessionOpened(e)
 	case SessionEnded:
@@ -132,6 +140,9 @@
 	for _, p := range d.placements {
 		wakeBy(p.inDoubtUntil)
 	}
+	for _, p := range d.pendingCancels {
+		wakeBy(p.deadline)
+	}
 	wakeBy(d.earliestHoldDeadline())
 	return wake
 }
@@ -232,6 +243,7 @@
 			d.abandon(j, structs.CodeTimeout, "the job's deadline has passed")
 		}
 	}
+	d.expireCancels()
 	for len(d.answerExpiry) > 0 && (d.now.Sub(d.answerExpiry[0].at) > d.opts.AnswerRetention || len(d.answerExpiry) > maxRetainedAnswers) {
 		delete(d.retainedAnswers, d.answerExpiry[0].name)
 		d.answerExpiry = d.answerExpiry[1:]
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -17,6 +17,8 @@
 	Jobs       int         `json:"jobs"`
 	Placements int         `json:"placements"`
 	InDoubt    int         `json:"doubtful_placements"`
+	Canceled   int         `json:"canceled"`         // jobs that are marked as canceled
+	MarksLost  int         `json:"canceled_dropped"` // marks dropped early, because there were too many
 	Agents     []AgentDump `json:"agents"`
 	Open       []JobDump   `json:"open"`
 	// ConfinedQueues are the queues whose tasks run on some of the servers only,
@@ -79,7 +81,7 @@
 
 // Dump returns a snapshot of bounded size. Ages are relative to now.
 func (d *Dispatcher) Dump(now time.Time) Dump {
-	out := Dump{Jobs: len(d.jobs), Placements: len(d.placements), ConfinedQueues: d.containment.ConfinedQueues()}
+	out := Dump{Jobs: len(d.jobs), Placements: len(d.placements), Canceled: d.cancels.Len(), MarksLost: d.cancels.Dropped(), ConfinedQueues: d.containment.ConfinedQueues()}
 	for _, service := range slices.Sorted(maps.Keys(d.shares)) {
 		s := d.shares[service]
 		out.Shares = append(out.Shares, SharesDump{Service: service, FreeShare: s.pressure.Free(), Saturated: s.pressure.Saturated(), Queues: s.ledger.Rows(now)})
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -58,7 +58,7 @@
 }
 
 // submit admits, holds or refuses a new job. A duplicate of a known job joins it
-// or gets its retained answer.
+// or gets its retained answer, and one of a canceled job is answered as canceled.
 func (d *Dispatcher) submit(e SubmitCalled) {
 	if j := d.jobs[e.Job.Name]; j != nil {
 		d.join(j, e)
@@ -68,7 +68,7 @@
 		d.emit(Answered{Call: e.Call, Status: status})
 		return
 	}
-	if d.refuseCrashing(e) {
+	if d.answerCanceled(e) || d.refuseCrashing(e) {
 		return
 	}
 	j := &job{Job: e.Job, arrived: d.now, unfinished: e.Job.Tasks, tasks: make([]task, e.Job.Tasks)}
@@ -191,17 +191,6 @@
 	}
 }
 
-func (d *Dispatcher) cancel(e CancelCalled) {
-	j := d.jobs[e.Name]
-	if j == nil || j.answered {
-		_, retained := d.retainedAnswers[e.Name]
-		d.emit(CancelReplied{Call: e.Call, Known: retained})
-		return
-	}
-	d.answer(j, Canceled, "canceled by the caller")
-	d.emit(CancelReplied{Call: e.Call, Known: true})
-}
-
 // answer gives the final answer of a job and stops its remaining tasks.
 func (d *Dispatcher) answer(j *job, s Status, reason string) {
 	took := d.now.Sub(j.arrived)
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -57,6 +57,25 @@
 // String returns the name of the status as written to logs.
 func (s Status) String() string { return statusNames[s] }
 
+// CancelResult is the reply to a caller that has canceled a job.
+type CancelResult uint8
+
+// Results.
+const (
+	// CancelUnconfirmed means that another entry, which has not replied, may run the job.
+	CancelUnconfirmed CancelResult = iota
+	// CancelDone means that the job's tasks are stopped and none is started.
+	CancelDone
+	// CancelNoSuchJob means that no entry has the job. A submission that arrives later is
+	// answered as canceled.
+	CancelNoSuchJob
+)
+
+var cancelResultNames = [...]string{"unconfirmed", "canceled", "no_such_job"}
+
+// String returns the name of the result as written to logs.
+func (r CancelResult) String() string { return cancelResultNames[r] }
+
 // Event is an input of the state machine.
 type Event interface{ isEvent() }
 
@@ -70,10 +89,24 @@
 	}
 	// CallClosed reports that the caller closed its request before the answer.
 	CallClosed struct{ Call CallID }
-	// CancelCalled cancels a job; CancelReplied follows.
+	// CancelCalled cancels a job; TellPeers and CancelReplied follow.
 	CancelCalled struct {
-		Call CallID
-		Name string
+		Call  CallID
+		Queue string
+		Name  string
+	}
+	// PeersTold reports how TellPeers went: whether another entry had the job, and how many
+	// have not replied in time.
+	PeersTold struct {
+		Call   CallID
+		Known  bool
+		Missed int
+	}
+	// CancelsLearned are jobs that were canceled at other entries, by a message from one of
+	// them. CancelsRecorded follows.
+	CancelsLearned struct {
+		From    string
+		Cancels []session.Cancel
 	}
 	// SessionOpened reports that a session was opened. This entry's placements of
 	// earlier sessions with the same agent have ended.
@@ -82,6 +115,8 @@
 		Agent string // its name
 		Zone  string
 		State session.State
+		// Cancels are the jobs that the agent knows to be canceled.
+		Cancels []session.Cancel
 	}
 	// SessionEnded reports that a session has ended. LastHeard is when the last
 	// message of its agent arrived.
@@ -95,9 +130,10 @@
 	SessionRetired struct{ ID SessionID }
 	// OrderReplied is the reply to the order with the given number.
 	OrderReplied struct {
-		ID     SessionID
-		Number uint64
-		State  session.State
+		ID      SessionID
+		Number  uint64
+		State   session.State
+		Cancels int // number of Order.Cancels that the agent has taken
 	}
 	// PollReplied is the reply to a poll.
 	PollReplied struct {
@@ -131,6 +167,8 @@
 		Start  []session.JobPart
 		Stop   []uint64 // ids of placements
 		Recall []uint64 // ids of placements to return if they have not been started
+		// Cancels are jobs of which the agent has to stop all tasks and to start none.
+		Cancels []session.Cancel
 	}
 	// CloseSession closes a session that has no tasks.
 	CloseSession struct{ ID SessionID }
@@ -146,12 +184,20 @@
 		Call  CallID
 		Error *structs.Error
 	}
-	// CancelReplied is the reply to CancelCalled. Known reports whether the entry
-	// knows the job, open or answered.
+	// TellPeers has all other entries told that a job was canceled. PeersTold follows
+	// within PeerCancelTimeout.
+	TellPeers struct {
+		Call   CallID
+		Cancel session.Cancel
+	}
+	// CancelReplied is the reply to CancelCalled.
 	CancelReplied struct {
-		Call  CallID
-		Known bool
+		Call   CallID
+		Result CancelResult
 	}
+	// CancelsRecorded is the reply to CancelsLearned. Known reports for each of the jobs
+	// whether this entry had it, open or answered.
+	CancelsRecorded struct{ Known []bool }
 	// LogEvent is one line of the log.
 	LogEvent struct {
 		Event   string
@@ -161,6 +207,10 @@
 		Verdict *structs.Verdict
 		Detail  string
 	}
+	// CancelMetrics is counted in the metrics: cancels received from callers and learned
+	// from other processes, entries that did not reply to one, cancels without a final
+	// answer, and submissions of canceled jobs.
+	CancelMetrics struct{ Received, Learned, EntriesMissed, Unconfirmed, Submitted int }
 	// CrashMetrics is counted in the metrics: crashes of servers that were reported,
 	// tasks given up because of them, and queues confined.
 	CrashMetrics struct{ Servers, TasksGivenUp, QueuesConfined int }
@@ -194,6 +244,8 @@
 func (SubmitCalled) isEvent()      {}
 func (CallClosed) isEvent()        {}
 func (CancelCalled) isEvent()      {}
+func (PeersTold) isEvent()         {}
+func (CancelsLearned) isEvent()    {}
 func (SessionOpened) isEvent()     {}
 func (SessionEnded) isEvent()      {}
 func (SessionRetired) isEvent()    {}
@@ -207,7 +259,10 @@
 func (CloseSession) isEffect()     {}
 func (Answered) isEffect()         {}
 func (Refused) isEffect()          {}
+func (TellPeers) isEffect()        {}
 func (CancelReplied) isEffect()    {}
+func (CancelsRecorded) isEffect()  {}
+func (CancelMetrics) isEffect()    {}
 func (LogEvent) isEffect()         {}
 func (JobMetrics) isEffect()       {}
 func (CrashMetrics) isEffect()     {}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,9 @@
 	evacuationMu sync.Mutex
 	evacuations  evacuation.State
 
+	peersMu sync.Mutex
+	peers   map[string]*peerLink // by address; those to which cancels were sent of late
+
 	configFetch sync.Mutex // held while another process is asked for the configuration
 
 	mu          sync.Mutex
@@ -82,6 +85,7 @@
 	lastCall    dispatch.CallID
 	lastSession dispatch.SessionID
 	calls       map[dispatch.CallID]chan Outcome
+	cancelCalls map[dispatch.CallID]chan dispatch.CancelResult
 	sessions    map[dispatch.SessionID]*agentSession
 	wakeTimer   *time.Timer // fires when the dispatcher has to be stepped next
 }
@@ -105,6 +109,9 @@
 		widening:   1,
 		calls:      make(map[dispatch.CallID]chan Outcome),
 		sessions:   make(map[dispatch.SessionID]*agentSession),
+
+		cancelCalls: make(map[dispatch.CallID]chan dispatch.CancelResult),
+		peers:       make(map[string]*peerLink),
 	}
 	g.self = session.Process{
 		Name: opts.Name, Role: session.RoleEntry, Addr: opts.PeerAddr, Incarnation: structs.Incarnation(randid.NonZero()),
@@ -230,17 +237,6 @@
 	return Outcome{Status: dispatch.Canceled}
 }
 
-// Cancel cancels a job. It reports whether this entry knows the job.
-func (g *Gateway) Cancel(name string) bool {
-	var known bool
-	for _, ef := range g.step(dispatch.CancelCalled{Name: name}) {
-		if r, ok := ef.(dispatch.CancelReplied); ok {
-			known = r.Known
-		}
-	}
-	return known
-}
-
 // StatusOf returns the status of a job that is open or whose answer is retained.
 func (g *Gateway) StatusOf(name string) (dispatch.Status, bool) {
 	g.mu.Lock()
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -53,6 +53,9 @@
 	reply.Known = g.members.ProcessesFor(g.self, req)
 	g.updateEvacuation(req.Evacuation, "peer "+req.From.Name)
 	reply.Evacuation = g.evacuation()
+	if req.WantCancels {
+		reply.Cancels = g.knownCancels()
+	}
 	reply.ConfigVersion = g.config.raw().Version
 	if req.OmitConfig || reply.ConfigVersion <= req.ConfigVersion {
 		return nil
@@ -88,7 +91,7 @@
 func (g *Gateway) exchangeWith(p session.Process) {
 	reply, err := membership.Exchange(p.Addr, session.ExchangeRequest{
 		From: g.self, ConfigVersion: g.config.raw().Version, Digest: g.members.Digest(), OmitConfig: true,
-		Evacuation: g.evacuation(),
+		Evacuation: g.evacuation(), WantCancels: g.wantsCancels(),
 	})
 	if err != nil {
 		if g.members.MarkUnreachable(time.Now(), p.Addr) {
@@ -100,6 +103,7 @@
 	g.members.MarkReachable(now, p.Addr)
 	g.members.Add(now, reply.Known...)
 	g.updateEvacuation(reply.Evacuation, "peer "+p.Name)
+	g.learnCancels("entry "+p.Name, reply.Cancels)
 	g.updateConfig(reply.Config, "peer "+p.Name) // of an entry of an earlier build
 	if reply.ConfigVersion > g.config.raw().Version {
 		g.fetchConfigFromPeer(p, reply.ConfigVersion)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,6 +24,9 @@
 
 	serversCrashed, tasksGivenUp, queuesConfined metrics.Counter
 
+	cancelsReceived, cancelsLearned, cancelsUnconfirmed metrics.Counter
+	cancelsEntriesMissed, cancelsSubmitted              metrics.Counter
+
 	placesKept, placesAway, placesGivenUp      metrics.Counter
 	tasksPlaced, tasksOtherZone, tasksReturned metrics.Counter
 }
@@ -43,6 +46,12 @@
 		tasksGivenUp:   metrics.NewRegisteredCounter("crashes.tasks_given_up", r),
 		queuesConfined: metrics.NewRegisteredCounter("crashes.queues_confined", r),
 
+		cancelsReceived:      metrics.NewRegisteredCounter("cancels.received", r),
+		cancelsLearned:       metrics.NewRegisteredCounter("cancels.learned", r),
+		cancelsUnconfirmed:   metrics.NewRegisteredCounter("cancels.unconfirmed", r),
+		cancelsEntriesMissed: metrics.NewRegisteredCounter("cancels.entries_missed", r),
+		cancelsSubmitted:     metrics.NewRegisteredCounter("cancels.submitted_again", r),
+
 		placesKept:    metrics.NewRegisteredCounter("places.tasks_kept", r),
 		placesAway:    metrics.NewRegisteredCounter("places.tasks_away", r),
 		placesGivenUp: metrics.NewRegisteredCounter("places.waits_given_up", r),
@@ -58,6 +67,11 @@
 		defer g.mu.Unlock()
 		return int64(g.dispatcher.RunTimeQueues())
 	}))
+	r.Register("cancels.marks", metrics.NewFunctionalGauge(func() int64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return int64(g.dispatcher.CancelMarks())
+	}))
 	r.Register("sessions", metrics.NewFunctionalGauge(func() int64 {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -99,6 +113,15 @@
 	m.queuesConfined.Inc(int64(e.QueuesConfined))
 }
 
+// recordCancel counts cancels and what came after them.
+func (m *gatewayMetrics) recordCancel(e *dispatch.CancelMetrics) {
+	m.cancelsReceived.Inc(int64(e.Received))
+	m.cancelsLearned.Inc(int64(e.Learned))
+	m.cancelsUnconfirmed.Inc(int64(e.Unconfirmed))
+	m.cancelsEntriesMissed.Inc(int64(e.EntriesMissed))
+	m.cancelsSubmitted.Inc(int64(e.Submitted))
+}
+
 // recordPlaces counts the tasks of jobs that have a place.
 func (m *gatewayMetrics) recordPlaces(e *dispatch.PlaceMetrics) {
 	m.placesKept.Inc(int64(e.Kept))
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -157,7 +157,7 @@
 	defer client.Close()
 	req := session.HelloRequest{Entry: g.opts.Name, Incarnation: g.self.Incarnation, ConfigVersion: g.config.raw().Version, OmitConfig: true, Evacuation: g.evacuation()}
 	var hello session.HelloReply
-	if err := callWithTimeout(client, "Hello", &req, &hello, helloTimeout); err != nil {
+	if err := callWithTimeout(client, structs.AgentService+".Hello", &req, &hello, helloTimeout); err != nil {
 		return false, err
 	}
 	lastHeard := time.Now()
@@ -194,11 +194,11 @@
 	s.id = g.lastSession
 	g.sessions[s.id] = s
 	g.mu.Unlock()
-	g.step(dispatch.SessionOpened{ID: s.id, Agent: hello.Agent, Zone: hello.Zone, State: hello.State})
+	g.step(dispatch.SessionOpened{ID: s.id, Agent: hello.Agent, Zone: hello.Zone, State: hello.State, Cancels: hello.Cancels})
 }
 
 func callWithTimeout(client *rpc.Client, method string, req, reply any, timeout time.Duration) error {
-	call := client.Go(structs.AgentService+"."+method, req, reply, make(chan *rpc.Call, 1))
+	call := client.Go(method, req, reply, make(chan *rpc.Call, 1))
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
@@ -219,7 +219,7 @@
 		}
 		req := session.PollRequest{Echo: *s.clockReading.Load(), Seen: seen, Evacuation: s.unsentEvacuation()}
 		var reply session.PollReply
-		if err := callWithTimeout(s.client, "Poll", &req, &reply, pollTimeout); err != nil {
+		if err := callWithTimeout(s.client, structs.AgentService+".Poll", &req, &reply, pollTimeout); err != nil {
 			return lastHeard, err
 		}
 		lastHeard = time.Now()
@@ -249,7 +249,7 @@
 		case <-s.closed:
 			return
 		case o := <-s.orders:
-			req := &session.OrderRequest{Echo: *s.clockReading.Load(), Start: o.Start, Stop: o.Stop, Recall: o.Recall, Evacuation: s.unsentEvacuation()}
+			req := &session.OrderRequest{Echo: *s.clockReading.Load(), Start: o.Start, Stop: o.Stop, Recall: o.Recall, Evacuation: s.unsentEvacuation(), Cancels: o.Cancels}
 			s.client.Go(structs.AgentService+".Order", req, &orderReply{number: o.Number}, s.replies)
 		}
 	}
@@ -258,8 +258,9 @@
 // orderReply is the reply to an order. It also keeps the number of the order, which
 // is unexported and therefore not encoded.
 type orderReply struct {
-	State  session.State
-	number uint64
+	State   session.State
+	Cancels int
+	number  uint64
 }
 
 func (s *agentSession) readReplies() {
@@ -273,7 +274,7 @@
 				continue
 			}
 			r := call.Reply.(*orderReply)
-			s.connector.gateway.step(dispatch.OrderReplied{ID: s.id, Number: r.number, State: r.State})
+			s.connector.gateway.step(dispatch.OrderReplied{ID: s.id, Number: r.number, State: r.State, Cancels: r.Cancels})
 		}
 	}
 }
--- a/gateway/step.go
+++ b/gateway/step.go
@@ -36,6 +36,8 @@
 			g.metrics.recordShare(&ef)
 		case dispatch.CrashMetrics:
 			g.metrics.recordCrash(&ef)
+		case dispatch.CancelMetrics:
+			g.metrics.recordCancel(&ef)
 		case dispatch.PlaceMetrics:
 			g.metrics.recordPlaces(&ef)
 		}
@@ -56,6 +58,10 @@
 		g.deliver(ef.Call, Outcome{Status: ef.Status})
 	case dispatch.Refused:
 		g.deliver(ef.Call, Outcome{Refused: ef.Error})
+	case dispatch.TellPeers:
+		go g.tellPeers(ef)
+	case dispatch.CancelReplied:
+		g.deliverCancel(ef)
 	}
 }
 
--- a/taskrunner/dump.go
+++ b/taskrunner/dump.go
@@ -14,10 +14,11 @@
 	Token             int64          `json:"token"`
 	ClockMs           int64          `json:"clock_ms"` // newest reading of the server's clock
 	ClockAgeMs        int64          `json:"clock_age_ms"`
-	SeenEnd           int64          `json:"seen_end"` // highest EndRow.Index that has been processed
-	Slowness          int            `json:"slowness"` // expected run time over estimate, in thousandths
-	Failing           int            `json:"failing"`  // share of failed tasks, in thousandths
-	Deferred          int            `json:"deferred"` // queued tasks that give way to others and cannot start in time
+	SeenEnd           int64          `json:"seen_end"`      // highest EndRow.Index that has been processed
+	Slowness          int            `json:"slowness"`      // expected run time over estimate, in thousandths
+	Failing           int            `json:"failing"`       // share of failed tasks, in thousandths
+	Deferred          int            `json:"deferred"`      // queued tasks that give way to others and cannot start in time
+	CanceledJobs      int            `json:"canceled_jobs"` // jobs of which no task is started, because an entry could not be told
 	Sessions          []SessionDump  `json:"sessions"`
 	RunTimes          []RunTimesDump `json:"run_times"` // of the queues whose distribution is known
 	Runs              []RunDump      `json:"runs"`
@@ -48,6 +49,7 @@
 		Server: m.server.ID, ServerIncarnation: m.clockIncarnation, Active: m.active(), Draining: m.server.Draining, Leaving: m.leaving, Evacuated: m.zoneEvacuated(),
 		Clean: m.noForeignRuns, Token: m.token, ClockMs: m.clock.Milliseconds(), ClockAgeMs: now.Sub(m.clockReadAt).Milliseconds(),
 		SeenEnd: m.seenEnd, Slowness: m.health.slownessPerMille(), Failing: m.health.failingPerMille(), Deferred: m.deferred,
+		CanceledJobs: m.cancels.Len(),
 	}
 	for _, s := range m.sortedSessions {
 		d.Sessions = append(d.Sessions, SessionDump{Entry: s.name, Open: s.open, HeardAgeMs: now.Sub(s.lastHeard).Milliseconds(), UnseenReports: len(s.reports), Canceled: len(s.canceled)})
