Simulation: cancels and copies at any entry, under faults

Jobs are canceled at any of three entries and submitted again 1 to 8 s later at any entry. The checker fails if a task of a canceled job starts later than 3 s after the first acknowledgement of the cancel, or runs 50 ms after that: the bounds of the users.

--- a/test/sessions/entry_test.go
+++ b/test/sessions/entry_test.go
@@ -25,6 +25,7 @@
 	conns       map[dispatch.SessionID]*conn
 	nextCall    dispatch.CallID
 	callers     map[dispatch.CallID]*caller
+	cancels     map[dispatch.CallID]func(dispatch.CancelResult)
 	wakeSeq     int
 }
 
@@ -61,6 +62,7 @@
 	e.incarnation = structs.Incarnation(e.sim.rng.Uint64() | 1)
 	e.conns = make(map[dispatch.SessionID]*conn)
 	e.callers = make(map[dispatch.CallID]*caller)
+	e.cancels = make(map[dispatch.CallID]func(dispatch.CancelResult))
 	e.dispatcher = dispatch.New(dispatch.Options{
 		Entry: e.name, Incarnation: e.incarnation, Zone: "z", Started: e.monotonicNow(),
 		FarFactor:      3,
@@ -70,6 +72,9 @@
 	for _, a := range e.sim.agents {
 		e.dial(a)
 	}
+	if e.sim.acknowledged != nil {
+		e.fetchCancels()
+	}
 }
 
 func (e *entryProc) crash() {
@@ -139,7 +144,7 @@
 	c.lastReading = hello.State.Stamp
 	c.lastHeard = e.monotonicNow()
 	e.conns[c.id] = c
-	e.step(dispatch.SessionOpened{ID: c.id, Agent: hello.Agent, Zone: hello.Zone, State: hello.State})
+	e.step(dispatch.SessionOpened{ID: c.id, Agent: hello.Agent, Zone: hello.Zone, State: hello.State, Cancels: hello.Cancels})
 	c.poll()
 }
 
@@ -228,8 +233,9 @@
 	})
 }
 
-func (e *entryProc) step(ev dispatch.Event) {
-	for _, ef := range e.dispatcher.Step(e.monotonicNow(), ev) {
+func (e *entryProc) step(ev dispatch.Event) []dispatch.Effect {
+	effects := e.dispatcher.Step(e.monotonicNow(), ev)
+	for _, ef := range effects {
 		e.carryOut(ef)
 	}
 	e.wakeSeq++
@@ -241,6 +247,7 @@
 			}
 		})
 	}
+	return effects
 }
 
 func (e *entryProc) carryOut(ef dispatch.Effect) {
@@ -250,7 +257,7 @@
 		if c == nil {
 			return
 		}
-		req := session.OrderRequest{Echo: c.lastReading, Start: ef.Start, Stop: ef.Stop, Recall: ef.Recall}
+		req := session.OrderRequest{Echo: c.lastReading, Start: ef.Start, Stop: ef.Stop, Recall: ef.Recall, Cancels: ef.Cancels}
 		c.toAgent(func() {
 			call := c.agent.newCall(func(message any) {
 				reply, ok := message.(session.OrderReply)
@@ -259,12 +266,19 @@
 				}
 				c.toEntry(func() {
 					if !c.broken {
-						e.step(dispatch.OrderReplied{ID: c.id, Number: ef.Number, State: reply.State})
+						e.step(dispatch.OrderReplied{ID: c.id, Number: ef.Number, State: reply.State, Cancels: reply.Cancels})
 					}
 				})
 			})
 			c.agent.step(taskrunner.OrderCalled{Call: call, Session: c.session, Request: req})
 		})
+	case dispatch.TellPeers:
+		e.tellPeers(ef)
+	case dispatch.CancelReplied:
+		if reply := e.cancels[ef.Call]; reply != nil {
+			delete(e.cancels, ef.Call)
+			reply(ef.Result)
+		}
 	case dispatch.LogEvent:
 		e.sim.traceEvent(e.name, ef.Event, ef.Job, ef.Agent+" "+ef.Detail)
 	case dispatch.Answered:
@@ -291,6 +305,7 @@
 	// submission was sent.
 	startedBefore           bool
 	earlierSubmissionMayRun bool // a task of an earlier submission may still start
+	isCopy                  bool // of a submission whose job was canceled
 }
 
 func (sim *simulation) submit(job dispatch.Job) {
@@ -354,6 +369,9 @@
 
 func (cl *caller) answered(s dispatch.Status) {
 	cl.sim.counts[s.String()]++
+	if cl.isCopy {
+		cl.sim.counts["copy "+s.String()]++
+	}
 	cl.sim.counts[cl.job.Queue.Name+" "+s.String()]++
 }
 
--- a/test/sessions/simulation_test.go
+++ b/test/sessions/simulation_test.go
@@ -39,7 +39,10 @@
 	started          map[string]bool     // tasks that have ever started, by task name
 	crashes          map[string]int      // servers that crashed while they ran the task, by task name
 	startsAfter      map[string]int      // starts after maxCrashes, by task name
-	counts           map[string]int      // what the cases covered
+	// acknowledged is when the cancel of a job was acknowledged first, by its name; nil if
+	// no jobs are canceled.
+	acknowledged map[string]time.Duration
+	counts       map[string]int // what the cases covered
 }
 
 type event struct {
@@ -262,6 +265,8 @@
 	sim.counts["started"]++
 	sim.traceEvent(m.name, "SERVER STARTS", task, "")
 	sim.started[task] = true
+	job, _, _ := strings.Cut(task, ".")
+	sim.checkNotCanceled(job, task)
 	if at := sim.running[task]; len(at) > 0 {
 		sim.fail("task %s starts at %s while it runs at %v", task, m.name, at)
 	}
