--- a/test/sessions/cancel_test.go
+++ b/test/sessions/cancel_test.go
@@ -41,7 +41,7 @@
 }
 
 // runCancelScenario submits jobs that are canceled soon and submitted again some seconds
-// later, and injects faults meanwhile. Entries of three or more have copies elsewhere.
+// later, and injects faults meanwhile.
 func (sim *simulation) runCancelScenario(jobs, faults int) {
 	sim.acknowledged = make(map[string]time.Duration)
 	sim.newEntry(len(sim.entries))
@@ -50,6 +50,9 @@
 		sim.after(sim.draw(0, 6*time.Second), func() {
 			job := sim.drawJob(i)
 			job.Name = fmt.Sprint(canceledPrefix, i)
+			if i%2 == 0 { // would run on long after cancelTime
+				job.Spec, job.Estimate, job.Timeout = fmt.Sprintf("8000,%d,ok", job.CPU), 8*time.Second, 20*time.Second
+			}
 			sim.submit(job)
 			sim.after(sim.draw(0, 900*time.Millisecond), func() { sim.cancelJob(job) })
 		})
