--- a/test/platform/system_test.go
+++ b/test/platform/system_test.go
@@ -403,8 +403,17 @@
 	return s.send(ctx, p, "/holds/"+id, body)
 }
 
+// cancel cancels a job.
+func (s *system) cancel(ctx context.Context, p *process, id string) answer {
+	return s.request(ctx, p, http.MethodDelete, "/holds/"+id, nil)
+}
+
 func (s *system) send(ctx context.Context, p *process, path string, body []byte) answer {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.jobsAddr+path, bytes.NewReader(body))
+	return s.request(ctx, p, http.MethodPost, path, body)
+}
+
+func (s *system) request(ctx context.Context, p *process, method, path string, body []byte) answer {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.jobsAddr+path, bytes.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
