Cancel: an agent may confirm in the session that follows

Callers could see 503 for a cancel though all agents held its mark a moment later: the sessions with the agents had broken while the entry waited for another one's reply, were open again after 5 ms and took the mark, but the pending cancel waited for the old session. It now waits for the agent, in whichever session.

--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -60,7 +60,7 @@
 	d.agentsChanged = true
 	i, _ := slices.BinarySearchFunc(d.sortedAgents, a, func(x, y *agent) int { return cmp.Compare(x.name, y.name) })
 	d.sortedAgents = slices.Insert(d.sortedAgents, i, a)
-	d.cancelsLearned("agent "+a.name, e.Cancels)
+	d.cancelsLearned(a.name, e.Cancels)
 	d.relayCancels(a)
 	d.emit(LogEvent{Event: "agent_joined", Agent: a.name, Detail: fmt.Sprintf("server=%s ready=%t capacity=%d", a.identity.Server, a.state.Ready, a.identity.Capacity)})
 	for _, p := range d.sortedPlacements(func(p *placement) bool { return p.agent.name == e.Agent && p.agent != a }) {
@@ -140,7 +140,7 @@
 			delete(a.unacknowledged, id)
 		}
 	}
-	d.cancelsTaken(e)
+	d.cancelsTaken(a, e)
 	d.updateState(a, e.State)
 }
 
@@ -151,7 +151,7 @@
 	}
 	d.updateState(a, e.Reply.State)
 	// Before the reports: the tasks that the agent has stopped are not placed again.
-	d.cancelsLearned("agent "+a.name, e.Reply.Cancels)
+	d.cancelsLearned(a.name, e.Reply.Cancels)
 	for _, r := range e.Reply.Reports {
 		if p := d.placements[r.ID]; p != nil {
 			d.placementEnded(p, r)
--- a/dispatch/cancel.go
+++ b/dispatch/cancel.go
@@ -22,12 +22,18 @@
 type pendingCancel struct {
 	job   cancels.Job
 	known bool // this entry or another one had the job
-	// agents are those that have not acknowledged the mark, with the order that carries
-	// it; nil while the entries' replies are awaited.
-	agents   map[SessionID]uint64
+	// agents are those that have not acknowledged the mark, by name, with the order that
+	// carries it; nil while the entries' replies are awaited.
+	agents   map[string]sentOrder
 	deadline time.Time // when the reply is given without those that are missing
 }
 
+// sentOrder identifies an order.
+type sentOrder struct {
+	session SessionID
+	number  uint64
+}
+
 // cancel closes a job at this entry and has the other entries told.
 func (d *Dispatcher) cancel(e CancelCalled) {
 	job := cancels.Job{Queue: e.Queue, Name: e.Name}
@@ -109,34 +115,41 @@
 }
 
 // tellAgents has the agents hold the marks. It returns the orders that carry them.
-func (d *Dispatcher) tellAgents(list []session.Cancel, agents []*agent) map[SessionID]uint64 {
-	orders := make(map[SessionID]uint64, len(agents))
+func (d *Dispatcher) tellAgents(list []session.Cancel, agents []*agent) map[string]sentOrder {
+	orders := make(map[string]sentOrder, len(agents))
 	for _, a := range agents {
 		o := d.orderTo(a)
 		o.Cancels = append(o.Cancels, list...)
-		orders[a.id] = o.Number
+		orders[a.name] = sentOrder{session: a.id, number: o.Number}
 	}
 	return orders
 }
 
 // relayCancels has an agent that has come into session hold the marks that agents have to.
 func (d *Dispatcher) relayCancels(a *agent) {
-	if list := d.cancels.Relayed(d.now); len(list) > 0 {
-		d.tellAgents(list, []*agent{a})
+	list := d.cancels.Relayed(d.now)
+	if len(list) == 0 {
+		return
+	}
+	orders := d.tellAgents(list, []*agent{a})
+	for _, p := range d.pendingCancels {
+		if _, awaited := p.agents[a.name]; awaited {
+			p.agents[a.name] = orders[a.name]
+		}
 	}
 }
 
 // cancelsTaken records that an agent has acknowledged an order with marks.
-func (d *Dispatcher) cancelsTaken(e OrderReplied) {
+func (d *Dispatcher) cancelsTaken(a *agent, e OrderReplied) {
 	if e.Cancels == 0 {
 		return
 	}
 	for _, call := range d.sortedPendingCancels() {
 		p := d.pendingCancels[call]
-		if number, ok := p.agents[e.ID]; !ok || number != e.Number {
+		if o, ok := p.agents[a.name]; !ok || o != (sentOrder{session: e.ID, number: e.Number}) {
 			continue
 		}
-		delete(p.agents, e.ID)
+		delete(p.agents, a.name)
 		if len(p.agents) == 0 {
 			d.replyCancel(call, CancelDone)
 		}
--- a/dispatch/cancel_test.go
+++ b/dispatch/cancel_test.go
@@ -127,6 +127,22 @@
 	h.Expect(h.cancelOrders()[3].Cancels).To(Equal([]session.Cancel{{Job: "a", Queue: queue().Name, AgoMs: 5000}}), "also an agent that restarts")
 }
 
+// Guards against a cancel without an answer because a session breaks and is opened again
+// while the agent's acknowledgement is awaited, as seen on a machine under load.
+func TestCancelIsAcknowledgedInTheNextSession(t *testing.T) {
+	h := newHarness(t)
+	h.agent(1, idle)
+	h.step(dispatch.PeersTold{Call: h.cancel("a"), Missed: 1})
+	lost := h.cancelOrders()[1]
+	h.step(dispatch.SessionEnded{ID: 1, LastHeard: h.now})
+	h.step(dispatch.SessionOpened{ID: 2, Agent: "agent-1", Zone: "zone-a", State: h.state(idle)})
+	next := h.cancelOrders()[2]
+	h.acknowledge(lost, 1)
+	h.Expect(h.cancelResults()).To(BeEmpty(), "the reply of a session that has ended")
+	h.acknowledge(next, 1)
+	h.Expect(h.cancelResults()).To(Equal([]dispatch.CancelResult{dispatch.CancelDone}))
+}
+
 // Guards against a cancel said to be done though an agent may start the job's tasks: it is
 // of an earlier build, has gone, or there is none.
 func TestCancelThatAgentsDoNotHoldIsUnconfirmed(t *testing.T) {
--- a/gateway/cancels.go
+++ b/gateway/cancels.go
@@ -227,7 +227,7 @@
 
 // Cancel closes the jobs that were canceled at the sender.
 func (r *receiver) Cancel(req *session.CancelRequest, reply *session.CancelReply) error {
-	reply.Known = r.gateway.learnCancels("entry "+req.Entry, req.Cancels)
+	reply.Known = r.gateway.learnCancels(req.Entry, req.Cancels)
 	return nil
 }
 
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -103,7 +103,7 @@
 	g.members.MarkReachable(now, p.Addr)
 	g.members.Add(now, reply.Known...)
 	g.updateEvacuation(reply.Evacuation, "peer "+p.Name)
-	g.learnCancels("entry "+p.Name, reply.Cancels)
+	g.learnCancels(p.Name, reply.Cancels)
 	g.updateConfig(reply.Config, "peer "+p.Name) // of an entry of an earlier build
 	if reply.ConfigVersion > g.config.raw().Version {
 		g.fetchConfigFromPeer(p, reply.ConfigVersion)
