--- a/test/platform/cancel_test.go
+++ b/test/platform/cancel_test.go
@@ -28,10 +28,10 @@
 	return n
 }
 
-// startLongJob submits a job of two tasks at the entry and waits until they run.
+// startLongJob submits a job of two tasks that end only when they are stopped, and waits until they run.
 func (s *system) startLongJob(g *WithT, p *process, id string) <-chan answer {
 	ch := make(chan answer, 1)
-	go func() { ch <- s.post(context.Background(), p, id, 2, 2500, 2000, "ok") }()
+	go func() { ch <- s.post(context.Background(), p, id, 2, 1500, 2000, "hang") }()
 	g.Eventually(func() int { return s.invariants.runningTasks(id) }, "3s", "5ms").Should(Equal(2))
 	return ch
 }
