--- a/dispatch/verdicts_test.go
+++ b/dispatch/verdicts_test.go
@@ -189,7 +189,7 @@
 		o.otherwise++
 		o.step(dispatch.CallClosed{Call: o.h.call})
 	case "cancel":
-		o.step(dispatch.CancelCalled{Name: "job"})
+		o.step(dispatch.CancelCalled{Call: 1 << 40, Name: "job", Queue: "holds"})
 	case "connect":
 		o.connect(n)
 	case "disconnect":
--- a/taskrunner/poll.go
+++ b/taskrunner/poll.go
@@ -37,7 +37,7 @@
 			continue
 		}
 		m.emit(ReplyPoll{Call: s.poll.call, Reply: session.PollReply{
-			Reports: slices.Clone(s.reports), State: m.state(s), Evacuation: m.unsentEvacuation(s),
+			Reports: slices.Clone(s.reports), State: m.state(s), Evacuation: m.unsentEvacuation(s), Cancels: m.unsentCancels(s),
 		}})
 		s.poll = nil
 	}
--- a/taskrunner/session.go
+++ b/taskrunner/session.go
@@ -31,6 +31,7 @@
 	// that the session has carried.
 	topicUnheard    time.Duration
 	evacuationKnown int64
+	cancelsSent     uint64 // number of the last mark of a canceled job that was sent to the entry
 	// canceled holds the placements that were stopped while they had no run here,
 	// mostly because the stop arrived before the start.
 	canceled map[uint64]bool
@@ -133,7 +134,7 @@
 		req := s.hello.Request
 		reply := session.HelloReply{
 			Agent: m.opts.Agent, Incarnation: m.opts.Incarnation, Zone: m.opts.Zone, State: m.state(s),
-			Evacuation: m.evacuations.Current(),
+			Evacuation: m.evacuations.Current(), Cancels: m.unsentCancels(s),
 		}
 		reply.ConfigVersion = m.config.Version
 		if !req.OmitConfig && m.config.Version > req.Config.Version {
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chestnuthollow/chestnuthollow/cancels"
 	"github.com/chestnuthollow/chestnuthollow/evacuation"
 	"github.com/chestnuthollow/chestnuthollow/session"
 )
@@ -20,6 +21,7 @@
 	newestConfig   int64 // highest version that an entry has named
 	evacuations    evacuation.State
 	topic          topicWatch
+	cancels        cancels.Marks
 	warmUp         warmUp // of the server
 	sessions       map[uint64]*entrySession
 	sortedSessions []*entrySession  // the same, ordered by ID so that effects are deterministic
