Entry: what a task needs of its server travels with the task

JobPart now carries RequiredLabel, MaxPerServer and ConfigVersion, the version of the configuration under which the job was submitted. Entries of earlier builds leave them zero, which means that nothing is checked; agents of earlier builds ignore them.

No agent reads the fields yet.

--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -36,6 +36,8 @@
 	OneRack bool
 	// MaxPerServer bounds the job's tasks on one server; zero means no limit.
 	MaxPerServer int
+	// ConfigVersion is the version of the configuration that sent the job to its queue.
+	ConfigVersion int64
 	// Timeout is how long the caller waits; zero if not given.
 	Timeout time.Duration
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -56,7 +56,8 @@
 	}
 	o.Start = append(o.Start, session.JobPart{
 		Job: j.Name, Queue: j.Queue.Name, Spec: j.Spec, Service: j.Queue.Service, CPU: j.CPU, MemMB: j.MemMB, GPU: j.GPU,
-		Estimate: estimate, Priority: int(j.rank), StartWithin: startWithin, Tasks: []session.Placement{p},
+		Estimate: estimate, Priority: int(j.rank), StartWithin: startWithin,
+		RequiredLabel: j.RequiredLabel, MaxPerServer: j.MaxPerServer, ConfigVersion: j.ConfigVersion, Tasks: []session.Placement{p},
 	})
 }
 
--- a/dispatch/unsuitable_test.go
+++ b/dispatch/unsuitable_test.go
@@ -68,3 +68,17 @@
 	h.submit("again", 1, 10_000, 60*time.Millisecond)
 	h.Expect(effects[dispatch.Order](h)).To(HaveLen(1))
 }
+
+// Guards against an agent that can't check what its server must have when a queued task
+// starts, because its order does not say so.
+func TestOrderCarriesRequirementsOfTasks(t *testing.T) {
+	h := newHarness(t)
+	state := h.state(idle)
+	state.Identity.MemMB, state.Identity.Labels = 1000, []string{"a"}
+	h.step(dispatch.SessionOpened{ID: 1, Agent: "agent-1", Zone: "zone-a", State: state})
+	job := dispatch.Job{Name: "j", Queue: queue(), Tasks: 2, CPU: 1000, MemMB: 1, Estimate: 60 * time.Millisecond, RequiredLabel: "a", MaxPerServer: 2, ConfigVersion: 7}
+	h.step(dispatch.SubmitCalled{Call: 1, Job: job})
+	h.Expect(effects[dispatch.Order](h)).To(HaveLen(1))
+	h.Expect(effects[dispatch.Order](h)[0].Start).To(ConsistOf(And(
+		HaveField("RequiredLabel", "a"), HaveField("MaxPerServer", 2), HaveField("ConfigVersion", int64(7)), HaveField("Tasks", HaveLen(2)))))
+}
--- a/session/compat_test.go
+++ b/session/compat_test.go
@@ -126,3 +126,16 @@
 	transcode(g, session.State{Seq: 3, Ready: true, Crashes: []session.Crash{{Run: 7, Tasks: []session.LostTask{{Job: "j"}}}}}, &oldS)
 	g.Expect(oldS).To(Equal(oldState{Seq: 3, Ready: true}))
 }
+
+// Guards against a task of an old entry that is refused for requirements that it does not
+// state, and against an old agent that does not take the tasks of a new entry.
+func TestRequirementsOfTasksBetweenOldAndNewBuilds(t *testing.T) {
+	g := NewWithT(t)
+	var part session.JobPart
+	transcode(g, oldJobPart{Job: "j", Service: "s", Tasks: []session.Placement{{ID: 1}}}, &part)
+	g.Expect(part).To(Equal(session.JobPart{Job: "j", Service: "s", Tasks: []session.Placement{{ID: 1}}}), "nothing more is checked")
+
+	var old oldJobPart
+	transcode(g, session.JobPart{Job: "j", Service: "s", RequiredLabel: "a", MaxPerServer: 2, ConfigVersion: 7, Tasks: []session.Placement{{ID: 1}}}, &old)
+	g.Expect(old).To(Equal(oldJobPart{Job: "j", Service: "s", Tasks: []session.Placement{{ID: 1}}}))
+}
--- a/session/messages.go
+++ b/session/messages.go
@@ -106,7 +106,15 @@
 	// StartWithin bounds the time that each task waits at the agent. A task that
 	// has not been started by then is reported as NotStarted.
 	StartWithin time.Duration
-	Tasks       []Placement
+	// RequiredLabel is a label that the server must have when a task starts. MaxPerServer
+	// bounds the tasks of the job on one server. Either is not checked if it is zero, as
+	// entries of earlier builds leave it; agents of earlier builds ignore both.
+	RequiredLabel string
+	MaxPerServer  int
+	// ConfigVersion is the version of the configuration under which the job was
+	// submitted; zero if the entry is of an earlier build.
+	ConfigVersion int64
+	Tasks         []Placement
 }
 
 // Placement is one attempt to run one task.
