Agent: a queued task starts only on a server that suits it

They waited in the agent's queue while the server was replaced by one of another kind.

Cause: the queue outlived the server. Only its capacity was checked again, and only within one incarnation; service and label were not checked at the start, and a start without a reply was sent again to whatever server was there. The bound of a job's tasks on one server was known to the entry alone, which does not see those of other entries.

Change: a run keeps what it needs, and Runner.unsuitable compares it with the server of the present incarnation: on admission, when the server reports other properties (then the task is returned at once), at the start and before a start is sent again. A new incarnation may keep the ID, so that the server can't tell a start that was meant for the earlier one: tasks that need a label wait unless a lease renewal sent within 120 ms has been answered. Changed labels or service within an incarnation reach the entries and the stored record, as a changed capacity did.

--- a/taskrunner/order.go
+++ b/taskrunner/order.go
@@ -57,9 +57,10 @@
 		r := &run{
 			key: RunKey{TaskKey: TaskKey{Job: part.Job, Index: p.Index}, Number: max(p.Attempt, 1)},
 			id:  p.ID, session: s, queue: part.Queue, spec: part.Spec, cpu: part.CPU, mem: part.MemMB, gpu: part.GPU,
-			estimate: part.Estimate, startBy: m.now.Add(part.StartWithin), rank: shares.Rank(part.Priority),
+			needs:    requirements{service: part.Service, label: part.RequiredLabel, maxPerServer: part.MaxPerServer},
+			estimate: part.Estimate, configVersion: part.ConfigVersion, startBy: m.now.Add(part.StartWithin), rank: shares.Rank(part.Priority),
 		}
-		if reason := m.refusalReason(s, r, part.Service); reason != "" {
+		if reason := m.refusalReason(s, r); reason != "" {
 			m.finish(r, session.NotStarted, reason)
 			continue
 		}
@@ -71,7 +72,7 @@
 
 // refusalReason returns why a task must not be queued, or an empty string if it may
 // be.
-func (m *Runner) refusalReason(s *entrySession, r *run, service string) string {
+func (m *Runner) refusalReason(s *entrySession, r *run) string {
 	switch {
 	case s.canceled[r.id]:
 		delete(s.canceled, r.id)
@@ -80,8 +81,6 @@
 		return "agent is leaving"
 	case m.server.ID == "":
 		return "no backend server has registered"
-	case service != m.server.Service:
-		return "the backend server belongs to another service"
 	case m.server.Draining:
 		return "the backend server is draining"
 	case m.zoneEvacuated():
@@ -92,8 +91,13 @@
 		return "the echoed clock reading is too old"
 	case m.runs[r.key.TaskKey] != nil:
 		return "an earlier run of the task has not ended"
-	case !m.server.holds(r):
-		return "the task exceeds the capacity of the backend server"
+	case r.needs.maxPerServer > 0 && m.tasksOf(r, isAny) >= r.needs.maxPerServer:
+		return overMaxPerServer(r)
+	}
+	if reason := m.unsuitable(r); reason != "" {
+		return reason
+	}
+	switch {
 	case !m.startsInTime(r):
 		return "no free capacity before the latest start time"
 	}
--- a/taskrunner/poll.go
+++ b/taskrunner/poll.go
@@ -73,8 +73,8 @@
 		Broken:   m.health.brokenPerMille(),
 		Laggards: m.stragglers(s),
 	}
-	if id := (serverIdentity{m.server.Incarnation, m.server.ID, m.server.capacity()}); !s.identitySent || s.sentIdentity != id {
-		s.identitySent, s.sentIdentity = true, id
+	if !s.identitySent || s.sentProperties != m.properties {
+		s.identitySent, s.sentProperties = true, m.properties
 		st.Identity = &session.Identity{Service: m.server.Service, Server: m.server.ID, Labels: m.server.Labels, Rack: m.server.Rack, Capacity: m.server.CPU, MemMB: m.server.MemMB, GPU: m.server.GPU}
 	}
 	st.OthersCPU = m.othersCPU(s)
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -34,11 +34,15 @@
 	spec     string
 	cpu, mem int
 	gpu      int
+	needs    requirements
 	estimate time.Duration
 	startBy  time.Time // latest start time
 	rank     shares.Rank
 	phase    phase
-	attempts attempts.Log // starts sent under the run number
+	// configVersion is the version of the configuration under which the job was submitted;
+	// zero if unknown.
+	configVersion int64
+	attempts      attempts.Log // starts sent under the run number
 	// numberTries counts the run numbers that the server refused as used, startTries the
 	// starts that were sent again because an earlier one had no reply.
 	numberTries, startTries int
@@ -133,7 +137,7 @@
 // SameRecord reports whether the record of another state of the server need not be
 // written again.
 func (s *ServerInfo) SameRecord(o *ServerInfo) bool {
-	return s.Incarnation == o.Incarnation && s.Draining == o.Draining && s.capacity() == o.capacity()
+	return s.Draining == o.Draining && s.sameProperties(o)
 }
 
 // holds reports whether the run fits the server while nothing else runs there.
@@ -175,19 +179,28 @@
 	waitingRank := shares.Rank(math.MaxInt)
 	order, deferred := m.startOrder()
 	for i, r := range order {
-		if !r.session.fresh(m) {
+		if !r.session.fresh(m) || m.mayBeReplaced(r) {
 			continue
 		}
 		givesWay := i >= len(order)-deferred && r.rank > waitingRank
 		if m.fits(r) && !givesWay {
-			m.queue = slices.DeleteFunc(m.queue, func(q *run) bool { return q == r })
-			m.start(r)
+			m.startOrReturn(r)
 		} else {
 			waitingRank = min(waitingRank, r.rank)
 		}
 	}
 }
 
+// startOrReturn starts a queued task, or refuses it if the server must not start it.
+func (m *Runner) startOrReturn(r *run) {
+	if reason := m.unsuitable(r); reason != "" {
+		m.finish(r, session.NotStarted, reason)
+		return
+	}
+	m.queue = slices.DeleteFunc(m.queue, func(q *run) bool { return q == r })
+	m.start(r)
+}
+
 // start sends a StartTask. The lease of the task ends with the agent's lease, or
 // earlier if the entry's echoed clock reading expires before that.
 func (m *Runner) start(r *run) {
@@ -247,7 +260,7 @@
 			m.renewNow() // accepted by another incarnation of the server
 		}
 		m.emit(LogEvent{Event: "task_started", Task: r.key.String(), Entry: r.session.entry,
-			Detail: fmt.Sprintf("cpu=%d estimate_ms=%d clock_ms=%d", r.cpu, r.estimate.Milliseconds(), m.clock.Milliseconds())})
+			Detail: fmt.Sprintf("cpu=%d estimate_ms=%d clock_ms=%d config=%d", r.cpu, r.estimate.Milliseconds(), m.clock.Milliseconds(), r.configVersion)})
 		return
 	case StartUnknown:
 		m.startUnanswered(r, e.Reason)
@@ -288,6 +301,11 @@
 		m.stop(r, session.NotStarted, reasonEvacuated)
 		return
 	}
+	if reason := m.notAgain(r); reason != "" {
+		m.health.recordFailure()
+		m.stop(r, session.NotStarted, "no reply to the start, and "+reason)
+		return
+	}
 	if r.startTries < maxStartTries && r.session.fresh(m) && !m.leaseExpired() {
 		m.start(r)
 		return
@@ -318,6 +336,10 @@
 		m.finish(r, session.NotStarted, "no unused run number found")
 		return
 	}
+	if reason := m.notAgain(r); reason != "" {
+		m.finish(r, session.NotStarted, reason)
+		return
+	}
 	r.key.Number += r.numberTries
 	m.start(r)
 }
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -19,38 +19,42 @@
 	previous := m.server
 	m.server = info
 	m.updateWarmUp(info.Cold, info.Incarnation != previous.Incarnation)
-	if info.Incarnation != previous.Incarnation {
+	switch {
+	case info.Incarnation != previous.Incarnation:
 		m.serverRegistered("server_registered")
 		m.renewNow()
+	case !info.sameProperties(&previous):
+		m.propertiesChanged(previous)
 	}
 	if !info.SameRecord(&previous) {
 		m.emit(ServerChanged{Info: info})
 	}
-	if info.Incarnation == previous.Incarnation && info.capacity() != previous.capacity() {
-		m.capacityChanged(previous)
-	}
 	if info.Draining && !previous.Draining {
 		m.log("server_draining", "server="+info.ID)
 		m.dropAllQueued("the backend server is draining")
 		m.wakePolls()
 	}
+	m.returnUnsuitable()
 }
 
-// capacityChanged reports the new capacity of the server to the entries, and refuses the
-// queued tasks that exceed it.
-func (m *Runner) capacityChanged(previous ServerInfo) {
-	m.log("server_capacity_changed", fmt.Sprintf("server=%s cpu=%d mem_mb=%d gpu=%d cpu_before=%d mem_mb_before=%d cpu_used=%d",
-		m.server.ID, m.server.CPU, m.server.MemMB, m.server.GPU, previous.CPU, previous.MemMB, m.used.cpu))
-	for _, r := range slices.Clone(m.queue) {
-		if !m.server.holds(r) {
-			m.finish(r, session.NotStarted, "the task exceeds the capacity of the backend server")
-		}
+// propertiesChanged reports the new properties of the same incarnation of the server to
+// the entries.
+func (m *Runner) propertiesChanged(previous ServerInfo) {
+	if m.server.capacity() != previous.capacity() {
+		m.log("server_capacity_changed", fmt.Sprintf("server=%s cpu=%d mem_mb=%d gpu=%d cpu_before=%d mem_mb_before=%d cpu_used=%d",
+			m.server.ID, m.server.CPU, m.server.MemMB, m.server.GPU, previous.CPU, previous.MemMB, m.used.cpu))
+	} else {
+		m.log("server_labels_changed", fmt.Sprintf("server=%s service=%s labels=%q service_before=%s labels_before=%q",
+			m.server.ID, m.server.Service, m.server.Labels, previous.Service, previous.Labels))
 	}
+	m.properties++
+	m.labels = m.server.Labels
 	m.wakePolls()
 }
 
 // serverRegistered applies the information about a newly registered server.
 func (m *Runner) serverRegistered(event string) {
+	m.properties++
 	m.labels = m.server.Labels
 	if m.health.samples == 0 {
 		m.health.priorBaseline = m.storedBaselineFor(m.labels)
@@ -113,18 +117,19 @@
 	m.nextRenewal = m.now
 }
 
-// removeRenewal removes a lease renewal and reports whether it was pending.
-func (m *Runner) removeRenewal(id uint64) bool {
+// removeRenewal removes a lease renewal and returns when it was sent, if it was pending.
+func (m *Runner) removeRenewal(id uint64) (sentAt time.Time, pending bool) {
 	i := slices.IndexFunc(m.renewals, func(p pendingRenewal) bool { return p.id == id })
 	if i < 0 {
-		return false
+		return time.Time{}, false
 	}
+	sentAt = m.renewals[i].sentAt
 	m.renewals = slices.Delete(m.renewals, i, i+1)
-	return true
+	return sentAt, true
 }
 
 func (m *Runner) renewReplied(e RenewReplied) {
-	pending := m.removeRenewal(e.ID)
+	sentAt, pending := m.removeRenewal(e.ID)
 	if !e.OK {
 		m.renewalFailed(e)
 		return
@@ -146,6 +151,9 @@
 		m.adoptStoredServer()
 	}
 	m.fenced = false
+	if sentAt.After(m.confirmedAt) {
+		m.confirmedAt = sentAt
+	}
 	if e.Unreadable > 0 {
 		m.log("rows_unreadable", fmt.Sprintf("rows=%d", e.Unreadable))
 	}
--- a/taskrunner/session.go
+++ b/taskrunner/session.go
@@ -22,10 +22,12 @@
 	reports       []session.Report     // not acknowledged by the entry yet
 	lastReportSeq uint64
 	poll          *pendingPoll
-	identitySent  bool // sentIdentity has been sent to the entry
-	sentIdentity  serverIdentity
-	crashSent     uint64 // number of the last crash that was sent to the entry
-	runTimesSent  uint64 // version of the last run times that were sent to the entry
+	// identitySent means that the entry knows the server's properties of version
+	// sentProperties.
+	identitySent   bool
+	sentProperties uint64
+	crashSent      uint64 // number of the last crash that was sent to the entry
+	runTimesSent   uint64 // version of the last run times that were sent to the entry
 	// canceled holds the placements that were stopped while they had no run here,
 	// mostly because the stop arrived before the start.
 	canceled map[uint64]bool
@@ -34,13 +36,6 @@
 	admittedCPU uint64
 }
 
-// serverIdentity identifies an incarnation of a server and its capacity.
-type serverIdentity struct {
-	incarnation int64
-	id          string
-	capacity    usage
-}
-
 func (s *entrySession) addReport(r session.Report) {
 	s.lastReportSeq++
 	r.Seq = s.lastReportSeq
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -14,6 +14,7 @@
 	effects []Effect
 
 	server         ServerInfo // ID is empty until a server has registered
+	properties     uint64     // version of the server's properties that entries are told
 	storedServer   ServerInfo // as stored by an earlier agent; ID is empty if there is none
 	config         session.Config
 	newestConfig   int64 // highest version that an entry has named
@@ -34,6 +35,7 @@
 	clock            time.Duration    // newest reading of the server's clock
 	clockIncarnation int64            // server incarnation that clock belongs to; zero before the first reading
 	clockReadAt      time.Time        // when the last clock reading was received
+	confirmedAt      time.Time        // when the newest lease renewal that has a reply was sent
 	renewals         []pendingRenewal // no reply received yet, oldest first
 	lastRenewalID    uint64
 	nextRenewal      time.Time // no lease renewal is sent before this time
