Simulation: servers that come back with another label

The checker knows each submitted job: a start needs the label, and a server has no more of the job's tasks than it may have. Servers reject starts for another ID, as real ones do.

--- a/test/sessions/agent_test.go
+++ b/test/sessions/agent_test.go
@@ -37,7 +37,7 @@
 
 func (sim *simulation) newAgent(i, cpu int) *agentProc {
 	a := &agentProc{process: process{sim: sim}, name: fmt.Sprintf("agent-%d", i)}
-	a.machine = &machine{sim: sim, name: a.name, cpu: cpu, rack: fmt.Sprint("rack-", i%2), cpuByTask: make(map[string]int), drift: 0.02 * sim.rng.Float64(), keepsID: i%2 == 1}
+	a.machine = &machine{sim: sim, name: a.name, cpu: cpu, rack: fmt.Sprint("rack-", i%2), cpuByTask: make(map[string]int), label: "a", drift: 0.02 * sim.rng.Float64(), keepsID: i%2 == 1}
 	a.machine.restart()
 	sim.agents = append(sim.agents, a)
 	a.sendHeartbeats()
@@ -90,7 +90,7 @@
 		return
 	}
 	m.heartbeatSeq++
-	info := taskrunner.ServerInfo{ID: m.id(), Incarnation: m.server.Incarnation, Seq: m.heartbeatSeq, Service: serviceName, CPU: m.cpu, MemMB: 1 << 20, Labels: []string{"a", m.rack}, Rack: m.rack}
+	info := taskrunner.ServerInfo{ID: m.id(), Incarnation: m.server.Incarnation, Seq: m.heartbeatSeq, Service: serviceName, CPU: m.cpu, MemMB: 1 << 20, Labels: []string{m.label, m.rack}, Rack: m.rack}
 	a.sim.after(time.Millisecond, func() { a.deliver(func() { a.step(taskrunner.ServerReported{Info: info}) }) })
 	a.sim.after(heartbeatInterval, a.sendHeartbeats)
 }
@@ -125,6 +125,9 @@
 			if m.declines() {
 				return taskrunner.StartReplied{Key: ef.Key, Result: taskrunner.StartDeclined}
 			}
+			if ef.ServerID != "" && ef.ServerID != m.id() {
+				return taskrunner.StartReplied{Key: ef.Key, Result: taskrunner.StartOtherServer, Clock: s.Clock(), ServerIncarnation: s.Incarnation}
+			}
 			reason := s.Start(leaseserver.TaskRun{Name: name, Number: ef.Key.Number}, behavior(ef.Spec), ef.Until, ef.Token)
 			return taskrunner.StartReplied{Key: ef.Key, Result: startResult(reason), Clock: s.Clock(), ServerIncarnation: s.Incarnation}
 		}, taskrunner.StartReplied{Key: ef.Key})
@@ -175,6 +178,9 @@
 	generation, incarnations := a.generation, a.machine.incarnations
 	answered := false
 	sim.after(sim.draw(100*time.Microsecond, 2*time.Millisecond), func() {
+		if a.machine.silent {
+			return
+		}
 		if a.machine.down {
 			if a.generation == generation && !answered {
 				answered = true
@@ -234,6 +240,9 @@
 			return // the server has restarted, which breaks the connection
 		}
 		s := a.machine.advance()
+		if a.machine.silent {
+			return
+		}
 		if a.machine.down {
 			a.deliver(func() { fail("connection reset", false) })
 			return
@@ -263,6 +272,9 @@
 		})
 	}
 	sim.after(sim.draw(100*time.Microsecond, 2*time.Millisecond), func() {
+		if a.machine.silent {
+			return
+		}
 		if a.machine.down {
 			a.deliver(func() { fail("connection refused", true) })
 			return
--- a/test/sessions/entry_test.go
+++ b/test/sessions/entry_test.go
@@ -294,6 +294,7 @@
 }
 
 func (sim *simulation) submit(job dispatch.Job) {
+	sim.jobs[job.Name] = job
 	(&caller{sim: sim, job: job, resubmissionsLeft: 2}).send()
 }
 
--- a/test/sessions/interleavings_test.go
+++ b/test/sessions/interleavings_test.go
@@ -49,6 +49,7 @@
 		rng:     rng,
 		running: make(map[string][]string),
 		started: make(map[string]bool),
+		jobs:    make(map[string]dispatch.Job),
 		crashes: make(map[string]int), startsAfter: make(map[string]int),
 		counts: make(map[string]int),
 	}
--- a/test/sessions/simulation_test.go
+++ b/test/sessions/simulation_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/chestnuthollow/chestnuthollow/dispatch"
 	"github.com/chestnuthollow/chestnuthollow/standin/leaseserver"
 )
 
@@ -35,11 +36,12 @@
 	// delayedCallShare is the share of calls to servers that are carried out late.
 	// The same share of replies and of lease renewals is lost.
 	delayedCallShare float64
-	running          map[string][]string // servers that currently run a task, by task name
-	started          map[string]bool     // tasks that have ever started, by task name
-	crashes          map[string]int      // servers that crashed while they ran the task, by task name
-	startsAfter      map[string]int      // starts after maxCrashes, by task name
-	counts           map[string]int      // what the cases covered
+	running          map[string][]string     // servers that currently run a task, by task name
+	started          map[string]bool         // tasks that have ever started, by task name
+	crashes          map[string]int          // servers that crashed while they ran the task, by task name
+	startsAfter      map[string]int          // starts after maxCrashes, by task name
+	jobs             map[string]dispatch.Job // submitted ones, by name
+	counts           map[string]int          // what the cases covered
 }
 
 type event struct {
@@ -175,6 +177,9 @@
 	// decliningUntil is until when the server answers some calls without carrying them out.
 	decliningUntil time.Duration
 	keepsID        bool // its incarnations have the same ID
+	label          string
+	// silent means that the server answers no call while it is down, and refuses none.
+	silent bool
 }
 
 // declinedCallShare is the share of calls that a declining server does not carry out.
@@ -255,9 +260,9 @@
 	startsAfterCrashes = 3
 )
 
-// taskStarted checks the three invariants that a start can violate: a task does not run
-// twice at the same time, a server does not exceed its capacity, and a task that
-// crashes servers is given up.
+// taskStarted checks the invariants that a start can violate: a task does not run twice at
+// the same time, a server does not exceed its capacity, has what the task needs and no
+// more tasks of a job than it may have, and a task that crashes servers is given up.
 func (sim *simulation) taskStarted(m *machine, task string) {
 	sim.counts["started"]++
 	sim.traceEvent(m.name, "SERVER STARTS", task, "")
@@ -271,6 +276,7 @@
 			sim.fail("task %s was started %d times after %d servers had crashed under it", task, sim.startsAfter[task], maxCrashes)
 		}
 	}
+	sim.checkRequirements(m, task)
 	used := 0
 	for _, r := range m.server.Running() {
 		used += m.cpuByTask[r.Name]
@@ -280,6 +286,60 @@
 	}
 }
 
+// checkRequirements checks that the server has the label that the task needs, and no more
+// tasks of its job than it may have.
+func (sim *simulation) checkRequirements(m *machine, task string) {
+	name, _, _ := strings.Cut(task, ".")
+	job := sim.jobs[name]
+	if job.RequiredLabel != "" {
+		sim.counts["label needed"]++
+		if job.RequiredLabel != m.label {
+			sim.fail("task %s needs the label %s and starts at %s with the label %s", task, job.RequiredLabel, m.name, m.label)
+		}
+	}
+	if job.MaxPerServer == 0 {
+		return
+	}
+	sim.counts["bounded"]++
+	here := 0
+	for _, r := range m.server.Running() {
+		if other, _, _ := strings.Cut(r.Name, "."); other == name {
+			here++
+		}
+	}
+	if here > job.MaxPerServer {
+		sim.fail("%d tasks of job %s run at %s, which may have %d", here, name, m.name, job.MaxPerServer)
+	}
+}
+
+// leastDownTime is the least time that a server is down before another one takes its place.
+const leastDownTime = 150 * time.Millisecond
+
+// replace stops the server, and starts one with the other label after a time. Its size may
+// differ too, unless the ID is the same and nothing tells the agent that the server is down.
+func (m *machine) replace(downFor time.Duration, silent bool, cpu int) {
+	if m.down {
+		return
+	}
+	for _, r := range m.advance().Running() {
+		m.sim.taskEnded(m.name, r.Name)
+	}
+	if m.down {
+		return // a task has crashed it
+	}
+	m.sim.counts["replaced"]++
+	m.server = leaseserver.New(m.server.Incarnation, 0) // runs nothing and is not called
+	m.down, m.silent = true, silent
+	m.sim.after(downFor, func() {
+		m.silent = false
+		m.label = map[string]string{"a": "b", "b": "a"}[m.label]
+		if !silent || !m.keepsID {
+			m.cpu, m.cpuBefore = cpu, 0
+		}
+		m.restart()
+	})
+}
+
 // shrinkGrace is how long after a server has shrunk its earlier capacity counts, as
 // agreed with the users: a stable window and one heartbeat.
 const shrinkGrace = 3*time.Second + heartbeatInterval
