--- a/taskrunner/report.go
+++ b/taskrunner/report.go
@@ -108,21 +108,22 @@
 	}
 	m.server = info
 	m.updateWarmUp(info.Cold, newIncarnation)
-	if newIncarnation {
+	switch {
+	case newIncarnation:
 		m.serverRegistered("server_registered")
 		m.renewNow()
+	case !info.sameProperties(&previous):
+		m.propertiesChanged(previous)
 	}
 	if !info.SameRecord(&previous) {
 		m.emit(ServerChanged{Info: info})
 	}
-	if !newIncarnation && info.capacity() != previous.capacity() {
-		m.capacityChanged(previous)
-	}
 	if info.Draining && !previous.Draining {
 		m.log("server_draining", "server="+info.ID)
 		m.dropAllQueued("the backend server is draining")
 		m.wakePolls()
 	}
+	m.returnUnsuitable()
 }
 
 // misaddressed notes that the server has rejected a lease renewal addressed to the
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -10,21 +10,24 @@
 	"github.com/chestnuthollow/chestnuthollow/session"
 )
 
-// capacityChanged reports the new capacity of the server to the entries, and refuses the
-// queued tasks that exceed it.
-func (m *Runner) capacityChanged(previous ServerInfo) {
-	m.log("server_capacity_changed", fmt.Sprintf("server=%s cpu=%d mem_mb=%d gpu=%d cpu_before=%d mem_mb_before=%d cpu_used=%d",
-		m.server.ID, m.server.CPU, m.server.MemMB, m.server.GPU, previous.CPU, previous.MemMB, m.used.cpu))
-	for _, r := range slices.Clone(m.queue) {
-		if !m.server.holds(r) {
-			m.finish(r, session.NotStarted, "the task exceeds the capacity of the backend server")
-		}
+// propertiesChanged reports the new properties of the same incarnation of the server to
+// the entries.
+func (m *Runner) propertiesChanged(previous ServerInfo) {
+	if m.server.capacity() != previous.capacity() {
+		m.log("server_capacity_changed", fmt.Sprintf("server=%s cpu=%d mem_mb=%d gpu=%d cpu_before=%d mem_mb_before=%d cpu_used=%d",
+			m.server.ID, m.server.CPU, m.server.MemMB, m.server.GPU, previous.CPU, previous.MemMB, m.used.cpu))
+	} else {
+		m.log("server_labels_changed", fmt.Sprintf("server=%s service=%s labels=%q service_before=%s labels_before=%q",
+			m.server.ID, m.server.Service, m.server.Labels, previous.Service, previous.Labels))
 	}
+	m.properties++
+	m.labels = m.server.Labels
 	m.wakePolls()
 }
 
 // serverRegistered applies the information about a newly registered server.
 func (m *Runner) serverRegistered(event string) {
+	m.properties++
 	m.labels = m.server.Labels
 	if m.health.samples == 0 {
 		m.health.priorBaseline = m.storedBaselineFor(m.labels)
@@ -141,6 +144,9 @@
 		m.adoptStoredServer()
 	}
 	m.fenced = false
+	if renewal.sentAt.After(m.confirmedAt) {
+		m.confirmedAt = renewal.sentAt
+	}
 	if rows := e.UnreadableRunning + e.UnreadableEnds; rows > 0 {
 		m.log("rows_unreadable", fmt.Sprintf("rows=%d reason=%q", rows, e.Reason))
 	}
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -17,6 +17,7 @@
 	server         ServerInfo         // ID is empty until a server has registered
 	unverified     []unverifiedReport // oldest first
 	storedServer   ServerInfo         // as stored by an earlier agent; ID is empty if there is none
+	properties     uint64             // version of the server's properties that entries are told
 	config         session.Config
 	newestConfig   int64 // highest version that an entry has named
 	evacuations    evacuation.State
@@ -40,6 +41,7 @@
 	clockReadAt      time.Time        // when the newest clock reading was received
 	earlierLeasesEnd time.Time        // until when leases by the clock of earlier incarnations may last at the known one
 	leaseAskedAt     time.Time        // when a call that asks for a lease was last sent or carried out
+	confirmedAt      time.Time        // when the newest lease renewal that has a reply was sent
 	renewals         []pendingRenewal // no reply received yet, oldest first
 	lastRenewalID    uint64
 	// misaddressedAfter is the last renewal sent before the server rejected one as addressed
