--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -44,10 +45,12 @@
 	now := time.Now()
 	g.evacuationMu.Lock()
 	defer g.evacuationMu.Unlock()
-	if b.Snapshot {
+	if b.Snapshot && len(b.Skipped) == 0 {
 		g.applyEvacuations(g.evacuations.ApplySnapshot(now, evacuation.Snapshot{Records: records, Next: b.Next}), "store snapshot")
 		return
 	}
+	// A key that is missing in an incomplete snapshot may not have been deleted.
+	slices.SortFunc(records, func(a, b evacuation.Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	for _, r := range records {
 		g.applyEvacuations(g.evacuations.ApplyRecord(now, r), fmt.Sprintf("store offset %d", r.Offset))
 	}
--- a/gateway/odd_test.go
+++ b/gateway/odd_test.go
@@ -77,6 +77,23 @@
 	g.Expect(gw.evacuation().Zones).To(ConsistOf("zone-a"))
 }
 
+// Guards against an evacuation that ends because its record is among those of a snapshot
+// that could not be read.
+func TestIncompleteSnapshotWithdrawsNoEvacuation(t *testing.T) {
+	g := NewWithT(t)
+	var out strings.Builder
+	gw := newIdleGateway(&out)
+	gw.platform.EvacuationKeyPrefix = "evacuate/"
+	record := func(zone string, offset int64) keyedlog.Record {
+		return keyedlog.Record{Key: "evacuate/" + zone, Value: []byte("1"), Offset: offset}
+	}
+	gw.readEvacuations(keyedlog.Batch{Snapshot: true, Records: []keyedlog.Record{record("zone-a", 3)}, Next: 4})
+	gw.readEvacuations(keyedlog.Batch{Snapshot: true, Records: []keyedlog.Record{record("zone-b", 6), record("zone-c", 5)}, Next: 9, Skipped: []error{fmt.Errorf("items[0]")}})
+	g.Expect(gw.evacuation().Zones).To(Equal([]string{"zone-a", "zone-b", "zone-c"}))
+	gw.readEvacuations(keyedlog.Batch{Snapshot: true, Records: []keyedlog.Record{record("zone-b", 6)}, Next: 10})
+	g.Expect(gw.evacuation().Zones).To(Equal([]string{"zone-b"}))
+}
+
 // Guards against an exchange that adds a process to which nobody can connect.
 func TestExchangeWithUnusableProcessIsRejected(t *testing.T) {
 	g := NewWithT(t)
--- a/keyedlog/keyedlog.go
+++ b/keyedlog/keyedlog.go
@@ -24,7 +24,7 @@
 	Next    int64 // offset at which to continue with Read
 	More    bool  // there were further records at the time of the reply
 	// Snapshot is set by Follow if the records are the newest of each key, so that a key
-	// without a record here has been deleted or never had one.
+	// without a record here has been deleted or never had one, unless records are Skipped.
 	Snapshot bool
 	// Skipped says which records could not be decoded and are left out.
 	Skipped []error
