Agent: a renewal that only asks who answers carries no lease

Until the server has rejected a renewal as addressed to another, the lease is that of the registered one; an unknown incarnation would take the end of a lease by another clock.

--- a/taskrunner/report_test.go
+++ b/taskrunner/report_test.go
@@ -142,6 +142,7 @@
 	open := effects[taskrunner.RenewLease](h)
 	h.Expect(open).To(HaveLen(1))
 	h.Expect(open[0].ServerID).To(BeEmpty())
+	h.Expect(open[0].Until).To(BeZero(), "an unknown server gets no lease")
 	h.answerRenewal(open[0].ID, nil)
 	h.Expect(h.runner.Server().ID).To(BeEmpty())
 	h.step(taskrunner.ServerReported{Info: h.report(2, false)})
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -67,7 +67,7 @@
 	m.renewals = slices.DeleteFunc(m.renewals, func(p pendingRenewal) bool { return m.now.Sub(p.sentAt) > renewalExpiry })
 	m.lastRenewalID++
 	l := RenewLease{ID: m.lastRenewalID, Token: m.token, AckIndex: m.seenEnd, Wait: m.opts.RenewalWait}
-	if m.noForeignRuns && m.clockIncarnation != 0 && !m.fenced && !m.leaseExpired() {
+	if m.noForeignRuns && m.clockIncarnation != 0 && !m.fenced && !m.leaseExpired() && m.misaddressedAfter == 0 {
 		l.Until = m.leaseEnd()
 	} else {
 		l.Wait = 0
