--- a/standin/leaseserver/handler.go
+++ b/standin/leaseserver/handler.go
@@ -52,11 +52,11 @@
 	// declinedShare is the share of calls that are declined, lostReplyShare that of starts and
 	// stops that are carried out without a reply.
 	declinedShare, lostReplyShare float64
-	draining     bool
-	seq          int64 // of the last heartbeat
-	addr         string
-	http         *http.Server // nil while the server is down
-	closed       bool
+	draining                      bool
+	seq                           int64 // of the last heartbeat
+	addr                          string
+	http                          *http.Server // nil while the server is down
+	closed                        bool
 }
 
 // NewHTTPServer returns a server whose first incarnation starts now. It sends
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -67,20 +67,34 @@
 	m.renewals = slices.DeleteFunc(m.renewals, func(p pendingRenewal) bool { return m.now.Sub(p.sentAt) > renewalExpiry })
 	m.lastRenewalID++
 	l := RenewLease{ID: m.lastRenewalID, Token: m.token, AckIndex: m.seenEnd, Wait: m.opts.RenewalWait}
-	if m.noForeignRuns && m.clockIncarnation != 0 && !m.fenced && !m.leaseExpired() && m.misaddressedAfter == 0 {
+	if m.noForeignRuns && m.clockIncarnation != 0 && !m.fenced && !m.clockOutdated() && m.misaddressedAfter == 0 {
 		l.Until = m.leaseEnd()
 	} else {
 		l.Wait = 0
 	}
 	if m.awaitsVerification() {
 		l.Wait = 0
-	} else if m.server.Incarnation == m.clockIncarnation && m.misaddressedAfter == 0 {
-		l.ServerID = m.server.ID
+	} else if m.misaddressedAfter == 0 {
+		l.ServerID = m.addressee()
 	}
-	m.renewals = append(m.renewals, pendingRenewal{id: l.ID, serverID: l.ServerID, sentAt: m.now, retransmitAt: m.now.Add(l.Wait + renewalRetransmitAfter)})
+	if l.Until > 0 {
+		m.leaseAsked()
+	}
+	m.renewals = append(m.renewals, pendingRenewal{
+		id: l.ID, serverID: l.ServerID, sentAt: m.now, asksLease: l.Until > 0, retransmitAt: m.now.Add(l.Wait + renewalRetransmitAfter),
+	})
 	m.emit(l)
 }
 
+// addressee returns the ID of the server that calls are addressed to; empty if the known
+// incarnation has not registered.
+func (m *Runner) addressee() string {
+	if m.server.Incarnation != m.clockIncarnation {
+		return ""
+	}
+	return m.server.ID
+}
+
 // renewNow makes the next lease renewal due without waiting for one in flight.
 func (m *Runner) renewNow() {
 	if n := len(m.renewals); n > 0 {
@@ -89,22 +103,25 @@
 	m.nextRenewal = m.now
 }
 
-// removeRenewal removes a lease renewal and returns it if it was pending.
-func (m *Runner) removeRenewal(id uint64) (renewal pendingRenewal, pending bool) {
+// removeRenewal removes and returns a pending lease renewal.
+func (m *Runner) removeRenewal(id uint64) (pendingRenewal, bool) {
 	i := slices.IndexFunc(m.renewals, func(p pendingRenewal) bool { return p.id == id })
 	if i < 0 {
 		return pendingRenewal{}, false
 	}
-	renewal = m.renewals[i]
+	p := m.renewals[i]
 	m.renewals = slices.Delete(m.renewals, i, i+1)
-	return renewal, true
+	return p, true
 }
 
 func (m *Runner) renewReplied(e RenewReplied) {
-	renewal, pending := m.removeRenewal(e.ID)
+	p, pending := m.removeRenewal(e.ID)
+	if p.asksLease && !e.Refused {
+		m.leaseAsked() // until now the call may have been carried out
+	}
 	if !e.OK {
 		if e.OtherServer {
-			m.misaddressed(renewal.serverID)
+			m.misaddressed(p.serverID)
 		}
 		m.renewalFailed(e)
 		return
@@ -133,12 +150,12 @@
 	m.readClock(e.ServerIncarnation, e.Clock)
 	m.settleAddress(e)
 	m.settleReports(e)
-	m.applyEnds(e.Ended, e.Clock)
+	m.applyEnds(e.ID, e.Ended, e.Clock)
 	if outdated {
 		return
 	}
-	m.reconcileRunning(e.Running)
-	if pending {
+	m.reconcileRunning(e.ID, e.Running)
+	if pending && !e.MoreEnds {
 		m.finishMissing(e)
 	}
 	m.learnFromProgress()
@@ -185,6 +202,9 @@
 func (m *Runner) serverReplaced(e RenewReplied) {
 	m.storeBaseline(m.Baseline())
 	m.log("server_run_changed", fmt.Sprintf("from=%d to=%d", m.clockIncarnation, e.ServerIncarnation))
+	if m.clockIncarnation != 0 {
+		m.earlierLeasesEnd = m.now.Add(renewalExpiry + m.longestLease())
+	}
 	m.clockIncarnation = e.ServerIncarnation
 	m.clock = 0
 	m.noForeignRuns = false
@@ -199,32 +219,33 @@
 		r.stopAcked = false
 		switch {
 		case r.phase == stopping && r.attempts.Verdict() == attempts.Open:
-			m.emit(StopTask{Key: r.key, Token: m.token, ServerID: m.server.ID})
-		case r.attempts.RunningAt() == 0:
+			r.stopRetryAt = time.Time{}
+			m.sendStop(r.key)
+		case r.phase != running || r.attempts.RunningAt() == 0:
 			m.finish(r, session.Lost, "the backend server was replaced")
 		}
 	}
 	m.wakePolls()
 }
 
-// applyEnds processes the ended tasks listed in the reply to a lease renewal with
+// applyEnds processes the ended tasks listed in the reply to the given lease renewal, with
 // the given clock reading.
-func (m *Runner) applyEnds(ends []EndRow, clock time.Duration) {
+func (m *Runner) applyEnds(renewal uint64, ends []EndRow, clock time.Duration) {
 	for _, end := range ends {
 		if end.Index <= m.seenEnd {
 			continue
 		}
 		m.seenEnd = end.Index
 		r := m.runs[end.Key.TaskKey]
-		if r == nil || r.key != end.Key {
+		if r == nil || r.key != end.Key || r.phase == queued {
 			continue
 		}
+		r.attempts.Ended(m.clockIncarnation, renewal > r.answeredAfter)
 		m.applyEnd(r, end.Outcome, clock)
 	}
 }
 
 func (m *Runner) applyEnd(r *run, outcome EndOutcome, clock time.Duration) {
-	r.attempts.Ended()
 	if !r.confirmed {
 		r.confirm(m)
 	}
@@ -250,7 +271,7 @@
 // reconcileRunning compares the tasks that the server runs with those that this
 // agent has started. It stops unknown ones and records the progress of the others.
 // Once there are no unknown ones, it sets noForeignRuns.
-func (m *Runner) reconcileRunning(rows []RunningRow) {
+func (m *Runner) reconcileRunning(renewal uint64, rows []RunningRow) {
 	foreign := 0
 	for _, row := range rows {
 		r := m.runs[row.Key.TaskKey]
@@ -259,6 +280,7 @@
 			m.stopForeign(row.Key)
 			continue
 		}
+		r.attempts.Listed(m.clockIncarnation, renewal > r.answeredAfter)
 		m.updateProgress(r, row.Percent)
 	}
 	if !m.noForeignRuns && foreign == 0 {
@@ -275,12 +297,11 @@
 // ignores a stop of a run that has already ended.
 func (m *Runner) stopForeign(key RunKey) {
 	m.emit(LogEvent{Event: "foreign_run_stopped", Task: key.String()})
-	m.emit(StopTask{Key: key, Token: m.token, ServerID: m.server.ID})
+	m.sendStop(key)
 }
 
 // updateProgress records the progress of a run and stops it if it has stalled.
 func (m *Runner) updateProgress(r *run, percent int) {
-	r.attempts.Listed(m.clockIncarnation)
 	if !r.confirmed {
 		r.confirm(m)
 	}
@@ -300,9 +321,8 @@
 	}
 }
 
-// finishMissing finishes the runs that the server no longer lists in the reply to a lease
-// renewal. A run counts as missing only if the renewal was sent after its start or its
-// stop was acknowledged.
+// finishMissing finishes the runs that the server does not list in the reply to a lease
+// renewal, as far as that proves their end.
 func (m *Runner) finishMissing(e RenewReplied) {
 	seen := make(map[RunKey]bool, len(e.Running))
 	for _, row := range e.Running {
@@ -312,23 +332,34 @@
 		if seen[r.key] {
 			continue
 		}
-		switch {
-		case r.phase == stopping && r.stopAcked && e.ID > r.stopAckedAfter:
-			r.attempts.Fenced(e.UnreadableRunning+e.UnreadableEnds == 0 && !e.MoreEnds)
-			m.finish(r, r.outcome, r.reason)
-		case r.phase == running && e.UnreadableRunning > 0:
+		if r.phase != stopping && r.phase != running {
+			continue
+		}
+		fenced := r.stopAcked && e.ID > r.stopAckedAfter
+		if e.UnreadableRunning > 0 && !(fenced && m.stopCompleted(r)) {
 			m.stopUnlisted(r)
-		case r.phase == running && e.ID > r.listedAfter:
-			r.attempts.Ended()
+			continue
+		}
+		r.attempts.Missing(e.ID > r.answeredAfter, fenced, e.UnreadableRunning+e.UnreadableEnds == 0)
+		switch {
+		case r.phase == running && r.attempts.RunningAt() == 0:
 			m.finish(r, session.Lost, "the backend server no longer lists the task")
+		case r.phase == stopping && r.attempts.Verdict() != attempts.Open:
+			m.finish(r, r.outcome, r.reason)
 		}
 	}
 }
 
+// stopCompleted reports whether a stop that was acknowledged has certainly ended the run.
+func (m *Runner) stopCompleted(r *run) bool {
+	longest := time.Duration(float64(m.opts.StopTimeout) * (1 + clockDrift))
+	return r.stopAcked && m.now.Sub(r.stopAckedAt) > longest
+}
+
 // stopUnlisted stops a run that an unreadable row may stand for, if no readable one has
 // shown its progress for long. It is not known to have ended.
 func (m *Runner) stopUnlisted(r *run) {
-	if m.now.Sub(r.progressAt) > stallTimeout {
+	if r.phase == running && m.now.Sub(r.progressAt) > stallTimeout {
 		m.stop(r, session.Lost, "the backend server lists unreadable runs instead of the task")
 	}
 }
