Keyed log: replies without records are passed on, and a sparing reader

A process could not tell a quiet topic from one that it does not hear: only replies with records were passed on. Handlers now get each reply. FollowSparingly is for readers so many that their calls matter to the store: it begins at a known offset, waits two seconds for a record and repeats failed calls after 0.2 to 2 s.

--- a/keyedlog/keyedlog.go
+++ b/keyedlog/keyedlog.go
@@ -61,6 +61,11 @@
 	// are needed as soon as it accepts calls again.
 	retryBase = 50 * time.Millisecond
 	retryMax  = 400 * time.Millisecond
+	// sparingWait, sparingRetryBase and sparingRetryMax are the same for FollowSparingly.
+	// A record is read within seconds even if a call was lost before it was written.
+	sparingWait      = 2 * time.Second
+	sparingRetryBase = 200 * time.Millisecond
+	sparingRetryMax  = 2 * time.Second
 	// maxTimeoutFactor bounds the growth of timeouts while the store is slow. A call
 	// sent during an outage never gets a reply, and must not delay for long the read
 	// of the records written after it.
@@ -70,7 +75,7 @@
 // Handler receives what Follow reads. Its methods are not called concurrently.
 type Handler interface {
 	// HandleBatch processes a reply, with the records in the order in which the store
-	// returned them. A snapshot may be empty.
+	// returned them. A reply without records says that there is none yet.
 	HandleBatch(b Batch)
 	// StoreUnavailable reports that a call has failed with err, StoreAvailable that
 	// a later one has succeeded. Further failures in between are not reported, and
@@ -85,9 +90,26 @@
 // replaced. It waits for the given pause between a reply with records and the
 // next read, so that records written at about the same time are read together.
 func Follow(ctx context.Context, store Store, topic string, pause time.Duration, h Handler) {
-	f := follower{store: store, topic: topic, pause: pause, handler: h, backoff: platformlog.Backoff{Base: retryBase, Max: retryMax}, timeoutFactor: 1}
-	for ctx.Err() == nil {
-		f.readOnce(ctx)
+	f := newFollower(store, topic, h)
+	f.pause = pause
+	f.run(ctx)
+}
+
+// FollowSparingly is like Follow for readers so many that their calls matter to the store:
+// its calls wait longer and are repeated later. It passes the records from the given offset
+// on, and begins with a snapshot only if they are no longer retained, or if from is zero.
+func FollowSparingly(ctx context.Context, store Store, topic string, from int64, h Handler) {
+	f := newFollower(store, topic, h)
+	f.wait = sparingWait
+	f.backoff = platformlog.Backoff{Base: sparingRetryBase, Max: sparingRetryMax}
+	f.next, f.positioned = from, from > 0
+	f.run(ctx)
+}
+
+func newFollower(store Store, topic string, h Handler) *follower {
+	return &follower{
+		store: store, topic: topic, handler: h, wait: readWait,
+		backoff: platformlog.Backoff{Base: retryBase, Max: retryMax}, timeoutFactor: 1,
 	}
 }
 
@@ -95,6 +117,7 @@
 	store         Store
 	topic         string
 	pause         time.Duration
+	wait          time.Duration // of a read while the store is available
 	handler       Handler
 	backoff       platformlog.Backoff
 	next          int64
@@ -103,6 +126,12 @@
 	timeoutFactor time.Duration // multiple of idleTimeout in use
 }
 
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.readOnce(ctx)
+	}
+}
+
 // readOnce makes one call to the store and processes the result.
 func (f *follower) readOnce(ctx context.Context) {
 	batch, err := f.call(ctx)
@@ -120,9 +149,7 @@
 	f.backoff.Reset()
 	f.timeoutFactor = 1
 	f.next, f.positioned = batch.Next, !batch.More
-	if len(batch.Records) > 0 || batch.Snapshot {
-		f.handler.HandleBatch(batch)
-	}
+	f.handler.HandleBatch(batch)
 	if len(batch.Records) > 0 && !batch.More {
 		ctxsleep.For(ctx, f.pause)
 	}
@@ -135,7 +162,7 @@
 		batch.Snapshot = true
 		return batch, err
 	}
-	wait := readWait
+	wait := f.wait
 	if f.unavailable {
 		wait = 0 // only probes whether the store is available again
 	}
--- a/keyedlog/keyedlog_test.go
+++ b/keyedlog/keyedlog_test.go
@@ -136,3 +136,72 @@
 	defer s.mu.Unlock()
 	g.Expect(s.reads).To(BeNumerically("<=", int(time.Since(s.start)/pause)+1))
 }
+
+// recordingStore is a fake that records its calls and fails those after the first two reads.
+type recordingStore struct {
+	mu      sync.Mutex
+	newests int
+	from    []int64
+	waits   []time.Duration
+}
+
+func (s *recordingStore) Newest(context.Context, string, time.Duration) (keyedlog.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.newests++
+	return keyedlog.Batch{Next: 3}, nil
+}
+
+func (s *recordingStore) Read(_ context.Context, _ string, from int64, wait, _ time.Duration) (keyedlog.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.from, s.waits = append(s.from, from), append(s.waits, wait)
+	if len(s.from) > 2 {
+		return keyedlog.Batch{}, errors.New("status 503")
+	}
+	return keyedlog.Batch{Next: from + 1}, nil
+}
+
+func (s *recordingStore) Append(context.Context, string, keyedlog.Record) error {
+	return errors.New("readonly")
+}
+
+// Guards against agents that read the whole topic, configuration included, each time that
+// their entries are cut off, or that fill the store's limit of calls while it rejects them.
+func TestSparingReaderBeginsAtItsOffsetAndCallsRarely(t *testing.T) {
+	g := NewWithT(t)
+	s, h := &recordingStore{}, newHandler()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	keyedlog.FollowSparingly(ctx, s, "topic", 5, h)
+	g.Expect(s.newests).To(BeZero())
+	g.Expect(s.from[:3]).To(Equal([]int64{5, 6, 7}))
+	g.Expect(s.waits[0]).To(BeNumerically(">=", 2*time.Second))
+	g.Expect(len(s.from)).To(BeNumerically("<=", 2+7), "failed calls: delays of 0.1, 0.2, 0.4, 0.8 s and at least 1 s each")
+	g.Expect(h.unavailable).To(HaveLen(1))
+
+	s, h = &recordingStore{}, newHandler()
+	ctx, cancel = context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	keyedlog.FollowSparingly(ctx, s, "topic", 0, h)
+	g.Expect(s.newests).To(Equal(1), "a reader that knows nothing needs a snapshot")
+	g.Expect(s.from[0]).To(Equal(int64(3)))
+}
+
+// countingHandler counts the replies that it is passed.
+type countingHandler struct {
+	handler
+	replies chan int // number of records of each
+}
+
+func (h *countingHandler) HandleBatch(b keyedlog.Batch) { h.replies <- len(b.Records) }
+
+// Guards against readers that take a quiet topic for one that they do not hear.
+func TestRepliesWithoutRecordsArePassedOn(t *testing.T) {
+	g := NewWithT(t)
+	h := &countingHandler{handler: *newHandler(), replies: make(chan int, 10)}
+	go keyedlog.Follow(t.Context(), &recordingStore{}, "topic", 0, h)
+	for range 3 {
+		g.Eventually(h.replies, "3s").Should(Receive(BeZero()))
+	}
+}
