Agents read the operators' topic while no entry hears it

Entries say in Hello and polls for how long they have not heard the topic, once that is over two seconds. An agent all of whose entries say so reads it itself, from the version that it knows, and hands what it reads to its entries with the next reply to a poll. An entry with a stale view goes on placing tasks: an outage of the store is not one of the service.

--- a/command/daemon/platform.go
+++ b/command/daemon/platform.go
@@ -91,6 +91,8 @@
 						MembersTopic: platform.MembersTopic,
 						Server:       platform.NewServerClient(opts.Platform.ServerAddr),
 						Heartbeats:   platform.HeartbeatHandler,
+
+						ConfigTopic: platform.ConfigTopic, EvacuationKeyPrefix: platform.EvacuationKeyPrefix,
 					}, l)
 				},
 			})
--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -13,9 +13,14 @@
 	"github.com/chestnuthollow/chestnuthollow/session"
 )
 
-// durationWeight is the weight of the newest evacuation in the moving average of their
-// durations.
-const durationWeight = 0.5
+const (
+	// StaleAfter is how long after the last reply to a read of the topic a view is stale:
+	// two of the readers' waiting reads.
+	StaleAfter = 2 * time.Second
+	// durationWeight is the weight of the newest evacuation in the moving average of
+	// their durations.
+	durationWeight = 0.5
+)
 
 // Record is a record of the operators' topic that evacuates a zone, or withdraws the
 // evacuation.
@@ -32,6 +37,16 @@
 	Next    int64
 }
 
+// Batch is a reply to a read of the operators' topic, with its records of evacuations.
+type Batch struct {
+	Records []Record
+	Next    int64 // offset after the last record of any kind that was read
+	// Snapshot means that Records are the newest of each key, see type Snapshot. Otherwise
+	// the read began where the state ended, or before.
+	Snapshot bool
+	More     bool // there were further records at the time of the reply
+}
+
 // Change is a zone whose evacuation began or ended by an update.
 type Change struct {
 	Zone      string
@@ -44,8 +59,13 @@
 	current   session.Evacuation
 	since     map[string]time.Time // when this process learned of the evacuation of a zone
 	durations time.Duration        // moving average of past evacuations; zero if there were none
+	heardAt   time.Time            // of the last reply that left no record unread
 }
 
+// New returns a state that knows nothing, of a process that has started to read the topic.
+// Until StaleAfter has passed its view is not stale.
+func New(now time.Time) State { return State{heardAt: now} }
+
 // Current returns the newest known state. The caller must not modify it.
 func (s *State) Current() session.Evacuation { return s.current }
 
@@ -96,6 +116,32 @@
 	return s.replace(now, session.Evacuation{Version: snap.Next, Zones: slices.Compact(zones)})
 }
 
+// Apply adds a reply to a read of the topic and returns what changed. The version includes
+// records of other kinds, so that a process that goes on reading at the version skips them.
+func (s *State) Apply(now time.Time, b Batch) []Change {
+	if !b.More {
+		s.heardAt = now
+	}
+	if b.Snapshot {
+		return s.ApplySnapshot(now, Snapshot{Records: b.Records, Next: b.Next})
+	}
+	var changes []Change
+	for _, r := range b.Records {
+		changes = append(changes, s.ApplyRecord(now, r)...)
+	}
+	s.current.Version = max(s.current.Version, b.Next)
+	return changes
+}
+
+// Unheard returns for how long the process has had no reply to its reads of the topic if
+// its view is stale, and zero otherwise.
+func (s *State) Unheard(now time.Time) time.Duration {
+	if d := now.Sub(s.heardAt); d > StaleAfter {
+		return d
+	}
+	return 0
+}
+
 // replace puts a state in force and learns the durations of the evacuations that ended.
 func (s *State) replace(now time.Time, next session.Evacuation) []Change {
 	var changes []Change
--- a/evacuation/evacuation_test.go
+++ b/evacuation/evacuation_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/chestnuthollow/chestnuthollow/evacuation"
+	"github.com/chestnuthollow/chestnuthollow/session"
 )
 
 var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -70,7 +71,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			i := rapid.IntRange(0, 2).Draw(t, "process")
 			p, before := &processes[i], processes[i].Current().Version
-			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
 			case 0:
 				topic = append(topic, evacuation.Record{
 					Zone: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"), Evacuated: rapid.Bool().Draw(t, "evacuated"), Offset: int64(len(topic)),
@@ -83,6 +84,10 @@
 			case 2:
 				next[i] = rapid.Int64Range(0, int64(len(topic))).Draw(t, "snapshot")
 				p.ApplySnapshot(now, snapshotOf(topic, next[i], rapid.Int64Range(next[i], int64(len(topic))).Draw(t, "read until")))
+			case 4: // several records, of which the process may know some already
+				until := rapid.Int64Range(next[i], int64(len(topic))).Draw(t, "batch until")
+				p.Apply(now, evacuation.Batch{Records: topic[next[i]:until], Next: until})
+				next[i] = until
 			case 3:
 				p.Update(now, processes[rapid.IntRange(0, 2).Draw(t, "peer")].Current())
 			}
@@ -118,3 +123,32 @@
 	}
 	return snap
 }
+
+// Guards against readers that call a view complete too long, which starts tasks in an
+// evacuated zone, or never, which makes agents read: a reply without records says that there
+// are none, and one that leaves records unread says nothing.
+func TestViewIsStaleWithoutReplies(t *testing.T) {
+	g := NewWithT(t)
+	s := evacuation.New(now)
+	g.Expect(s.Unheard(now.Add(evacuation.StaleAfter))).To(BeZero(), "a process that starts")
+	late := now.Add(evacuation.StaleAfter + time.Millisecond)
+	g.Expect(s.Unheard(late)).To(Equal(late.Sub(now)))
+	s.Apply(late, evacuation.Batch{Next: 7, More: true})
+	g.Expect(s.Unheard(late)).NotTo(BeZero())
+	s.Update(late, session.Evacuation{Version: 9, Zones: []string{"a"}})
+	g.Expect(s.Unheard(late)).NotTo(BeZero(), "a peer's state may be old itself")
+	s.Apply(late, evacuation.Batch{Next: 7})
+	g.Expect(s.Unheard(late)).To(BeZero())
+	g.Expect(s.Current()).To(Equal(session.Evacuation{Version: 9, Zones: []string{"a"}}), "an older reply takes nothing back")
+}
+
+// Guards against agents that begin to read before records that their entries have read long
+// ago, and so read the configuration, or find that those are no longer retained.
+func TestVersionCountsRecordsOfOtherKinds(t *testing.T) {
+	g := NewWithT(t)
+	s := evacuation.New(now)
+	s.Apply(now, evacuation.Batch{Records: []evacuation.Record{{Zone: "a", Evacuated: true, Offset: 2}}, Next: 6})
+	g.Expect(s.Current()).To(Equal(session.Evacuation{Version: 6, Zones: []string{"a"}}))
+	g.Expect(s.Apply(now, evacuation.Batch{Next: 9})).To(BeEmpty())
+	g.Expect(s.Current()).To(Equal(session.Evacuation{Version: 9, Zones: []string{"a"}}))
+}
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -11,6 +11,7 @@
 
 	"github.com/chestnuthollow/chestnuthollow/dispatch"
 	"github.com/chestnuthollow/chestnuthollow/evacuation"
+	"github.com/chestnuthollow/chestnuthollow/evacuationlog"
 	"github.com/chestnuthollow/chestnuthollow/keyedlog"
 	"github.com/chestnuthollow/chestnuthollow/session"
 )
@@ -33,24 +34,23 @@
 	g.applyEvacuations(g.evacuations.Update(time.Now(), e), source)
 }
 
-// readEvacuations applies the records of the operators' topic that evacuate zones.
-func (g *Gateway) readEvacuations(b keyedlog.Batch) {
-	var records []evacuation.Record
-	for _, r := range b.Records {
-		if zone, ok := strings.CutPrefix(r.Key, g.platform.EvacuationKeyPrefix); ok && zone != "" {
-			records = append(records, evacuation.Record{Zone: zone, Evacuated: len(r.Value) > 0, Offset: r.Offset})
-		}
-	}
-	now := time.Now()
+// topicUnheard returns for how long this entry has not heard the operators' topic if its
+// view of the evacuations is stale, and zero otherwise.
+func (g *Gateway) topicUnheard() time.Duration {
 	g.evacuationMu.Lock()
 	defer g.evacuationMu.Unlock()
+	return g.evacuations.Unheard(time.Now())
+}
+
+// readEvacuations applies a reply to a read of the operators' topic.
+func (g *Gateway) readEvacuations(b keyedlog.Batch) {
+	source := fmt.Sprintf("store before offset %d", b.Next)
 	if b.Snapshot {
-		g.applyEvacuations(g.evacuations.ApplySnapshot(now, evacuation.Snapshot{Records: records, Next: b.Next}), "store snapshot")
-		return
-	}
-	for _, r := range records {
-		g.applyEvacuations(g.evacuations.ApplyRecord(now, r), fmt.Sprintf("store offset %d", r.Offset))
+		source = "store snapshot"
 	}
+	g.evacuationMu.Lock()
+	defer g.evacuationMu.Unlock()
+	g.applyEvacuations(g.evacuations.Apply(time.Now(), evacuationlog.Decode(g.platform.EvacuationKeyPrefix, b)), source)
 }
 
 // applyEvacuations puts changed evacuations in force. The caller holds g.evacuationMu, so
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,10 +95,13 @@
 // New creates a Gateway and binds its listeners.
 func New(opts Options, p Platform, logger log.Logger) (*Gateway, error) {
 	g := &Gateway{
-		opts:       opts,
-		platform:   p,
-		logger:     logger,
-		startedAt:  time.Now(),
+		opts:      opts,
+		platform:  p,
+		logger:    logger,
+		startedAt: time.Now(),
+
+		evacuations: evacuation.New(time.Now()),
+
 		members:    membership.New(opts.PeerAddr),
 		config:     newConfiguration(),
 		connectors: make(map[string]*agentConnector),
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -118,6 +118,9 @@
 
 // HandleBatch implements keyedlog.Handler.
 func (h *membersHandler) HandleBatch(b keyedlog.Batch) {
+	if len(b.Records) == 0 && !b.Snapshot {
+		return
+	}
 	g := h.gateway
 	var restarted []string // addresses of agents with a new incarnation
 	for _, r := range b.Records {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -58,6 +58,7 @@
 		defer g.mu.Unlock()
 		return int64(g.dispatcher.RunTimeQueues())
 	}))
+	r.Register("evacuations.unheard", metrics.NewFunctionalGauge(func() int64 { return g.topicUnheard().Milliseconds() }))
 	r.Register("sessions", metrics.NewFunctionalGauge(func() int64 {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -115,7 +116,7 @@
 
 // Dump implements ops.Source.
 func (g *Gateway) Dump() any {
-	evacuated := g.evacuation()
+	evacuated, unheard := g.evacuation(), g.topicUnheard()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return struct {
@@ -123,7 +124,8 @@
 		Incarnation structs.Incarnation `json:"incarnation"`
 		Config      int64               `json:"config_version"`
 		Evacuation  session.Evacuation  `json:"evacuation"`
+		UnheardMs   int64               `json:"topic_unheard_ms"` // zero unless the view of the evacuations is stale
 		Leaving     bool                `json:"leaving"`
 		State       any                 `json:"state"`
-	}{g.opts.Name, g.self.Incarnation, g.config.raw().Version, evacuated, g.leaving.Load(), g.dispatcher.Dump(time.Now())}
+	}{g.opts.Name, g.self.Incarnation, g.config.raw().Version, evacuated, unheard.Milliseconds(), g.leaving.Load(), g.dispatcher.Dump(time.Now())}
 }
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -73,6 +73,7 @@
 // agentSession is an open session with an agent.
 type agentSession struct {
 	connector    *agentConnector
+	agent        string // name
 	id           dispatch.SessionID
 	client       *rpc.Client
 	clockReading atomic.Pointer[session.ClockReading] // of the reply to Hello or to the last poll; echoed in each request
@@ -155,7 +156,7 @@
 		return false, err
 	}
 	defer client.Close()
-	req := session.HelloRequest{Entry: g.opts.Name, Incarnation: g.self.Incarnation, ConfigVersion: g.config.raw().Version, OmitConfig: true, Evacuation: g.evacuation()}
+	req := session.HelloRequest{Entry: g.opts.Name, Incarnation: g.self.Incarnation, ConfigVersion: g.config.raw().Version, OmitConfig: true, Evacuation: g.evacuation(), TopicUnheard: g.topicUnheard()}
 	var hello session.HelloReply
 	if err := callWithTimeout(client, "Hello", &req, &hello, helloTimeout); err != nil {
 		return false, err
@@ -168,7 +169,7 @@
 		go g.fetchConfigFromAgent(c.addr, hello.Agent, hello.ConfigVersion)
 	}
 	s := &agentSession{
-		connector: c, client: client,
+		connector: c, agent: hello.Agent, client: client,
 		orders: make(chan dispatch.Order, orderQueueSize), replies: make(chan *rpc.Call, orderQueueSize), closed: make(chan struct{}),
 	}
 	s.clockReading.Store(&hello.State.Stamp)
@@ -217,7 +218,7 @@
 		if ctx.Err() != nil {
 			return lastHeard, ctx.Err()
 		}
-		req := session.PollRequest{Echo: *s.clockReading.Load(), Seen: seen, Evacuation: s.unsentEvacuation()}
+		req := session.PollRequest{Echo: *s.clockReading.Load(), Seen: seen, Evacuation: s.unsentEvacuation(), TopicUnheard: s.connector.gateway.topicUnheard()}
 		var reply session.PollReply
 		if err := callWithTimeout(s.client, "Poll", &req, &reply, pollTimeout); err != nil {
 			return lastHeard, err
@@ -225,6 +226,7 @@
 		lastHeard = time.Now()
 		s.clockReading.Store(&reply.State.Stamp)
 		s.connector.setUsable(lastHeard, reply.State.Ready)
+		s.connector.gateway.updateEvacuation(reply.Evacuation, "agent "+s.agent)
 		if n := len(reply.Reports); n > 0 {
 			seen = reply.Reports[n-1].Seq
 		}
--- a/session/compat_test.go
+++ b/session/compat_test.go
@@ -126,3 +126,43 @@
 	transcode(g, session.State{Seq: 3, Ready: true, Crashes: []session.Crash{{Run: 7, Tasks: []session.LostTask{{Job: "j"}}}}}, &oldS)
 	g.Expect(oldS).To(Equal(oldState{Seq: 3, Ready: true}))
 }
+
+// The messages of the builds before agents read the operators' topic.
+type (
+	oldPollRequest struct {
+		Echo       session.ClockReading
+		Seen       uint64
+		Evacuation session.Evacuation
+	}
+	oldPollReply struct {
+		Reports []session.Report
+		State   session.State
+	}
+)
+
+// Guards against agents that read the topic because an entry of an old build does not say
+// that it hears it, and against polls that one of the builds cannot decode.
+func TestTopicUnheardBetweenOldAndNewBuilds(t *testing.T) {
+	g := NewWithT(t)
+	known := session.Evacuation{Version: 7, Zones: []string{"a"}}
+	var request session.PollRequest
+	transcode(g, oldPollRequest{Seen: 3, Evacuation: known}, &request)
+	g.Expect(request).To(Equal(session.PollRequest{Seen: 3, Evacuation: known}), "an old entry counts as one that hears the topic")
+	var oldRequest oldPollRequest
+	transcode(g, session.PollRequest{Seen: 3, Evacuation: known, TopicUnheard: 3_000_000_000}, &oldRequest)
+	g.Expect(oldRequest).To(Equal(oldPollRequest{Seen: 3, Evacuation: known}))
+
+	var reply session.PollReply
+	transcode(g, oldPollReply{State: session.State{Seq: 4}}, &reply)
+	g.Expect(reply).To(Equal(session.PollReply{State: session.State{Seq: 4}}), "an old agent reports no evacuations")
+	var oldReply oldPollReply
+	transcode(g, session.PollReply{State: session.State{Seq: 4}, Evacuation: known}, &oldReply)
+	g.Expect(oldReply).To(Equal(oldPollReply{State: session.State{Seq: 4}}))
+
+	var hello session.HelloRequest
+	transcode(g, oldHelloRequest{Entry: "e"}, &hello)
+	g.Expect(hello.TopicUnheard).To(BeZero())
+	var oldHello oldHelloRequest
+	transcode(g, session.HelloRequest{Entry: "e", TopicUnheard: 3_000_000_000}, &oldHello)
+	g.Expect(oldHello).To(Equal(oldHelloRequest{Entry: "e"}))
+}
--- a/session/messages.go
+++ b/session/messages.go
@@ -34,6 +34,10 @@
 	ConfigVersion int64 // newest version that the entry has
 	OmitConfig    bool  // HelloReply.Config is not wanted; the entry calls Agent.Config
 	Evacuation    Evacuation
+	// TopicUnheard is for how long the entry has had no reply to its reads of the
+	// operators' topic if its view of the evacuations is stale, and zero otherwise.
+	// Entries of earlier builds leave it zero.
+	TopicUnheard time.Duration
 }
 
 // HelloReply answers a HelloRequest.
@@ -128,13 +132,17 @@
 	Echo ClockReading // the newest that the entry has received
 	Seen uint64       // sequence number of the newest report received
 	// Evacuation is set if it has changed since the session's last request.
-	Evacuation Evacuation
+	Evacuation   Evacuation
+	TopicUnheard time.Duration // as in HelloRequest
 }
 
 // PollReply answers a PollRequest.
 type PollReply struct {
 	Reports []Report // those after PollRequest.Seen, oldest first
 	State   State
+	// Evacuation is set if it is newer than all that this session has carried, in either
+	// direction. Agents of earlier builds leave it unset.
+	Evacuation Evacuation
 }
 
 // Outcome is how a placement ended.
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -14,6 +14,9 @@
 	starts    metrics.Counter
 	stops     metrics.Counter
 	startTime metrics.Histogram
+	// topicReads counts the replies to reads of the operators' topic, storeLost the times
+	// that they began to fail.
+	topicReads, storeLost metrics.Counter
 }
 
 func newMetrics(s *Sidecar) *sidecarMetrics {
@@ -30,11 +33,22 @@
 		defer s.mu.Unlock()
 		return int64(s.runner.Deferred())
 	}))
+	r.Register("evacuations.watching", metrics.NewFunctionalGauge(func() int64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.runner.WatchingTopic() {
+			return 1
+		}
+		return 0
+	}))
 	return &sidecarMetrics{
 		registry:  r,
 		starts:    metrics.NewRegisteredCounter("tasks.start_orders", r),
 		stops:     metrics.NewRegisteredCounter("tasks.stop_orders", r),
 		startTime: instance.Histogram("tasks.start_order.time", r),
+
+		topicReads: metrics.NewRegisteredCounter("evacuations.topic_reads", r),
+		storeLost:  metrics.NewRegisteredCounter("store.lost", r),
 	}
 }
 
--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -49,7 +49,11 @@
 type Platform struct {
 	Store        keyedlog.Store
 	MembersTopic string
-	Server       Server
+	// ConfigTopic is the operators' topic. The key of a record that evacuates an
+	// availability zone is EvacuationKeyPrefix and the name of the zone.
+	ConfigTopic         string
+	EvacuationKeyPrefix string
+	Server              Server
 	// Heartbeats returns the handler of the backend server's heartbeats.
 	Heartbeats func(*Sidecar) http.Handler
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -82,7 +82,8 @@
 	calls       map[taskrunner.CallID]chan any
 	conns       map[uint64]context.Context // contexts of the open connections, by session ID
 	lastSession uint64
-	wakeTimer   *time.Timer // fires when the runner has to be stepped next
+	unwatch     context.CancelFunc // ends the reads of the operators' topic; nil if there are none
+	wakeTimer   *time.Timer        // fires when the runner has to be stepped next
 }
 
 // New creates a Sidecar and binds its listeners.
@@ -269,7 +270,7 @@
 		}
 	}
 	if reply.Evacuation.Version > 0 {
-		s.step(taskrunner.EvacuationReceived{Evacuation: reply.Evacuation})
+		s.step(taskrunner.EvacuationReceived{Evacuation: reply.Evacuation, Source: "entry " + p.Name})
 	}
 	cfg, err := reply.Config.Decompress()
 	if err != nil {
--- a/sidecar/step.go
+++ b/sidecar/step.go
@@ -64,6 +64,12 @@
 		case s.serverChanged <- struct{}{}:
 		default: // announce has already been signaled
 		}
+	case taskrunner.WatchTopic:
+		var ctx context.Context
+		ctx, s.unwatch = context.WithCancel(s.background)
+		go s.followTopic(ctx, ef.From)
+	case taskrunner.UnwatchTopic:
+		s.unwatch()
 	case taskrunner.Drained:
 		close(s.drained)
 	}
--- a/taskrunner/dump.go
+++ b/taskrunner/dump.go
@@ -10,6 +10,7 @@
 	Draining          bool           `json:"draining"`
 	Leaving           bool           `json:"leaving"`
 	Evacuated         bool           `json:"zone_evacuated"` // the availability zone is evacuated
+	WatchingTopic     bool           `json:"watching_topic"` // reads the operators' topic, because no entry in session hears it
 	Clean             bool           `json:"clean"`          // no task of an earlier agent is running at the server
 	Token             int64          `json:"token"`
 	ClockMs           int64          `json:"clock_ms"` // newest reading of the server's clock
@@ -45,7 +46,7 @@
 // Dump returns the state of the Runner. Ages are relative to now.
 func (m *Runner) Dump(now time.Time) Dump {
 	d := Dump{
-		Server: m.server.ID, ServerIncarnation: m.clockIncarnation, Active: m.active(), Draining: m.server.Draining, Leaving: m.leaving, Evacuated: m.zoneEvacuated(),
+		Server: m.server.ID, ServerIncarnation: m.clockIncarnation, Active: m.active(), Draining: m.server.Draining, Leaving: m.leaving, Evacuated: m.zoneEvacuated(), WatchingTopic: m.watching,
 		Clean: m.noForeignRuns, Token: m.token, ClockMs: m.clock.Milliseconds(), ClockAgeMs: now.Sub(m.clockReadAt).Milliseconds(),
 		SeenEnd: m.seenEnd, Slowness: m.health.slownessPerMille(), Failing: m.health.failingPerMille(), Deferred: m.deferred,
 	}
--- a/taskrunner/evacuation.go
+++ b/taskrunner/evacuation.go
@@ -2,31 +2,103 @@
 
 import (
 	"fmt"
+	"time"
 
+	"github.com/chestnuthollow/chestnuthollow/evacuation"
 	"github.com/chestnuthollow/chestnuthollow/session"
 )
 
 // reasonEvacuated is the reason of the tasks that are not started during an evacuation.
 const reasonEvacuated = "the availability zone is evacuated"
 
-// updateEvacuation takes over newer evacuations. While the agent's own availability zone
-// is evacuated it starts nothing, whoever ordered it: queued tasks are returned to their
-// entries, and started ones run to their end.
-func (m *Runner) updateEvacuation(e session.Evacuation) {
+// updateEvacuation takes over newer evacuations of another process. Source states in the
+// log where they were received from.
+func (m *Runner) updateEvacuation(e session.Evacuation, source string) {
 	before := m.zoneEvacuated()
 	m.evacuations.Update(m.now, e)
+	m.zoneChanged(before, source)
+}
+
+// topicRead applies a reply to a read of the operators' topic.
+func (m *Runner) topicRead(b evacuation.Batch) {
+	before := m.zoneEvacuated()
+	m.evacuations.Apply(m.now, b)
+	m.zoneChanged(before, "topic")
+}
+
+// zoneChanged puts changed evacuations in force; before states whether the agent's own
+// availability zone was evacuated. While it is, the agent starts nothing, whoever ordered
+// it: queued tasks are returned to their entries, and started ones run to their end.
+func (m *Runner) zoneChanged(before bool, source string) {
 	if m.zoneEvacuated() == before {
 		return
 	}
+	detail := fmt.Sprintf("zone=%s version=%d source=%q", m.opts.Zone, m.evacuations.Current().Version, source)
 	if before {
-		m.log("zone_restored", fmt.Sprintf("zone=%s version=%d", m.opts.Zone, e.Version))
+		m.log("zone_restored", detail)
 	} else {
-		m.log("zone_evacuated", fmt.Sprintf("zone=%s version=%d queued=%d started=%d", m.opts.Zone, e.Version, len(m.queue), len(m.runs)-len(m.queue)))
+		m.log("zone_evacuated", fmt.Sprintf("%s queued=%d started=%d", detail, len(m.queue), len(m.runs)-len(m.queue)))
 		m.dropAllQueued(reasonEvacuated)
 	}
 	m.wakePolls()
 }
 
+// topicUnheard returns the least time for which an entry in session has not heard the
+// operators' topic. It is zero if one hears it, if no session is open, or while the agent
+// leaves: what may start here then does not depend on the topic.
+func (m *Runner) topicUnheard() time.Duration {
+	if m.leaving {
+		return 0
+	}
+	var least time.Duration
+	for _, s := range m.sortedSessions {
+		switch {
+		case !s.open:
+		case s.topicUnheard == 0:
+			return 0
+		case least == 0 || s.topicUnheard < least:
+			least = s.topicUnheard
+		}
+	}
+	return least
+}
+
+// watchTopic reads the operators' topic while no entry that may order tasks hears it.
+func (m *Runner) watchTopic() {
+	unheard := m.topicUnheard()
+	if m.watching == (unheard > 0) {
+		return
+	}
+	m.watching = unheard > 0
+	version := m.evacuations.Current().Version
+	if !m.watching {
+		m.emit(UnwatchTopic{})
+		m.log("topic_watch_ended", fmt.Sprintf("sessions=%d version=%d took=%s", m.OpenSessions(), version, m.now.Sub(m.watchingSince)))
+		return
+	}
+	m.watchingSince = m.now
+	m.emit(WatchTopic{From: version})
+	m.log("topic_watch_started", fmt.Sprintf("sessions=%d version=%d unheard=%s", m.OpenSessions(), version, unheard))
+}
+
+// WatchingTopic reports whether the agent reads the operators' topic.
+func (m *Runner) WatchingTopic() bool { return m.watching }
+
+// recordEvacuation records that the session has carried the evacuations.
+func (s *entrySession) recordEvacuation(e session.Evacuation) {
+	s.evacuationKnown = max(s.evacuationKnown, e.Version)
+}
+
+// unsentEvacuation returns the newest evacuations if the session has not carried them.
+func (m *Runner) unsentEvacuation(s *entrySession) session.Evacuation {
+	e := m.evacuations.Current()
+	if e.Version <= s.evacuationKnown {
+		return session.Evacuation{}
+	}
+	s.recordEvacuation(e)
+	return e
+}
+
 // zoneEvacuated reports whether the agent's availability zone is evacuated.
 func (m *Runner) zoneEvacuated() bool { return m.evacuations.Evacuated(m.opts.Zone) }
 
--- a/taskrunner/evacuation_test.go
+++ b/taskrunner/evacuation_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/chestnuthollow/chestnuthollow/evacuation"
 	"github.com/chestnuthollow/chestnuthollow/session"
 	"github.com/chestnuthollow/chestnuthollow/taskrunner"
 )
@@ -141,3 +142,80 @@
 	h.Expect(freeAfterHeartbeat(incarnation, 4, 100*time.Millisecond)).To(BeNumerically(">", 19_000), "a little later than predicted")
 	h.Expect(freeAfterHeartbeat(incarnation+1, 1, 2*time.Second)).To(BeNumerically("~", 5_000, 100), "a new incarnation")
 }
+
+// pollUnheard polls the session for an entry that has not heard the operators' topic for the
+// time, or hears it if that is zero.
+func (h *harness) pollUnheard(sessionID uint64, unheard time.Duration) {
+	h.lastCall++
+	h.step(taskrunner.PollCalled{Call: h.lastCall, Session: sessionID, Request: session.PollRequest{Echo: h.reading(), TopicUnheard: unheard}})
+}
+
+// readTopic delivers a reply to a read of the operators' topic.
+func (h *harness) readTopic(next int64, records ...evacuation.Record) {
+	h.step(taskrunner.TopicRead{Batch: evacuation.Batch{Records: records, Next: next}})
+}
+
+// Guards against starts in an evacuated zone while all entries are cut off from the store:
+// nobody told the agent.
+func TestAgentReadsTheTopicWhileNoEntryHearsIt(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	h.evacuate(1, 5) // the version that the entry has read
+	h.pollUnheard(1, 2100*time.Millisecond)
+	h.Expect(effects[taskrunner.WatchTopic](h)).To(Equal([]taskrunner.WatchTopic{{From: 5}}), "not the configuration, which is older")
+	h.order(1, h.reading(), "before", 15_000, 1)
+	h.Expect(effects[taskrunner.StartTask](h)).To(HaveLen(1), "work goes on while no reply has come")
+	h.order(1, h.reading(), "queued", 15_000, 2)
+	h.readTopic(6, evacuation.Record{Zone: "zone-a", Evacuated: true, Offset: 5})
+	h.order(1, h.reading(), "after", 1000, 3)
+	h.Expect(effects[taskrunner.StartTask](h)).To(BeEmpty())
+	h.pollUnheard(1, 2300*time.Millisecond)
+	h.Expect(effects[taskrunner.WatchTopic](h)).To(BeEmpty(), "a second reader")
+	h.Expect(h.pollOutcomes()).To(Equal(map[session.Outcome]int{session.NotStarted: 2}))
+}
+
+// Guards against a price and a load on the store that nothing is gained from: an agent that
+// reads although an entry in session hears the topic, or that starts nothing anyway.
+func TestAgentReadsTheTopicOnlyWhileNeeded(t *testing.T) {
+	const unheard = 3 * time.Second
+	h := newHarness(t)
+	h.makeReady()
+	h.open(2, 22)
+	h.pollUnheard(1, unheard)
+	h.Expect(effects[taskrunner.WatchTopic](h)).To(BeEmpty(), "the other entry hears it")
+	h.pollUnheard(2, unheard)
+	h.Expect(effects[taskrunner.WatchTopic](h)).To(HaveLen(1))
+	h.pollUnheard(1, 0)
+	h.Expect(effects[taskrunner.UnwatchTopic](h)).To(HaveLen(1))
+	h.step(taskrunner.SessionClosed{Session: 1})
+	h.Expect(effects[taskrunner.WatchTopic](h)).To(HaveLen(1), "the entry that heard it has gone")
+	h.step(taskrunner.SessionClosed{Session: 2})
+	h.Expect(effects[taskrunner.UnwatchTopic](h)).To(HaveLen(1), "no entry can order anything")
+
+	h.lastCall++
+	h.step(taskrunner.HelloCalled{Call: h.lastCall, Session: 3, Request: session.HelloRequest{Entry: "entry", Incarnation: 33, TopicUnheard: unheard}})
+	h.Expect(effects[taskrunner.WatchTopic](h)).To(HaveLen(1), "said by the first message")
+	h.step(taskrunner.LeaveRequested{})
+	h.Expect(effects[taskrunner.UnwatchTopic](h)).To(HaveLen(1), "the agent leaves")
+}
+
+// Guards against entries that go on ordering tasks in an evacuated zone, or hold jobs that
+// fit nowhere else, because only the agents know; and against echoes of what they sent.
+func TestAgentTellsItsEntriesWhatItHasRead(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	reply := func() session.Evacuation {
+		h.advance(taskrunner.DefaultPollWait)
+		h.step(taskrunner.Ticked{})
+		replies := effects[taskrunner.ReplyPoll](h)
+		h.Expect(replies).To(HaveLen(1))
+		return replies[0].Reply.Evacuation
+	}
+	h.evacuate(1, 5)
+	h.Expect(reply()).To(BeZero(), "the entry has sent it")
+	h.pollUnheard(1, 3*time.Second)
+	h.readTopic(6, evacuation.Record{Zone: "zone-b", Evacuated: true, Offset: 5})
+	h.Expect(reply()).To(Equal(session.Evacuation{Version: 6, Zones: []string{"zone-b"}}), "of another zone than the agent's")
+	h.pollUnheard(1, 3*time.Second)
+	h.Expect(reply()).To(BeZero(), "the session has carried it")
+}
--- a/taskrunner/messages.go
+++ b/taskrunner/messages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/attempts"
+	"github.com/chestnuthollow/chestnuthollow/evacuation"
 	"github.com/chestnuthollow/chestnuthollow/session"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
@@ -178,7 +179,12 @@
 	ConfigReceived struct{ Config session.Config }
 	// EvacuationReceived delivers the evacuations that another process knows. Requests of
 	// entries deliver them too.
-	EvacuationReceived struct{ Evacuation session.Evacuation }
+	EvacuationReceived struct {
+		Evacuation session.Evacuation
+		Source     string // for logs
+	}
+	// TopicRead is a reply to a read of the operators' topic after WatchTopic.
+	TopicRead struct{ Batch evacuation.Batch }
 	// RecordLoaded delivers the record that an earlier agent of this name stored: its
 	// backend server and the baseline slowness it measured. Either is zero if
 	// the record does not have it.
@@ -248,6 +254,10 @@
 	ServerChanged struct{ Info ServerInfo }
 	// Drained reports that the graceful shutdown is complete.
 	Drained struct{}
+	// WatchTopic starts reading the evacuations on the operators' topic from an offset on;
+	// zero stands for the newest record of each key. UnwatchTopic ends it.
+	WatchTopic   struct{ From int64 }
+	UnwatchTopic struct{}
 	// LogEvent is a line for the log.
 	LogEvent struct {
 		Event   string
@@ -270,6 +280,7 @@
 func (ConfigReceived) isEvent()     {}
 func (RecordLoaded) isEvent()       {}
 func (EvacuationReceived) isEvent() {}
+func (TopicRead) isEvent()          {}
 func (LeaveRequested) isEvent()     {}
 func (Ticked) isEvent()             {}
 
@@ -283,4 +294,6 @@
 func (CloseSession) isEffect()  {}
 func (ServerChanged) isEffect() {}
 func (Drained) isEffect()       {}
+func (WatchTopic) isEffect()    {}
+func (UnwatchTopic) isEffect()  {}
 func (LogEvent) isEffect()      {}
--- a/taskrunner/order.go
+++ b/taskrunner/order.go
@@ -24,7 +24,8 @@
 		return
 	}
 	s.recordMessage(m, e.Request.Echo)
-	m.updateEvacuation(e.Request.Evacuation)
+	s.recordEvacuation(e.Request.Evacuation)
+	m.updateEvacuation(e.Request.Evacuation, "entry "+s.name)
 	for _, id := range e.Request.Stop {
 		m.stopPlacement(s, id)
 	}
--- a/taskrunner/poll.go
+++ b/taskrunner/poll.go
@@ -22,7 +22,9 @@
 		return
 	}
 	s.recordMessage(m, e.Request.Echo)
-	m.updateEvacuation(e.Request.Evacuation)
+	s.topicUnheard = e.Request.TopicUnheard
+	s.recordEvacuation(e.Request.Evacuation)
+	m.updateEvacuation(e.Request.Evacuation, "entry "+s.name)
 	s.reports = slices.DeleteFunc(s.reports, func(r session.Report) bool { return r.Seq <= e.Request.Seen })
 	s.poll = &pendingPoll{call: e.Call, due: m.now.Add(m.opts.PollWait)}
 }
@@ -33,7 +35,9 @@
 		if s.poll == nil || len(s.reports) == 0 && m.now.Before(s.poll.due) {
 			continue
 		}
-		m.emit(ReplyPoll{Call: s.poll.call, Reply: session.PollReply{Reports: slices.Clone(s.reports), State: m.state(s)}})
+		m.emit(ReplyPoll{Call: s.poll.call, Reply: session.PollReply{
+			Reports: slices.Clone(s.reports), State: m.state(s), Evacuation: m.unsentEvacuation(s),
+		}})
 		s.poll = nil
 	}
 }
--- a/taskrunner/session.go
+++ b/taskrunner/session.go
@@ -26,6 +26,11 @@
 	sentIdentity  serverIdentity
 	crashSent     uint64 // number of the last crash that was sent to the entry
 	runTimesSent  uint64 // version of the last run times that were sent to the entry
+	// topicUnheard is for how long the entry has not heard the operators' topic, by its last
+	// message; zero if it hears it. evacuationKnown is the newest version of the evacuations
+	// that the session has carried.
+	topicUnheard    time.Duration
+	evacuationKnown int64
 	// canceled holds the placements that were stopped while they had no run here,
 	// mostly because the stop arrived before the start.
 	canceled map[uint64]bool
@@ -78,12 +83,13 @@
 			m.endSession(s.id, "replaced by a new session")
 		}
 	}
-	m.updateEvacuation(e.Request.Evacuation)
+	m.updateEvacuation(e.Request.Evacuation, "entry "+e.Request.Entry)
 	m.updateConfig(e.Request.Config)
 	m.newestConfig = max(m.newestConfig, e.Request.ConfigVersion)
 	m.addSession(&entrySession{
 		id: e.Session, entry: e.Request.Incarnation, name: e.Request.Entry, hello: &e,
 		lastHeard: m.now, canceled: make(map[uint64]bool),
+		topicUnheard: e.Request.TopicUnheard, evacuationKnown: e.Request.Evacuation.Version,
 	})
 }
 
@@ -131,6 +137,7 @@
 		if !req.OmitConfig && m.config.Version > req.Config.Version {
 			reply.Config = m.config
 		}
+		s.recordEvacuation(reply.Evacuation)
 		s.echoed = reply.State.Stamp
 		s.lastHeard = m.now
 		s.open = true
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -18,6 +18,8 @@
 	config         session.Config
 	newestConfig   int64 // highest version that an entry has named
 	evacuations    evacuation.State
+	watching       bool // reads the operators' topic, since watchingSince
+	watchingSince  time.Time
 	warmUp         warmUp // of the server
 	sessions       map[uint64]*entrySession
 	sortedSessions []*entrySession  // the same, ordered by ID so that effects are deterministic
@@ -108,7 +110,9 @@
 	case ConfigReceived:
 		m.updateConfig(e.Config)
 	case EvacuationReceived:
-		m.updateEvacuation(e.Evacuation)
+		m.updateEvacuation(e.Evacuation, e.Source)
+	case TopicRead:
+		m.topicRead(e.Batch)
 	case RecordLoaded:
 		m.storedServer = e.Server
 		m.storeBaseline(e.Baseline)
@@ -123,6 +127,7 @@
 	m.sendRenewal()
 	m.answerHellos()
 	m.answerPolls()
+	m.watchTopic()
 	m.checkDrained()
 	return m.effects
 }
--- a/test/platform/evacuation_test.go
+++ b/test/platform/evacuation_test.go
@@ -109,6 +109,39 @@
 	g.Expect(s.startsIn("zone-b")).To(Equal(before))
 }
 
+// Guards against starts in an evacuated zone while all entries are cut off from the store and
+// the agents are not, and against a zone that stays empty after it was taken back then.
+func TestEvacuationReachesAgentsWhileEntriesAreCutOff(t *testing.T) {
+	g := NewWithT(t)
+	s := newSystemWithPaths(t, 2, 4, true)
+	s.submitUntilEnd(t)
+	s.expectUse(g, "zone-b", true)
+	s.storeProxy.setFaults(0, true, true)
+	s.evacuate("zone-b")
+	s.expectUse(g, "zone-b", false)
+	s.expectUse(g, "zone-a", true)
+	s.restore("zone-b")
+	s.expectUse(g, "zone-b", true)
+	s.evacuate("zone-a") // the agents' reads go on
+	s.expectUse(g, "zone-a", false)
+	s.storeProxy.setFaults(0, false, false)
+	s.restore("zone-a")
+	s.expectUse(g, "zone-a", true)
+}
+
+// Guards against an outage of the store that becomes one of the service: no view is current,
+// and tasks go on starting in all zones.
+func TestTasksStartWhileNobodyHearsTheTopic(t *testing.T) {
+	g := NewWithT(t)
+	s := newSystem(t, 2, 4)
+	s.submitUntilEnd(t)
+	s.expectUse(g, "zone-a", true)
+	s.store.SetMode(keyedstore.Unresponsive, 0)
+	time.Sleep(5 * time.Second)
+	s.expectUse(g, "zone-a", true)
+	s.expectUse(g, "zone-b", true)
+}
+
 // The record is deleted and the history dropped while no entry can read the topic, so that
 // nobody ever reads the deletion itself.
 func TestWithdrawalIsSeenAfterTheStoreDropsItsHistory(t *testing.T) {
--- a/test/platform/system_test.go
+++ b/test/platform/system_test.go
@@ -90,6 +90,12 @@
 func zoneOf(i int) string { return []string{"zone-a", "zone-b"}[i%2] }
 
 func newSystem(t *testing.T, entries, agents int) *system {
+	return newSystemWithPaths(t, entries, agents, false)
+}
+
+// newSystemWithPaths is like newSystem. The entries reach the store through storeProxy, and
+// the agents either through it too or by their own path.
+func newSystemWithPaths(t *testing.T, entries, agents int, ownPath bool) *system {
 	program, err := buildOnce()
 	if err != nil {
 		t.Fatal(err)
@@ -97,8 +103,13 @@
 	s := &system{t: t, dir: t.TempDir(), program: program, store: keyedstore.New(), invariants: newInvariantChecker(), client: &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: 100},
 	}}
-	s.storeProxy = newProxy(t, s.serve(s.store.Handler()))
+	direct := s.serve(s.store.Handler())
+	s.storeProxy = newProxy(t, direct)
 	storeAddr := s.storeProxy.addr
+	agentStoreAddr := storeAddr
+	if ownPath {
+		agentStoreAddr = direct
+	}
 	s.putConfig()
 	var seeds []string
 	for range entries {
@@ -108,7 +119,7 @@
 		s.addEntry(i, seed, seeds, storeAddr)
 	}
 	for i := range agents {
-		s.addAgent(i, seeds, storeAddr)
+		s.addAgent(i, seeds, agentStoreAddr)
 	}
 	t.Cleanup(s.stop)
 	for _, p := range append(append([]*process{}, s.agents...), s.entries...) {
