--- a/taskrunner/evacuation.go
+++ b/taskrunner/evacuation.go
@@ -44,34 +44,35 @@
 }
 
 // topicUnheard returns the least time for which an entry in session has not heard the
-// operators' topic. It is zero if one hears it, if no session is open, or while the agent
-// leaves: what may start here then does not depend on the topic.
-func (m *Runner) topicUnheard() time.Duration {
-	if m.leaving {
-		return 0
-	}
-	var least time.Duration
+// operators' topic, or zero if one hears it, and whether a session is open.
+func (m *Runner) topicUnheard() (least time.Duration, inSession bool) {
 	for _, s := range m.sortedSessions {
-		switch {
-		case !s.open:
-		case s.topicUnheard == 0:
-			return 0
-		case least == 0 || s.topicUnheard < least:
-			least = s.topicUnheard
+		if s.open && (!inSession || s.topicUnheard < least) {
+			least, inSession = s.topicUnheard, true
 		}
 	}
-	return least
+	return least, inSession
 }
 
-// watchTopic reads the operators' topic while no entry that may order tasks hears it.
+// watchTopic reads the operators' topic while no entry in session hears it, or after none
+// has been in session for some time: the first one may have an old view.
 func (m *Runner) watchTopic() {
-	unheard := m.topicUnheard()
-	if m.watching == (unheard > 0) {
+	unheard, inSession := m.topicUnheard()
+	watch := unheard > 0
+	if inSession || m.inSessionAt.IsZero() {
+		m.inSessionAt = m.now
+	}
+	if !inSession {
+		unheard = m.now.Sub(m.inSessionAt)
+		watch = m.watching || unheard > evacuation.StaleAfter
+	}
+	watch = watch && !m.leaving
+	if watch == m.watching {
 		return
 	}
-	m.watching = unheard > 0
+	m.watching = watch
 	version := m.evacuations.Current().Version
-	if !m.watching {
+	if !watch {
 		m.emit(UnwatchTopic{})
 		m.log("topic_watch_ended", fmt.Sprintf("sessions=%d version=%d took=%s", m.OpenSessions(), version, m.now.Sub(m.watchingSince)))
 		return
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -20,7 +20,8 @@
 	evacuations    evacuation.State
 	watching       bool // reads the operators' topic, since watchingSince
 	watchingSince  time.Time
-	warmUp         warmUp // of the server
+	inSessionAt    time.Time // when a session was open last, or the first step
+	warmUp         warmUp    // of the server
 	sessions       map[uint64]*entrySession
 	sortedSessions []*entrySession  // the same, ordered by ID so that effects are deterministic
 	runs           map[TaskKey]*run // queued, running and stopping tasks
--- a/test/evacuations/paths_test.go
+++ b/test/evacuations/paths_test.go
@@ -22,9 +22,11 @@
 func inBubble(t *testing.T, f func(t *testing.T, ctx context.Context)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
+		defer func() {
+			cancel()
+			time.Sleep(time.Second) // calls in progress end
+		}()
 		f(t, ctx)
-		cancel()
-		time.Sleep(time.Second) // calls in progress end
 	})
 }
 
