--- a/gateway/session.go
+++ b/gateway/session.go
@@ -226,7 +226,9 @@
 		lastHeard = time.Now()
 		s.clockReading.Store(&reply.State.Stamp)
 		s.connector.setUsable(lastHeard, reply.State.Ready)
-		s.connector.gateway.updateEvacuation(reply.Evacuation, "agent "+s.agent)
+		if reply.Evacuation.Version > 0 {
+			s.connector.gateway.updateEvacuation(reply.Evacuation, "agent "+s.agent)
+		}
 		if n := len(reply.Reports); n > 0 {
 			seen = reply.Reports[n-1].Seq
 		}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -270,7 +270,7 @@
 		}
 	}
 	if reply.Evacuation.Version > 0 {
-		s.step(taskrunner.EvacuationReceived{Evacuation: reply.Evacuation, Source: "entry " + p.Name})
+		s.step(taskrunner.EvacuationReceived{Evacuation: reply.Evacuation, Source: p.Name})
 	}
 	cfg, err := reply.Config.Decompress()
 	if err != nil {
--- a/taskrunner/dump.go
+++ b/taskrunner/dump.go
@@ -46,7 +46,7 @@
 // Dump returns the state of the Runner. Ages are relative to now.
 func (m *Runner) Dump(now time.Time) Dump {
 	d := Dump{
-		Server: m.server.ID, ServerIncarnation: m.clockIncarnation, Active: m.active(), Draining: m.server.Draining, Leaving: m.leaving, Evacuated: m.zoneEvacuated(), WatchingTopic: m.watching,
+		Server: m.server.ID, ServerIncarnation: m.clockIncarnation, Active: m.active(), Draining: m.server.Draining, Leaving: m.leaving, Evacuated: m.zoneEvacuated(), WatchingTopic: m.topic.watching,
 		Clean: m.noForeignRuns, Token: m.token, ClockMs: m.clock.Milliseconds(), ClockAgeMs: now.Sub(m.clockReadAt).Milliseconds(),
 		SeenEnd: m.seenEnd, Slowness: m.health.slownessPerMille(), Failing: m.health.failingPerMille(), Deferred: m.deferred,
 	}
--- a/taskrunner/evacuation.go
+++ b/taskrunner/evacuation.go
@@ -11,8 +11,19 @@
 // reasonEvacuated is the reason of the tasks that are not started during an evacuation.
 const reasonEvacuated = "the availability zone is evacuated"
 
-// updateEvacuation takes over newer evacuations of another process. Source states in the
-// log where they were received from.
+// topicWatch is whether the agent reads the operators' topic itself.
+type topicWatch struct {
+	watching      bool
+	watchingSince time.Time
+	// unheard and inSession are the result of topicUnheard, which is due again if
+	// viewsChanged is set.
+	unheard      time.Duration
+	inSession    bool
+	viewsChanged bool
+	inSessionAt  time.Time // when a session was open last, or the first step
+}
+
+// updateEvacuation takes over newer evacuations of the process that source names in the log.
 func (m *Runner) updateEvacuation(e session.Evacuation, source string) {
 	before := m.zoneEvacuated()
 	m.evacuations.Update(m.now, e)
@@ -57,33 +68,37 @@
 // watchTopic reads the operators' topic while no entry in session hears it, or after none
 // has been in session for some time: the first one may have an old view.
 func (m *Runner) watchTopic() {
-	unheard, inSession := m.topicUnheard()
+	if m.topic.viewsChanged {
+		m.topic.viewsChanged = false
+		m.topic.unheard, m.topic.inSession = m.topicUnheard()
+	}
+	unheard := m.topic.unheard
 	watch := unheard > 0
-	if inSession || m.inSessionAt.IsZero() {
-		m.inSessionAt = m.now
+	if m.topic.inSession || m.topic.inSessionAt.IsZero() {
+		m.topic.inSessionAt = m.now
 	}
-	if !inSession {
-		unheard = m.now.Sub(m.inSessionAt)
-		watch = m.watching || unheard > evacuation.StaleAfter
+	if !m.topic.inSession {
+		unheard = m.now.Sub(m.topic.inSessionAt)
+		watch = m.topic.watching || unheard > evacuation.StaleAfter
 	}
 	watch = watch && !m.leaving
-	if watch == m.watching {
+	if watch == m.topic.watching {
 		return
 	}
-	m.watching = watch
+	m.topic.watching = watch
 	version := m.evacuations.Current().Version
 	if !watch {
 		m.emit(UnwatchTopic{})
-		m.log("topic_watch_ended", fmt.Sprintf("sessions=%d version=%d took=%s", m.OpenSessions(), version, m.now.Sub(m.watchingSince)))
+		m.log("topic_watch_ended", fmt.Sprintf("sessions=%d version=%d took=%s", m.OpenSessions(), version, m.now.Sub(m.topic.watchingSince)))
 		return
 	}
-	m.watchingSince = m.now
+	m.topic.watchingSince = m.now
 	m.emit(WatchTopic{From: version})
 	m.log("topic_watch_started", fmt.Sprintf("sessions=%d version=%d unheard=%s", m.OpenSessions(), version, unheard))
 }
 
 // WatchingTopic reports whether the agent reads the operators' topic.
-func (m *Runner) WatchingTopic() bool { return m.watching }
+func (m *Runner) WatchingTopic() bool { return m.topic.watching }
 
 // recordEvacuation records that the session has carried the evacuations.
 func (s *entrySession) recordEvacuation(e session.Evacuation) {
--- a/taskrunner/messages.go
+++ b/taskrunner/messages.go
@@ -181,7 +181,7 @@
 	// entries deliver them too.
 	EvacuationReceived struct {
 		Evacuation session.Evacuation
-		Source     string // for logs
+		Source     string // name of the process, for logs
 	}
 	// TopicRead is a reply to a read of the operators' topic after WatchTopic.
 	TopicRead struct{ Batch evacuation.Batch }
--- a/taskrunner/order.go
+++ b/taskrunner/order.go
@@ -25,7 +25,7 @@
 	}
 	s.recordMessage(m, e.Request.Echo)
 	s.recordEvacuation(e.Request.Evacuation)
-	m.updateEvacuation(e.Request.Evacuation, "entry "+s.name)
+	m.updateEvacuation(e.Request.Evacuation, s.name)
 	for _, id := range e.Request.Stop {
 		m.stopPlacement(s, id)
 	}
--- a/taskrunner/poll.go
+++ b/taskrunner/poll.go
@@ -22,9 +22,10 @@
 		return
 	}
 	s.recordMessage(m, e.Request.Echo)
+	m.topic.viewsChanged = m.topic.viewsChanged || s.topicUnheard != e.Request.TopicUnheard
 	s.topicUnheard = e.Request.TopicUnheard
 	s.recordEvacuation(e.Request.Evacuation)
-	m.updateEvacuation(e.Request.Evacuation, "entry "+s.name)
+	m.updateEvacuation(e.Request.Evacuation, s.name)
 	s.reports = slices.DeleteFunc(s.reports, func(r session.Report) bool { return r.Seq <= e.Request.Seen })
 	s.poll = &pendingPoll{call: e.Call, due: m.now.Add(m.opts.PollWait)}
 }
--- a/taskrunner/session.go
+++ b/taskrunner/session.go
@@ -83,7 +83,7 @@
 			m.endSession(s.id, "replaced by a new session")
 		}
 	}
-	m.updateEvacuation(e.Request.Evacuation, "entry "+e.Request.Entry)
+	m.updateEvacuation(e.Request.Evacuation, e.Request.Entry)
 	m.updateConfig(e.Request.Config)
 	m.newestConfig = max(m.newestConfig, e.Request.ConfigVersion)
 	m.addSession(&entrySession{
@@ -95,6 +95,7 @@
 
 // addSession adds a session, or replaces the one with the same ID.
 func (m *Runner) addSession(s *entrySession) {
+	m.topic.viewsChanged = true
 	m.sessions[s.id] = s
 	i, found := m.sessionIndex(s.id)
 	if found {
@@ -106,6 +107,7 @@
 
 // removeSession removes the session with the ID.
 func (m *Runner) removeSession(id uint64) {
+	m.topic.viewsChanged = true
 	delete(m.sessions, id)
 	if i, found := m.sessionIndex(id); found {
 		m.sortedSessions = slices.Delete(m.sortedSessions, i, i+1)
@@ -140,7 +142,7 @@
 		s.recordEvacuation(reply.Evacuation)
 		s.echoed = reply.State.Stamp
 		s.lastHeard = m.now
-		s.open = true
+		s.open, m.topic.viewsChanged = true, true
 		m.emit(ReplyHello{Call: s.hello.Call, Reply: reply})
 		s.hello = nil
 		m.emit(LogEvent{Event: "session_opened", Entry: s.entry, Detail: fmt.Sprintf("entry=%s session=%d", s.name, s.id)})
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -18,10 +18,8 @@
 	config         session.Config
 	newestConfig   int64 // highest version that an entry has named
 	evacuations    evacuation.State
-	watching       bool // reads the operators' topic, since watchingSince
-	watchingSince  time.Time
-	inSessionAt    time.Time // when a session was open last, or the first step
-	warmUp         warmUp    // of the server
+	topic          topicWatch
+	warmUp         warmUp // of the server
 	sessions       map[uint64]*entrySession
 	sortedSessions []*entrySession  // the same, ordered by ID so that effects are deterministic
 	runs           map[TaskKey]*run // queued, running and stopping tasks
