--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -169,6 +169,7 @@
 func (d *Dispatcher) callClosed(call CallID) {
 	j := d.calls[call]
 	if j == nil {
+		d.delayed = slices.DeleteFunc(d.delayed, func(c delayedCall) bool { return c.submit.Call == call })
 		return
 	}
 	delete(d.calls, call)
