--- a/taskrunner/orders_test.go
+++ b/taskrunner/orders_test.go
@@ -46,16 +46,16 @@
 	fault  string
 
 	// The truth about the server.
-	boot                int64
-	base                time.Duration // clock at bootAt
-	bootAt              time.Time
-	runs, used, stopped bool
-	lease               time.Duration
-	token               int64
-	ends                []taskrunner.EndRow
-	endIndex            int64
-	ran                 bool
-	heartbeats          int64
+	boot       int64
+	base       time.Duration // clock at bootAt
+	bootAt     time.Time
+	runs, used bool
+	lease      time.Duration
+	token      int64
+	ends       []taskrunner.EndRow
+	endIndex   int64
+	ran        bool
+	heartbeats int64
 
 	inFlight []*orderCall
 	held     []*orderCall // ended without a reply, may be carried out by their boot
