Agent: a report made before the server left does not bring it back

A report that was on its way when the server deregistered made the agent start tasks at it again. Only a report whose clock reading is later than the deregistration now counts; it also ends the effect of a deregistration by another writer, with the next heartbeat.

Evidence: TestOnlyLaterReportFollowsDeregistration fails without the change.

--- a/taskrunner/report_test.go
+++ b/taskrunner/report_test.go
@@ -149,6 +149,25 @@
 	h.Expect(h.runner.Server().ID).To(Equal("server-1"))
 }
 
+// Guards against starts at a server that has left, after a report that it sent before, and
+// against an agent that is disabled by another's deregistration of its server.
+func TestOnlyLaterReportFollowsDeregistration(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	h.step(taskrunner.ServerReported{Info: h.report(2, false)})
+	h.renew()
+	h.advance(10 * time.Millisecond)
+	before := h.report(3, false)
+	h.renew()
+	h.step(taskrunner.ServerLeft{ID: "server-1"})
+	h.step(taskrunner.ServerReported{Info: before})
+	h.renew()
+	h.Expect(h.starts("before", 1)).To(BeFalse())
+	h.step(taskrunner.ServerReported{Info: h.report(4, false)})
+	h.renew()
+	h.Expect(h.starts("after", 2)).To(BeTrue())
+}
+
 // Guards against reports of other writers that have a lasting effect: whatever they sent
 // before, the next report of the server itself decides whether tasks start.
 func TestReportsOfOthersHaveNoLastingEffect(t *testing.T) {
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -51,6 +51,9 @@
 	}
 	m.log("server_left", "server="+id)
 	m.server.Draining = true
+	if m.server.Clock > 0 {
+		m.server.Clock = max(m.server.Clock, m.clock) // earlier reports may still arrive
+	}
 	m.emit(ServerChanged{Info: m.server})
 	m.dropAllQueued("the backend server has left")
 	m.wakePolls()
