Agent: a lease renewal follows each accepted start

What callers saw: later ends at servers that lose replies. Without it a lost renewal delays the ends that it would have listed by up to 70 ms.

--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -278,9 +278,9 @@
 	switch e.Result {
 	case StartAccepted:
 		r.phase = running
-		if r.attempts.RunningAt() != m.clockIncarnation {
-			m.renewNow() // accepted by another incarnation of the server
-		}
+		// The reply to a renewal that is sent now names the incarnation that has the run, and
+		// takes the place of one that got lost.
+		m.renewNow()
 		m.emit(LogEvent{Event: "task_started", Task: r.key.String(), Entry: r.session.entry,
 			Detail: fmt.Sprintf("cpu=%d estimate_ms=%d clock_ms=%d config=%d", r.cpu, r.estimate.Milliseconds(), m.clock.Milliseconds(), r.configVersion)})
 		return
