Entry: submissions wait at most 60 ms for the cancels of other entries

What callers saw: after a restart of all entries at once, jobs were refused that had been delayed for up to 300 ms and came in together. An entry that had just started delayed all submissions until a peer had told it of cancels.

A peer that is up replies within some ms.

--- a/dispatch/cancel.go
+++ b/dispatch/cancel.go
@@ -85,7 +85,7 @@
 // delay keeps a submission that arrives before this entry, which has just started, has
 // heard of cancels. It reports whether it did.
 func (d *Dispatcher) delay(e SubmitCalled) bool {
-	if d.awaitsCancels && !d.now.Before(d.opts.Started.Add(HoldTimeout)) {
+	if d.awaitsCancels && !d.now.Before(d.opts.Started.Add(cancelsTimeout)) {
 		d.awaitsCancels = false
 	}
 	if d.awaitsCancels {
@@ -97,7 +97,7 @@
 
 // submitDelayed submits what was delayed, once cancels are known or the wait is over.
 func (d *Dispatcher) submitDelayed() {
-	if len(d.delayed) == 0 || d.awaitsCancels && d.now.Before(d.opts.Started.Add(HoldTimeout)) {
+	if len(d.delayed) == 0 || d.awaitsCancels && d.now.Before(d.opts.Started.Add(cancelsTimeout)) {
 		return
 	}
 	d.awaitsCancels = false
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -153,7 +153,7 @@
 		wakeBy(p.deadline)
 	}
 	if len(d.delayed) > 0 {
-		wakeBy(d.opts.Started.Add(HoldTimeout))
+		wakeBy(d.opts.Started.Add(cancelsTimeout))
 	}
 	wakeBy(d.earliestHoldDeadline())
 	return wake
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -23,7 +23,7 @@
 	// Started is when the entry started; zero if long ago. A service that has had
 	// no agent yet counts as without agents since then, see HoldTimeout.
 	Started time.Time
-	// AwaitCancels delays submissions until CancelsLearned.All, at most HoldTimeout after
+	// AwaitCancels delays submissions until CancelsLearned.All, at most cancelsTimeout after
 	// Started: the entry may have restarted between the cancel of a job and a copy of its
 	// submission.
 	AwaitCancels bool
@@ -62,6 +62,11 @@
 // two calls to the store.
 const HoldTimeout = 300 * time.Millisecond
 
+// cancelsTimeout is the longest time after its start for which an entry delays submissions
+// because it has not heard of cancels. A peer that is up replies within some ms; after a
+// restart of all entries there is nothing to hear.
+const cancelsTimeout = 60 * time.Millisecond
+
 const (
 	// usefulFactor times its objective is how long the answer of a job is useful
 	// by the platform's terms. A job that is not expected to end by then is not
