Simulation: a restart ends the replacement of a server

TestInterleavingsWithReplacedServers -rapid.checks=2000 failed (4 replacements, 4 faults): the fault that restarts a server met one that was being replaced, and the replacement then took the place of the running server without any time between them, which the model excludes by leastDownTime and no process does. The replacement now ends with the restart. The check and the bound are as they were.

--- a/test/sessions/simulation_test.go
+++ b/test/sessions/simulation_test.go
@@ -232,7 +232,7 @@
 			m.sim.taskEnded(m.name, r.Name)
 		}
 	}
-	m.down = false
+	m.down, m.silent = false, false
 	m.incarnations++
 	m.startedAt = m.sim.now
 	m.clockBase = m.sim.draw(time.Second, time.Hour)
@@ -330,8 +330,11 @@
 	m.sim.counts["replaced"]++
 	m.server = leaseserver.New(m.server.Incarnation, 0) // runs nothing and is not called
 	m.down, m.silent = true, silent
+	incarnations := m.incarnations
 	m.sim.after(downFor, func() {
-		m.silent = false
+		if m.incarnations != incarnations {
+			return // it has been restarted meanwhile
+		}
 		m.label = map[string]string{"a": "b", "b": "a"}[m.label]
 		if !silent || !m.keepsID {
 			m.cpu, m.cpuBefore = cpu, 0
