--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/chestnuthollow/chestnuthollow/cancels"
 	"github.com/chestnuthollow/chestnuthollow/containment"
 	"github.com/chestnuthollow/chestnuthollow/places"
 	"github.com/chestnuthollow/chestnuthollow/session"
@@ -46,6 +47,10 @@
 	lastPlacementID uint64
 	retainedAnswers map[string]Status
 	answerExpiry    []retainedAnswer // when each of retainedAnswers was given, oldest first
+	cancels         cancels.Marks
+	pendingCancels  map[CallID]*pendingCancel
+	awaitsCancels   bool          // see Options.AwaitCancels
+	delayed         []delayedCall // submissions until then
 
 	orders        map[SessionID]*Order // to be emitted at the end of the step
 	leaveDeadline time.Time            // when a graceful shutdown abandons open jobs; zero if none
@@ -60,6 +65,7 @@
 func New(opts Options) *Dispatcher {
 	return &Dispatcher{
 		opts:            opts,
+		awaitsCancels:   opts.AwaitCancels,
 		agents:          make(map[SessionID]*agent),
 		lastSlowness:    make(map[string]serverSlowness),
 		containment:     containment.New(),
@@ -75,6 +81,7 @@
 		calls:           make(map[CallID]*job),
 		placements:      make(map[uint64]*placement),
 		retainedAnswers: make(map[string]Status),
+		pendingCancels:  make(map[CallID]*pendingCancel),
 		orders:          make(map[SessionID]*Order),
 	}
 }
@@ -86,11 +93,20 @@
 	d.applyChanges(d.containment.Step(now, containment.Ticked{}))
 	switch e := ev.(type) {
 	case SubmitCalled:
-		d.submit(e)
+		if !d.delay(e) {
+			d.submit(e)
+		}
 	case CallClosed:
 		d.callClosed(e.Call)
 	case CancelCalled:
 		d.cancel(e)
+	case PeersTold:
+		d.peersTold(e)
+	case CancelsLearned:
+		d.emit(CancelsRecorded{Known: d.cancelsLearned(e.From, e.Cancels)})
+		if e.All {
+			d.awaitsCancels = false
+		}
 	case SessionOpened:
 		d.sessionOpened(e)
 	case SessionEnded:
@@ -107,6 +123,7 @@
 		d.leave(e.Until)
 	}
 	d.expire()
+	d.submitDelayed()
 	if d.heldJobsDue() {
 		d.placeHeldJobs()
 	}
@@ -132,13 +149,19 @@
 	for _, p := range d.placements {
 		wakeBy(p.inDoubtUntil)
 	}
+	for _, p := range d.pendingCancels {
+		wakeBy(p.deadline)
+	}
+	if len(d.delayed) > 0 {
+		wakeBy(d.opts.Started.Add(HoldTimeout))
+	}
 	wakeBy(d.earliestHoldDeadline())
 	return wake
 }
 
 // OpenJobs returns the number of jobs that are not answered yet.
 func (d *Dispatcher) OpenJobs() int {
-	n := 0
+	n := len(d.delayed)
 	for _, j := range d.jobs {
 		if !j.answered {
 			n++
@@ -232,6 +255,7 @@
 			d.abandon(j, structs.CodeTimeout, "the job's deadline has passed")
 		}
 	}
+	d.expireCancels()
 	for len(d.answerExpiry) > 0 && (d.now.Sub(d.answerExpiry[0].at) > d.opts.AnswerRetention || len(d.answerExpiry) > maxRetainedAnswers) {
 		delete(d.retainedAnswers, d.answerExpiry[0].name)
 		d.answerExpiry = d.answerExpiry[1:]
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/containment"
@@ -28,9 +29,9 @@
 	holdUntil      time.Time      // end of the hold time if it is held
 	livePlacements int            // placements that have not ended
 	group          group          // where its tasks run if it wants one rack
-	// successor is a duplicate of the submission that arrived after the answer
+	// successors are the duplicates of the submission that arrived after the answer
 	// while tasks were still being stopped.
-	successor *SubmitCalled
+	successors []SubmitCalled
 }
 
 // task is one task of a job.
@@ -58,7 +59,7 @@
 }
 
 // submit admits, holds or refuses a new job. A duplicate of a known job joins it
-// or gets its retained answer.
+// or gets its retained answer, and one of a canceled job is answered as canceled.
 func (d *Dispatcher) submit(e SubmitCalled) {
 	if j := d.jobs[e.Job.Name]; j != nil {
 		d.join(j, e)
@@ -68,7 +69,7 @@
 		d.emit(Answered{Call: e.Call, Status: status})
 		return
 	}
-	if d.refuseCrashing(e) {
+	if d.answerCanceled(e) || d.refuseCrashing(e) {
 		return
 	}
 	j := &job{Job: e.Job, arrived: d.now, unfinished: e.Job.Tasks, tasks: make([]task, e.Job.Tasks)}
@@ -124,15 +125,12 @@
 }
 
 // join attaches a duplicate submission to its open job. If the job is answered
-// already and its tasks are still being stopped, the duplicate is submitted when
+// already and its tasks are still being stopped, the duplicates are submitted when
 // they have ended.
 func (d *Dispatcher) join(j *job, e SubmitCalled) {
 	d.emit(LogEvent{Event: "job_joined", Job: j.Name, Queue: j.Queue.Name, Detail: fmt.Sprintf("answered=%t live=%d", j.answered, j.livePlacements)})
 	if j.answered {
-		if superseded := j.successor; superseded != nil {
-			d.emit(Refused{Call: superseded.Call, Error: structs.Errorf(structs.CodeConflict, structs.NotRun, "superseded by a newer submission of the same job")})
-		}
-		j.successor = &e
+		j.successors = append(j.successors, e)
 		d.calls[e.Call] = j
 		return
 	}
@@ -171,11 +169,12 @@
 func (d *Dispatcher) callClosed(call CallID) {
 	j := d.calls[call]
 	if j == nil {
+		d.delayed = slices.DeleteFunc(d.delayed, func(c delayedCall) bool { return c.submit.Call == call })
 		return
 	}
 	delete(d.calls, call)
-	if j.successor != nil && j.successor.Call == call {
-		j.successor = nil
+	if i := slices.IndexFunc(j.successors, func(e SubmitCalled) bool { return e.Call == call }); i >= 0 {
+		j.successors = slices.Delete(j.successors, i, i+1)
 		return
 	}
 	for i, c := range j.calls {
@@ -191,17 +190,6 @@
 	}
 }
 
-func (d *Dispatcher) cancel(e CancelCalled) {
-	j := d.jobs[e.Name]
-	if j == nil || j.answered {
-		_, retained := d.retainedAnswers[e.Name]
-		d.emit(CancelReplied{Call: e.Call, Known: retained})
-		return
-	}
-	d.answer(j, Canceled, "canceled by the caller")
-	d.emit(CancelReplied{Call: e.Call, Known: true})
-}
-
 // answer gives the final answer of a job and stops its remaining tasks.
 func (d *Dispatcher) answer(j *job, s Status, reason string) {
 	took := d.now.Sub(j.arrived)
@@ -275,15 +263,15 @@
 }
 
 // releaseIfEnded removes a closed job once all its placements have ended, and
-// submits the duplicate that has arrived since its answer.
+// submits the duplicates that have arrived since its answer.
 func (d *Dispatcher) releaseIfEnded(j *job) {
 	if !j.answered || j.livePlacements > 0 || d.jobs[j.Name] != j {
 		return
 	}
 	delete(d.jobs, j.Name)
-	if next := j.successor; next != nil {
+	for _, next := range j.successors {
 		delete(d.calls, next.Call)
-		d.submit(*next)
+		d.submit(next)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,9 @@
 	evacuationMu sync.Mutex
 	evacuations  evacuation.State
 
+	peersMu sync.Mutex
+	peers   map[string]*peerLink // by address; those to which cancels were sent of late
+
 	configFetch sync.Mutex // held while another process is asked for the configuration
 
 	mu          sync.Mutex
@@ -82,6 +85,7 @@
 	lastCall    dispatch.CallID
 	lastSession dispatch.SessionID
 	calls       map[dispatch.CallID]chan Outcome
+	cancelCalls map[dispatch.CallID]chan dispatch.CancelResult
 	sessions    map[dispatch.SessionID]*agentSession
 	wakeTimer   *time.Timer // fires when the dispatcher has to be stepped next
 }
@@ -95,23 +99,29 @@
 // New creates a Gateway and binds its listeners.
 func New(opts Options, p Platform, logger log.Logger) (*Gateway, error) {
 	g := &Gateway{
-		opts:       opts,
-		platform:   p,
-		logger:     logger,
-		startedAt:  time.Now(),
+		opts:      opts,
+		platform:  p,
+		logger:    logger,
+		startedAt: time.Now(),
+
+		evacuations: evacuation.New(time.Now()),
+
 		members:    membership.New(opts.PeerAddr),
 		config:     newConfiguration(),
 		connectors: make(map[string]*agentConnector),
 		widening:   1,
 		calls:      make(map[dispatch.CallID]chan Outcome),
 		sessions:   make(map[dispatch.SessionID]*agentSession),
+
+		cancelCalls: make(map[dispatch.CallID]chan dispatch.CancelResult),
+		peers:       make(map[string]*peerLink),
 	}
 	g.self = session.Process{
 		Name: opts.Name, Role: session.RoleEntry, Addr: opts.PeerAddr, Incarnation: structs.Incarnation(randid.NonZero()),
 	}
 	g.dispatcher = dispatch.New(dispatch.Options{
 		Entry: opts.Name, Incarnation: g.self.Incarnation, Zone: opts.Zone, Started: g.startedAt,
-		FarFactor: opts.FarFactor, Scheduling: opts.Scheduling,
+		AwaitCancels: true, FarFactor: opts.FarFactor, Scheduling: opts.Scheduling,
 		InDoubtTimeout: taskrunner.InDoubtTimeout(opts.LeaseMax.D(), opts.StopTimeout.D()), AnswerRetention: dispatch.DefaultAnswerRetention,
 	})
 	g.metrics = newMetrics(g)
@@ -230,17 +240,6 @@
 	return Outcome{Status: dispatch.Canceled}
 }
 
-// Cancel cancels a job. It reports whether this entry knows the job.
-func (g *Gateway) Cancel(name string) bool {
-	var known bool
-	for _, ef := range g.step(dispatch.CancelCalled{Name: name}) {
-		if r, ok := ef.(dispatch.CancelReplied); ok {
-			known = r.Known
-		}
-	}
-	return known
-}
-
 // StatusOf returns the status of a job that is open or whose answer is retained.
 func (g *Gateway) StatusOf(name string) (dispatch.Status, bool) {
 	g.mu.Lock()
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"github.com/chestnuthollow/chestnuthollow/dispatch"
 	"github.com/chestnuthollow/chestnuthollow/keyedlog"
 	"github.com/chestnuthollow/chestnuthollow/membership"
 	"github.com/chestnuthollow/chestnuthollow/session"
@@ -43,6 +45,10 @@
 // sender's.
 func (r *receiver) Exchange(req *session.ExchangeRequest, reply *session.ExchangeReply) error {
 	g := r.gateway
+	if err := membership.Check(req.From); err != nil {
+		level.Warn(g.logger).Log("event", "peer_rejected", "reason", err)
+		return err
+	}
 	now := time.Now()
 	g.members.Add(now, req.From)
 	g.members.MarkReachable(now, req.From.Addr)
@@ -53,6 +59,9 @@
 	reply.Known = g.members.ProcessesFor(g.self, req)
 	g.updateEvacuation(req.Evacuation, "peer "+req.From.Name)
 	reply.Evacuation = g.evacuation()
+	if req.WantCancels {
+		reply.Cancels = g.knownCancels()
+	}
 	reply.ConfigVersion = g.config.raw().Version
 	if req.OmitConfig || reply.ConfigVersion <= req.ConfigVersion {
 		return nil
@@ -71,15 +80,22 @@
 // fastExchangeInterval.
 func (g *Gateway) exchangeLoop() {
 	g.members.AddSeeds(time.Now(), g.opts.Seeds)
-	for g.background.Err() == nil {
+	for first := true; g.background.Err() == nil; first = false {
 		peers := g.members.List(session.RoleEntry)
 		pause, count := fastExchangeInterval, peersPerFastExchange
 		if !g.configTopicUnavailable.Load() && g.Table() != nil {
 			pause, count = exchangeInterval, peersPerExchange
 		}
 		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		var asked sync.WaitGroup
 		for _, p := range peers[:min(len(peers), count)] {
-			go g.exchangeWith(p)
+			asked.Go(func() { g.exchangeWith(p) })
+		}
+		if first {
+			go func() {
+				asked.Wait()
+				g.step(dispatch.CancelsLearned{All: true})
+			}()
 		}
 		time.Sleep(pause)
 	}
@@ -88,7 +104,7 @@
 func (g *Gateway) exchangeWith(p session.Process) {
 	reply, err := membership.Exchange(p.Addr, session.ExchangeRequest{
 		From: g.self, ConfigVersion: g.config.raw().Version, Digest: g.members.Digest(), OmitConfig: true,
-		Evacuation: g.evacuation(),
+		Evacuation: g.evacuation(), WantCancels: g.wantsCancels(),
 	})
 	if err != nil {
 		if g.members.MarkUnreachable(time.Now(), p.Addr) {
@@ -100,6 +116,9 @@
 	g.members.MarkReachable(now, p.Addr)
 	g.members.Add(now, reply.Known...)
 	g.updateEvacuation(reply.Evacuation, "peer "+p.Name)
+	if g.wantsCancels() {
+		g.step(dispatch.CancelsLearned{From: p.Name, Cancels: reply.Cancels, All: true})
+	}
 	g.updateConfig(reply.Config, "peer "+p.Name) // of an entry of an earlier build
 	if reply.ConfigVersion > g.config.raw().Version {
 		g.fetchConfigFromPeer(p, reply.ConfigVersion)
@@ -118,11 +137,22 @@
 
 // HandleBatch implements keyedlog.Handler.
 func (h *membersHandler) HandleBatch(b keyedlog.Batch) {
+	if len(b.Records) == 0 && !b.Snapshot {
+		return
+	}
 	g := h.gateway
+	g.logSkipped(g.platform.MembersTopic, b)
 	var restarted []string // addresses of agents with a new incarnation
 	for _, r := range b.Records {
+		if len(r.Value) == 0 {
+			continue // the key was deleted
+		}
 		var p session.Process
-		if err := json.Unmarshal(r.Value, &p); err != nil {
+		err := json.Unmarshal(r.Value, &p)
+		if err == nil {
+			err = membership.Check(p)
+		}
+		if err != nil {
 			level.Warn(g.logger).Log("event", "member_unreadable", "key", r.Key, "offset", r.Offset, "reason", err)
 			continue
 		}
--- a/taskrunner/messages.go
+++ b/taskrunner/messages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/attempts"
+	"github.com/chestnuthollow/chestnuthollow/evacuation"
 	"github.com/chestnuthollow/chestnuthollow/session"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
@@ -15,16 +16,18 @@
 
 // ServerInfo is the state that a backend server reports in a heartbeat.
 type ServerInfo struct {
-	ID          string   `json:"id"`
-	Incarnation int64    `json:"run"` // start of the server process in Unix ms; higher for each restart
-	Seq         int64    `json:"-"`   // sequence number of the heartbeat within the incarnation
-	Service     string   `json:"service"`
-	Draining    bool     `json:"draining"`
-	CPU         int      `json:"cpu"` // thousandths of a core
-	MemMB       int      `json:"mem_mb"`
-	GPU         int      `json:"gpu"`
-	Labels      []string `json:"labels"`
-	Rack        string   `json:"rack"` // one of the labels; empty if unknown
+	ID          string `json:"id"`
+	Incarnation int64  `json:"run"` // start of the server process in Unix ms; higher for each restart
+	Seq         int64  `json:"-"`   // sequence number of the heartbeat within the incarnation
+	// Clock is the reading of the server's clock in the heartbeat; zero if it has none.
+	Clock    time.Duration `json:"-"`
+	Service  string        `json:"service"`
+	Draining bool          `json:"draining"`
+	CPU      int           `json:"cpu"` // thousandths of a core
+	MemMB    int           `json:"mem_mb"`
+	GPU      int           `json:"gpu"`
+	Labels   []string      `json:"labels"`
+	Rack     string        `json:"rack"` // one of the labels; empty if unknown
 	// Cold is how much longer the server runs slowly after its start, at the time of the
 	// heartbeat.
 	Cold time.Duration `json:"-"`
@@ -86,9 +89,12 @@
 // RunningRow is an entry in the server's list of running tasks.
 type RunningRow struct {
 	Key     RunKey
-	Percent int
+	Percent int // progress; UnknownPercent if the server's statement cannot be used
 }
 
+// UnknownPercent is the Percent of a RunningRow that only shows that the run is there.
+const UnknownPercent = -1
+
 // EndOutcome is how a task ended at the server.
 type EndOutcome uint8
 
@@ -134,7 +140,7 @@
 	}
 	// SessionClosed reports that the connection of a session was closed.
 	SessionClosed struct{ Session uint64 }
-	// ServerReported is a heartbeat of the backend server.
+	// ServerReported is a heartbeat of the backend server, or of someone else in its name.
 	ServerReported struct{ Info ServerInfo }
 	// ServerLeft reports that the server with the ID has deregistered.
 	ServerLeft struct{ ID string }
@@ -154,6 +160,7 @@
 		OK     bool
 		Clock  time.Duration // reading of the server's clock; zero if unknown
 		Reason string        // logged if OK is false
+		Known  int64         // of the StopTask
 	}
 	// RenewReplied is the reply to RenewLease. Running and Ended are the server's
 	// lists of running and of ended tasks.
@@ -163,21 +170,27 @@
 		Fenced            bool   // the server has seen a higher fencing token
 		OtherServer       bool   // another incarnation of the server replied
 		Refused           bool   // the connection was refused
-		Reason            string // logged if OK is false
+		Reason            string // logged if OK is false, or if rows could not be decoded
 		ServerIncarnation int64
 		Clock             time.Duration // reading of the server's clock
 		Running           []RunningRow
 		Ended             []EndRow
 		// MoreEnds means that the server may have further ended tasks to list.
 		MoreEnds bool
-		// Unreadable is the number of rows that could not be decoded.
-		Unreadable int
+		// UnreadableRunning and UnreadableEnds are the numbers of rows of both lists that
+		// could not be decoded.
+		UnreadableRunning, UnreadableEnds int
 	}
 	// ConfigReceived delivers a version of the operators' configuration.
 	ConfigReceived struct{ Config session.Config }
 	// EvacuationReceived delivers the evacuations that another process knows. Requests of
 	// entries deliver them too.
-	EvacuationReceived struct{ Evacuation session.Evacuation }
+	EvacuationReceived struct {
+		Evacuation session.Evacuation
+		Source     string // name of the process, for logs
+	}
+	// TopicRead is a reply to a read of the operators' topic after WatchTopic.
+	TopicRead struct{ Batch evacuation.Batch }
 	// RecordLoaded delivers the record that an earlier agent of this name stored: its
 	// backend server and the baseline slowness it measured. Either is zero if
 	// the record does not have it.
@@ -208,7 +221,8 @@
 	StopTask struct {
 		Key      RunKey
 		Token    int64
-		ServerID string
+		ServerID string // backend server that the call is addressed to; empty if unknown
+		Known    int64  // server incarnation that the agent knew; the reply repeats it
 	}
 	// RenewLease asks for the lists of running and ended tasks. It also renews the
 	// lease if Until is positive. The reply is RenewReplied.
@@ -246,6 +260,10 @@
 	ServerChanged struct{ Info ServerInfo }
 	// Drained reports that the graceful shutdown is complete.
 	Drained struct{}
+	// WatchTopic starts reading the evacuations on the operators' topic from an offset on;
+	// zero stands for the newest record of each key. UnwatchTopic ends it.
+	WatchTopic   struct{ From int64 }
+	UnwatchTopic struct{}
 	// LogEvent is a line for the log.
 	LogEvent struct {
 		Event   string
@@ -268,6 +286,7 @@
 func (ConfigReceived) isEvent()     {}
 func (RecordLoaded) isEvent()       {}
 func (EvacuationReceived) isEvent() {}
+func (TopicRead) isEvent()          {}
 func (LeaveRequested) isEvent()     {}
 func (Ticked) isEvent()             {}
 
@@ -281,4 +300,6 @@
 func (CloseSession) isEffect()  {}
 func (ServerChanged) isEffect() {}
 func (Drained) isEffect()       {}
+func (WatchTopic) isEffect()    {}
+func (UnwatchTopic) isEffect()  {}
 func (LogEvent) isEffect()      {}
--- a/taskrunner/order.go
+++ b/taskrunner/order.go
@@ -24,7 +24,9 @@
 		return
 	}
 	s.recordMessage(m, e.Request.Echo)
-	m.updateEvacuation(e.Request.Evacuation)
+	s.recordEvacuation(e.Request.Evacuation)
+	m.updateEvacuation(e.Request.Evacuation, s.name)
+	m.cancelJobs(s, e.Request.Cancels)
 	for _, id := range e.Request.Stop {
 		m.stopPlacement(s, id)
 	}
@@ -34,7 +36,7 @@
 	}
 	m.expireQueued()
 	m.startQueued()
-	m.emit(ReplyOrder{Call: e.Call, Reply: session.OrderReply{State: m.state(s)}})
+	m.emit(ReplyOrder{Call: e.Call, Reply: session.OrderReply{State: m.state(s), Cancels: len(e.Request.Cancels)}})
 }
 
 // stopPlacement stops the run of a placement, or keeps a later start from running.
@@ -77,6 +79,8 @@
 	case s.canceled[r.id]:
 		delete(s.canceled, r.id)
 		return "stopped by the entry"
+	case m.canceled(r):
+		return reasonCanceled
 	case m.leaving:
 		return "agent is leaving"
 	case m.server.ID == "":
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -10,33 +10,6 @@
 	"github.com/chestnuthollow/chestnuthollow/session"
 )
 
-// serverReported processes a heartbeat. Heartbeats of an earlier incarnation, or
-// with an old sequence number, are ignored.
-func (m *Runner) serverReported(info ServerInfo) {
-	if info.Incarnation < m.server.Incarnation || info.Incarnation < m.clockIncarnation || info.Incarnation == m.server.Incarnation && info.Seq <= m.server.Seq {
-		return
-	}
-	previous := m.server
-	m.server = info
-	m.updateWarmUp(info.Cold, info.Incarnation != previous.Incarnation)
-	switch {
-	case info.Incarnation != previous.Incarnation:
-		m.serverRegistered("server_registered")
-		m.renewNow()
-	case !info.sameProperties(&previous):
-		m.propertiesChanged(previous)
-	}
-	if !info.SameRecord(&previous) {
-		m.emit(ServerChanged{Info: info})
-	}
-	if info.Draining && !previous.Draining {
-		m.log("server_draining", "server="+info.ID)
-		m.dropAllQueued("the backend server is draining")
-		m.wakePolls()
-	}
-	m.returnUnsuitable()
-}
-
 // propertiesChanged reports the new properties of the same incarnation of the server to
 // the entries.
 func (m *Runner) propertiesChanged(previous ServerInfo) {
@@ -81,6 +54,9 @@
 	}
 	m.log("server_left", "server="+id)
 	m.server.Draining = true
+	if m.server.Clock > 0 {
+		m.server.Clock = max(m.server.Clock, m.clock) // earlier reports may still arrive
+	}
 	m.emit(ServerChanged{Info: m.server})
 	m.dropAllQueued("the backend server has left")
 	m.wakePolls()
@@ -97,18 +73,32 @@
 	m.renewals = slices.DeleteFunc(m.renewals, func(p pendingRenewal) bool { return m.now.Sub(p.sentAt) > renewalExpiry })
 	m.lastRenewalID++
 	l := RenewLease{ID: m.lastRenewalID, Token: m.token, AckIndex: m.seenEnd, Wait: m.opts.RenewalWait}
-	if m.noForeignRuns && m.clockIncarnation != 0 && !m.fenced && !m.leaseExpired() {
+	if m.noForeignRuns && m.clockIncarnation != 0 && !m.fenced && !m.clockOutdated() && m.misaddressedAfter == 0 {
 		l.Until = m.leaseEnd()
 	} else {
 		l.Wait = 0
 	}
-	if m.server.Incarnation == m.clockIncarnation {
-		l.ServerID = m.server.ID
+	if m.awaitsVerification() {
+		l.Wait = 0
+	} else if m.misaddressedAfter == 0 {
+		l.ServerID = m.addressee()
+	}
+	if l.Until > 0 {
+		m.leaseAsked()
 	}
-	m.renewals = append(m.renewals, pendingRenewal{id: l.ID, sentAt: m.now, retransmitAt: m.now.Add(l.Wait + renewalRetransmitAfter)})
+	m.renewals = append(m.renewals, pendingRenewal{id: l.ID, serverID: l.ServerID, sentAt: m.now, asksLease: l.Until > 0, retransmitAt: m.now.Add(l.Wait + renewalRetransmitAfter)})
 	m.emit(l)
 }
 
+// addressee returns the ID of the server that calls are addressed to; empty if the known
+// incarnation has not registered.
+func (m *Runner) addressee() string {
+	if m.server.Incarnation != m.clockIncarnation {
+		return ""
+	}
+	return m.server.ID
+}
+
 // renewNow makes the next lease renewal due without waiting for one in flight.
 func (m *Runner) renewNow() {
 	if n := len(m.renewals); n > 0 {
@@ -117,24 +107,30 @@
 	m.nextRenewal = m.now
 }
 
-// removeRenewal removes a lease renewal and returns when it was sent, if it was pending.
-func (m *Runner) removeRenewal(id uint64) (sentAt time.Time, pending bool) {
+// removeRenewal removes a lease renewal and returns it if it was pending.
+func (m *Runner) removeRenewal(id uint64) (renewal pendingRenewal, pending bool) {
 	i := slices.IndexFunc(m.renewals, func(p pendingRenewal) bool { return p.id == id })
 	if i < 0 {
-		return time.Time{}, false
+		return pendingRenewal{}, false
 	}
-	sentAt = m.renewals[i].sentAt
+	renewal = m.renewals[i]
 	m.renewals = slices.Delete(m.renewals, i, i+1)
-	return sentAt, true
+	return renewal, true
 }
 
 func (m *Runner) renewReplied(e RenewReplied) {
-	sentAt, pending := m.removeRenewal(e.ID)
+	renewal, pending := m.removeRenewal(e.ID)
+	if renewal.asksLease && !e.Refused {
+		m.leaseAsked() // until now the call may have been carried out
+	}
 	if !e.OK {
+		if e.OtherServer {
+			m.misaddressed(renewal.serverID)
+		}
 		m.renewalFailed(e)
 		return
 	}
-	if e.ServerIncarnation < m.clockIncarnation || e.ServerIncarnation < m.server.Incarnation {
+	if e.ServerIncarnation < m.clockIncarnation {
 		m.nextRenewal = m.now.Add(renewalRetryDelay)
 		return // late reply of an earlier incarnation
 	}
@@ -151,20 +147,22 @@
 		m.adoptStoredServer()
 	}
 	m.fenced = false
-	if sentAt.After(m.confirmedAt) {
-		m.confirmedAt = sentAt
+	if renewal.sentAt.After(m.confirmedAt) {
+		m.confirmedAt = renewal.sentAt
 	}
-	if e.Unreadable > 0 {
-		m.log("rows_unreadable", fmt.Sprintf("rows=%d", e.Unreadable))
+	if rows := e.UnreadableRunning + e.UnreadableEnds; rows > 0 {
+		m.log("rows_unreadable", fmt.Sprintf("rows=%d reason=%q", rows, e.Reason))
 	}
 	outdated := e.Clock < m.clock // the reply to a later renewal arrived first
 	m.readClock(e.ServerIncarnation, e.Clock)
-	m.applyEnds(e.Ended, e.Clock)
+	m.settleAddress(e)
+	m.settleReports(e)
+	m.applyEnds(e.ID, e.Ended, e.Clock)
 	if outdated {
 		return
 	}
-	m.reconcileRunning(e.Running)
-	if pending {
+	m.reconcileRunning(e.ID, e.Running)
+	if pending && !e.MoreEnds {
 		m.finishMissing(e)
 	}
 	m.learnFromProgress()
@@ -211,6 +209,9 @@
 func (m *Runner) serverReplaced(e RenewReplied) {
 	m.storeBaseline(m.Baseline())
 	m.log("server_run_changed", fmt.Sprintf("from=%d to=%d", m.clockIncarnation, e.ServerIncarnation))
+	if m.clockIncarnation != 0 {
+		m.earlierLeasesEnd = m.now.Add(renewalExpiry + m.longestLease())
+	}
 	m.clockIncarnation = e.ServerIncarnation
 	m.clock = 0
 	m.noForeignRuns = false
@@ -225,32 +226,33 @@
 		r.stopAcked = false
 		switch {
 		case r.phase == stopping && r.attempts.Verdict() == attempts.Open:
-			m.emit(StopTask{Key: r.key, Token: m.token, ServerID: m.server.ID})
-		case r.attempts.RunningAt() == 0:
+			r.stopRetryAt = time.Time{}
+			m.sendStop(r.key)
+		case r.phase != running || r.attempts.RunningAt() == 0:
 			m.finish(r, session.Lost, "the backend server was replaced")
 		}
 	}
 	m.wakePolls()
 }
 
-// applyEnds processes the ended tasks listed in the reply to a lease renewal with
+// applyEnds processes the ended tasks listed in the reply to the given lease renewal, with
 // the given clock reading.
-func (m *Runner) applyEnds(ends []EndRow, clock time.Duration) {
+func (m *Runner) applyEnds(renewal uint64, ends []EndRow, clock time.Duration) {
 	for _, end := range ends {
 		if end.Index <= m.seenEnd {
 			continue
 		}
 		m.seenEnd = end.Index
 		r := m.runs[end.Key.TaskKey]
-		if r == nil || r.key != end.Key {
+		if r == nil || r.key != end.Key || r.phase == queued {
 			continue
 		}
+		r.attempts.Ended(m.clockIncarnation, renewal > r.answeredAfter)
 		m.applyEnd(r, end.Outcome, clock)
 	}
 }
 
 func (m *Runner) applyEnd(r *run, outcome EndOutcome, clock time.Duration) {
-	r.attempts.Ended()
 	if !r.confirmed {
 		r.confirm(m)
 	}
@@ -276,7 +278,7 @@
 // reconcileRunning compares the tasks that the server runs with those that this
 // agent has started. It stops unknown ones and records the progress of the others.
 // Once there are no unknown ones, it sets noForeignRuns.
-func (m *Runner) reconcileRunning(rows []RunningRow) {
+func (m *Runner) reconcileRunning(renewal uint64, rows []RunningRow) {
 	foreign := 0
 	for _, row := range rows {
 		r := m.runs[row.Key.TaskKey]
@@ -285,6 +287,7 @@
 			m.stopForeign(row.Key)
 			continue
 		}
+		r.attempts.Listed(m.clockIncarnation, renewal > r.answeredAfter)
 		m.updateProgress(r, row.Percent)
 	}
 	if !m.noForeignRuns && foreign == 0 {
@@ -301,16 +304,18 @@
 // ignores a stop of a run that has already ended.
 func (m *Runner) stopForeign(key RunKey) {
 	m.emit(LogEvent{Event: "foreign_run_stopped", Task: key.String()})
-	m.emit(StopTask{Key: key, Token: m.token, ServerID: m.server.ID})
+	m.sendStop(key)
 }
 
 // updateProgress records the progress of a run and stops it if it has stalled.
 func (m *Runner) updateProgress(r *run, percent int) {
-	r.attempts.Listed(m.clockIncarnation)
 	if !r.confirmed {
 		r.confirm(m)
 	}
-	if percent != r.percent {
+	switch percent = min(percent, 100); {
+	case percent <= UnknownPercent:
+		r.progressAt = m.now
+	case percent != r.percent:
 		r.percent = percent
 		r.progressAt = m.now
 	}
@@ -323,9 +328,8 @@
 	}
 }
 
-// finishMissing finishes the runs that the server no longer lists in the reply to a lease
-// renewal. A run counts as missing only if the renewal was sent after its start or its
-// stop was acknowledged.
+// finishMissing finishes the runs that the server does not list in the reply to a lease
+// renewal, as far as that proves their end.
 func (m *Runner) finishMissing(e RenewReplied) {
 	seen := make(map[RunKey]bool, len(e.Running))
 	for _, row := range e.Running {
@@ -335,17 +339,38 @@
 		if seen[r.key] {
 			continue
 		}
+		if r.phase != stopping && r.phase != running {
+			continue
+		}
+		fenced := r.stopAcked && e.ID > r.stopAckedAfter
+		if e.UnreadableRunning > 0 && !(fenced && m.stopCompleted(r)) {
+			m.stopUnlisted(r)
+			continue
+		}
+		r.attempts.Missing(e.ID > r.answeredAfter, fenced, e.UnreadableRunning+e.UnreadableEnds == 0)
 		switch {
-		case r.phase == stopping && r.stopAcked && e.ID > r.stopAckedAfter:
-			r.attempts.Fenced(e.Unreadable == 0 && !e.MoreEnds)
-			m.finish(r, r.outcome, r.reason)
-		case r.phase == running && e.ID > r.listedAfter:
-			r.attempts.Ended()
+		case r.phase == running && r.attempts.RunningAt() == 0:
 			m.finish(r, session.Lost, "the backend server no longer lists the task")
+		case r.phase == stopping && r.attempts.Verdict() != attempts.Open:
+			m.finish(r, r.outcome, r.reason)
 		}
 	}
 }
 
+// stopCompleted reports whether a stop that was acknowledged has certainly ended the run.
+func (m *Runner) stopCompleted(r *run) bool {
+	longest := time.Duration(float64(m.opts.StopTimeout) * (1 + clockDrift))
+	return r.stopAcked && m.now.Sub(r.stopAckedAt) > longest
+}
+
+// stopUnlisted stops a run that an unreadable row may stand for, if no readable one has
+// shown its progress for long. It is not known to have ended.
+func (m *Runner) stopUnlisted(r *run) {
+	if r.phase == running && m.now.Sub(r.progressAt) > stallTimeout {
+		m.stop(r, session.Lost, "the backend server lists unreadable runs instead of the task")
+	}
+}
+
 // Server returns the information about the current server. Its ID is empty if none
 // has registered.
 func (m *Runner) Server() ServerInfo { return m.server }
--- a/taskrunner/session.go
+++ b/taskrunner/session.go
@@ -22,6 +22,12 @@
 	reports       []session.Report     // not acknowledged by the entry yet
 	lastReportSeq uint64
 	poll          *pendingPoll
+	// topicUnheard is for how long the entry has not heard the operators' topic, by its last
+	// message; zero if it hears it. evacuationKnown is the newest version of the evacuations
+	// that the session has carried.
+	topicUnheard    time.Duration
+	evacuationKnown int64
+	cancelsSent     uint64 // number of the last mark of a canceled job that was sent to the entry
 	// identitySent means that the entry knows the server's properties of version
 	// sentProperties.
 	identitySent   bool
@@ -73,17 +79,19 @@
 			m.endSession(s.id, "replaced by a new session")
 		}
 	}
-	m.updateEvacuation(e.Request.Evacuation)
+	m.updateEvacuation(e.Request.Evacuation, e.Request.Entry)
 	m.updateConfig(e.Request.Config)
 	m.newestConfig = max(m.newestConfig, e.Request.ConfigVersion)
 	m.addSession(&entrySession{
 		id: e.Session, entry: e.Request.Incarnation, name: e.Request.Entry, hello: &e,
 		lastHeard: m.now, canceled: make(map[uint64]bool),
+		topicUnheard: e.Request.TopicUnheard, evacuationKnown: e.Request.Evacuation.Version,
 	})
 }
 
 // addSession adds a session, or replaces the one with the same ID.
 func (m *Runner) addSession(s *entrySession) {
+	m.topic.viewsChanged = true
 	m.sessions[s.id] = s
 	i, found := m.sessionIndex(s.id)
 	if found {
@@ -95,6 +103,7 @@
 
 // removeSession removes the session with the ID.
 func (m *Runner) removeSession(id uint64) {
+	m.topic.viewsChanged = true
 	delete(m.sessions, id)
 	if i, found := m.sessionIndex(id); found {
 		m.sortedSessions = slices.Delete(m.sortedSessions, i, i+1)
@@ -120,15 +129,16 @@
 		req := s.hello.Request
 		reply := session.HelloReply{
 			Agent: m.opts.Agent, Incarnation: m.opts.Incarnation, Zone: m.opts.Zone, State: m.state(s),
-			Evacuation: m.evacuations.Current(),
+			Evacuation: m.evacuations.Current(), Cancels: m.unsentCancels(s),
 		}
 		reply.ConfigVersion = m.config.Version
 		if !req.OmitConfig && m.config.Version > req.Config.Version {
 			reply.Config = m.config
 		}
+		s.recordEvacuation(reply.Evacuation)
 		s.echoed = reply.State.Stamp
 		s.lastHeard = m.now
-		s.open = true
+		s.open, m.topic.viewsChanged = true, true
 		m.emit(ReplyHello{Call: s.hello.Call, Reply: reply})
 		s.hello = nil
 		m.emit(LogEvent{Event: "session_opened", Entry: s.entry, Detail: fmt.Sprintf("entry=%s session=%d", s.name, s.id)})
--- a/taskrunner/suitable.go
+++ b/taskrunner/suitable.go
@@ -76,6 +76,9 @@
 	if m.server.Incarnation != m.clockIncarnation {
 		return "the backend server was replaced"
 	}
+	if m.awaitsVerification() {
+		return "the backend server may have been replaced"
+	}
 	if m.mayBeReplaced(r) {
 		return "the backend server does not answer"
 	}
--- a/taskrunner/suitable_test.go
+++ b/taskrunner/suitable_test.go
@@ -92,10 +92,12 @@
 						h.answerSuccessor()
 					}
 					h.step(taskrunner.ServerReported{Info: successor(id, apply)})
-					h.Expect(h.pollReports(1)).To(ContainElement(isReturned(2)), "at once")
+					h.Expect(effects[taskrunner.StartTask](h)).To(BeEmpty())
 					if heartbeatFirst {
-						h.answerSuccessor()
+						h.answerSuccessor() // the report takes effect when the server confirms it
 					}
+					h.Expect(effects[taskrunner.StartTask](h)).To(BeEmpty())
+					h.Expect(h.pollReports(1)).To(ContainElement(isReturned(2)), "at once")
 					_, starts := h.pollSuccessor()
 					h.Expect(starts).To(BeEmpty())
 				})
--- a/test/sessions/simulation_test.go
+++ b/test/sessions/simulation_test.go
@@ -36,12 +36,15 @@
 	// delayedCallShare is the share of calls to servers that are carried out late.
 	// The same share of replies and of lease renewals is lost.
 	delayedCallShare float64
-	running          map[string][]string     // servers that currently run a task, by task name
-	started          map[string]bool         // tasks that have ever started, by task name
-	crashes          map[string]int          // servers that crashed while they ran the task, by task name
-	startsAfter      map[string]int          // starts after maxCrashes, by task name
-	jobs             map[string]dispatch.Job // submitted ones, by name
-	counts           map[string]int          // what the cases covered
+	running          map[string][]string // servers that currently run a task, by task name
+	started          map[string]bool     // tasks that have ever started, by task name
+	crashes          map[string]int      // servers that crashed while they ran the task, by task name
+	startsAfter      map[string]int      // starts after maxCrashes, by task name
+	// acknowledged is when the cancel of a job was acknowledged first, by its name; nil if
+	// no jobs are canceled.
+	acknowledged map[string]time.Duration
+	jobs         map[string]dispatch.Job // submitted ones, by name
+	counts       map[string]int          // what the cases covered
 }
 
 type event struct {
@@ -267,6 +270,8 @@
 	sim.counts["started"]++
 	sim.traceEvent(m.name, "SERVER STARTS", task, "")
 	sim.started[task] = true
+	job, _, _ := strings.Cut(task, ".")
+	sim.checkNotCanceled(job, task)
 	if at := sim.running[task]; len(at) > 0 {
 		sim.fail("task %s starts at %s while it runs at %v", task, m.name, at)
 	}
