--- a/dispatch/cancel.go
+++ b/dispatch/cancel.go
@@ -34,7 +34,7 @@
 	number  uint64
 }
 
-// cancel closes a job at this entry and has the other entries told.
+// cancel closes a job at this entry and has the other entries notified.
 func (d *Dispatcher) cancel(e CancelCalled) {
 	job := cancels.Job{Queue: e.Queue, Name: e.Name}
 	known := d.cancelHere(job, "canceled by the caller")
@@ -42,7 +42,7 @@
 	d.pendingCancels[e.Call] = &pendingCancel{job: job, known: known, deadline: d.now.Add(PeerCancelTimeout + agentCancelTimeout)}
 	d.emit(LogEvent{Event: "cancel_received", Job: e.Name, Queue: e.Queue, Detail: fmt.Sprintf("known=%t", known)})
 	d.emit(CancelMetrics{Received: 1})
-	d.emit(TellPeers{Call: e.Call, Cancel: session.Cancel{Job: e.Name, Queue: e.Queue}})
+	d.emit(NotifyPeers{Call: e.Call, Cancel: session.Cancel{Job: e.Name, Queue: e.Queue}})
 }
 
 // cancelHere answers the callers of a job as canceled and stops its tasks. It reports
@@ -124,9 +124,9 @@
 	return known
 }
 
-// peersTold continues a cancel. If an entry could not be told, all agents in session have to
+// peersNotified continues a cancel. If an entry could not be notified, all agents in session have to
 // hold the mark.
-func (d *Dispatcher) peersTold(e PeersTold) {
+func (d *Dispatcher) peersNotified(e PeersNotified) {
 	p := d.pendingCancels[e.Call]
 	if p == nil {
 		return
--- a/dispatch/cancel_test.go
+++ b/dispatch/cancel_test.go
@@ -18,7 +18,7 @@
 func (h *harness) cancel(name string) dispatch.CallID {
 	h.call++
 	h.step(dispatch.CancelCalled{Call: h.call, Queue: queue().Name, Name: name})
-	h.Expect(effects[dispatch.TellPeers](h)).To(Equal([]dispatch.TellPeers{{Call: h.call, Cancel: canceled(name)[0]}}))
+	h.Expect(effects[dispatch.NotifyPeers](h)).To(Equal([]dispatch.NotifyPeers{{Call: h.call, Cancel: canceled(name)[0]}}))
 	return h.call
 }
 
@@ -89,10 +89,10 @@
 	h := newHarness(t)
 	call := h.cancel("a")
 	h.Expect(h.cancelResults()).To(BeEmpty(), "not before the other entries have replied")
-	h.step(dispatch.PeersTold{Call: call, Known: true})
+	h.step(dispatch.PeersNotified{Call: call, Known: true})
 	h.Expect(h.cancelResults()).To(Equal([]dispatch.CancelResult{dispatch.CancelDone}))
 	call = h.cancel("b")
-	h.step(dispatch.PeersTold{Call: call})
+	h.step(dispatch.PeersNotified{Call: call})
 	h.Expect(h.cancelResults()).To(Equal([]dispatch.CancelResult{dispatch.CancelNoSuchJob}))
 }
 
@@ -100,7 +100,7 @@
 func TestSubmissionAfterItsCancelIsNotRun(t *testing.T) {
 	h := newHarness(t)
 	h.agent(1, idle)
-	h.step(dispatch.PeersTold{Call: h.cancel("a")})
+	h.step(dispatch.PeersNotified{Call: h.cancel("a")})
 	call := h.submit("a", 1, 1000, 50*time.Millisecond)
 	h.Expect(effects[dispatch.Answered](h)).To(Equal([]dispatch.Answered{{Call: call, Status: dispatch.Canceled}}))
 }
@@ -113,7 +113,7 @@
 	h.agent(2, idle)
 	call := h.cancel("a")
 	h.Expect(h.cancelOrders()).To(BeEmpty(), "agents are not needed as long as all entries reply")
-	h.step(dispatch.PeersTold{Call: call, Missed: 1})
+	h.step(dispatch.PeersNotified{Call: call, Missed: 1})
 	h.Expect(h.cancelResults()).To(BeEmpty())
 	orders := h.cancelOrders()
 	h.Expect(orders).To(HaveLen(2))
@@ -132,7 +132,7 @@
 func TestCancelIsAcknowledgedInTheNextSession(t *testing.T) {
 	h := newHarness(t)
 	h.agent(1, idle)
-	h.step(dispatch.PeersTold{Call: h.cancel("a"), Missed: 1})
+	h.step(dispatch.PeersNotified{Call: h.cancel("a"), Missed: 1})
 	lost := h.cancelOrders()[1]
 	h.step(dispatch.SessionEnded{ID: 1, LastHeard: h.now})
 	h.step(dispatch.SessionOpened{ID: 2, Agent: "agent-1", Zone: "zone-a", State: h.state(idle)})
@@ -151,7 +151,7 @@
 		for i := range agents {
 			h.agent(dispatch.SessionID(i+1), idle)
 		}
-		h.step(dispatch.PeersTold{Call: h.cancel("a"), Missed: 1})
+		h.step(dispatch.PeersNotified{Call: h.cancel("a"), Missed: 1})
 		if agents > 0 {
 			orders := h.cancelOrders()
 			h.acknowledge(orders[1], 0)
@@ -249,7 +249,7 @@
 	call := h.call + 1
 	h.step(dispatch.CancelCalled{Call: call, Queue: queue().Name, Name: "a"})
 	h.Expect(effects[dispatch.Answered](h)).To(Equal([]dispatch.Answered{{Call: second, Status: dispatch.Canceled}}))
-	h.step(dispatch.PeersTold{Call: call})
+	h.step(dispatch.PeersNotified{Call: call})
 	h.Expect(h.cancelResults()).To(Equal([]dispatch.CancelResult{dispatch.CancelDone}))
 	h.report(1, idle, ids[0], session.Stopped)
 	again, _ := h.placed()
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -100,8 +100,8 @@
 		d.callClosed(e.Call)
 	case CancelCalled:
 		d.cancel(e)
-	case PeersTold:
-		d.peersTold(e)
+	case PeersNotified:
+		d.peersNotified(e)
 	case CancelsLearned:
 		d.emit(CancelsRecorded{Known: d.cancelsLearned(e.From, e.Cancels)})
 		if e.All {
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -91,15 +91,15 @@
 	}
 	// CallClosed reports that the caller closed its request before the answer.
 	CallClosed struct{ Call CallID }
-	// CancelCalled cancels a job; TellPeers and CancelReplied follow.
+	// CancelCalled cancels a job; NotifyPeers and CancelReplied follow.
 	CancelCalled struct {
 		Call  CallID
 		Queue string
 		Name  string
 	}
-	// PeersTold reports how TellPeers went: whether another entry had the job, and how many
+	// PeersNotified reports how NotifyPeers went: whether another entry had the job, and how many
 	// have not replied in time.
-	PeersTold struct {
+	PeersNotified struct {
 		Call   CallID
 		Known  bool
 		Missed int
@@ -109,7 +109,7 @@
 	CancelsLearned struct {
 		From    string
 		Cancels []session.Cancel
-		// All means that another entry has told all that it knows, or that none replies.
+		// All means that another entry has listed all that it knows, or that none replies.
 		All bool
 	}
 	// SessionOpened reports that a session was opened. This entry's placements of
@@ -188,9 +188,9 @@
 		Call  CallID
 		Error *structs.Error
 	}
-	// TellPeers has all other entries told that a job was canceled. PeersTold follows
+	// NotifyPeers has all other entries notified that a job was canceled. PeersNotified follows
 	// within PeerCancelTimeout.
-	TellPeers struct {
+	NotifyPeers struct {
 		Call   CallID
 		Cancel session.Cancel
 	}
@@ -248,7 +248,7 @@
 func (SubmitCalled) isEvent()      {}
 func (CallClosed) isEvent()        {}
 func (CancelCalled) isEvent()      {}
-func (PeersTold) isEvent()         {}
+func (PeersNotified) isEvent()         {}
 func (CancelsLearned) isEvent()    {}
 func (SessionOpened) isEvent()     {}
 func (SessionEnded) isEvent()      {}
@@ -263,7 +263,7 @@
 func (CloseSession) isEffect()     {}
 func (Answered) isEffect()         {}
 func (Refused) isEffect()          {}
-func (TellPeers) isEffect()        {}
+func (NotifyPeers) isEffect()        {}
 func (CancelReplied) isEffect()    {}
 func (CancelsRecorded) isEffect()  {}
 func (CancelMetrics) isEffect()    {}
--- a/gateway/cancels.go
+++ b/gateway/cancels.go
@@ -76,15 +76,15 @@
 	}
 }
 
-// tellPeers tells all other entries of a cancel and waits for their replies.
-func (g *Gateway) tellPeers(e dispatch.TellPeers) {
+// notifyPeers notifies all other entries of a cancel and waits for their replies.
+func (g *Gateway) notifyPeers(e dispatch.NotifyPeers) {
 	peers := g.members.List(session.RoleEntry)
 	results := make(chan tellResult, len(peers))
 	t := tell{cancel: e.Cancel, at: time.Now(), result: results}
 	for _, p := range peers {
 		g.enqueueTell(p.Addr, t)
 	}
-	told := dispatch.PeersTold{Call: e.Call}
+	told := dispatch.PeersNotified{Call: e.Call}
 	timer := time.NewTimer(dispatch.PeerCancelTimeout)
 	defer timer.Stop()
 	for missing := len(peers); missing > 0; missing-- {
@@ -253,5 +253,5 @@
 }
 
 // wantsCancels reports whether this entry has started so late that others may know of
-// cancels that it was not told.
+// cancels that it was not notified of.
 func (g *Gateway) wantsCancels() bool { return time.Since(g.startedAt) < cancels.Retention }
--- a/gateway/step.go
+++ b/gateway/step.go
@@ -58,8 +58,8 @@
 		g.deliver(ef.Call, Outcome{Status: ef.Status})
 	case dispatch.Refused:
 		g.deliver(ef.Call, Outcome{Refused: ef.Error})
-	case dispatch.TellPeers:
-		go g.tellPeers(ef)
+	case dispatch.NotifyPeers:
+		go g.notifyPeers(ef)
 	case dispatch.CancelReplied:
 		g.deliverCancel(ef)
 	}
--- a/session/messages.go
+++ b/session/messages.go
@@ -62,7 +62,7 @@
 	AgoMs int64 // time since the cancel, in ms
 }
 
-// CancelRequest tells an entry which jobs were canceled at another one (Entry.Cancel).
+// CancelRequest notifies an entry of jobs that were canceled at another one (Entry.Cancel).
 type CancelRequest struct {
 	Entry   string // name of the sender
 	Cancels []Cancel
--- a/taskrunner/dump.go
+++ b/taskrunner/dump.go
@@ -19,7 +19,7 @@
 	Slowness          int            `json:"slowness"`      // expected run time over estimate, in thousandths
 	Failing           int            `json:"failing"`       // share of failed tasks, in thousandths
 	Deferred          int            `json:"deferred"`      // queued tasks that give way to others and cannot start in time
-	CanceledJobs      int            `json:"canceled_jobs"` // jobs of which no task is started, because an entry could not be told
+	CanceledJobs      int            `json:"canceled_jobs"` // jobs of which no task is started, because an entry could not be notified
 	Sessions          []SessionDump  `json:"sessions"`
 	RunTimes          []RunTimesDump `json:"run_times"` // of the queues whose distribution is known
 	Runs              []RunDump      `json:"runs"`
--- a/taskrunner/suitable.go
+++ b/taskrunner/suitable.go
@@ -86,7 +86,7 @@
 }
 
 // sameProperties reports whether another state of the server has the same properties, as
-// far as entries are told: they stay for most of the heartbeats.
+// far as they are sent to entries: most heartbeats leave them unchanged.
 func (s *ServerInfo) sameProperties(o *ServerInfo) bool {
 	return s.Incarnation == o.Incarnation && s.ID == o.ID && s.Service == o.Service && s.capacity() == o.capacity() &&
 		s.Rack == o.Rack && slices.Equal(s.Labels, o.Labels)
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -17,7 +17,7 @@
 	server         ServerInfo         // ID is empty until a server has registered
 	unverified     []unverifiedReport // oldest first
 	storedServer   ServerInfo         // as stored by an earlier agent; ID is empty if there is none
-	properties     uint64             // version of the server's properties that entries are told
+	properties     uint64             // version of the server's properties, as sent to entries
 	config         session.Config
 	newestConfig   int64 // highest version that an entry has named
 	evacuations    evacuation.State
--- a/test/sessions/cancel_test.go
+++ b/test/sessions/cancel_test.go
@@ -116,10 +116,10 @@
 	}
 }
 
-// tellPeers transmits a cancel to the other entries. A message or its reply may be lost.
-func (e *entryProc) tellPeers(ef dispatch.TellPeers) {
+// notifyPeers transmits a cancel to the other entries. A message or its reply may be lost.
+func (e *entryProc) notifyPeers(ef dispatch.NotifyPeers) {
 	sim := e.sim
-	told := dispatch.PeersTold{Call: ef.Call}
+	told := dispatch.PeersNotified{Call: ef.Call}
 	waiting, done := len(sim.entries)-1, false
 	finish := func() {
 		if !done {
--- a/test/sessions/entry_test.go
+++ b/test/sessions/entry_test.go
@@ -273,8 +273,8 @@
 			})
 			c.agent.step(taskrunner.OrderCalled{Call: call, Session: c.session, Request: req})
 		})
-	case dispatch.TellPeers:
-		e.tellPeers(ef)
+	case dispatch.NotifyPeers:
+		e.notifyPeers(ef)
 	case dispatch.CancelReplied:
 		if reply := e.cancels[ef.Call]; reply != nil {
 			delete(e.cancels, ef.Call)
