Logs: a closed standard output does not end the process

Go ends a process that writes to a broken pipe at descriptor 1 or 2 unless it handles SIGPIPE. The log's writer ignores the signal now; a failed write drops the lines.

Besides, an unused field of the agent's log events is gone.

--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -248,7 +248,7 @@
 func (SubmitCalled) isEvent()      {}
 func (CallClosed) isEvent()        {}
 func (CancelCalled) isEvent()      {}
-func (PeersNotified) isEvent()         {}
+func (PeersNotified) isEvent()     {}
 func (CancelsLearned) isEvent()    {}
 func (SessionOpened) isEvent()     {}
 func (SessionEnded) isEvent()      {}
@@ -263,7 +263,7 @@
 func (CloseSession) isEffect()     {}
 func (Answered) isEffect()         {}
 func (Refused) isEffect()          {}
-func (NotifyPeers) isEffect()        {}
+func (NotifyPeers) isEffect()      {}
 func (CancelReplied) isEffect()    {}
 func (CancelsRecorded) isEffect()  {}
 func (CancelMetrics) isEffect()    {}
--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -6,8 +6,10 @@
 import (
 	"fmt"
 	"io"
+	"os/signal"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -34,8 +36,11 @@
 	unreported int64 // lines dropped since the last log_lines_dropped event
 }
 
-// New returns a Writer that writes to out in the background until Close.
+// New returns a Writer that writes to out in the background until Close. The process
+// ignores SIGPIPE from then on: a write to standard output whose reader has gone would end
+// it otherwise.
 func New(out io.Writer) *Writer {
+	signal.Ignore(syscall.SIGPIPE)
 	w := &Writer{out: out, wake: make(chan struct{}, 1), quit: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
--- a/taskrunner/messages.go
+++ b/taskrunner/messages.go
@@ -266,11 +266,10 @@
 	UnwatchTopic struct{}
 	// LogEvent is a line for the log.
 	LogEvent struct {
-		Event   string
-		Task    string // RunKey of the task; empty if the line is not about a task
-		Entry   structs.Incarnation
-		Verdict *structs.Verdict
-		Detail  string
+		Event  string
+		Task   string // RunKey of the task; empty if the line is not about a task
+		Entry  structs.Incarnation
+		Detail string
 	}
 )
 
