--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -278,9 +278,11 @@
 	switch e.Result {
 	case StartAccepted:
 		r.phase = running
-		// The reply to a renewal that is sent now names the incarnation that has the run, and
-		// takes the place of one that got lost.
-		m.renewNow()
+		if e.ServerIncarnation != m.clockIncarnation {
+			// The reply to a renewal names the incarnation. It also takes the place of one that
+			// got lost.
+			m.renewNow()
+		}
 		m.emit(LogEvent{Event: "task_started", Task: r.key.String(), Entry: r.session.entry,
 			Detail: fmt.Sprintf("cpu=%d estimate_ms=%d clock_ms=%d config=%d", r.cpu, r.estimate.Milliseconds(), m.clock.Milliseconds(), r.configVersion)})
 		return
