Log follower: a read that ends with the process is no failure

What operators saw: "log_unreachable" as the last line of an entry that stops. The read's context is canceled, and the read was counted as failed.

--- a/logfollower/read.go
+++ b/logfollower/read.go
@@ -49,7 +49,7 @@
 		return true, f.handleTruncation(ctx)
 	}
 	if err != nil {
-		f.readFailed(err)
+		f.readFailed(ctx, err)
 		return false, err
 	}
 	f.applyRecords(records)
@@ -60,7 +60,7 @@
 func (f *Follower) handleTruncation(ctx context.Context) error {
 	earliest, _, err := f.opts.Log.Bounds(ctx)
 	if err != nil {
-		f.readFailed(err)
+		f.readFailed(ctx, err)
 		return err
 	}
 	f.mu.Lock()
@@ -70,9 +70,12 @@
 	return nil
 }
 
-// readFailed records a failed read. Only the first of consecutive failures is
-// logged.
-func (f *Follower) readFailed(err error) {
+// readFailed records a failed read, unless it has ended because the follower stops. Only
+// the first of consecutive failures is logged.
+func (f *Follower) readFailed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.logStatus.failure == "" || f.logStatus.failure == notReadYet {
