Agent: a run of an ended session is over when its entry counts with it

Cause: an entry that loses its session with an agent places the tasks again after InDoubtTimeout (867 ms). That covers a session, a lease and one stop. The agent kept its part only if its stops succeeded: while the server declined them, or did not reply, it went on renewing the lease, which holds for everything at the server.

Change: while a run of an ended session is not known to be over, or the server lists a run that the agent does not know, no call asks for a lease beyond the time that the session has: SessionTTL after the echoed clock reading, and a lease. If the server confirms the end before, which takes a few ms, no other run notices. If it does not, everything there loses its lease, and the agent is not ready meanwhile. Stops are sent again after 30 ms without waiting for the earlier call. Runs end once every lease that was asked for has certainly expired, also while renewals without a lease succeed. The events lease_limited and lease_unlimited say so.

--- a/taskrunner/options.go
+++ b/taskrunner/options.go
@@ -82,6 +82,9 @@
 	// maxStartTries bounds how often a start is sent while no reply is received.
 	// Starts are idempotent: a run that is sent twice starts once.
 	maxStartTries = 3
+	// stopRetransmitAfter is the retransmission timeout of a stop. The server replies within a
+	// few ms, and stops are idempotent.
+	stopRetransmitAfter = 30 * time.Millisecond
 	// stopRetryDelay is the delay before a failed stop is sent again. A server
 	// that refuses connections fails at once and would otherwise be called in a
 	// tight loop.
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -60,7 +60,7 @@
 	stopAcked      bool          // the current incarnation has acknowledged the stop
 	stopAckedAfter uint64        // lease renewals with higher IDs were sent after that
 	stopAckedAt    time.Time
-	stopRetryAt    time.Time       // when a failed stop is sent again; zero if none has failed
+	stopRetryAt    time.Time       // when the stop is sent again; zero if it is not
 	outcome        session.Outcome // to report once a stopping run has ended
 	reason         string          // of outcome
 }
@@ -235,6 +235,12 @@
 	}
 	r.phase = stopping
 	r.outcome, r.reason = o, reason
+	m.stopRun(r)
+}
+
+// stopRun sends a StopTask for a run, and again as long as none is acknowledged.
+func (m *Runner) stopRun(r *run) {
+	r.stopRetryAt = m.now.Add(stopRetransmitAfter)
 	m.sendStop(r.key)
 }
 
@@ -386,18 +392,20 @@
 	if r == nil || r.key != e.Key || r.phase != stopping || e.Known != m.clockIncarnation {
 		return
 	}
+	if r.stopAcked {
+		return
+	}
 	if !e.OK {
 		m.emit(LogEvent{Event: "stop_unanswered", Task: r.key.String(), Entry: r.session.entry, Detail: fmt.Sprintf("reason=%q", e.Reason)})
 		r.stopRetryAt = m.now.Add(stopRetryDelay)
 		return
 	}
-	if !r.stopAcked {
-		r.stopAcked, r.stopAckedAfter, r.stopAckedAt = true, m.lastRenewalID, m.now
-		m.renewNow()
-	}
+	r.stopAcked, r.stopAckedAfter, r.stopAckedAt = true, m.lastRenewalID, m.now
+	r.stopRetryAt = time.Time{}
+	m.renewNow()
 }
 
-// retryStops sends failed stops again when their delay has passed.
+// retryStops sends stops again that have failed, or have no reply, when their delay has passed.
 func (m *Runner) retryStops() {
 	var due []*run
 	for _, r := range m.runs {
@@ -407,8 +415,7 @@
 	}
 	slices.SortFunc(due, compareRuns)
 	for _, r := range due {
-		r.stopRetryAt = time.Time{}
-		m.sendStop(r.key)
+		m.stopRun(r)
 	}
 }
 
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -64,8 +64,8 @@
 
 // sendRenewal keeps one lease renewal in flight. If its retransmission timeout has
 // passed, another is sent without waiting for it, because some calls never get a
-// reply. The lease is not renewed while the fencing token is refused or tasks of
-// an earlier agent are running.
+// reply. The lease is not renewed while the fencing token is refused or tasks are running
+// that the agent does not know, such as those of an earlier agent.
 func (m *Runner) sendRenewal() {
 	if n := len(m.renewals); n > 0 && m.now.Before(m.renewals[n-1].retransmitAt) || m.now.Before(m.nextRenewal) {
 		return
@@ -73,7 +73,7 @@
 	m.renewals = slices.DeleteFunc(m.renewals, func(p pendingRenewal) bool { return m.now.Sub(p.sentAt) > renewalExpiry })
 	m.lastRenewalID++
 	l := RenewLease{ID: m.lastRenewalID, Token: m.token, AckIndex: m.seenEnd, Wait: m.opts.RenewalWait}
-	if m.noForeignRuns && m.clockIncarnation != 0 && !m.fenced && !m.clockOutdated() && m.misaddressedAfter == 0 {
+	if m.mayRenewLease() {
 		l.Until = m.leaseEnd()
 	} else {
 		l.Wait = 0
@@ -86,10 +86,17 @@
 	if l.Until > 0 {
 		m.leaseAsked()
 	}
+	m.logLeaseLimit()
 	m.renewals = append(m.renewals, pendingRenewal{id: l.ID, serverID: l.ServerID, sentAt: m.now, asksLease: l.Until > 0, retransmitAt: m.now.Add(l.Wait + renewalRetransmitAfter)})
 	m.emit(l)
 }
 
+// mayRenewLease reports whether lease renewals extend the lease, as far as leaseEnd allows.
+func (m *Runner) mayRenewLease() bool {
+	return m.noForeignRuns && !m.foreignListed && m.clockIncarnation != 0 && !m.fenced && !m.clockOutdated() &&
+		m.misaddressedAfter == 0 && m.leaseEnd() > m.clock
+}
+
 // addressee returns the ID of the server that calls are addressed to; empty if the known
 // incarnation has not registered.
 func (m *Runner) addressee() string {
@@ -226,8 +233,7 @@
 		r.stopAcked = false
 		switch {
 		case r.phase == stopping && r.attempts.Verdict() == attempts.Open:
-			r.stopRetryAt = time.Time{}
-			m.sendStop(r.key)
+			m.stopRun(r)
 		case r.phase != running || r.attempts.RunningAt() == 0:
 			m.finish(r, session.Lost, "the backend server was replaced")
 		}
@@ -290,6 +296,7 @@
 		r.attempts.Listed(m.clockIncarnation, renewal > r.answeredAfter)
 		m.updateProgress(r, row.Percent)
 	}
+	m.foreignListed = foreign > 0
 	if !m.noForeignRuns && foreign == 0 {
 		m.noForeignRuns = true
 		m.log("server_ready", fmt.Sprintf("run=%d clock_ms=%d token=%d", m.clockIncarnation, m.clock.Milliseconds(), m.token))
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -48,10 +48,15 @@
 	// to another server; zero if it has not, or if a later one was answered.
 	misaddressedAfter uint64
 	nextRenewal       time.Time // no lease renewal is sent before this time
-	serverLost        bool      // renewals have failed for longer than the duration of a lease
-	serverRefusing    bool      // the connection of a renewal was refused since the last reply
-	failingSince      time.Time // first failed renewal since the last reply; zero if there is none
-	seenEnd           int64     // highest EndRow.Index that has been processed
+	// orphaned is set while runs of ended sessions may be going on.
+	orphaned bool
+	// foreignListed means that the newest list of runs had one that this agent does not know.
+	foreignListed  bool
+	limitLogged    bool      // the last line of logLeaseLimit said that the lease is limited
+	serverLost     bool      // renewals have failed for longer than the duration of a lease
+	serverRefusing bool      // the connection of a renewal was refused since the last reply
+	failingSince   time.Time // first failed renewal since the last reply; zero if there is none
+	seenEnd        int64     // highest EndRow.Index that has been processed
 
 	crashes   []crash // recent ones, oldest first
 	lastCrash uint64  // number of the last one
@@ -185,7 +190,7 @@
 		}
 		m.endSession(s.id, reason) // removes the element at i
 	}
-	if m.leaseExpired() {
+	if len(m.runs) > len(m.queue) && (m.leaseExpired() || m.longestLeaseExpired()) {
 		m.expireStarted()
 	}
 }
@@ -217,7 +222,7 @@
 // longestLease returns how long after a call a run may last that any incarnation of the
 // server has granted a lease for it, whatever end of the lease the call asked for.
 func (m *Runner) longestLease() time.Duration {
-	return time.Duration(float64(m.opts.LeaseMax)*(1+clockDrift)) + m.opts.StopTimeout
+	return time.Duration(float64(max(m.opts.Lease, m.opts.LeaseMax))*(1+clockDrift)) + m.opts.StopTimeout
 }
 
 // leaseAsked records that a call that asks for a lease is sent, or may have been carried out
@@ -225,9 +230,9 @@
 func (m *Runner) leaseAsked() { m.leaseAskedAt = m.now }
 
 // longestLeaseExpired reports whether every lease that any incarnation of the server may
-// have granted has certainly expired.
+// have granted has certainly expired. A start that it carries out later is rejected as late.
 func (m *Runner) longestLeaseExpired() bool {
-	return m.leaseExpired() && m.now.Sub(m.leaseAskedAt) > m.longestLease()
+	return m.now.Sub(m.leaseAskedAt) > m.longestLease()
 }
 
 // readClock updates the clock from a reading of the given server incarnation. Zero stands
@@ -249,13 +254,10 @@
 	return clock <= m.clock+m.now.Sub(m.clockReadAt)+renewalExpiry
 }
 
-// leaseEnd returns the end of a lease that starts at the newest clock reading.
-func (m *Runner) leaseEnd() time.Duration { return m.clock + m.opts.Lease }
-
 // active reports whether the agent currently starts tasks.
 func (m *Runner) active() bool {
 	return m.server.ID != "" && m.server.Incarnation == m.clockIncarnation && m.noForeignRuns && !m.fenced &&
-		!m.serverRefusing && !m.server.Draining && !m.leaving && !m.zoneEvacuated() && !m.clockOutdated()
+		!m.serverRefusing && !m.server.Draining && !m.leaving && !m.zoneEvacuated() && !m.clockOutdated() && !m.leaseLimited()
 }
 
 // leave starts the graceful shutdown: queued tasks are refused, and started ones
