Backend server stand-in: a server that is down carries out nothing

Cause in the stand-in: a call whose handler was running when the server went down was still carried out by the incarnation that had ended. Its run never ended, so that the check counted its capacity to the end of the soak, and its task as running.

Shown first: go test ./standin/leaseserver -run TestServerThatIsDownCarriesOutNothing fails on, "a server that is down starts no run".

Change: a call is dropped with its connection if the incarnation that received it has ended.

--- a/standin/leaseserver/handler.go
+++ b/standin/leaseserver/handler.go
@@ -283,18 +283,22 @@
 // reply and carries out the call later, unless the server restarts before that.
 func (h *HTTPServer) callHandler(carryOut func(*call) (int, map[string]any)) echo.HandlerFunc {
 	return func(c echo.Context) error {
+		server := h.current()
 		var body call
 		if err := json.NewDecoder(c.Request().Body).Decode(&body); err != nil {
 			return c.NoContent(http.StatusBadRequest)
 		}
 		h.mu.Lock()
+		if h.ended(server) {
+			h.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		if rand.Float64() < h.delayedShare {
-			server := h.server
 			h.mu.Unlock()
 			time.AfterFunc(2*time.Second+time.Duration(rand.IntN(4000))*time.Millisecond, func() {
 				h.mu.Lock()
 				defer h.mu.Unlock()
-				if h.server == server {
+				if !h.ended(server) {
 					carryOut(&body)
 				}
 			})
@@ -322,6 +326,17 @@
 	}
 }
 
+// current returns the current incarnation.
+func (h *HTTPServer) current() *Server {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.server
+}
+
+// ended reports whether an incarnation has ended by now. A call that it has received is not
+// carried out any more. The caller holds h.mu.
+func (h *HTTPServer) ended(server *Server) bool { return h.server != server || h.advance().Crashed }
+
 // forOtherServer reports whether a call is addressed to another server.
 func (h *HTTPServer) forOtherServer(c echo.Context) bool {
 	addressedTo := c.Request().Header.Get("Expect-Instance")
@@ -331,6 +346,7 @@
 // renewLease serves a lease renewal. It replies when there are ended tasks that are
 // not acknowledged, or after the requested wait.
 func (h *HTTPServer) renewLease(c echo.Context) error {
+	server := h.current()
 	var body call
 	if err := json.NewDecoder(c.Request().Body).Decode(&body); err != nil {
 		return c.NoContent(http.StatusBadRequest)
@@ -340,6 +356,10 @@
 	timedOut := body.WaitMs == 0
 	for {
 		h.mu.Lock()
+		if h.ended(server) {
+			h.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		if h.forOtherServer(c) {
 			h.mu.Unlock()
 			return c.NoContent(http.StatusMisdirectedRequest)
--- /dev/null
+++ b/standin/leaseserver/handler_test.go
@@ -0,0 +1,56 @@
+package leaseserver_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/standin/leaseserver"
+)
+
+// Guards against a stand-in that carries out calls while it is down: their runs never end, and
+// the checks of soaks count them as running.
+func TestServerThatIsDownCarriesOutNothing(t *testing.T) {
+	g := NewWithT(t)
+	started := make(chan leaseserver.TaskRun, 1)
+	server := leaseserver.NewHTTPServer(leaseserver.Options{
+		ID: "server-1", HeartbeatURL: "http://127.0.0.1:1",
+		BehaviorOf: func(string, string) leaseserver.Behavior { return leaseserver.Behavior{Duration: time.Hour} },
+		OnStart:    func(_ string, run leaseserver.TaskRun) { started <- run },
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	server.Serve(l)
+	defer server.Close()
+
+	// The call has reached its handler, which reads the body while the server crashes.
+	body, writer := io.Pipe()
+	request, err := http.NewRequest(http.MethodPost, "http://"+l.Addr().String()+"/chestnuthollow/run-start", body)
+	g.Expect(err).NotTo(HaveOccurred())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		defer func() { recover() }() // the handler aborts the call
+		server.Handler().ServeHTTP(discard{}, request)
+	}()
+	_, err = io.WriteString(writer, `{"task":"0123456789abcdef.0.0.0","run":1,`)
+	g.Expect(err).NotTo(HaveOccurred())
+	server.CrashFor(time.Minute)
+	_, err = io.Copy(writer, strings.NewReader(`"deadlineMs":9000000000}`))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(writer.Close()).To(Succeed())
+	g.Eventually(served).Should(BeClosed())
+	g.Expect(started).To(BeEmpty(), "a server that is down starts no run")
+}
+
+// discard is a connection that is closed.
+type discard struct{}
+
+func (discard) Header() http.Header         { return http.Header{} }
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+func (discard) WriteHeader(int)             {}
