Agent: starts, stops and leases reach only the incarnation that they are for

Cause: a server may start again under its id and address, with a clock that starts anew. A call of an agent that does not know it yet was carried out by the new incarnation. Its end of lease is by the earlier clock, so that the new one grants the longest lease, 1 s. Entries count with 300 ms, and a copy of the job may come after 1.3 s: TWICE. Replies to starts do not name the incarnation, so that no later message could mend it.

Lists are asked for without a lease from whoever answers, as before; that is how a new incarnation becomes known.

--- a/taskrunner/incarnations_test.go
+++ b/taskrunner/incarnations_test.go
@@ -40,11 +40,32 @@
 	h.order(1, h.reading(), "job", 1000, 1)
 	start := effects[taskrunner.StartTask](h)[0]
 	server := leaseserver.New(incarnation+1, time.Second)
-	h.Expect(server.Start(leaseserver.TaskRun{Name: "job.0", Number: 1}, leaseserver.Behavior{Duration: 10 * time.Second}, start.Until, start.Token)).To(BeEmpty())
+	if start.Known == 0 || start.Known == server.Incarnation {
+		h.Expect(server.Start(leaseserver.TaskRun{Name: "job.0", Number: 1}, leaseserver.Behavior{Duration: 10 * time.Second}, start.Until, start.Token)).To(BeEmpty())
+	}
 	server.Advance(time.Second + taskrunner.InDoubtTimeout(time.Second, stopTimeout))
 	h.Expect(server.Running()).To(BeEmpty(), "the entry places the task again")
 }
 
+// Guards against a lease by the clock of an earlier incarnation, which lasts longer than the
+// agent and the entries count with.
+func TestLeasesAreAskedOfTheKnownIncarnation(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	asked := 0
+	for range 10 {
+		h.advance(100 * time.Millisecond)
+		for _, r := range effects[taskrunner.RenewLease](h) {
+			if r.Until > 0 {
+				asked++
+				h.Expect(r.Known).To(BeEquivalentTo(incarnation))
+			}
+		}
+		h.answerRenewal(0, nil)
+	}
+	h.Expect(asked).To(BeNumerically(">", 0))
+}
+
 // Guards against needless waiting at a server that is down: a copy without a reply that was
 // sent before one that the same incarnation accepted cannot have another effect.
 func TestAcceptedRunIsLostWithItsLeaseAfterEarlierCopyHadNoReply(t *testing.T) {
--- a/taskrunner/messages.go
+++ b/taskrunner/messages.go
@@ -209,15 +209,18 @@
 
 // Effects.
 type (
-	// StartTask asks the server to start a task. The reply is StartReplied.
+	// StartTask asks the server to start a task. The reply is StartReplied. Only the
+	// incarnation Known carries it out.
 	StartTask struct {
 		Key      RunKey
 		Spec     string
 		Until    time.Duration // end of the lease by the server's clock
 		Token    int64
 		ServerID string // backend server that the call is addressed to; empty if unknown
+		Known    int64
 	}
-	// StopTask asks the server to stop a task. The reply is StopReplied.
+	// StopTask asks the server to stop a task. The reply is StopReplied. Only the incarnation
+	// Known carries it out.
 	StopTask struct {
 		Key      RunKey
 		Token    int64
@@ -225,7 +228,8 @@
 		Known    int64  // server incarnation that the agent knew; the reply repeats it
 	}
 	// RenewLease asks for the lists of running and ended tasks. It also renews the
-	// lease if Until is positive. The reply is RenewReplied.
+	// lease if Until is positive: Until is by the clock of the incarnation Known, and only that
+	// one carries the call out. The reply is RenewReplied.
 	RenewLease struct {
 		ID       uint64
 		Until    time.Duration // end of the lease by the server's clock
@@ -233,6 +237,7 @@
 		AckIndex int64         // the server may discard ended tasks up to this index
 		Wait     time.Duration // how long the server may delay the reply
 		ServerID string
+		Known    int64 // zero stands for any incarnation, if Until is zero
 	}
 	// ReplyHello, ReplyOrder and ReplyPoll return the result of an entry's call.
 	ReplyHello struct {
--- a/taskrunner/orders_test.go
+++ b/taskrunner/orders_test.go
@@ -20,6 +20,7 @@
 	crossing    bool // calls in flight may reach the next incarnation
 	suspension  bool // the agent may be suspended, with or without its server being replaced
 	unnamed     bool // replies to starts do not name the incarnation
+	unbound     bool // any incarnation carries out calls for a known one
 }
 
 const (
@@ -99,6 +100,9 @@
 
 // execute carries out a call at the current incarnation and returns the reply.
 func (w *orderWalk) execute(ef taskrunner.Effect) taskrunner.Event {
+	if reply := w.refuseOther(ef); reply != nil && !w.faults.unbound {
+		return reply
+	}
 	switch e := ef.(type) {
 	case taskrunner.StartTask:
 		r := taskrunner.StartReplied{Key: e.Key, Clock: w.serverClock(), ServerIncarnation: w.boot}
@@ -155,6 +159,25 @@
 	return nil
 }
 
+// refuseOther returns the reply to a call that is for another incarnation, or nil.
+func (w *orderWalk) refuseOther(ef taskrunner.Effect) taskrunner.Event {
+	switch e := ef.(type) {
+	case taskrunner.StartTask:
+		if e.Known != w.boot {
+			return taskrunner.StartReplied{Key: e.Key, Result: taskrunner.StartOtherServer}
+		}
+	case taskrunner.StopTask:
+		if e.Known != w.boot {
+			return taskrunner.StopReplied{Key: e.Key, Known: e.Known}
+		}
+	case taskrunner.RenewLease:
+		if e.Known != 0 && e.Known != w.boot {
+			return taskrunner.RenewReplied{ID: e.ID, OtherServer: true}
+		}
+	}
+	return nil
+}
+
 func unansweredEvent(ef taskrunner.Effect) taskrunner.Event {
 	switch e := ef.(type) {
 	case taskrunner.StartTask:
@@ -370,7 +393,8 @@
 		"replies outlive restarts":  {lateReplies: true},
 		"suspended agent":           {suspension: true},
 		"unnamed incarnations":      {unnamed: true},
-		"all":                       {true, true, true, false},
+		"all":                       {crossing: true, lateReplies: true, suspension: true},
+		"unbound calls":             {crossing: true, lateReplies: true, suspension: true, unbound: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			failures := map[string]int{}
--- a/taskrunner/report.go
+++ b/taskrunner/report.go
@@ -126,12 +126,14 @@
 	m.returnUnsuitable()
 }
 
-// misaddressed notes that the server has rejected a lease renewal addressed to the
-// registered one. The next renewal is not addressed, so that its reply shows who answers.
-func (m *Runner) misaddressed(addressedTo string) {
-	if addressedTo != "" && addressedTo == m.server.ID {
-		m.misaddressedAfter = m.lastRenewalID
+// misaddressed notes that a call met another server or incarnation than the one that it was
+// for, unless another has registered or replied since. The next renewal is for whoever
+// answers, so that its reply shows who does.
+func (m *Runner) misaddressed(serverID string, known int64) {
+	if serverID == "" && known == 0 || serverID != "" && serverID != m.server.ID || known != 0 && known != m.clockIncarnation {
+		return
 	}
+	m.misaddressedAfter = m.lastRenewalID
 }
 
 // settleAddress withdraws the registration of a server whose incarnation answers, but not
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -220,7 +220,7 @@
 	r.attempts.Sent()
 	m.leaseAsked()
 	m.starts.record(m.now, r.queue)
-	m.emit(StartTask{Key: r.key, Spec: r.spec, Until: min(m.leaseEnd(), r.session.echoed.Clock+m.opts.SessionTTL), Token: m.token, ServerID: m.server.ID})
+	m.emit(StartTask{Key: r.key, Spec: r.spec, Until: min(m.leaseEnd(), r.session.echoed.Clock+m.opts.SessionTTL), Token: m.token, ServerID: m.server.ID, Known: m.clockIncarnation})
 }
 
 // stop ends a run early. A queued run is reported as NotStarted at once, any other
@@ -299,6 +299,9 @@
 		m.health.recordFailure()
 	case StartFenced:
 		m.raiseToken()
+	case StartOtherServer:
+		m.misaddressed(m.server.ID, r.sentTo)
+		m.renewNow()
 	}
 	rejected := r.attempts.Verdict() == attempts.NeverStarted
 	switch {
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -84,10 +84,11 @@
 		l.ServerID = m.addressee()
 	}
 	if l.Until > 0 {
+		l.Known = m.clockIncarnation
 		m.leaseAsked()
 	}
 	m.logLeaseLimit()
-	m.renewals = append(m.renewals, pendingRenewal{id: l.ID, serverID: l.ServerID, sentAt: m.now, asksLease: l.Until > 0, retransmitAt: m.now.Add(l.Wait + renewalRetransmitAfter)})
+	m.renewals = append(m.renewals, pendingRenewal{id: l.ID, serverID: l.ServerID, known: l.Known, sentAt: m.now, asksLease: l.Until > 0, retransmitAt: m.now.Add(l.Wait + renewalRetransmitAfter)})
 	m.emit(l)
 }
 
@@ -132,7 +133,7 @@
 	}
 	if !e.OK {
 		if e.OtherServer {
-			m.misaddressed(renewal.serverID)
+			m.misaddressed(renewal.serverID, renewal.known)
 		}
 		m.renewalFailed(e)
 		return
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -78,6 +78,7 @@
 type pendingRenewal struct {
 	id           uint64
 	serverID     string // that it is addressed to; empty if to none
+	known        int64  // incarnation that it is bound to; zero if to none
 	sentAt       time.Time
 	asksLease    bool
 	retransmitAt time.Time // when another RenewLease is sent without waiting for the reply
