Agent: a stopped run is over before its caller's next submission

What callers would see: a task that runs twice. A caller leaves, or gets 504 at its deadline, and submits the job again 1,300 ms later, perhaps to another entry. Its first entry has stopped the tasks; while the server declines the stops, the agent renewed the lease of the run in the live session without end.

Failing first: go test ./taskrunner -run TestStoppedRunIsOverWhenItsCallerSubmitsAgain (the run goes on 1,300 ms after the order).

Change: the limit of leases holds for all runs that are being stopped: SessionTTL and a lease after the first stop, or after the echoed clock reading if its session has ended.

--- a/taskrunner/lease.go
+++ b/taskrunner/lease.go
@@ -6,11 +6,10 @@
 )
 
 // leaseEnd returns the end of a lease that is asked for now, by the server's clock. A lease
-// holds for all runs at the server, and never becomes shorter. An entry that has lost its
-// session relies on the end of its runs after InDoubtTimeout, so that no lease outlasts the
-// time that a run of an ended session has. While the server does not end such a run, its other
-// runs lose their lease with it.
-func (m *Runner) leaseEnd() time.Duration { return min(m.clock+m.opts.Lease, m.orphanLimit()) }
+// holds for all runs at the server, and never becomes shorter. Entries rely on the end of a run
+// some time after they have lost its session or have stopped it, so that no lease outlasts that
+// time. While the server does not end such a run, its other runs lose their lease with it.
+func (m *Runner) leaseEnd() time.Duration { return min(m.clock+m.opts.Lease, m.stopLimit()) }
 
 // leaseLimited reports whether the lease cannot be extended now because of a run whose stop has
 // not been confirmed.
@@ -18,29 +17,37 @@
 	return m.foreignListed || m.leaseEnd() < m.clock+m.opts.Lease
 }
 
-// orphanLimit returns the earliest time by which a run of an ended session has to be over: a
-// session may last for SessionTTL after the clock reading that its entry has echoed, and a lease
-// for Lease longer. Runs of other sessions set no limit.
-func (m *Runner) orphanLimit() time.Duration {
+// stopLimit returns the earliest time by which a run that is being stopped has to be over. Other
+// runs set no limit.
+func (m *Runner) stopLimit() time.Duration {
 	limit := m.clock + m.opts.Lease
-	if !m.orphaned {
+	if !m.stopsPending {
 		return limit
 	}
-	m.orphaned = false
+	m.stopsPending = false
 	for _, r := range m.runs {
-		if !r.session.ended || r.phase == queued {
-			continue
-		}
-		m.orphaned = true
-		if r.session.echoed.Run == m.clockIncarnation {
-			limit = min(limit, r.session.echoed.Clock+m.opts.SessionTTL+m.opts.Lease)
-		} else {
-			limit = 0
+		if r.phase == stopping {
+			m.stopsPending = true
+			limit = min(limit, r.overBy(m))
 		}
 	}
 	return limit
 }
 
+// overBy returns by when a run that is being stopped has to be over. A session may last for
+// SessionTTL after the clock reading that its entry has echoed, and a lease for Lease longer; a
+// run that is stopped before its session ends has the same time.
+func (r *run) overBy(m *Runner) time.Duration {
+	since := r.stoppedAt
+	if since.Run != m.clockIncarnation {
+		return 0
+	}
+	if r.session.ended && r.session.echoed.Run == since.Run {
+		since.Clock = min(since.Clock, r.session.echoed.Clock)
+	}
+	return since.Clock + m.opts.SessionTTL + m.opts.Lease
+}
+
 // logLeaseLimit logs when leaseLimited changes.
 func (m *Runner) logLeaseLimit() {
 	limited := m.leaseLimited()
--- a/taskrunner/orphan_test.go
+++ b/taskrunner/orphan_test.go
@@ -23,6 +23,8 @@
 	keys     map[string]taskrunner.RunKey
 	renewals []servedRenewal
 	polling  []uint64 // sessions whose entries poll
+	polls    map[taskrunner.CallID]uint64
+	seen     map[uint64]uint64 // newest report, by session
 	reports  map[uint64][]session.Report
 	// stop decides whether a stop is carried out. One that is not is declined, or gets no reply
 	// if hangs is set.
@@ -39,6 +41,7 @@
 func newServedHarness(t *testing.T) *servedHarness {
 	h := &servedHarness{
 		harness: newHarness(t), keys: make(map[string]taskrunner.RunKey), polling: []uint64{1, 2},
+		polls: make(map[taskrunner.CallID]uint64), seen: make(map[uint64]uint64),
 		reports: make(map[uint64][]session.Report), stop: func() bool { return true },
 	}
 	h.makeReady()
@@ -57,7 +60,8 @@
 		h.server.Advance(h.clock)
 		for _, id := range h.polling {
 			h.lastCall++
-			h.serve(h.step(taskrunner.PollCalled{Call: h.lastCall, Session: id, Request: session.PollRequest{Echo: h.reading()}}))
+			h.polls[h.lastCall] = id
+			h.serve(h.step(taskrunner.PollCalled{Call: h.lastCall, Session: id, Request: session.PollRequest{Echo: h.reading(), Seen: h.seen[id]}}))
 		}
 		h.serve(h.step(taskrunner.Ticked{}))
 		h.answerRenewals()
@@ -90,8 +94,10 @@
 		case taskrunner.RenewLease:
 			h.renewals = append(h.renewals, servedRenewal{RenewLease: e, due: h.now.Add(e.Wait)})
 		case taskrunner.ReplyPoll:
-			for _, id := range h.polling {
-				h.reports[id] = append(h.reports[id], e.Reply.Reports...)
+			id := h.polls[e.Call]
+			for _, r := range e.Reply.Reports {
+				h.seen[id] = r.Seq
+				h.reports[id] = append(h.reports[id], r)
 			}
 		}
 	}
@@ -161,6 +167,22 @@
 	}
 }
 
+// Guards against a task that runs twice: its entry has stopped it because the caller has left or
+// was answered at its deadline, the server declines the stops, and the caller's next submission
+// reaches another entry.
+func TestStoppedRunIsOverWhenItsCallerSubmitsAgain(t *testing.T) {
+	const resubmission = 1300 * time.Millisecond
+	h := newServedHarness(t)
+	h.start(1, "job")
+	h.runFor(200 * time.Millisecond)
+	h.stop = func() bool { return false }
+	h.lastCall++
+	h.serve(h.step(taskrunner.OrderCalled{Call: h.lastCall, Session: 1, Request: session.OrderRequest{Echo: h.reading(), Stop: []uint64{1}}}))
+	h.runFor(resubmission)
+	h.Expect(h.runs("job")).To(BeFalse(), "another entry may start the task")
+	h.Expect(h.reports[1]).To(ConsistOf(HaveField("Outcome", session.Stopped)))
+}
+
 // Guards against other tasks that are lost with a run of an ended session although the server
 // carries out its stop within the time that the session would have had.
 func TestOtherRunsOutliveSlowStopOfEndedSession(t *testing.T) {
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -47,18 +47,19 @@
 	// starts that were sent again because an earlier one had no reply.
 	numberTries, startTries int
 
-	sentAt         time.Time     // when the start was last sent
-	sentClock      time.Duration // newest reading of the server's clock at that time
-	sentTo         int64         // known server incarnation at that time
-	answeredAfter  uint64        // lease renewals with higher IDs were sent after the last start was answered
-	startedAt      time.Time     // when the start was acknowledged or inferred
-	startClock     time.Duration // server's clock reading in the acknowledgement; zero if unknown
-	confirmed      bool          // the server has acknowledged the start or listed the run
-	percent        int           // progress reported by the server
-	listedFor      time.Duration // run time by the server's clock when it reported percent; zero if unknown
-	progressAt     time.Time     // when percent last changed
-	stopAcked      bool          // the current incarnation has acknowledged the stop
-	stopAckedAfter uint64        // lease renewals with higher IDs were sent after that
+	sentAt         time.Time            // when the start was last sent
+	sentClock      time.Duration        // newest reading of the server's clock at that time
+	sentTo         int64                // known server incarnation at that time
+	answeredAfter  uint64               // lease renewals with higher IDs were sent after the last start was answered
+	startedAt      time.Time            // when the start was acknowledged or inferred
+	startClock     time.Duration        // server's clock reading in the acknowledgement; zero if unknown
+	confirmed      bool                 // the server has acknowledged the start or listed the run
+	percent        int                  // progress reported by the server
+	listedFor      time.Duration        // run time by the server's clock when it reported percent; zero if unknown
+	progressAt     time.Time            // when percent last changed
+	stoppedAt      session.ClockReading // newest reading of the server's clock at the first stop
+	stopAcked      bool                 // the current incarnation has acknowledged the stop
+	stopAckedAfter uint64               // lease renewals with higher IDs were sent after that
 	stopAckedAt    time.Time
 	stopRetryAt    time.Time       // when the stop is sent again; zero if it is not
 	outcome        session.Outcome // to report once a stopping run has ended
@@ -234,6 +235,8 @@
 		return
 	}
 	r.phase = stopping
+	r.stoppedAt = session.ClockReading{Run: m.clockIncarnation, Clock: m.clock}
+	m.stopsPending = true
 	r.outcome, r.reason = o, reason
 	m.stopRun(r)
 }
--- a/taskrunner/session.go
+++ b/taskrunner/session.go
@@ -171,7 +171,6 @@
 			m.stop(r, session.Stopped, "its session ended")
 		}
 	}
-	m.orphaned = m.orphaned || stopped > 0
 	event := "session_ended"
 	if !s.open {
 		event = "session_not_opened"
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -48,8 +48,8 @@
 	// to another server; zero if it has not, or if a later one was answered.
 	misaddressedAfter uint64
 	nextRenewal       time.Time // no lease renewal is sent before this time
-	// orphaned is set while runs of ended sessions may be going on.
-	orphaned bool
+	// stopsPending is set while runs may be in phase stopping.
+	stopsPending bool
 	// foreignListed means that the newest list of runs had one that this agent does not know.
 	foreignListed  bool
 	limitLogged    bool      // the last line of logLeaseLimit said that the lease is limited
