Soak: a record of each violation, hanging stops, servers that decline most calls, 16 agents

The servers' stand-in now passes each call with what it made of it; with -soak.logs, each violation is written with the calls for its task at all servers, all calls at the servers involved in the 6 s before, and the lines of all processes that name its job. Faults of calls are drawn by a generator of their own, so that the faults of earlier seeds are drawn as before: stops that hang, calls of which nine in ten are declined, declined calls with lost replies. A run with 6 entries and 16 agents joins the regular ones; larger ones have more faults and callers.

process.wait(0) chose at random between an ended process and an expired timer, so that clearFaults could leave a stopped entry down.

--- a/standin/leaseserver/handler.go
+++ b/standin/leaseserver/handler.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,12 +32,30 @@
 	// call the HTTPServer.
 	OnStart func(server string, t TaskRun)
 	OnEnd   func(server string, t TaskRun, outcome string)
+	// OnCall, if set, is called for each call that the server decides about. It must not call
+	// the HTTPServer.
+	OnCall func(Call)
+}
+
+// Call is a call of an agent and what the server has made of it.
+type Call struct {
+	Server      string
+	Incarnation int64
+	Path        string        // last element
+	Run         TaskRun       // of a start or a stop
+	LeaseEnd    time.Duration // asked for; zero if none
+	Token       int64
+	Clock       time.Duration
+	Outcome     string // status and reason, and whether there is a reply
 }
 
 // tickInterval is how often an HTTPServer advances the clock, which ends tasks that
 // are due.
 const tickInterval = 2 * time.Millisecond
 
+// stopPath is the last element of the path of stops.
+const stopPath = "run-stop"
+
 // comeBackRetry is the delay before a server that cannot listen tries again.
 const comeBackRetry = 20 * time.Millisecond
 
@@ -52,6 +72,7 @@
 	// declinedShare is the share of calls that are declined, lostReplyShare that of starts and
 	// stops that are carried out without a reply.
 	declinedShare, lostReplyShare float64
+	hangingStopShare              float64 // of stops that are not carried out and get no reply
 	draining                      bool
 	seq                           int64 // of the last heartbeat
 	addr                          string
@@ -67,6 +88,9 @@
 	return h
 }
 
+// ID returns the server's id.
+func (h *HTTPServer) ID() string { return h.opts.ID }
+
 // restart replaces the server by a new incarnation without tasks. The caller holds
 // h.mu, unless the HTTPServer is not in use yet.
 func (h *HTTPServer) restart() {
@@ -106,6 +130,13 @@
 	h.declinedShare, h.lostReplyShare = declinedShare, lostReplyShare
 }
 
+// SetHangingStops sets the share of stops that get no reply and are never carried out.
+func (h *HTTPServer) SetHangingStops(share float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hangingStopShare = share
+}
+
 // Crash ends all tasks and starts a new incarnation.
 func (h *HTTPServer) Crash() {
 	h.mu.Lock()
@@ -269,7 +300,7 @@
 		}
 		return http.StatusOK, map[string]any{}
 	}))
-	e.POST("/chestnuthollow/run-stop", h.callHandler(func(c *call) (int, map[string]any) {
+	e.POST("/chestnuthollow/"+stopPath, h.callHandler(func(c *call) (int, map[string]any) {
 		if !h.advance().Stop(TaskRun{Name: c.Task, Number: c.Run}, c.FencingToken) {
 			return http.StatusConflict, map[string]any{"reason": ReasonFenced}
 		}
@@ -279,6 +310,16 @@
 	return e
 }
 
+// record passes a call to OnCall. The caller holds h.mu.
+func (h *HTTPServer) record(path string, c *call, outcome string) {
+	if h.opts.OnCall != nil {
+		h.opts.OnCall(Call{
+			Server: h.opts.ID, Incarnation: h.server.Incarnation, Path: path, Run: TaskRun{Name: c.Task, Number: c.Run},
+			LeaseEnd: c.leaseEnd(), Token: c.FencingToken, Clock: h.server.Clock(), Outcome: outcome,
+		})
+	}
+}
+
 // callHandler returns a handler that carries out a call and replies, or gives no
 // reply and carries out the call later, unless the server restarts before that.
 func (h *HTTPServer) callHandler(carryOut func(*call) (int, map[string]any)) echo.HandlerFunc {
@@ -293,28 +334,41 @@
 			h.mu.Unlock()
 			panic(http.ErrAbortHandler)
 		}
+		path := c.Path()[strings.LastIndexByte(c.Path(), '/')+1:]
+		if path == stopPath && rand.Float64() < h.hangingStopShare {
+			h.record(path, &body, "hangs")
+			h.mu.Unlock()
+			<-c.Request().Context().Done()
+			return nil
+		}
 		if rand.Float64() < h.delayedShare {
+			h.record(path, &body, "no reply, to be carried out later")
 			h.mu.Unlock()
 			time.AfterFunc(2*time.Second+time.Duration(rand.IntN(4000))*time.Millisecond, func() {
 				h.mu.Lock()
 				defer h.mu.Unlock()
 				if !h.ended(server) {
-					carryOut(&body)
+					code, reply := carryOut(&body)
+					h.record(path, &body, fmt.Sprint("carried out late: ", code, " ", reply["reason"]))
 				}
 			})
 			<-c.Request().Context().Done()
 			return nil
 		}
 		if h.forOtherServer(c) {
+			h.record(path, &body, "421")
 			h.mu.Unlock()
 			return c.NoContent(http.StatusMisdirectedRequest)
 		}
 		if rand.Float64() < h.declinedShare {
+			h.record(path, &body, "503")
 			h.mu.Unlock()
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
 		code, reply := carryOut(&body)
-		if rand.Float64() < h.lostReplyShare {
+		lost := rand.Float64() < h.lostReplyShare
+		h.record(path, &body, fmt.Sprint(code, " ", reply["reason"], " reply lost: ", lost))
+		if lost {
 			h.mu.Unlock()
 			<-c.Request().Context().Done()
 			return nil
@@ -375,6 +429,7 @@
 		}
 		s := h.advance()
 		ended, ok := s.RenewLease(body.leaseEnd(), body.FencingToken, body.AckIndex)
+		h.record("hold", &body, fmt.Sprint(ok, " running=", h.server.running, " ended=", ended))
 		if !ok {
 			h.mu.Unlock()
 			return c.JSON(http.StatusConflict, map[string]any{"reason": ReasonFenced})
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -26,9 +26,11 @@
 )
 
 // regressionSeeds are run by default. Seed 3 covers all kinds of faults; any other
-// seed once failed.
+// seed once failed. regressionSeed is run with regressionEntries and regressionAgents too.
 var regressionSeeds = []int64{1, 3}
 
+const regressionSeed, regressionEntries, regressionAgents = 5, 6, 16
+
 // TestSoak injects faults drawn from a seed from outside the processes. It checks that
 // no task runs twice at the same time, that answers to callers are true, and that
 // entries serve again after the faults.
@@ -43,24 +45,40 @@
 		}
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { soakOnce(t, seed) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { soakOnce(t, seed, *soakEntries, *soakAgents) })
+	}
+	if *soakSeed == 0 {
+		t.Run(fmt.Sprintf("seed %d of %d agents", regressionSeed, regressionAgents), func(t *testing.T) {
+			soakOnce(t, regressionSeed, regressionEntries, regressionAgents)
+		})
 	}
 }
 
+const (
+	// minCallers is the least number of callers; there are as many as agents.
+	minCallers = 8
+	// agentsPerFault is the number of agents for each further fault at a time.
+	agentsPerFault = 16
+)
+
 // soak is the run of one seed.
 type soak struct {
 	*system
 	rng      *rand.Rand // draws the faults
 	zones    *rand.Rand // draws the evacuations
 	sizes    *rand.Rand // draws the sizes of configurations and the rate of the store's link
+	calls    *rand.Rand // draws what happens to the calls of servers
 	faults   sync.WaitGroup
 	mu       sync.Mutex
 	faultLog []string
 	counts   map[string]int
 }
 
-func soakOnce(t *testing.T, seed int64) {
-	s := &soak{system: newSystem(t, *soakEntries, *soakAgents), rng: rand.New(rand.NewSource(seed)), zones: rand.New(rand.NewSource(seed + 1)), sizes: rand.New(rand.NewSource(-seed)), counts: make(map[string]int)}
+func soakOnce(t *testing.T, seed int64, entries, agents int) {
+	s := &soak{
+		system: newSystem(t, entries, agents), rng: rand.New(rand.NewSource(seed)), zones: rand.New(rand.NewSource(seed + 1)),
+		sizes: rand.New(rand.NewSource(-seed)), calls: rand.New(rand.NewSource(seed + 2)), counts: make(map[string]int),
+	}
 	t.Cleanup(func() {
 		if t.Failed() || s.invariants.err() != nil {
 			s.saveLogs(seed)
@@ -68,7 +86,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
-	for i := range 8 {
+	for i := range max(minCallers, agents) {
 		callers.Add(1)
 		go func() {
 			defer callers.Done()
@@ -77,7 +95,10 @@
 	}
 	for end := time.Now().Add(*soakDuration); time.Now().Before(end); {
 		time.Sleep(time.Duration(s.rng.Intn(900)) * time.Millisecond)
-		s.injectFault()
+		for range 1 + agents/agentsPerFault {
+			s.injectFault()
+			s.disturbCalls()
+		}
 		s.evacuateZone()
 	}
 	s.faults.Wait()
@@ -234,6 +255,32 @@
 	s.count(fmt.Sprintf("fault %d", kind))
 }
 
+// disturbCalls lets the calls of a drawn server fail for some time: stops hang, most calls are
+// declined, or calls are declined and replies lost by turns. It may overlap with other faults.
+func (s *soak) disturbCalls() {
+	server := s.servers[s.calls.Intn(len(s.servers))]
+	duration := time.Duration(300+s.calls.Intn(2500)) * time.Millisecond
+	apply := []func(){
+		func() { server.SetHangingStops(1) },
+		func() { server.SetHangingStops(1); server.SetUnhealthy(0.4, 0.2) },
+		func() { server.SetUnhealthy(0.9, 0.1) },
+		func() { server.SetUnhealthy(0.4, 0.3) },
+	}
+	kind := s.calls.Intn(2 * len(apply))
+	if kind >= len(apply) {
+		return
+	}
+	s.recordFault("calls %d at %s for %v", kind, server.ID(), duration)
+	apply[kind]()
+	s.faults.Add(1)
+	time.AfterFunc(duration, func() {
+		defer s.faults.Done()
+		server.SetHangingStops(0)
+		server.SetUnhealthy(0, 0)
+	})
+	s.count(fmt.Sprintf("calls %d", kind))
+}
+
 // evacuateZone begins or withdraws the evacuation of a drawn zone in one of four calls, and
 // at times drops the history of the topic.
 func (s *soak) evacuateZone() {
@@ -316,7 +363,11 @@
 		return
 	}
 	dir := filepath.Join(*soakLogs, fmt.Sprintf("seed-%d", seed))
-	if err := os.CopyFS(dir, os.DirFS(s.dir)); err != nil {
+	err := os.CopyFS(dir, os.DirFS(s.dir))
+	if err == nil {
+		err = s.invariants.record.write(dir, s.dir)
+	}
+	if err != nil {
 		s.t.Logf("logs were not saved: %v", err)
 	}
 }
--- a/test/platform/system_test.go
+++ b/test/platform/system_test.go
@@ -210,7 +210,7 @@
 	server := leaseserver.NewHTTPServer(leaseserver.Options{
 		ID: fmt.Sprintf("server-%d", i), Service: "booking", CPU: serverCPU, MemMB: 4096,
 		HeartbeatURL: "http://" + heartbeatAddr, HeartbeatInterval: heartbeatInterval, BehaviorOf: behaviorOf,
-		DownTime: crashDownTime, OnStart: s.invariants.started, OnEnd: s.invariants.ended,
+		DownTime: crashDownTime, OnStart: s.invariants.started, OnEnd: s.invariants.ended, OnCall: s.invariants.record.called,
 	})
 	l, err := net.Listen("tcp", freeAddr(s.t))
 	if err != nil {
@@ -326,6 +326,11 @@
 	done := p.done
 	p.mu.Unlock()
 	select {
+	case <-done:
+		return true
+	default:
+	}
+	select {
 	case <-done:
 		return true
 	case <-time.After(timeout):
@@ -467,6 +472,7 @@
 	startsAfter    map[string]int // starts after maxCrashes, by task name
 	specs          map[string]taskSpec
 	violations     []string
+	record         *recorder
 }
 
 // serverCapacity is the capacity of a server, in thousandths of a core.
@@ -482,6 +488,7 @@
 
 func newInvariantChecker() *invariantChecker {
 	return &invariantChecker{
+		record:  newRecorder(),
 		running: make(map[string]string), startsByJob: make(map[string]int), startsByServer: make(map[string]int), used: make(map[string]int),
 		capacity: make(map[string]serverCapacity), crashes: make(map[string]int), startsAfter: make(map[string]int), specs: make(map[string]taskSpec),
 	}
@@ -510,15 +517,18 @@
 	return limit.cpu
 }
 
-func (c *invariantChecker) violated(format string, args ...any) {
-	c.violations = append(c.violations, fmt.Sprintf(format, args...))
+// violated records a violation by a task that concerns some servers. The caller holds c.mu.
+func (c *invariantChecker) violated(task string, servers []string, format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	c.violations = append(c.violations, text)
+	c.record.violated(text, task, servers...)
 }
 
 func (c *invariantChecker) started(server string, t leaseserver.TaskRun) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if at, ok := c.running[t.Name]; ok {
-		c.violated("task %s started at %s while it ran at %s", t.Name, server, at)
+		c.violated(t.Name, []string{server, at}, "task %s started at %s while it ran at %s", t.Name, server, at)
 	}
 	c.running[t.Name] = server
 	job, _, _ := strings.Cut(t.Name, ".")
@@ -527,11 +537,11 @@
 	spec := c.specs[job]
 	c.used[server] += spec.cpu
 	if limit := c.limit(server); c.used[server] > limit {
-		c.violated("%s runs %d thousandths of a core with task %s, over its capacity of %d", server, c.used[server], t.Name, limit)
+		c.violated(t.Name, []string{server}, "%s runs %d thousandths of a core with task %s, over its capacity of %d", server, c.used[server], t.Name, limit)
 	}
 	if spec.crashes && c.crashes[t.Name] >= maxCrashes {
 		if c.startsAfter[t.Name]++; c.startsAfter[t.Name] >= startsAfterCrashes {
-			c.violated("task %s was started %d times after %d servers had crashed under it", t.Name, c.startsAfter[t.Name], maxCrashes)
+			c.violated(t.Name, []string{server}, "task %s was started %d times after %d servers had crashed under it", t.Name, c.startsAfter[t.Name], maxCrashes)
 		}
 	}
 }
--- /dev/null
+++ b/test/platform/twice_test.go
@@ -0,0 +1,68 @@
+package platform_test
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const (
+	// resubmitAfter is when a caller submits a job again whose connection broke.
+	resubmitAfter = 1300 * time.Millisecond
+	// longTask is longer than any time after which a task may be placed again.
+	longTask = 1600 * time.Millisecond
+)
+
+// startWhereStopsHang submits a job of long tasks whose servers leave stops without a reply. The
+// answer is zero if the caller has left before.
+func (s *system) startWhereStopsHang(ctx context.Context, g *WithT, p *process, id string) <-chan answer {
+	for _, server := range s.servers {
+		server.SetHangingStops(1)
+	}
+	ch := make(chan answer, 1)
+	go func() { ch <- s.post(ctx, p, id, 2, int(longTask.Milliseconds()), 2000, "ok") }()
+	g.Eventually(func() int { return s.invariants.runningTasks(id) }, "3s", "5ms").Should(Equal(2))
+	return ch
+}
+
+// Guards against a task that runs twice: its entry has lost the session with the agent, and the
+// server leaves the agent's stops without a reply.
+func TestTaskOfLostSessionRunsOnceWhileStopsHang(t *testing.T) {
+	g := NewWithT(t)
+	s := newSystem(t, 1, 3)
+	done := s.startWhereStopsHang(t.Context(), g, s.entries[0], "00d1")
+	for _, px := range s.proxies {
+		px.setFaults(0, true, true)
+		time.AfterFunc(700*time.Millisecond, func() { px.setFaults(0, false, false) })
+	}
+	<-done
+	g.Expect(s.invariants.err()).NotTo(HaveOccurred())
+}
+
+// Guards against a task that runs twice: its entry is suspended, another one gets the next
+// submission, and the server leaves the agent's stops without a reply.
+func TestTaskOfSuspendedEntryRunsOnceWhileStopsHang(t *testing.T) {
+	g := NewWithT(t)
+	s := newSystem(t, 2, 3)
+	s.startWhereStopsHang(t.Context(), g, s.entries[0], "00d2")
+	s.entries[0].signal(syscall.SIGSTOP)
+	time.Sleep(resubmitAfter)
+	s.post(t.Context(), s.entries[1], "00d2", 2, 100, 2000, "ok")
+	g.Expect(s.invariants.err()).NotTo(HaveOccurred())
+}
+
+// Guards against a task that runs twice: its caller has left and submits the job to another entry,
+// and the server leaves the agent's stops without a reply.
+func TestTaskOfCallerThatLeftRunsOnceWhileStopsHang(t *testing.T) {
+	g := NewWithT(t)
+	s := newSystem(t, 2, 3)
+	call, leave := context.WithCancel(t.Context())
+	s.startWhereStopsHang(call, g, s.entries[0], "00d3")
+	leave()
+	time.Sleep(resubmitAfter)
+	s.post(t.Context(), s.entries[1], "00d3", 2, 100, 2000, "ok")
+	g.Expect(s.invariants.err()).NotTo(HaveOccurred())
+}
