Test: nothing starts beside a run that the agent does not know

LIMIT: a server lists a run that its agent has given up, and the agent starts tasks in its capacity.

--- a/taskrunner/orphan_test.go
+++ b/taskrunner/orphan_test.go
@@ -215,3 +215,20 @@
 	h.runFor(200 * time.Millisecond)
 	h.Expect(h.stops).To(Equal(stops), "an acknowledged stop is not repeated")
 }
+
+// Guards against a server over its capacity: it lists a run that the agent does not know, whose
+// capacity is in use.
+func TestNothingStartsBesideUnknownRun(t *testing.T) {
+	h := newServedHarness(t)
+	h.keys["unknown"] = runKey("unknown", 0)
+	h.Expect(h.server.Start(leaseserver.TaskRun{Name: "unknown", Number: 1}, leaseserver.Behavior{Duration: 10 * time.Second}, h.clock+time.Second, 100)).To(BeEmpty())
+	h.stop = func() bool { return false }
+	h.runFor(4 * taskrunner.DefaultRenewalWait)
+	h.start(1, "job")
+	h.Expect(h.runs("job")).To(BeFalse())
+	h.stop = func() bool { return true }
+	h.runFor(3 * taskrunner.DefaultRenewalWait)
+	h.start(1, "later")
+	h.Expect(h.runs("unknown")).To(BeFalse())
+	h.Expect(h.runs("later")).To(BeTrue())
+}
