--- a/test/platform/twice_test.go
+++ b/test/platform/twice_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -66,3 +68,42 @@
 	s.post(t.Context(), s.entries[1], "00d3", 2, 100, 2000, "ok")
 	g.Expect(s.invariants.err()).NotTo(HaveOccurred())
 }
+
+// Guards against tasks that run twice, or run although their job was refused: servers lose replies
+// all the while and decline calls by turns, and agents pause.
+func TestTasksRunOnceWhileRepliesAreLostAndCallsDeclined(t *testing.T) {
+	const (
+		rounds        = 8
+		round         = time.Second
+		declinedShare = 0.4
+		lostShare     = 0.1
+		longestPause  = 400 // ms
+	)
+	s := &soak{system: newSystem(t, 3, 6), counts: make(map[string]int)}
+	rng := rand.New(rand.NewSource(1))
+	ctx, cancel := context.WithCancel(t.Context())
+	var callers sync.WaitGroup
+	for i := range 2 * minCallers {
+		callers.Go(func() { s.submitJobs(ctx, rand.New(rand.NewSource(int64(i))), i) })
+	}
+	for range rounds {
+		declining := rng.Intn(len(s.servers))
+		for i, server := range s.servers {
+			share := 0.0
+			if i == declining || i == (declining+1)%len(s.servers) {
+				share = declinedShare
+			}
+			server.SetUnhealthy(share, lostShare)
+		}
+		time.Sleep(round / 2)
+		paused := s.agents[rng.Intn(len(s.agents))]
+		paused.signal(syscall.SIGSTOP)
+		time.Sleep(time.Duration(rng.Intn(longestPause)) * time.Millisecond)
+		paused.signal(syscall.SIGCONT)
+		time.Sleep(round / 2)
+	}
+	cancel()
+	callers.Wait()
+	t.Log(s.counts)
+	NewWithT(t).Expect(s.invariants.err()).NotTo(HaveOccurred())
+}
