Agent: renewals without a lease wait for ends, too

While the lease was limited, the server answered each renewal at once and the agent sent the next: a tight loop on a quarter of a core. TestNothingStartsBesideUnknownRun counts the calls.

--- a/taskrunner/orphan_test.go
+++ b/taskrunner/orphan_test.go
@@ -31,6 +31,7 @@
 	stop  func() bool
 	hangs bool
 	stops int // calls
+	calls int // lease renewals
 }
 
 type servedRenewal struct {
@@ -92,6 +93,7 @@
 				h.serve(h.step(taskrunner.StopReplied{Key: e.Key, OK: ok, Clock: h.clock, Known: e.Known}))
 			}
 		case taskrunner.RenewLease:
+			h.calls++
 			h.renewals = append(h.renewals, servedRenewal{RenewLease: e, due: h.now.Add(e.Wait)})
 		case taskrunner.ReplyPoll:
 			id := h.polls[e.Call]
@@ -226,6 +228,9 @@
 	h.runFor(4 * taskrunner.DefaultRenewalWait)
 	h.start(1, "job")
 	h.Expect(h.runs("job")).To(BeFalse())
+	calls := h.calls
+	h.runFor(4 * taskrunner.DefaultRenewalWait)
+	h.Expect(h.calls-calls).To(BeNumerically("<=", 5), "the server is not called in a tight loop")
 	h.stop = func() bool { return true }
 	h.runFor(3 * taskrunner.DefaultRenewalWait)
 	h.start(1, "later")
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -73,10 +73,10 @@
 	m.renewals = slices.DeleteFunc(m.renewals, func(p pendingRenewal) bool { return m.now.Sub(p.sentAt) > renewalExpiry })
 	m.lastRenewalID++
 	l := RenewLease{ID: m.lastRenewalID, Token: m.token, AckIndex: m.seenEnd, Wait: m.opts.RenewalWait}
-	if m.mayRenewLease() {
-		l.Until = m.leaseEnd()
-	} else {
+	if !m.inControl() {
 		l.Wait = 0
+	} else if until := m.leaseEnd(); until > m.clock && !m.foreignListed {
+		l.Until = until
 	}
 	if m.awaitsVerification() {
 		l.Wait = 0
@@ -92,10 +92,10 @@
 	m.emit(l)
 }
 
-// mayRenewLease reports whether lease renewals extend the lease, as far as leaseEnd allows.
-func (m *Runner) mayRenewLease() bool {
-	return m.noForeignRuns && !m.foreignListed && m.clockIncarnation != 0 && !m.fenced && !m.clockOutdated() &&
-		m.misaddressedAfter == 0 && m.leaseEnd() > m.clock
+// inControl reports whether the known incarnation answers to the agent's calls and token, and no
+// task of an earlier agent is left there.
+func (m *Runner) inControl() bool {
+	return m.noForeignRuns && m.clockIncarnation != 0 && !m.fenced && !m.clockOutdated() && m.misaddressedAfter == 0
 }
 
 // addressee returns the ID of the server that calls are addressed to; empty if the known
