Dispatcher: a job's objective counts from the arrival of its request

What callers saw: an entry that had got round to a request late planned its tasks as if it had just come, and let them wait up to an objective counted from then.

Cause: the dispatcher took the time of the step for the arrival. Change: a submission says how long its request has waited; objective, useful time and the logged times count from the arrival. TestObjectiveCountsFromArrivalOfRequest fails without it (0 s in place of 80 ms).

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -72,10 +72,10 @@
 	if d.answerCanceled(e) || d.refuseCrashing(e) {
 		return
 	}
-	j := &job{Job: e.Job, arrived: d.now, unfinished: e.Job.Tasks, tasks: make([]task, e.Job.Tasks)}
+	j := &job{Job: e.Job, arrived: d.now.Add(-e.Job.Waited), unfinished: e.Job.Tasks, tasks: make([]task, e.Job.Tasks)}
 	objective := j.Queue.Objective(j.Estimate)
-	j.objective = d.now.Add(objective)
-	j.deadline = d.now.Add(usefulFactor * objective)
+	j.objective = j.arrived.Add(objective)
+	j.deadline = j.arrived.Add(usefulFactor * objective)
 	if j.Timeout > 0 {
 		j.deadline = d.now.Add(j.Timeout)
 	}
@@ -83,7 +83,7 @@
 		j.limitDeadline(d.leaveDeadline)
 	}
 	j.target = j.objective
-	if d.longestSlack.isResubmission(j.Queue.Name, j.Timeout, objective) {
+	if d.longestSlack.isResubmission(j.Queue.Name, j.Timeout+j.Waited, objective) {
 		j.target = d.latestUsefulEnd(j)
 	}
 	d.recordDemand(j)
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -38,8 +38,11 @@
 	MaxPerServer int
 	// ConfigVersion is the version of the configuration that sent the job to its queue.
 	ConfigVersion int64
-	// Timeout is how long the caller waits; zero if not given.
+	// Timeout is how long the caller still waits; zero if not given.
 	Timeout time.Duration
+	// Waited is the time from the arrival of the request to its submission. The job's
+	// objective counts from the arrival.
+	Waited time.Duration
 }
 
 // Status is the state of a job as reported to callers.
--- a/dispatch/slack_test.go
+++ b/dispatch/slack_test.go
@@ -89,3 +89,19 @@
 	counts, _ := h.placed()
 	h.Expect(counts).To(Equal(map[dispatch.SessionID]int{1: 1}))
 }
+
+// Guards against an overloaded entry that counts a job's objective from when it has got
+// round to the request, and lets its tasks wait for too long.
+func TestObjectiveCountsFromArrivalOfRequest(t *testing.T) {
+	h := newHarness(t)
+	h.agent(1, idle)
+	const estimate, waited = 100 * time.Millisecond, 80 * time.Millisecond
+	submit := func(name string, waited time.Duration) time.Duration {
+		h.call++
+		h.step(dispatch.SubmitCalled{Call: h.call, Job: dispatch.Job{
+			Name: name, Queue: queue(), Tasks: 1, CPU: 6000, MemMB: 1, Estimate: estimate, Timeout: 3*time.Second - waited, Waited: waited,
+		}})
+		return effects[dispatch.Order](h)[0].Start[0].StartWithin
+	}
+	h.Expect(submit("at once", 0) - submit("waited", waited)).To(Equal(waited))
+}
