Entries reject new requests at once while they are short of processor time

Cause: admission looked at the servers' backlog only, and requests were read, decoded and planned in the order of arrival with the messages of sessions. An entry that was behind read its agents' replies late, lost its sessions by the age of its echoes, and spent its time on opening them and on placing tasks again: its own load kept it down.

What cannot be handled in time is refused when it arrives, before it is decoded, as not run. A copy of a job that the entry has is never refused this way.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -193,6 +193,15 @@
 	return s, ok
 }
 
+// Knows reports whether a submission of the job would join an earlier one, or get its
+// retained answer.
+func (d *Dispatcher) Knows(name string) bool {
+	if _, answered := d.retainedAnswers[name]; answered || d.jobs[name] != nil {
+		return true
+	}
+	return slices.ContainsFunc(d.delayed, func(c delayedCall) bool { return c.submit.Job.Name == name })
+}
+
 // ReadyAgents returns the number of agents of a service that accept tasks.
 func (d *Dispatcher) ReadyAgents(service string) int {
 	n := 0
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,6 +78,8 @@
 	peersMu sync.Mutex
 	peers   map[string]*peerLink // by address; those to which cancels were sent of late
 
+	turns *turnQueue // of new requests
+
 	configFetch sync.Mutex // held while another process is asked for the configuration
 
 	mu          sync.Mutex
@@ -113,6 +115,7 @@
 		calls:      make(map[dispatch.CallID]chan Outcome),
 		sessions:   make(map[dispatch.SessionID]*agentSession),
 
+		turns:       newTurnQueue(),
 		cancelCalls: make(map[dispatch.CallID]chan dispatch.CancelResult),
 		peers:       make(map[string]*peerLink),
 	}
@@ -217,10 +220,10 @@
 	return errors.New("no agent accepts tasks")
 }
 
-// Submit runs a job and returns its final answer. If ctx is canceled first, because
+// Submit runs a job and returns its final answer. It ends the turn of the request. If ctx is canceled first, because
 // the caller has disconnected, it returns Canceled. The job is then stopped, unless
 // a duplicate of the submission still waits for its answer.
-func (g *Gateway) Submit(ctx context.Context, j dispatch.Job) Outcome {
+func (g *Gateway) Submit(ctx context.Context, j dispatch.Job, t *Turn) Outcome {
 	ch := make(chan Outcome, 1)
 	g.mu.Lock()
 	g.lastCall++
@@ -228,6 +231,7 @@
 	g.calls[call] = ch
 	g.mu.Unlock()
 	g.step(dispatch.SubmitCalled{Call: call, Job: j})
+	t.End()
 	select {
 	case o := <-ch:
 		return o
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -27,6 +27,8 @@
 	cancelsReceived, cancelsLearned, cancelsUnconfirmed metrics.Counter
 	cancelsEntriesMissed, cancelsSubmitted              metrics.Counter
 
+	turnWait, messageDelay metrics.Histogram
+
 	placesKept, placesAway, placesGivenUp      metrics.Counter
 	tasksPlaced, tasksOtherZone, tasksReturned metrics.Counter
 }
@@ -52,6 +54,9 @@
 		cancelsEntriesMissed: metrics.NewRegisteredCounter("cancels.entries_missed", r),
 		cancelsSubmitted:     metrics.NewRegisteredCounter("cancels.submitted_again", r),
 
+		turnWait:     instance.Histogram("overload.turn_wait.time", r),
+		messageDelay: instance.Histogram("overload.message_delay.time", r),
+
 		placesKept:    metrics.NewRegisteredCounter("places.tasks_kept", r),
 		placesAway:    metrics.NewRegisteredCounter("places.tasks_away", r),
 		placesGivenUp: metrics.NewRegisteredCounter("places.waits_given_up", r),
@@ -61,6 +66,11 @@
 		tasksReturned:  metrics.NewRegisteredCounter("tasks.returned", r),
 	}
 	r.Register("jobs.open", metrics.NewFunctionalGauge(func() int64 { return int64(g.openJobs()) }))
+	r.Register("overload.waiting", metrics.NewFunctionalGauge(func() int64 { return int64(g.turns.state().waiting) }))
+	r.Register("overload.expected_wait", metrics.NewFunctionalGauge(func() int64 { return g.turns.state().expectedWait.Microseconds() }))
+	r.Register("overload.admitted_per_mille", metrics.NewFunctionalGauge(func() int64 { return int64(1000 * g.turns.state().share) }))
+	r.Register("overload.rejected", metrics.NewFunctionalGauge(func() int64 { return int64(g.turns.state().counts.Rejected) }))
+	r.Register("overload.expired", metrics.NewFunctionalGauge(func() int64 { return int64(g.turns.state().counts.Expired) }))
 	r.Register("bytes.sent", metrics.NewFunctionalGauge(func() int64 { return rpcconn.TotalTraffic().BytesSent }))
 	r.Register("run_times.queues", metrics.NewFunctionalGauge(func() int64 {
 		g.mu.Lock()
