Polls of a late entry keep their period

Cause: an agent delayed the reply to a poll by PollWait after the poll had arrived. An entry that is L late, both in reading a reply and with its next poll, thus echoed readings up to PollWait + 2L old, and lost its sessions from L = 125 ms on (SessionTTL is 450 ms).

Change: the age of the echoed reading by the server's clock is taken off the wait, down to 20 ms. The echo is then at most PollWait + L old while L is below 180 ms, and 20 ms + 2L from there on, so that sessions last up to L = 215 ms. SessionTTL and InDoubtTimeout are unchanged.

Evidence: TestLateEntryKeepsItsSession (170 ms late, 10 s) fails before and passes after.

--- a/taskrunner/options.go
+++ b/taskrunner/options.go
@@ -34,8 +34,8 @@
 	SessionTTL time.Duration
 	// RenewalWait is how long the server may delay the reply to a lease renewal.
 	RenewalWait time.Duration
-	// PollWait is how long the reply to a poll is delayed while there are no
-	// reports.
+	// PollWait is how long the reply to a poll is delayed while there are no reports,
+	// less the age of the clock reading that the poll echoes.
 	PollWait time.Duration
 	// StopTimeout is the longest time that the server takes to end a stopped
 	// task.
@@ -73,6 +73,9 @@
 	// helloTTL is how long a session may wait for the reply to its Hello. It
 	// equals the timeout of the entry's call.
 	helloTTL = 1500 * time.Millisecond
+	// minPollWait is the least delay of the reply to a poll. It bounds the polls of an
+	// entry that handles its messages late.
+	minPollWait = 20 * time.Millisecond
 	// renewalRetransmitAfter is the retransmission timeout of a lease renewal, in
 	// addition to the wait that it asks for. The server replies within a few ms.
 	renewalRetransmitAfter = 20 * time.Millisecond
--- a/taskrunner/poll.go
+++ b/taskrunner/poll.go
@@ -27,7 +27,18 @@
 	s.recordEvacuation(e.Request.Evacuation)
 	m.updateEvacuation(e.Request.Evacuation, s.name)
 	s.reports = slices.DeleteFunc(s.reports, func(r session.Report) bool { return r.Seq <= e.Request.Seen })
-	s.poll = &pendingPoll{call: e.Call, due: m.now.Add(m.opts.PollWait)}
+	s.poll = &pendingPoll{call: e.Call, due: m.now.Add(m.pollWait(s))}
+}
+
+// pollWait returns how long a poll that has just arrived waits for reports. The time since
+// the entry's newest reading was sent to it is taken off, so that an entry that handles its
+// messages late polls with the same period, and its next echo is not older for the wait.
+func (m *Runner) pollWait(s *entrySession) time.Duration {
+	if s.echoed.Run != m.clockIncarnation {
+		return m.opts.PollWait
+	}
+	sinceEchoed := max(m.clock-s.echoed.Clock, 0)
+	return max(m.opts.PollWait-sinceEchoed, min(minPollWait, m.opts.PollWait))
 }
 
 // answerPolls replies to the polls whose session has reports, or whose wait is over.
--- /dev/null
+++ b/taskrunner/poll_test.go
@@ -0,0 +1,77 @@
+package taskrunner_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/taskrunner"
+)
+
+// pollingEntry is an entry that handles each message late by a fixed time and polls again.
+type pollingEntry struct {
+	lateness time.Duration
+	polls    int
+	closed   bool
+	pollAt   time.Time // zero while a poll has no reply
+	reading  session.ClockReading
+}
+
+// run steps the runner every 2 ms for a time. The server answers lease renewals after
+// DefaultRenewalWait.
+func (p *pollingEntry) run(h *harness, d time.Duration) {
+	const step = 2 * time.Millisecond
+	p.pollAt, p.reading = h.now.Add(p.lateness), h.reading()
+	renewal, renewalAt := uint64(0), h.now
+	observe := func() {
+		for _, r := range effects[taskrunner.RenewLease](h) {
+			renewal, renewalAt = r.ID, h.now.Add(taskrunner.DefaultRenewalWait)
+		}
+		for _, r := range effects[taskrunner.ReplyPoll](h) {
+			p.pollAt, p.reading = h.now.Add(p.lateness), r.Reply.State.Stamp
+		}
+		p.closed = p.closed || len(effects[taskrunner.CloseSession](h)) > 0
+	}
+	for end := h.now.Add(d); h.now.Before(end); h.advance(step) {
+		h.step(taskrunner.Ticked{})
+		observe()
+		if renewal != 0 && !h.now.Before(renewalAt) {
+			h.answerRenewal(renewal, nil)
+			observe()
+		}
+		if !p.pollAt.IsZero() && !h.now.Before(p.pollAt) {
+			p.pollAt = time.Time{}
+			p.polls++
+			h.lastCall++
+			h.step(taskrunner.PollCalled{Call: h.lastCall, Session: 1, Request: session.PollRequest{Echo: p.reading}})
+			observe()
+		}
+	}
+}
+
+// Guards against sessions that end by the lateness of their entry: the wait of a poll came on
+// top of the time for which the entry had not read the last reply.
+func TestLateEntryKeepsItsSession(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	entry := pollingEntry{lateness: 170 * time.Millisecond}
+	entry.run(h, 10*time.Second)
+	h.Expect(entry.closed).To(BeFalse())
+	h.Expect(h.runner.OpenSessions()).To(Equal(1))
+}
+
+// Guards against a higher rate of polls, which cost entries most of their processor time.
+func TestPollsKeepTheirPeriod(t *testing.T) {
+	for _, lateness := range []time.Duration{2 * time.Millisecond, 20 * time.Millisecond, 100 * time.Millisecond} {
+		t.Run(lateness.String(), func(t *testing.T) {
+			h := newHarness(t)
+			h.makeReady()
+			entry := pollingEntry{lateness: lateness}
+			entry.run(h, 20*time.Second)
+			// The age of an echo is known up to the time between two renewals.
+			h.Expect(entry.polls).To(BeNumerically("~", 20*time.Second/taskrunner.DefaultPollWait, 6))
+		})
+	}
+}
