Soak: capacity in use is counted by the size of each run

Cause of a false count: the check kept one size for each job, that of its newest submission, and added it at a start and subtracted it at an end. The soak's callers submit a job again with another size, so that a run was counted by a size that it does not have, and what was counted at its start differed from what was subtracted at its end, for the rest of the soak, in both directions: too much, or so little that a server over its capacity is not seen.

Change: the stand-in passes the behavior of a run with its start, decoded from the spec that it was started with; the check keeps the size for each run. The limit is the same.

--- a/standin/leaseserver/handler.go
+++ b/standin/leaseserver/handler.go
@@ -30,7 +30,7 @@
 	DownTime time.Duration
 	// OnStart and OnEnd, if set, are called when a task starts or ends. They must not
 	// call the HTTPServer.
-	OnStart func(server string, t TaskRun)
+	OnStart func(server string, t RunningTask)
 	OnEnd   func(server string, t TaskRun, outcome string)
 	// OnCall, if set, is called for each call that the server decides about. It must not call
 	// the HTTPServer.
@@ -97,7 +97,7 @@
 	h.started = time.Now()
 	h.base = time.Duration(1+rand.IntN(1_000_000)) * time.Millisecond
 	h.server = New(h.started.UnixMilli(), h.base)
-	h.server.OnStart = func(t TaskRun) {
+	h.server.OnStart = func(t RunningTask) {
 		if h.opts.OnStart != nil {
 			h.opts.OnStart(h.opts.ID, t)
 		}
--- a/standin/leaseserver/handler_test.go
+++ b/standin/leaseserver/handler_test.go
@@ -17,11 +17,11 @@
 // the checks of soaks count them as running.
 func TestServerThatIsDownCarriesOutNothing(t *testing.T) {
 	g := NewWithT(t)
-	started := make(chan leaseserver.TaskRun, 1)
+	started := make(chan leaseserver.RunningTask, 1)
 	server := leaseserver.NewHTTPServer(leaseserver.Options{
 		ID: "server-1", HeartbeatURL: "http://127.0.0.1:1",
 		BehaviorOf: func(string, string) leaseserver.Behavior { return leaseserver.Behavior{Duration: time.Hour} },
-		OnStart:    func(_ string, run leaseserver.TaskRun) { started <- run },
+		OnStart:    func(_ string, run leaseserver.RunningTask) { started <- run },
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
--- a/standin/leaseserver/server.go
+++ b/standin/leaseserver/server.go
@@ -20,6 +20,7 @@
 	Fails    bool
 	Hangs    bool // makes no progress and never ends by itself
 	Crashes  bool // crashes the server after Duration
+	CPU      int  // thousandths of a core that it needs; the server does not limit it
 }
 
 // RunningTask is a task that is running.
@@ -65,7 +66,7 @@
 	ended       []EndedTask
 	lastIndex   int64
 	endedRuns   map[string]int        // highest number of a run that has ended or was stopped, by task name
-	OnStart     func(TaskRun)         // called when a task starts; may be nil
+	OnStart     func(RunningTask)     // called when a task starts; may be nil
 	OnEnd       func(TaskRun, string) // called with the outcome when a task ends; may be nil
 	Accepted    int                   // number of tasks started
 	Crashed     bool                  // a task has crashed the server, which does nothing any more
@@ -181,10 +182,11 @@
 		return ReasonExpired
 	}
 	s.extendLease(until)
-	s.running = append(s.running, RunningTask{TaskRun: t, Started: s.clock, Behavior: b})
+	run := RunningTask{TaskRun: t, Started: s.clock, Behavior: b}
+	s.running = append(s.running, run)
 	s.Accepted++
 	if s.OnStart != nil {
-		s.OnStart(t)
+		s.OnStart(run)
 	}
 	return ""
 }
--- a/test/platform/system_test.go
+++ b/test/platform/system_test.go
@@ -408,7 +408,6 @@
 // post submits a job of tasks that each run for ms milliseconds, need cpu thousandths
 // of a core, and end with the outcome ok, fail, hang or crash.
 func (s *system) post(ctx context.Context, p *process, id string, tasks, ms, cpu int, outcome string) answer {
-	s.invariants.submitted(id, cpu, outcome)
 	body, err := json.Marshal(map[string]any{
 		"spec": fmt.Sprintf("%d,%d,%s", ms, cpu, outcome), "bestEffort": true,
 		"steps": []any{map[string]any{"replicas": tasks, "cpu": cpu, "memMb": 16, "estimateMs": ms}},
@@ -455,7 +454,8 @@
 func behaviorOf(_, spec string) leaseserver.Behavior {
 	f := strings.Split(spec, ",")
 	ms, _ := strconv.Atoi(f[0])
-	return leaseserver.Behavior{Duration: time.Duration(ms) * time.Millisecond, Fails: f[2] == "fail", Hangs: f[2] == "hang", Crashes: f[2] == "crash"}
+	cpu, _ := strconv.Atoi(f[1])
+	return leaseserver.Behavior{Duration: time.Duration(ms) * time.Millisecond, Fails: f[2] == "fail", Hangs: f[2] == "hang", Crashes: f[2] == "crash", CPU: cpu}
 }
 
 // invariantChecker checks by the starts and ends at the servers that no task runs
@@ -465,12 +465,12 @@
 	mu             sync.Mutex
 	running        map[string]string // server that runs the task, by task name
 	startsByServer map[string]int
-	startsByJob    map[string]int // number of task starts, by job
-	used           map[string]int // thousandths of a core in use, by server
+	startsByJob    map[string]int    // number of task starts, by job
+	used           map[string]int    // thousandths of a core in use, by server
+	sizes          map[serverRun]int // thousandths of a core of each run that is counted in used
 	capacity       map[string]serverCapacity
 	crashes        map[string]int // servers that crashed while they ran the task, by task name
 	startsAfter    map[string]int // starts after maxCrashes, by task name
-	specs          map[string]taskSpec
 	violations     []string
 	record         *recorder
 }
@@ -481,26 +481,20 @@
 	since       time.Time
 }
 
-type taskSpec struct {
-	cpu     int
-	crashes bool
+// serverRun is a run at a server.
+type serverRun struct {
+	server string
+	run    leaseserver.TaskRun
 }
 
 func newInvariantChecker() *invariantChecker {
 	return &invariantChecker{
 		record:  newRecorder(),
 		running: make(map[string]string), startsByJob: make(map[string]int), startsByServer: make(map[string]int), used: make(map[string]int),
-		capacity: make(map[string]serverCapacity), crashes: make(map[string]int), startsAfter: make(map[string]int), specs: make(map[string]taskSpec),
+		capacity: make(map[string]serverCapacity), crashes: make(map[string]int), startsAfter: make(map[string]int), sizes: make(map[serverRun]int),
 	}
 }
 
-// submitted records what the tasks of a job need and do.
-func (c *invariantChecker) submitted(job string, cpu int, outcome string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.specs[job] = taskSpec{cpu: cpu, crashes: outcome == "crash"}
-}
-
 // resized records the capacity of a server.
 func (c *invariantChecker) resized(server string, cpu int) {
 	c.mu.Lock()
@@ -524,7 +518,7 @@
 	c.record.violated(text, task, servers...)
 }
 
-func (c *invariantChecker) started(server string, t leaseserver.TaskRun) {
+func (c *invariantChecker) started(server string, t leaseserver.RunningTask) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if at, ok := c.running[t.Name]; ok {
@@ -534,12 +528,13 @@
 	job, _, _ := strings.Cut(t.Name, ".")
 	c.startsByJob[job]++
 	c.startsByServer[server]++
-	spec := c.specs[job]
-	c.used[server] += spec.cpu
+	// A job may be submitted again with another size while its tasks run.
+	c.sizes[serverRun{server, t.TaskRun}] = t.Behavior.CPU
+	c.used[server] += t.Behavior.CPU
 	if limit := c.limit(server); c.used[server] > limit {
 		c.violated(t.Name, []string{server}, "%s runs %d thousandths of a core with task %s, over its capacity of %d", server, c.used[server], t.Name, limit)
 	}
-	if spec.crashes && c.crashes[t.Name] >= maxCrashes {
+	if t.Behavior.Crashes && c.crashes[t.Name] >= maxCrashes {
 		if c.startsAfter[t.Name]++; c.startsAfter[t.Name] >= startsAfterCrashes {
 			c.violated(t.Name, []string{server}, "task %s was started %d times after %d servers had crashed under it", t.Name, c.startsAfter[t.Name], maxCrashes)
 		}
@@ -552,8 +547,9 @@
 	if c.running[t.Name] == server {
 		delete(c.running, t.Name)
 	}
-	job, _, _ := strings.Cut(t.Name, ".")
-	c.used[server] -= c.specs[job].cpu
+	run := serverRun{server, t}
+	c.used[server] -= c.sizes[run]
+	delete(c.sizes, run)
 	if outcome == "crashed" {
 		c.crashes[t.Name]++
 	}
