Stand-in: connections end with the incarnation of the server

Cause: HTTPServer.Crash replaced the incarnation and kept the connections. A start that was bound to the earlier incarnation was carried out by the next one, whose clock started anew, under a lease of 1 s in place of 300 ms; an agent that is suspended then leaves it running past the 0.87 s that its entry waits.

Change: each incarnation has an HTTP server of its own; Crash closes the earlier one with its connections and listens again at once. A call is bound to the incarnation of its connection, not to the one that is current when its handler begins.

--- a/standin/leaseserver/handler.go
+++ b/standin/leaseserver/handler.go
@@ -137,21 +137,20 @@
 	h.hangingStopShare = share
 }
 
-// Crash ends all tasks and starts a new incarnation.
-func (h *HTTPServer) Crash() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.advance()
-	h.server.crash()
-	h.restart()
-}
+// Crash ends all tasks and connections and starts a new incarnation at once.
+func (h *HTTPServer) Crash() { h.CrashFor(0) }
 
 // Serve serves calls on the listener until Close.
 func (h *HTTPServer) Serve(l net.Listener) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.addr = l.Addr().String()
-	h.http = &http.Server{Handler: h.Handler()}
+	h.serve(l)
+}
+
+// serve serves the calls to the current incarnation. The caller holds h.mu.
+func (h *HTTPServer) serve(l net.Listener) {
+	h.http = &http.Server{Handler: h.handlerOf(h.server)}
 	go h.http.Serve(l)
 }
 
@@ -165,8 +164,8 @@
 	}
 }
 
-// CrashFor ends all tasks, and refuses connections for a time. Then a new incarnation
-// starts.
+// CrashFor ends all tasks and connections, and refuses connections for a time. Then a new
+// incarnation starts.
 func (h *HTTPServer) CrashFor(d time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -177,13 +176,21 @@
 	h.server.crash()
 	h.http.Close()
 	h.http = nil
+	if d == 0 {
+		h.startAgain()
+		return
+	}
 	time.AfterFunc(d, h.comeBack)
 }
 
-// comeBack starts a new incarnation at the same address.
 func (h *HTTPServer) comeBack() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.startAgain()
+}
+
+// startAgain starts a new incarnation at the same address. The caller holds h.mu.
+func (h *HTTPServer) startAgain() {
 	if h.closed {
 		return
 	}
@@ -193,8 +200,7 @@
 		return
 	}
 	h.restart()
-	h.http = &http.Server{Handler: h.Handler()}
-	go h.http.Serve(l)
+	h.serve(l)
 	go h.sendHeartbeat(context.Background())
 }
 
@@ -289,10 +295,17 @@
 
 func (c *call) leaseEnd() time.Duration { return time.Duration(c.DeadlineMs) * time.Millisecond }
 
-// Handler serves the calls of an agent.
+// Handler serves the calls of an agent to the current incarnation.
 func (h *HTTPServer) Handler() http.Handler {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.handlerOf(h.server)
+}
+
+// handlerOf serves the calls to an incarnation. They reach no later one.
+func (h *HTTPServer) handlerOf(server *Server) http.Handler {
 	e := ops.NewServer()
-	e.POST("/chestnuthollow/run-start", h.callHandler(func(c *call) (int, map[string]any) {
+	e.POST("/chestnuthollow/run-start", h.callHandler(server, func(c *call) (int, map[string]any) {
 		s := h.advance()
 		reason := s.Start(TaskRun{Name: c.Task, Number: c.Run}, h.opts.BehaviorOf(c.Task, c.Spec), c.leaseEnd(), c.FencingToken)
 		if reason != "" {
@@ -300,13 +313,13 @@
 		}
 		return http.StatusOK, map[string]any{}
 	}))
-	e.POST("/chestnuthollow/"+stopPath, h.callHandler(func(c *call) (int, map[string]any) {
+	e.POST("/chestnuthollow/"+stopPath, h.callHandler(server, func(c *call) (int, map[string]any) {
 		if !h.advance().Stop(TaskRun{Name: c.Task, Number: c.Run}, c.FencingToken) {
 			return http.StatusConflict, map[string]any{"reason": ReasonFenced}
 		}
 		return http.StatusOK, map[string]any{}
 	}))
-	e.POST("/chestnuthollow/hold", h.renewLease)
+	e.POST("/chestnuthollow/hold", func(c echo.Context) error { return h.renewLease(server, c) })
 	return e
 }
 
@@ -322,9 +335,8 @@
 
 // callHandler returns a handler that carries out a call and replies, or gives no
 // reply and carries out the call later, unless the server restarts before that.
-func (h *HTTPServer) callHandler(carryOut func(*call) (int, map[string]any)) echo.HandlerFunc {
+func (h *HTTPServer) callHandler(server *Server, carryOut func(*call) (int, map[string]any)) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		server := h.current()
 		var body call
 		if err := json.NewDecoder(c.Request().Body).Decode(&body); err != nil {
 			return c.NoContent(http.StatusBadRequest)
@@ -380,13 +392,6 @@
 	}
 }
 
-// current returns the current incarnation.
-func (h *HTTPServer) current() *Server {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.server
-}
-
 // ended reports whether an incarnation has ended by now. A call that it has received is not
 // carried out any more. The caller holds h.mu.
 func (h *HTTPServer) ended(server *Server) bool { return h.server != server || h.advance().Crashed }
@@ -399,8 +404,7 @@
 
 // renewLease serves a lease renewal. It replies when there are ended tasks that are
 // not acknowledged, or after the requested wait.
-func (h *HTTPServer) renewLease(c echo.Context) error {
-	server := h.current()
+func (h *HTTPServer) renewLease(server *Server, c echo.Context) error {
 	var body call
 	if err := json.NewDecoder(c.Request().Body).Decode(&body); err != nil {
 		return c.NoContent(http.StatusBadRequest)
--- a/standin/leaseserver/handler_test.go
+++ b/standin/leaseserver/handler_test.go
@@ -1,6 +1,8 @@
 package leaseserver_test
 
 import (
+	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -48,6 +50,50 @@
 	g.Expect(started).To(BeEmpty(), "a server that is down starts no run")
 }
 
+// Guards against a stand-in whose connections outlast an incarnation: a call that is bound to one
+// of them is carried out by the next incarnation, by the clock of the earlier one.
+func TestConnectionsEndWithTheIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	started := make(chan leaseserver.RunningTask, 1)
+	server := leaseserver.NewHTTPServer(leaseserver.Options{
+		ID: "server-1", HeartbeatURL: "http://127.0.0.1:1",
+		BehaviorOf: func(string, string) leaseserver.Behavior { return leaseserver.Behavior{Duration: time.Hour} },
+		OnStart:    func(_ string, run leaseserver.RunningTask) { started <- run },
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	server.Serve(l)
+	defer server.Close()
+	post := func(c net.Conn, call, body string) error {
+		request, err := http.NewRequest(http.MethodPost, "http://"+l.Addr().String()+"/chestnuthollow/"+call, strings.NewReader(body))
+		g.Expect(err).NotTo(HaveOccurred())
+		if err := request.Write(c); err != nil {
+			return err
+		}
+		reply, err := http.ReadResponse(bufio.NewReader(c), request)
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, reply.Body)
+		return errors.Join(err, reply.Body.Close())
+	}
+	connect := func() net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+
+	earlier := connect()
+	g.Expect(post(earlier, "hold", `{}`)).To(Succeed())
+	server.Crash()
+	start := `{"task":"0123456789abcdef.0.0.0","run":1,"deadlineMs":9000000000}`
+	g.Expect(post(earlier, "run-start", start)).NotTo(Succeed())
+	g.Expect(started).To(BeEmpty(), "the connection has ended with the incarnation")
+	g.Expect(post(connect(), "run-start", start)).To(Succeed(), "the next incarnation serves at once")
+	g.Expect(started).To(HaveLen(1))
+}
+
 // discard is a connection that is closed.
 type discard struct{}
 
