What an entry believes of an agent has the age of the message

Cause: an entry stamped a state when it had got round to reading it (stateReceivedAt). One that was L late planned on states that were L older than it assumed, and took them for fresh beyond staleAfter.

Change: replies to Poll and Hello say for how long the agent has held the call (Held, additive; zero from agents of earlier builds). The time when the call was sent plus Held is a time that the state is not older than; for orders, which are answered at once, it is the time when the order was sent. dispatch takes it as the state's time (AsOf; zero means now). A newer state is not taken for older than an earlier one. How late a reply to a poll was handled, beyond the least round trip of the session, goes to observeMessageDelay, which has no effect yet.

SessionEnded.LastHeard, from which InDoubtTimeout counts, is still the time when the newest reply to a poll was read: it is never before the true time of the newest reading that has been echoed, on which the agent's SessionTTL and leases rest. A state that is taken for older only makes an agent ineligible earlier.

--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -25,7 +25,7 @@
 	// largest is the largest capacity that the server has had: one that has shrunk may
 	// grow again.
 	largest         session.Identity
-	stateReceivedAt time.Time
+	stateAsOf       time.Time // the state is not older than that
 	crashedAt       time.Time // when its server crashed; zero if it is back
 	lastOrderNumber uint64
 	// unacknowledged are the placements whose order has no reply yet, so that the
@@ -48,11 +48,11 @@
 			d.removeAgent(old, "a new session was opened")
 		}
 	}
-	a := &agent{id: e.ID, name: e.Agent, zone: e.Zone, state: e.State, stateReceivedAt: d.now, unacknowledged: make(map[uint64]*placement)}
+	a := &agent{id: e.ID, name: e.Agent, zone: e.Zone, state: e.State, stateAsOf: d.stateTime(e.AsOf), unacknowledged: make(map[uint64]*placement)}
 	if e.State.Identity != nil {
 		a.setIdentity(*e.State.Identity)
 	}
-	a.othersFlow.Observe(d.now, e.State.OthersCPU)
+	a.othersFlow.Observe(a.stateAsOf, e.State.OthersCPU)
 	d.agents[e.ID] = a
 	d.recordCrashes(a, e.State.Crashes)
 	d.runTimesOpened(a)
@@ -141,7 +141,7 @@
 		}
 	}
 	d.cancelsTaken(a, e)
-	d.updateState(a, e.State)
+	d.updateState(a, e.State, e.AsOf)
 }
 
 func (d *Dispatcher) pollReplied(e PollReplied) {
@@ -149,7 +149,7 @@
 	if a == nil {
 		return
 	}
-	d.updateState(a, e.Reply.State)
+	d.updateState(a, e.Reply.State, e.AsOf)
 	// Before the reports: the tasks that the agent has stopped are not placed again.
 	d.cancelsLearned(a.name, e.Reply.Cancels)
 	for _, r := range e.Reply.Reports {
@@ -159,9 +159,17 @@
 	}
 }
 
+// stateTime returns the time of a state that an event carries.
+func (d *Dispatcher) stateTime(asOf time.Time) time.Time {
+	if asOf.IsZero() || asOf.After(d.now) {
+		return d.now
+	}
+	return asOf
+}
+
 // updateState stores a state that an agent reported, unless a newer one has
 // arrived before.
-func (d *Dispatcher) updateState(a *agent, s session.State) {
+func (d *Dispatcher) updateState(a *agent, s session.State, asOf time.Time) {
 	if s.Identity != nil && s.Seq > a.identitySeq {
 		a.setIdentity(*s.Identity)
 		a.identitySeq = s.Seq
@@ -176,8 +184,10 @@
 		d.emit(LogEvent{Event: "agent_changed", Agent: a.name, Detail: fmt.Sprintf("server=%s ready=%t capacity=%d", a.identity.Server, s.Ready, a.identity.Capacity)})
 	}
 	a.state = s
-	a.stateReceivedAt = d.now
-	a.othersFlow.Observe(d.now, s.OthersCPU)
+	if t := d.stateTime(asOf); t.After(a.stateAsOf) {
+		a.stateAsOf = t // otherwise the earlier state has the closer bound
+	}
+	a.othersFlow.Observe(a.stateAsOf, s.OthersCPU)
 	d.endOutageIfReady(a)
 	d.recordRecovery(a)
 	d.moveStragglers(a, s.Laggards)
@@ -203,7 +213,7 @@
 // start is within that time too, because they could become late if the task
 // overtook them.
 func (d *Dispatcher) queuedAhead(a *agent, within time.Duration) func(session.QueuedTask) bool {
-	age := d.now.Sub(a.stateReceivedAt)
+	age := d.now.Sub(a.stateAsOf)
 	return func(q session.QueuedTask) bool {
 		return time.Duration(q.StartWithin)*time.Millisecond-age <= within
 	}
@@ -223,7 +233,7 @@
 // timelineAfter returns the free capacity of the agent over time, less what is reserved
 // for queued tasks that isAhead selects by their position and size.
 func (d *Dispatcher) timelineAfter(a *agent, isAhead func(int, session.QueuedTask) bool) *capacity.Timeline {
-	age := d.now.Sub(a.stateReceivedAt)
+	age := d.now.Sub(a.stateAsOf)
 	releases := make([]capacity.Release, 0, len(a.state.Running))
 	for _, r := range a.state.Running {
 		releases = append(releases, capacity.Release{At: time.Duration(r.Ms)*time.Millisecond - age, CPU: r.CPU})
--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -103,7 +103,7 @@
 // isReady reports whether an agent accepts tasks by a recent state and its availability
 // zone is not evacuated.
 func (d *Dispatcher) isReady(a *agent) bool {
-	return a.state.Ready && d.now.Sub(a.stateReceivedAt) <= staleAfter && !d.evacuated(a.zone)
+	return a.state.Ready && d.now.Sub(a.stateAsOf) <= staleAfter && !d.evacuated(a.zone)
 }
 
 // eligible reports whether an agent is ready by a recent state, and its server is
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -460,6 +460,29 @@
 	h.Expect(counts).To(Equal(map[dispatch.SessionID]int{2: 1}))
 }
 
+// Guards against states that count as fresh because the entry has read them late: tasks were
+// placed on agents that could not start them in time.
+func TestAgeOfStateIsThatOfItsMessage(t *testing.T) {
+	h := newHarness(t)
+	h.agent(1, idle)
+	h.agent(2, serverState{capacity: 20_000, free: 8_000, slowness: 1000})
+	h.now = h.now.Add(2 * time.Second)
+	h.step(dispatch.PollReplied{ID: 1, Reply: session.PollReply{State: h.state(idle)}, AsOf: h.now.Add(-460 * time.Millisecond)})
+	h.step(dispatch.OrderReplied{ID: 2, State: h.state(serverState{capacity: 20_000, free: 8_000, slowness: 1000}), AsOf: h.now.Add(-100 * time.Millisecond)})
+	h.submit("job", 1, 6000, 60*time.Millisecond)
+	counts, _ := h.placed()
+	h.Expect(counts).To(Equal(map[dispatch.SessionID]int{2: 1}))
+
+	h.now = h.now.Add(360 * time.Millisecond)
+	h.step(dispatch.SessionOpened{ID: 3, Agent: "agent-3", Zone: "zone-a", State: h.state(idle), AsOf: h.now.Add(-time.Second)})
+	ages := make(map[string]int64)
+	for _, a := range h.d.Dump(h.now).Agents {
+		ages[a.Name] = a.AgeMs
+	}
+	h.Expect(ages).To(HaveKeyWithValue("agent-2", int64(460)))
+	h.Expect(ages).To(HaveKeyWithValue("agent-3", int64(1000)))
+}
+
 // Guards against holding jobs without limit. After a restart of the whole system,
 // more jobs arrived than the first agents had capacity for, and they were held as
 // long as agents reported.
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -96,7 +96,7 @@
 		out.Agents = append(out.Agents, AgentDump{
 			Name: a.name, Zone: a.zone, Server: a.identity.Server, Ready: a.state.Ready, Capacity: a.identity.Capacity,
 			FreeCPU: a.state.FreeCPU, Slowness: a.state.Slowness, Failing: a.state.Failing,
-			Running: len(a.state.Running), Waiting: len(a.state.Queue), AgeMs: now.Sub(a.stateReceivedAt).Milliseconds(),
+			Running: len(a.state.Running), Waiting: len(a.state.Queue), AgeMs: now.Sub(a.stateAsOf).Milliseconds(),
 			ColdMs: a.state.ColdMs, Evacuated: d.evacuated(a.zone),
 			OthersPerSecond: int(a.othersFlow.PerSecond()),
 		})
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -122,6 +122,7 @@
 		Agent string // its name
 		Zone  string
 		State session.State
+		AsOf  time.Time // the state is not older than that; zero means now
 		// Cancels are the jobs that the agent knows to be canceled.
 		Cancels []session.Cancel
 	}
@@ -140,12 +141,14 @@
 		ID      SessionID
 		Number  uint64
 		State   session.State
-		Cancels int // number of Order.Cancels that the agent has taken
+		AsOf    time.Time // as in SessionOpened
+		Cancels int       // number of Order.Cancels that the agent has taken
 	}
 	// PollReplied is the reply to a poll.
 	PollReplied struct {
 		ID    SessionID
 		Reply session.PollReply
+		AsOf  time.Time // as in SessionOpened
 	}
 	// EvacuationChanged reports the availability zones in which no task may be started.
 	// ExpectedRemaining is when the first of them is expected back; zero if unknown.
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -210,7 +210,7 @@
 
 // waitingUpTo returns the agent's queued tasks up to a rank.
 func (d *Dispatcher) waitingUpTo(a *agent, rank shares.Rank) []shares.Waiting {
-	age := d.now.Sub(a.stateReceivedAt)
+	age := d.now.Sub(a.stateAsOf)
 	var list []shares.Waiting
 	for _, q := range a.state.Queue {
 		if r := shares.Rank(q.Priority); r <= rank {
--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -32,7 +32,7 @@
 		if start, ok := c.timeline.EarliestStart(j.CPU); !ok || start > 0 {
 			continue
 		}
-		untilArrival := d.now.Sub(c.agent.stateReceivedAt) + c.overhead
+		untilArrival := d.now.Sub(c.agent.stateAsOf) + c.overhead
 		timeLeft := 1 - float64(c.runTime+c.overhead)/float64(within)
 		d.inTime = append(d.inTime, c)
 		d.servers = append(d.servers, spread.Server{
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -82,6 +82,7 @@
 	orders         chan dispatch.Order
 	replies        chan *rpc.Call
 	closed         chan struct{}
+	roundTrip      time.Duration // least one of the session's polls; zero before the first
 }
 
 // redialAgent makes the connector of the address dial without delay if it has no
@@ -158,6 +159,7 @@
 	defer client.Close()
 	req := session.HelloRequest{Entry: g.opts.Name, Incarnation: g.self.Incarnation, ConfigVersion: g.config.raw().Version, OmitConfig: true, Evacuation: g.evacuation(), TopicUnheard: g.topicUnheard()}
 	var hello session.HelloReply
+	sentAt := time.Now()
 	if err := callWithTimeout(client, structs.AgentService+".Hello", &req, &hello, helloTimeout); err != nil {
 		return false, err
 	}
@@ -174,7 +176,7 @@
 	}
 	s.clockReading.Store(&hello.State.Stamp)
 	s.evacuationSent.Store(req.Evacuation.Version)
-	g.addSession(s, &hello)
+	g.addSession(s, &hello, stateTime(sentAt, hello.Held))
 	c.sessionID.Store(uint64(s.id))
 	c.setUsable(lastHeard, hello.State.Ready)
 	go s.writeOrders()
@@ -189,15 +191,37 @@
 	return true, err
 }
 
-func (g *Gateway) addSession(s *agentSession, hello *session.HelloReply) {
+func (g *Gateway) addSession(s *agentSession, hello *session.HelloReply, asOf time.Time) {
 	g.mu.Lock()
 	g.lastSession++
 	s.id = g.lastSession
 	g.sessions[s.id] = s
 	g.mu.Unlock()
-	g.step(dispatch.SessionOpened{ID: s.id, Agent: hello.Agent, Zone: hello.Zone, State: hello.State, Cancels: hello.Cancels})
+	g.step(dispatch.SessionOpened{ID: s.id, Agent: hello.Agent, Zone: hello.Zone, State: hello.State, AsOf: asOf, Cancels: hello.Cancels})
 }
 
+// stateTime returns a time that the state in a reply is not older than: the agent has held
+// the request, which was sent at sentAt, for the given time before it wrote the state. It
+// returns zero for agents of earlier builds, which do not report that.
+func stateTime(sentAt time.Time, held time.Duration) time.Time {
+	if held <= 0 {
+		return time.Time{}
+	}
+	return sentAt.Add(held)
+}
+
+// messageDelay returns by how much the reply to a poll that was under way for the given time
+// was handled late. The least such time of the session is taken for the round trip.
+func (s *agentSession) messageDelay(underWay time.Duration) time.Duration {
+	if s.roundTrip == 0 || underWay < s.roundTrip {
+		s.roundTrip = max(underWay, time.Nanosecond)
+	}
+	return max(underWay-s.roundTrip, 0)
+}
+
+// observeMessageDelay records by how much a message of a session was handled late.
+func (g *Gateway) observeMessageDelay(time.Time, time.Duration) {}
+
 func callWithTimeout(client *rpc.Client, method string, req, reply any, timeout time.Duration) error {
 	call := client.Go(method, req, reply, make(chan *rpc.Call, 1))
 	timer := time.NewTimer(timeout)
@@ -220,6 +244,7 @@
 		}
 		req := session.PollRequest{Echo: *s.clockReading.Load(), Seen: seen, Evacuation: s.unsentEvacuation(), TopicUnheard: s.connector.gateway.topicUnheard()}
 		var reply session.PollReply
+		sentAt := time.Now()
 		if err := callWithTimeout(s.client, structs.AgentService+".Poll", &req, &reply, pollTimeout); err != nil {
 			return lastHeard, err
 		}
@@ -232,7 +257,10 @@
 		if n := len(reply.Reports); n > 0 {
 			seen = reply.Reports[n-1].Seq
 		}
-		s.connector.gateway.step(dispatch.PollReplied{ID: s.id, Reply: reply})
+		if reply.Held > 0 {
+			s.connector.gateway.observeMessageDelay(lastHeard, s.messageDelay(lastHeard.Sub(sentAt)-reply.Held))
+		}
+		s.connector.gateway.step(dispatch.PollReplied{ID: s.id, Reply: reply, AsOf: stateTime(sentAt, reply.Held)})
 	}
 }
 
@@ -254,17 +282,18 @@
 			return
 		case o := <-s.orders:
 			req := &session.OrderRequest{Echo: *s.clockReading.Load(), Start: o.Start, Stop: o.Stop, Recall: o.Recall, Evacuation: s.unsentEvacuation(), Cancels: o.Cancels}
-			s.client.Go(structs.AgentService+".Order", req, &orderReply{number: o.Number}, s.replies)
+			s.client.Go(structs.AgentService+".Order", req, &orderReply{number: o.Number, sentAt: time.Now()}, s.replies)
 		}
 	}
 }
 
-// orderReply is the reply to an order. It also keeps the number of the order, which
-// is unexported and therefore not encoded.
+// orderReply is the reply to an order. It also keeps the number of the order and when it
+// was sent, which are unexported and therefore not encoded.
 type orderReply struct {
 	State   session.State
 	Cancels int
 	number  uint64
+	sentAt  time.Time
 }
 
 func (s *agentSession) readReplies() {
@@ -278,7 +307,7 @@
 				continue
 			}
 			r := call.Reply.(*orderReply)
-			s.connector.gateway.step(dispatch.OrderReplied{ID: s.id, Number: r.number, State: r.State, Cancels: r.Cancels})
+			s.connector.gateway.step(dispatch.OrderReplied{ID: s.id, Number: r.number, State: r.State, AsOf: r.sentAt, Cancels: r.Cancels})
 		}
 	}
 }
--- a/session/compat_test.go
+++ b/session/compat_test.go
@@ -222,3 +222,21 @@
 	transcode(g, session.JobPart{Job: "j", Service: "s", RequiredLabel: "a", MaxPerServer: 2, ConfigVersion: 7, Tasks: []session.Placement{{ID: 1}}}, &old)
 	g.Expect(old).To(Equal(oldJobPart{Job: "j", Service: "s", Tasks: []session.Placement{{ID: 1}}}))
 }
+
+// Guards against states of old agents that count as old because these do not report for how
+// long they have held a poll.
+func TestHeldBetweenOldAndNewBuilds(t *testing.T) {
+	g := NewWithT(t)
+	var poll session.PollReply
+	transcode(g, oldPollReply{State: session.State{Seq: 4}}, &poll)
+	g.Expect(poll.Held).To(BeZero())
+	var oldPoll oldPollReply
+	transcode(g, session.PollReply{State: session.State{Seq: 4}, Held: 5}, &oldPoll)
+	g.Expect(oldPoll).To(Equal(oldPollReply{State: session.State{Seq: 4}}))
+	var hello session.HelloReply
+	transcode(g, oldHelloReply{Agent: "a"}, &hello)
+	g.Expect(hello.Held).To(BeZero())
+	var oldHello oldHelloReply
+	transcode(g, session.HelloReply{Agent: "a", Held: 5}, &oldHello)
+	g.Expect(oldHello).To(Equal(oldHelloReply{Agent: "a"}))
+}
--- a/session/messages.go
+++ b/session/messages.go
@@ -53,6 +53,7 @@
 	State         State
 	// Cancels are all that the agent holds. Agents of earlier builds leave it empty.
 	Cancels []Cancel
+	Held    time.Duration // as in PollReply
 }
 
 // Cancel is a job that a caller has canceled: none of its tasks may be started.
@@ -181,6 +182,9 @@
 	Evacuation Evacuation
 	// Cancels are those that the agent has learned of since the session's last reply.
 	Cancels []Cancel
+	// Held is the time from the arrival of the request to the reply. It is positive; agents
+	// of earlier builds leave it zero.
+	Held time.Duration
 }
 
 // Outcome is how a placement ended.
--- a/taskrunner/poll.go
+++ b/taskrunner/poll.go
@@ -9,8 +9,9 @@
 
 // pendingPoll is a call of Agent.Poll whose reply has not been sent.
 type pendingPoll struct {
-	call CallID
-	due  time.Time // when the reply is sent even without reports
+	call  CallID
+	due   time.Time // when the reply is sent even without reports
+	since time.Time // when the call arrived
 }
 
 // poll removes the reports that the entry has acknowledged and keeps the call until
@@ -27,7 +28,7 @@
 	s.recordEvacuation(e.Request.Evacuation)
 	m.updateEvacuation(e.Request.Evacuation, s.name)
 	s.reports = slices.DeleteFunc(s.reports, func(r session.Report) bool { return r.Seq <= e.Request.Seen })
-	s.poll = &pendingPoll{call: e.Call, due: m.now.Add(m.pollWait(s))}
+	s.poll = &pendingPoll{call: e.Call, due: m.now.Add(m.pollWait(s)), since: m.now}
 }
 
 // pollWait returns how long a poll that has just arrived waits for reports. The time since
@@ -49,6 +50,7 @@
 		}
 		m.emit(ReplyPoll{Call: s.poll.call, Reply: session.PollReply{
 			Reports: slices.Clone(s.reports), State: m.state(s), Evacuation: m.unsentEvacuation(s), Cancels: m.unsentCancels(s),
+			Held: max(m.now.Sub(s.poll.since), time.Nanosecond),
 		}})
 		s.poll = nil
 	}
--- a/taskrunner/poll_test.go
+++ b/taskrunner/poll_test.go
@@ -75,3 +75,17 @@
 		})
 	}
 }
+
+// Guards against entries that take an old state for a new one: they subtract the time for
+// which the agent has held their poll from the time that the reply took.
+func TestRepliesStateHowLongTheyWereHeld(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	h.Expect(effects[taskrunner.ReplyHello](h)[0].Reply.Held).To(Equal(time.Nanosecond), "zero stands for an earlier build")
+	h.lastCall++
+	h.step(taskrunner.PollCalled{Call: h.lastCall, Session: 1, Request: session.PollRequest{Echo: h.reading()}})
+	h.Expect(effects[taskrunner.ReplyPoll](h)).To(BeEmpty())
+	h.advance(taskrunner.DefaultPollWait)
+	h.step(taskrunner.Ticked{})
+	h.Expect(effects[taskrunner.ReplyPoll](h)).To(ConsistOf(HaveField("Reply.Held", taskrunner.DefaultPollWait)))
+}
--- a/taskrunner/session.go
+++ b/taskrunner/session.go
@@ -130,6 +130,7 @@
 		reply := session.HelloReply{
 			Agent: m.opts.Agent, Incarnation: m.opts.Incarnation, Zone: m.opts.Zone, State: m.state(s),
 			Evacuation: m.evacuations.Current(), Cancels: m.unsentCancels(s),
+			Held: max(m.now.Sub(s.lastHeard), time.Nanosecond),
 		}
 		reply.ConfigVersion = m.config.Version
 		if !req.OmitConfig && m.config.Version > req.Config.Version {
--- a/test/sessions/entry_test.go
+++ b/test/sessions/entry_test.go
@@ -110,6 +110,7 @@
 	c := &conn{sim: sim, entry: e, agent: a, entryGeneration: e.generation, agentGeneration: a.generation, session: a.nextID}
 	a.conns[c.session] = c
 	req := session.HelloRequest{Entry: e.name, Incarnation: e.incarnation}
+	sentAt := e.monotonicNow()
 	opened := false
 	c.toAgent(func() {
 		call := a.newCall(func(message any) {
@@ -118,7 +119,7 @@
 					return
 				}
 				opened = true
-				e.sessionOpened(c, message.(session.HelloReply))
+				e.sessionOpened(c, message.(session.HelloReply), sentAt)
 			})
 		})
 		a.step(taskrunner.HelloCalled{Call: call, Session: c.session, Request: req})
@@ -139,13 +140,13 @@
 	return id
 }
 
-func (e *entryProc) sessionOpened(c *conn, hello session.HelloReply) {
+func (e *entryProc) sessionOpened(c *conn, hello session.HelloReply, sentAt time.Time) {
 	e.nextSession++
 	c.id = e.nextSession
 	c.lastReading = hello.State.Stamp
 	c.lastHeard = e.monotonicNow()
 	e.conns[c.id] = c
-	e.step(dispatch.SessionOpened{ID: c.id, Agent: hello.Agent, Zone: hello.Zone, State: hello.State, Cancels: hello.Cancels})
+	e.step(dispatch.SessionOpened{ID: c.id, Agent: hello.Agent, Zone: hello.Zone, State: hello.State, AsOf: sentAt.Add(hello.Held), Cancels: hello.Cancels})
 	c.poll()
 }
 
@@ -154,6 +155,7 @@
 	c.lastPoll++
 	n := c.lastPoll
 	req := session.PollRequest{Echo: c.lastReading, Seen: c.seenSeq}
+	sentAt := e.monotonicNow()
 	c.toAgent(func() {
 		call := a.newCall(func(message any) {
 			reply, ok := message.(session.PollReply)
@@ -169,7 +171,7 @@
 				if k := len(reply.Reports); k > 0 {
 					c.seenSeq = reply.Reports[k-1].Seq
 				}
-				e.step(dispatch.PollReplied{ID: c.id, Reply: reply})
+				e.step(dispatch.PollReplied{ID: c.id, Reply: reply, AsOf: sentAt.Add(reply.Held)})
 				c.poll()
 			})
 		})
@@ -259,6 +261,7 @@
 			return
 		}
 		req := session.OrderRequest{Echo: c.lastReading, Start: ef.Start, Stop: ef.Stop, Recall: ef.Recall, Cancels: ef.Cancels}
+		sentAt := e.monotonicNow()
 		c.toAgent(func() {
 			call := c.agent.newCall(func(message any) {
 				reply, ok := message.(session.OrderReply)
@@ -267,7 +270,7 @@
 				}
 				c.toEntry(func() {
 					if !c.broken {
-						e.step(dispatch.OrderReplied{ID: c.id, Number: ef.Number, State: reply.State, Cancels: reply.Cancels})
+						e.step(dispatch.OrderReplied{ID: c.id, Number: ef.Number, State: reply.State, AsOf: sentAt, Cancels: reply.Cancels})
 					}
 				})
 			})
