A small entry keeps fewer sessions

An entry paid for polls of its subset whatever its own size: one with 0.192 of a core was in session with 53 agents, as those with 0.8 were.

The subset of an overloaded entry is not widened; overloaded() is a stub.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -121,6 +121,7 @@
 	}
 	g.self = session.Process{
 		Name: opts.Name, Role: session.RoleEntry, Addr: opts.PeerAddr, Incarnation: structs.Incarnation(randid.NonZero()),
+		Zone: opts.Zone, Processors: opts.Processors,
 	}
 	g.dispatcher = dispatch.New(dispatch.Options{
 		Entry: opts.Name, Incarnation: g.self.Incarnation, Zone: opts.Zone, Started: g.startedAt,
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -20,6 +20,8 @@
 	// the balancer's readiness probes.
 	JobsAddr  string `toml:"jobs_addr" validate:"required,ipport"`
 	ReadyAddr string `toml:"ready_addr" validate:"required,ipport"`
+	// Processors is the processor time of the instance, in processors.
+	Processors float64 `toml:"processors" validate:"gt=0,lte=1024"`
 	// FarFactor is how many times as long a task takes away from the rack that it names.
 	FarFactor  float64             `toml:"far_factor" validate:"omitempty,gte=1"`
 	Scheduling dispatch.Scheduling `toml:"scheduling"`
@@ -31,7 +33,7 @@
 
 // DefaultOptions returns the default values of the settings that have one.
 func DefaultOptions() Options {
-	return Options{Options: instance.DefaultOptions(defaultMemoryMB)}
+	return Options{Options: instance.DefaultOptions(defaultMemoryMB), Processors: 1}
 }
 
 // Platform contains the parts of the users' platform that a Gateway depends on.
--- a/gateway/subset.go
+++ b/gateway/subset.go
@@ -41,7 +41,7 @@
 }
 
 // adjustWidening widens the subset while its servers are nearly full, and narrows it
-// again when they are not.
+// again when they are not. An overloaded entry has no processor time for more sessions.
 func (g *Gateway) adjustWidening() {
 	g.mu.Lock()
 	share, ok := g.dispatcher.FreeShare()
@@ -50,12 +50,17 @@
 	defer g.connectorsMu.Unlock()
 	switch {
 	case ok && share < lowFreeShare:
-		g.widening = min(g.widening*wideningStep, maxWidening)
+		if !g.overloaded() {
+			g.widening = min(g.widening*wideningStep, maxWidening)
+		}
 	case !ok || share > highFreeShare:
 		g.widening = max(g.widening*narrowingStep, 1)
 	}
 }
 
+// overloaded reports whether the entry is short of processor time.
+func (g *Gateway) overloaded() bool { return false }
+
 // updateSubset keeps a connector for each agent of the subset. Sessions with other
 // agents are closed once they have no tasks.
 func (g *Gateway) updateSubset() {
@@ -109,7 +114,7 @@
 func (g *Gateway) subsetSize(agents int, now time.Time) int {
 	size := membership.InitialSubsetSize(agents)
 	if now.Sub(g.startedAt) >= settleTime {
-		size = membership.SubsetSize(agents, len(g.members.List(session.RoleEntry))+1)
+		size = membership.WeightedSubsetSize(agents, g.self, g.members.List(session.RoleEntry))
 	}
 	return min(int(g.widening*float64(size)), agents)
 }
--- a/session/compat_test.go
+++ b/session/compat_test.go
@@ -240,3 +240,22 @@
 	transcode(g, session.HelloReply{Agent: "a", Held: 5}, &oldHello)
 	g.Expect(oldHello).To(Equal(oldHelloReply{Agent: "a"}))
 }
+
+// Guards against subsets that change because entries of old builds do not announce their
+// processor time.
+func TestProcessorsBetweenOldAndNewBuilds(t *testing.T) {
+	g := NewWithT(t)
+	type oldProcess struct {
+		Name    string `json:"name"`
+		Service string `json:"service,omitempty"`
+	}
+	var process session.Process
+	transcode(g, oldProcess{Name: "e"}, &process)
+	g.Expect(process).To(Equal(session.Process{Name: "e"}))
+	var old oldProcess
+	transcode(g, session.Process{Name: "e", Zone: "a", Processors: 0.2}, &old)
+	g.Expect(old).To(Equal(oldProcess{Name: "e"}))
+	text, err := json.Marshal(session.Process{Name: "e"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(text)).NotTo(Or(ContainSubstring("zone"), ContainSubstring("processors")))
+}
--- a/session/messages.go
+++ b/session/messages.go
@@ -381,6 +381,10 @@
 	// Rack is the rack of an agent's backend server; empty if it is not known yet, for
 	// entries, and for agents of earlier builds.
 	Rack string `json:"rack,omitempty"`
+	// Zone and Processors are the availability zone and the processor time, in processors, of
+	// an entry's instance; empty and zero for agents and for entries of earlier builds.
+	Zone       string  `json:"zone,omitempty"`
+	Processors float64 `json:"processors,omitempty"`
 }
 
 // Roles of a Process.
