Agent: a stop that arrives late counts from when the entry ordered it

A task may run twice: its caller has left or got 504, and submits it again 1.3 s later at another entry, while the first run is not over.

Cause: for a stop that an entry orders in an open session, the agent counted the 750 ms after which no lease may hold the run from when it handled the order. An order may be under way (a lost packet), or wait for an agent short of processor time, for up to SessionTTL before the session ends.

Change: the time counts from the clock reading that the order echoes, as it does already for a session that has ended. Only a stop that the server has not confirmed is affected.

--- a/taskrunner/lease.go
+++ b/taskrunner/lease.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/session"
 )
 
 // leaseEnd returns the end of a lease that is asked for now, by the server's clock. A lease
@@ -36,7 +38,7 @@
 
 // overBy returns by when a run that is being stopped has to be over. A session may last for
 // SessionTTL after the clock reading that its entry has echoed, and a lease for Lease longer; a
-// run that is stopped before its session ends has the same time.
+// run that is stopped before its session ends has the same time, see stopOrdered.
 func (r *run) overBy(m *Runner) time.Duration {
 	since := r.stoppedAt
 	if since.Run != m.clockIncarnation {
@@ -48,6 +50,14 @@
 	return since.Clock + m.opts.SessionTTL + m.opts.Lease
 }
 
+// stopOrdered records that the entry ordered the stop of the run after it had received the
+// clock reading. The entry counts from then, however late the order has arrived.
+func (r *run) stopOrdered(echo session.ClockReading) {
+	if r.phase == stopping && r.stoppedAt.Run == echo.Run {
+		r.stoppedAt.Clock = min(r.stoppedAt.Clock, echo.Clock)
+	}
+}
+
 // logLeaseLimit logs when leaseLimited changes.
 func (m *Runner) logLeaseLimit() {
 	limited := m.leaseLimited()
--- a/taskrunner/order.go
+++ b/taskrunner/order.go
@@ -28,7 +28,7 @@
 	m.updateEvacuation(e.Request.Evacuation, s.name)
 	m.cancelJobs(s, e.Request.Cancels)
 	for _, id := range e.Request.Stop {
-		m.stopPlacement(s, id)
+		m.stopPlacement(s, id, e.Request.Echo)
 	}
 	m.recall(s, e.Request.Recall)
 	for i := range e.Request.Start {
@@ -39,11 +39,13 @@
 	m.emit(ReplyOrder{Call: e.Call, Reply: session.OrderReply{State: m.state(s), Cancels: len(e.Request.Cancels)}})
 }
 
-// stopPlacement stops the run of a placement, or keeps a later start from running.
-func (m *Runner) stopPlacement(s *entrySession, id uint64) {
+// stopPlacement stops the run of a placement, or keeps a later start from running. The order
+// to do so has echoed the given clock reading.
+func (m *Runner) stopPlacement(s *entrySession, id uint64, echo session.ClockReading) {
 	for _, r := range m.runs {
 		if r.session == s && r.id == id {
 			m.stop(r, session.Stopped, "stopped by the entry")
+			r.stopOrdered(echo)
 			return
 		}
 	}
--- a/taskrunner/orphan_test.go
+++ b/taskrunner/orphan_test.go
@@ -185,6 +185,26 @@
 	h.Expect(h.reports[1]).To(ConsistOf(HaveField("Outcome", session.Stopped)))
 }
 
+// Guards against a task that runs twice: the entry's order to stop it was under way, or waited for
+// an agent short of processor time, for almost as long as a session lasts, and the server declines
+// the stops. The time in which the run has to be over begins when the entry sends the order.
+func TestRunIsOverInTimeAfterItsStopWasSentIfTheOrderArrivesLate(t *testing.T) {
+	const delay = taskrunner.DefaultSessionTTL - 50*time.Millisecond
+	h := newServedHarness(t)
+	h.start(1, "job")
+	h.runFor(200 * time.Millisecond)
+	h.stop = func() bool { return false }
+	sent, echo := h.now, h.reading()
+	h.polling = []uint64{2}
+	h.runFor(delay)
+	h.lastCall++
+	h.serve(h.step(taskrunner.OrderCalled{Call: h.lastCall, Session: 1, Request: session.OrderRequest{Echo: echo, Stop: []uint64{1}}}))
+	h.polling = []uint64{1, 2}
+	h.runFor(taskrunner.InDoubtTimeout(time.Second, servedStopTimeout) - h.now.Sub(sent))
+	h.Expect(h.runs("job")).To(BeFalse(), "less time than the entry counts with is left until another entry may start the task")
+	h.Expect(h.reports[1]).To(ConsistOf(HaveField("Outcome", session.Stopped)))
+}
+
 // Guards against other tasks that are lost with a run of an ended session although the server
 // carries out its stop within the time that the session would have had.
 func TestOtherRunsOutliveSlowStopOfEndedSession(t *testing.T) {
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -57,7 +57,7 @@
 	percent        int                  // progress reported by the server
 	listedFor      time.Duration        // run time by the server's clock when it reported percent; zero if unknown
 	progressAt     time.Time            // when percent last changed
-	stoppedAt      session.ClockReading // newest reading of the server's clock at the first stop
+	stoppedAt      session.ClockReading // newest reading of the server's clock at the first stop, or echoed with the order to stop it
 	stopAcked      bool                 // the current incarnation has acknowledged the stop
 	stopAckedAfter uint64               // lease renewals with higher IDs were sent after that
 	stopAckedAt    time.Time
