--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -68,6 +68,7 @@
 	zones    *rand.Rand // draws the evacuations
 	sizes    *rand.Rand // draws the sizes of configurations and the rate of the store's link
 	calls    *rand.Rand // draws what happens to the calls of servers
+	pairs    *rand.Rand // draws servers that are lost together with their agents
 	faults   sync.WaitGroup
 	mu       sync.Mutex
 	faultLog []string
@@ -77,7 +78,8 @@
 func soakOnce(t *testing.T, seed int64, entries, agents int) {
 	s := &soak{
 		system: newSystem(t, entries, agents), rng: rand.New(rand.NewSource(seed)), zones: rand.New(rand.NewSource(seed + 1)),
-		sizes: rand.New(rand.NewSource(-seed)), calls: rand.New(rand.NewSource(seed + 2)), counts: make(map[string]int),
+		sizes: rand.New(rand.NewSource(-seed)), calls: rand.New(rand.NewSource(seed + 2)),
+		pairs: rand.New(rand.NewSource(seed + 3)), counts: make(map[string]int),
 	}
 	t.Cleanup(func() {
 		if t.Failed() || s.invariants.err() != nil {
@@ -98,6 +100,7 @@
 		for range 1 + agents/agentsPerFault {
 			s.injectFault()
 			s.disturbCalls()
+			s.loseServerAndAgent()
 		}
 		s.evacuateZone()
 	}
@@ -281,6 +284,39 @@
 	s.count(fmt.Sprintf("calls %d", kind))
 }
 
+// loseServerAndAgent crashes a drawn server and suspends or kills its agent shortly before or
+// after it, at times.
+func (s *soak) loseServerAndAgent() {
+	i := s.pairs.Intn(len(s.servers))
+	server, agent := s.servers[i], s.agents[i]
+	down := time.Duration(s.pairs.Intn(2)*s.pairs.Intn(1500)) * time.Millisecond
+	serverAfter, agentAfter := time.Duration(s.pairs.Intn(80))*time.Millisecond, time.Duration(s.pairs.Intn(80))*time.Millisecond
+	suspended, duration := s.pairs.Intn(2) == 0, time.Duration(300+s.pairs.Intn(2000))*time.Millisecond
+	if s.pairs.Intn(6) > 0 {
+		return
+	}
+	s.recordFault("%s crashes after %v for %v, and its agent is lost after %v for %v, suspended: %t", server.ID(), serverAfter, down, agentAfter, duration, suspended)
+	s.faults.Add(2)
+	time.AfterFunc(serverAfter, func() {
+		defer s.faults.Done()
+		server.CrashFor(down)
+	})
+	go func() {
+		defer s.faults.Done()
+		time.Sleep(agentAfter)
+		if suspended {
+			agent.signal(syscall.SIGSTOP)
+			time.Sleep(duration)
+			agent.signal(syscall.SIGCONT)
+			return
+		}
+		agent.kill()
+		time.Sleep(duration)
+		agent.start()
+	}()
+	s.count("server and agent")
+}
+
 // evacuateZone begins or withdraws the evacuation of a drawn zone in one of four calls, and
 // at times drops the history of the topic.
 func (s *soak) evacuateZone() {
@@ -352,7 +388,7 @@
 			ok = s.inForce(p, s.version) && s.post(context.Background(), p, fmt.Sprintf("ff%06x%08x", i, time.Now().UnixNano()&0xffffffff), 1, 20, 1000, "ok").state == "completed"
 		}
 		if !ok {
-			s.t.Errorf("%s does not complete a job by version %d within %v after the last fault; log: %s", p.name, s.version, bound, p.logTail())
+			s.t.Errorf("%s does not complete a job by version %d within %v after the last fault; %s; log: %s", p.name, s.version, bound, p.status(), p.logTail())
 		}
 	}
 }
--- a/test/platform/system_test.go
+++ b/test/platform/system_test.go
@@ -81,9 +81,10 @@
 	opsAddr   string
 	log       *os.File
 
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	done chan struct{} // closed when cmd has ended
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	done   chan struct{} // closed when cmd has ended
+	starts []time.Time
 }
 
 // zoneOf returns the availability zone of the i-th entry or agent: they alternate.
@@ -272,7 +273,7 @@
 		return
 	}
 	done := make(chan struct{})
-	p.cmd, p.done = cmd, done
+	p.cmd, p.done, p.starts = cmd, done, append(p.starts, time.Now())
 	go func() {
 		cmd.Wait()
 		close(done)
@@ -338,6 +339,14 @@
 	}
 }
 
+// status describes the current process.
+func (p *process) status() string {
+	ended := p.wait(0)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return fmt.Sprintf("process %d of %d, started %s, ended: %t", p.cmd.Process.Pid, len(p.starts), p.starts[len(p.starts)-1].Format(recordTime), ended)
+}
+
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
 	p.wait(5 * time.Second)
@@ -532,7 +541,7 @@
 	c.sizes[serverRun{server, t.TaskRun}] = t.Behavior.CPU
 	c.used[server] += t.Behavior.CPU
 	if limit := c.limit(server); c.used[server] > limit {
-		c.violated(t.Name, []string{server}, "%s runs %d thousandths of a core with task %s, over its capacity of %d", server, c.used[server], t.Name, limit)
+		c.violated(t.Name, []string{server}, "%s runs %d thousandths of a core with task %s, over its capacity of %d: %v", server, c.used[server], t.Name, limit, c.sizesAt(server))
 	}
 	if t.Behavior.Crashes && c.crashes[t.Name] >= maxCrashes {
 		if c.startsAfter[t.Name]++; c.startsAfter[t.Name] >= startsAfterCrashes {
@@ -555,6 +564,17 @@
 	}
 }
 
+// sizesAt returns the sizes of the runs at a server. The caller holds c.mu.
+func (c *invariantChecker) sizesAt(server string) map[leaseserver.TaskRun]int {
+	sizes := make(map[leaseserver.TaskRun]int)
+	for r, cpu := range c.sizes {
+		if r.server == server {
+			sizes[r.run] = cpu
+		}
+	}
+	return sizes
+}
+
 // mayBeFailed reports whether a job of n tasks that could be done may be shown as
 // failed: two servers have crashed under one of its tasks.
 func (c *invariantChecker) mayBeFailed(job string, n int) bool {
