--- a/gateway/session.go
+++ b/gateway/session.go
@@ -220,7 +220,10 @@
 }
 
 // observeMessageDelay records by how much a message of a session was handled late.
-func (g *Gateway) observeMessageDelay(time.Time, time.Duration) {}
+func (g *Gateway) observeMessageDelay(now time.Time, delay time.Duration) {
+	g.metrics.messageDelay.Update(delay.Microseconds())
+	g.turns.observeMessage(now, delay)
+}
 
 func callWithTimeout(client *rpc.Client, method string, req, reply any, timeout time.Duration) error {
 	call := client.Go(method, req, reply, make(chan *rpc.Call, 1))
--- a/gateway/subset.go
+++ b/gateway/subset.go
@@ -58,9 +58,6 @@
 	}
 }
 
-// overloaded reports whether the entry is short of processor time.
-func (g *Gateway) overloaded() bool { return false }
-
 // updateSubset keeps a connector for each agent of the subset. Sessions with other
 // agents are closed once they have no tasks.
 func (g *Gateway) updateSubset() {
