Lost sessions are reopened at a bounded rate

Cause: each lost session costs a dial, a Hello with a whole state and new placements. Nothing bounded how often one entry paid for that, so that an entry that lost sessions by its own lateness had less time for the rest.

Change: before a session that was lost is opened again, one token is taken from a rate.Limiter of the process (burst 64, 8 a second). First sessions with an agent and attempts that fail take none: the start of a process and the return of an availability zone connect everything at once, and one loss of a whole subset is reopened at once. While it waits, the agent does not count as unusable, as another one would take its place in the subset without a token. Event reopening_delayed, metric sessions.reopenings_delayed.

Hellos in progress are not bounded: an agent may hold one for up to 1.5 s, so that a small bound would delay a cold start.

Evidence: TestLostSessionsAreReopenedAtBoundedRate; does not compile before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"golang.org/x/time/rate"
 
 	"github.com/chestnuthollow/chestnuthollow/dispatch"
 	"github.com/chestnuthollow/chestnuthollow/evacuation"
@@ -72,6 +73,8 @@
 	connectors   map[string]*agentConnector // by the address of the agent
 	widening     float64                    // factor of the size of the subset, at least one
 
+	reopenings *rate.Limiter // of lost sessions
+
 	evacuationMu sync.Mutex
 	evacuations  evacuation.State
 
@@ -112,6 +115,7 @@
 		config:     newConfiguration(),
 		connectors: make(map[string]*agentConnector),
 		widening:   1,
+		reopenings: rate.NewLimiter(reopenPerSecond, reopenBurst),
 		calls:      make(map[dispatch.CallID]chan Outcome),
 		sessions:   make(map[dispatch.SessionID]*agentSession),
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -28,6 +28,7 @@
 	cancelsEntriesMissed, cancelsSubmitted              metrics.Counter
 
 	turnWait, messageDelay metrics.Histogram
+	reopeningsDelayed      metrics.Counter
 
 	placesKept, placesAway, placesGivenUp      metrics.Counter
 	tasksPlaced, tasksOtherZone, tasksReturned metrics.Counter
@@ -54,8 +55,9 @@
 		cancelsEntriesMissed: metrics.NewRegisteredCounter("cancels.entries_missed", r),
 		cancelsSubmitted:     metrics.NewRegisteredCounter("cancels.submitted_again", r),
 
-		turnWait:     instance.Histogram("overload.turn_wait.time", r),
-		messageDelay: instance.Histogram("overload.message_delay.time", r),
+		turnWait:          instance.Histogram("overload.turn_wait.time", r),
+		messageDelay:      instance.Histogram("overload.message_delay.time", r),
+		reopeningsDelayed: metrics.NewRegisteredCounter("sessions.reopenings_delayed", r),
 
 		placesKept:    metrics.NewRegisteredCounter("places.tasks_kept", r),
 		placesAway:    metrics.NewRegisteredCounter("places.tasks_away", r),
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/chestnuthollow/chestnuthollow/dispatch"
+	"github.com/chestnuthollow/chestnuthollow/internal/ctxsleep"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcconn"
 	"github.com/chestnuthollow/chestnuthollow/platformlog"
 	"github.com/chestnuthollow/chestnuthollow/session"
@@ -34,6 +35,11 @@
 	// connectRetryMax bounds the delay between attempts to open a session. An agent
 	// that has restarted is in session again after about this time.
 	connectRetryMax = 300 * time.Millisecond
+	// reopenBurst and reopenPerSecond bound how often sessions that were lost are opened
+	// again, all agents together. An entry short of processor time loses more sessions by
+	// opening many. The burst covers the loss of all sessions of a subset at once.
+	reopenBurst     = 64
+	reopenPerSecond = 8
 	// orderQueueSize bounds the orders queued for one agent, and the replies not
 	// yet processed.
 	orderQueueSize = 1024
@@ -119,6 +125,9 @@
 	backoff := platformlog.Backoff{Base: 50 * time.Millisecond, Max: connectRetryMax}
 	for ctx.Err() == nil {
 		opened, err := c.runSession(ctx)
+		if opened && ctx.Err() == nil {
+			c.awaitReopening(ctx)
+		}
 		c.setUsable(time.Now(), false)
 		if opened {
 			backoff.Reset()
@@ -138,6 +147,25 @@
 	c.gateway.removeConnector(c)
 }
 
+// awaitReopening waits until a session that was lost may be opened again. The agent does not
+// count as unusable meanwhile, as the sessions that would take its place are work too.
+func (c *agentConnector) awaitReopening(ctx context.Context) {
+	delay := c.gateway.reserveReopening(time.Now())
+	if delay <= 0 {
+		return
+	}
+	c.gateway.metrics.reopeningsDelayed.Inc(1)
+	level.Info(c.gateway.logger).Log("event", "reopening_delayed", "addr", c.addr, "delay_ms", delay.Milliseconds())
+	ctxsleep.For(ctx, delay)
+}
+
+// reserveReopening returns how long to wait before a lost session is opened again. First
+// sessions with an agent and attempts that fail are not counted, so that a start of the process
+// and the return of an availability zone connect all agents at once.
+func (g *Gateway) reserveReopening(now time.Time) time.Duration {
+	return g.reopenings.ReserveN(now, 1).DelayFrom(now)
+}
+
 // removeConnector removes a connector that has ended.
 func (g *Gateway) removeConnector(c *agentConnector) {
 	c.cancel()
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"golang.org/x/time/rate"
 )
 
 // Guards against states that count as fresh because the entry has read them late, and against
@@ -27,3 +29,20 @@
 	g.Expect(s.messageDelay(-time.Millisecond)).To(BeZero())
 	g.Expect(s.messageDelay(time.Millisecond)).To(BeNumerically("~", time.Millisecond, time.Nanosecond))
 }
+
+// Guards against an entry whose processor time is spent on opening the sessions that it loses
+// by its own lateness, and against a delay after the loss of all sessions of a subset.
+func TestLostSessionsAreReopenedAtBoundedRate(t *testing.T) {
+	g := NewWithT(t)
+	gw := newIdleGateway(&strings.Builder{})
+	gw.reopenings = rate.NewLimiter(reopenPerSecond, reopenBurst)
+	now := time.Now()
+	for range reopenBurst {
+		g.Expect(gw.reserveReopening(now)).To(BeZero())
+	}
+	for i := range 3 * reopenPerSecond {
+		g.Expect(gw.reserveReopening(now)).To(BeNumerically("~", time.Duration(i+1)*time.Second/reopenPerSecond, time.Millisecond))
+	}
+	now = now.Add(time.Minute)
+	g.Expect(gw.reserveReopening(now)).To(BeZero())
+}
