Soak: TWICE is judged by the times of the runs

Cause of a false report: the check took the order in which the stand-ins tell starts and ends. On a busy machine the goroutine that holds a server's lock may stand still; a run whose lease has ended by the server's clock is told as ended that much later, and a start elsewhere in between counted as TWICE.

Change: the stand-in names the time with a start and an end: by the server's clock for starts, and for ends without a call or a crash; that of the telling for stops and crashes, which may be too late and never too early. A start while an earlier run is not told as ended counts as TWICE unless that run turns out to have ended before.

--- a/standin/leaseserver/handler.go
+++ b/standin/leaseserver/handler.go
@@ -29,9 +29,10 @@
 	// DownTime is how long the server is down after a task has crashed it.
 	DownTime time.Duration
 	// OnStart and OnEnd, if set, are called when a task starts or ends. They must not
-	// call the HTTPServer.
-	OnStart func(server string, t RunningTask)
-	OnEnd   func(server string, t TaskRun, outcome string)
+	// call the HTTPServer. A call may be late on a busy machine: at is the time by the
+	// server's clock for starts and for ends without a call, else that of the call.
+	OnStart func(server string, t RunningTask, at time.Time)
+	OnEnd   func(server string, t TaskRun, outcome string, at time.Time)
 	// OnCall, if set, is called for each call that the server decides about. It must not call
 	// the HTTPServer.
 	OnCall func(Call)
@@ -99,12 +100,16 @@
 	h.server = New(h.started.UnixMilli(), h.base)
 	h.server.OnStart = func(t RunningTask) {
 		if h.opts.OnStart != nil {
-			h.opts.OnStart(h.opts.ID, t)
+			h.opts.OnStart(h.opts.ID, t, h.timeOf(t.Started))
 		}
 	}
 	h.server.OnEnd = func(t TaskRun, outcome string) {
 		if h.opts.OnEnd != nil {
-			h.opts.OnEnd(h.opts.ID, t, outcome)
+			at := time.Now()
+			if endsByItself(outcome) {
+				at = h.timeOf(h.server.Clock())
+			}
+			h.opts.OnEnd(h.opts.ID, t, outcome, at)
 		}
 		close(h.changed)
 		h.changed = make(chan struct{})
@@ -113,6 +118,9 @@
 	h.draining = false
 }
 
+// timeOf returns the time of a clock reading of the current incarnation. The caller holds h.mu.
+func (h *HTTPServer) timeOf(clock time.Duration) time.Time { return h.started.Add(clock - h.base) }
+
 // SetDelayedCallShare sets the share of starts and stops that get no reply and are
 // carried out 2 to 6 s later. Lease renewals get no reply with a quarter of this
 // probability, drawn whenever a reply is prepared.
--- a/standin/leaseserver/server.go
+++ b/standin/leaseserver/server.go
@@ -129,6 +129,11 @@
 	s.endTask(i, outcome)
 }
 
+// endsByItself reports whether a task ends with this outcome without a call or a crash.
+func endsByItself(outcome string) bool {
+	return outcome == "done" || outcome == "failed" || outcome == "lapsed"
+}
+
 // crash ends all tasks.
 func (s *Server) crash() {
 	s.Crashed = true
--- /dev/null
+++ b/test/platform/invariants_test.go
@@ -0,0 +1,40 @@
+package platform_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/standin/leaseserver"
+)
+
+// Guards against a check that takes a run whose lease has ended for one that is running, because
+// the goroutine that ends it is late, and against one that misses a run that is stopped late.
+func TestTaskRunsTwiceByTheTimesOfItsRuns(t *testing.T) {
+	start := time.Now()
+	for name, test := range map[string]struct {
+		outcome string
+		endsAt  time.Duration // after the first start; the second is after 400 ms
+		twice   bool
+	}{
+		"lease over before the second start":  {"lapsed", 300 * time.Millisecond, false},
+		"lease over after the second start":   {"lapsed", 401 * time.Millisecond, true},
+		"stopped after the second start":      {"stopped", 500 * time.Millisecond, true},
+		"neither run has ended at the second": {"", 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := newInvariantChecker()
+			run := leaseserver.RunningTask{TaskRun: leaseserver.TaskRun{Name: "00e2.0.0.0", Number: 1}}
+			c.started("server-1", run, start)
+			c.started("server-2", run, start.Add(400*time.Millisecond))
+			g.Expect(c.err()).To(HaveOccurred(), "the first run may be running")
+			if test.outcome != "" {
+				c.ended("server-1", run.TaskRun, test.outcome, start.Add(test.endsAt))
+			}
+			c.ended("server-2", run.TaskRun, "done", start.Add(time.Second))
+			g.Expect(c.err() != nil).To(Equal(test.twice))
+		})
+	}
+}
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -398,6 +398,7 @@
 	if *soakLogs == "" {
 		return
 	}
+	s.invariants.recordOverlaps()
 	dir := filepath.Join(*soakLogs, fmt.Sprintf("seed-%d", seed))
 	err := os.CopyFS(dir, os.DirFS(s.dir))
 	if err == nil {
