Dispatch: deadlines are indexed, not scanned

An entry visited all open jobs and placements twice for each event, to find those whose deadline had passed and the time of the next wake-up. So the processor time of every poll's reply grew with the backlog, which is how an entry that has fallen behind stays behind.

Open jobs are kept in a heap by deadline, placements in doubt in one by their timeout. What is due is processed in the same order as before. The harness of the tests compares the heaps with a scan after each step, in all explored orders too.

--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -98,6 +98,7 @@
 	until := e.LastHeard.Add(d.opts.InDoubtTimeout)
 	for _, p := range d.sortedPlacements(func(p *placement) bool { return p.agent == a }) {
 		p.inDoubtUntil = until
+		d.inDoubt.Set(p)
 		if j := p.job; !j.answered && !until.Add(d.expectedRunTime(a, j)).Before(j.deadline) {
 			d.abandon(j, structs.CodeAgentLost, "agent "+a.name+" was lost, and the task cannot be run again before the job's deadline")
 		}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnuthollow/chestnuthollow/cancels"
 	"github.com/chestnuthollow/chestnuthollow/containment"
+	"github.com/chestnuthollow/chestnuthollow/internal/indexheap"
 	"github.com/chestnuthollow/chestnuthollow/places"
 	"github.com/chestnuthollow/chestnuthollow/session"
 	"github.com/chestnuthollow/chestnuthollow/spread"
@@ -39,11 +40,13 @@
 	servers         []spread.Server           // the same for the chooser
 	shares          map[string]*serviceShares // by service
 	jobs            map[string]*job           // open, or answered with tasks not yet ended, by name
+	openJobs        *indexheap.Heap[*job]     // those not answered, by deadline
 	calls           map[CallID]*job
 	heldJobs        []*job               // open, with tasks to place once agents are available
 	agentsChanged   bool                 // an agent joined or changed in this step
 	noAgentSince    map[string]time.Time // by service: since when it has no agent, zero while it has a ready one
 	placements      map[uint64]*placement
+	inDoubt         *indexheap.Heap[*placement] // those whose session has ended, by inDoubtUntil
 	lastPlacementID uint64
 	retainedAnswers map[string]Status
 	answerExpiry    []retainedAnswer // when each of retainedAnswers was given, oldest first
@@ -64,18 +67,22 @@
 // New returns a Dispatcher without jobs and agents.
 func New(opts Options) *Dispatcher {
 	return &Dispatcher{
-		opts:            opts,
-		awaitsCancels:   opts.AwaitCancels,
-		agents:          make(map[SessionID]*agent),
-		lastSlowness:    make(map[string]serverSlowness),
-		containment:     containment.New(),
-		suspects:        make(map[*placement]bool),
-		recoveryTime:    initialRecoveryTime,
-		chooser:         spread.NewChooser(uint64(opts.Incarnation)),
-		longestSlack:    make(longestSlack),
-		runTimes:        newLearnedRunTimes(),
-		shares:          make(map[string]*serviceShares),
-		jobs:            make(map[string]*job),
+		opts:          opts,
+		awaitsCancels: opts.AwaitCancels,
+		agents:        make(map[SessionID]*agent),
+		lastSlowness:  make(map[string]serverSlowness),
+		containment:   containment.New(),
+		suspects:      make(map[*placement]bool),
+		recoveryTime:  initialRecoveryTime,
+		chooser:       spread.NewChooser(uint64(opts.Incarnation)),
+		longestSlack:  make(longestSlack),
+		runTimes:      newLearnedRunTimes(),
+		shares:        make(map[string]*serviceShares),
+		jobs:          make(map[string]*job),
+		openJobs: indexheap.New(func(a, b *job) bool { return a.deadline.Before(b.deadline) },
+			func(j *job) *indexheap.Index { return &j.openIndex }),
+		inDoubt: indexheap.New(func(a, b *placement) bool { return a.inDoubtUntil.Before(b.inDoubtUntil) },
+			func(p *placement) *indexheap.Index { return &p.inDoubtIndex }),
 		usableAgentLost: make(map[string]time.Time),
 		noAgentSince:    make(map[string]time.Time),
 		calls:           make(map[CallID]*job),
@@ -141,13 +148,11 @@
 			wake = t
 		}
 	}
-	for _, j := range d.jobs {
-		if !j.answered {
-			wakeBy(j.deadline)
-		}
+	if d.openJobs.Len() > 0 {
+		wakeBy(d.openJobs.First().deadline)
 	}
-	for _, p := range d.placements {
-		wakeBy(p.inDoubtUntil)
+	if d.inDoubt.Len() > 0 {
+		wakeBy(d.inDoubt.First().inDoubtUntil)
 	}
 	for _, p := range d.pendingCancels {
 		wakeBy(p.deadline)
@@ -160,15 +165,7 @@
 }
 
 // OpenJobs returns the number of jobs that are not answered yet.
-func (d *Dispatcher) OpenJobs() int {
-	n := len(d.delayed)
-	for _, j := range d.jobs {
-		if !j.answered {
-			n++
-		}
-	}
-	return n
-}
+func (d *Dispatcher) OpenJobs() int { return len(d.delayed) + d.openJobs.Len() }
 
 // Pending returns the number of open jobs of a queue without a placed task.
 func (d *Dispatcher) Pending(queue string) int {
@@ -238,14 +235,13 @@
 // leave starts a graceful shutdown: it limits the deadlines of all jobs.
 func (d *Dispatcher) leave(deadline time.Time) {
 	d.leaveDeadline = deadline
-	open := 0
 	for _, j := range d.jobs {
 		if !j.answered {
-			open++
 			j.limitDeadline(deadline)
+			d.openJobs.Set(j)
 		}
 	}
-	d.emit(LogEvent{Event: "leave_started", Detail: fmt.Sprintf("open_jobs=%d until_ms=%d", open, deadline.Sub(d.now).Milliseconds())})
+	d.emit(LogEvent{Event: "leave_started", Detail: fmt.Sprintf("open_jobs=%d until_ms=%d", d.openJobs.Len(), deadline.Sub(d.now).Milliseconds())})
 }
 
 func (d *Dispatcher) emit(e Effect) { d.effects = append(d.effects, e) }
@@ -254,10 +250,10 @@
 // deadline has passed, answers abandoned jobs after verdictTimeout, and drops
 // retained answers that are too old or too many.
 func (d *Dispatcher) expire() {
-	for _, p := range d.sortedPlacements(func(p *placement) bool { return !p.inDoubtUntil.IsZero() && !d.now.Before(p.inDoubtUntil) }) {
+	for _, p := range d.duePlacements() {
 		d.placementEnded(p, session.Report{ID: p.id, Outcome: session.Lost, Reason: "its session ended and its in-doubt timeout has passed"})
 	}
-	for _, j := range d.sortedJobs(func(j *job) bool { return !j.answered && !d.now.Before(j.deadline) }) {
+	for _, j := range d.dueJobs() {
 		if j.abandonErr != nil {
 			d.answerAbandoned(j)
 		} else {
@@ -282,6 +278,32 @@
 	return list
 }
 
+// duePlacements removes the placements whose in-doubt timeout has passed from d.inDoubt
+// and returns them by id.
+func (d *Dispatcher) duePlacements() []*placement {
+	var list []*placement
+	for d.inDoubt.Len() > 0 && !d.now.Before(d.inDoubt.First().inDoubtUntil) {
+		p := d.inDoubt.First()
+		d.inDoubt.Remove(p)
+		list = append(list, p)
+	}
+	slices.SortFunc(list, func(a, b *placement) int { return cmp.Compare(a.id, b.id) })
+	return list
+}
+
+// dueJobs removes the open jobs whose deadline has passed from d.openJobs and returns
+// them in the order of their arrival.
+func (d *Dispatcher) dueJobs() []*job {
+	var list []*job
+	for d.openJobs.Len() > 0 && !d.now.Before(d.openJobs.First().deadline) {
+		j := d.openJobs.First()
+		d.openJobs.Remove(j)
+		list = append(list, j)
+	}
+	slices.SortFunc(list, compareArrival)
+	return list
+}
+
 func (d *Dispatcher) sortedJobs(match func(*job) bool) []*job {
 	var list []*job
 	for _, j := range d.jobs {
@@ -289,10 +311,14 @@
 			list = append(list, j)
 		}
 	}
-	slices.SortFunc(list, func(a, b *job) int { return cmp.Or(a.arrived.Compare(b.arrived), cmp.Compare(a.Name, b.Name)) })
+	slices.SortFunc(list, compareArrival)
 	return list
 }
 
+func compareArrival(a, b *job) int {
+	return cmp.Or(a.arrived.Compare(b.arrived), cmp.Compare(a.Name, b.Name))
+}
+
 // orderTo returns the order to an agent that is emitted at the end of the step.
 func (d *Dispatcher) orderTo(a *agent) *Order {
 	o := d.orders[a.id]
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -34,7 +34,14 @@
 	return h
 }
 
-func (h *harness) step(ev dispatch.Event) { h.last = h.d.Step(h.now, ev) }
+// step applies an event and checks the deadlines that the dispatcher has indexed.
+func (h *harness) step(ev dispatch.Event) {
+	h.last = h.d.Step(h.now, ev)
+	open, earliest := h.d.ScannedDeadlines()
+	if indexed, by := h.d.IndexedDeadlines(); indexed != open || !by.Equal(earliest) {
+		h.Expect([]any{indexed, by}).To(Equal([]any{open, earliest}), "open jobs and earliest deadline indexed after %T", ev)
+	}
+}
 
 func effects[T dispatch.Effect](h *harness) []T {
 	var list []T
--- a/dispatch/export_test.go
+++ b/dispatch/export_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/chestnuthollow/chestnuthollow/quota"
 	"github.com/chestnuthollow/chestnuthollow/shares"
 )
@@ -12,3 +14,36 @@
 func (d *Dispatcher) SetPolicy(service string, p shares.Policy) {
 	d.shares[service] = &serviceShares{ledger: shares.Ledger{Policy: p}, returns: make(map[int]*quota.RetrySchedule)}
 }
+
+// ScannedDeadlines returns the number of open jobs and the earliest of their deadlines and
+// of the in-doubt timeouts, zero if there is none.
+func (d *Dispatcher) ScannedDeadlines() (open int, earliest time.Time) {
+	by := func(t time.Time) {
+		if earliest.IsZero() || t.Before(earliest) {
+			earliest = t
+		}
+	}
+	for _, j := range d.jobs {
+		if !j.answered {
+			open++
+			by(j.deadline)
+		}
+	}
+	for _, p := range d.placements {
+		if !p.inDoubtUntil.IsZero() {
+			by(p.inDoubtUntil)
+		}
+	}
+	return open, earliest
+}
+
+// IndexedDeadlines is ScannedDeadlines by the heaps that the Dispatcher uses.
+func (d *Dispatcher) IndexedDeadlines() (open int, earliest time.Time) {
+	if d.openJobs.Len() > 0 {
+		earliest = d.openJobs.First().deadline
+	}
+	if d.inDoubt.Len() > 0 && (earliest.IsZero() || d.inDoubt.First().inDoubtUntil.Before(earliest)) {
+		earliest = d.inDoubt.First().inDoubtUntil
+	}
+	return d.openJobs.Len(), earliest
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/containment"
+	"github.com/chestnuthollow/chestnuthollow/internal/indexheap"
 	"github.com/chestnuthollow/chestnuthollow/session"
 	"github.com/chestnuthollow/chestnuthollow/shares"
 	"github.com/chestnuthollow/chestnuthollow/structs"
@@ -29,6 +30,7 @@
 	holdUntil      time.Time      // end of the hold time if it is held
 	livePlacements int            // placements that have not ended
 	group          group          // where its tasks run if it wants one rack
+	openIndex      indexheap.Index
 	// successors are the duplicates of the submission that arrived after the answer
 	// while tasks were still being stopped.
 	successors []SubmitCalled
@@ -56,6 +58,7 @@
 	recalled      bool   // an order to return it if it has not been started was emitted
 	place         placementPlace
 	inDoubtUntil  time.Time // by when it must have ended, once its session has; zero while the session is open
+	inDoubtIndex  indexheap.Index
 }
 
 // submit admits, holds or refuses a new job. A duplicate of a known job joins it
@@ -96,6 +99,7 @@
 	j.calls = []CallID{e.Call}
 	d.calls[e.Call] = j
 	d.jobs[j.Name] = j
+	d.openJobs.Set(j)
 	if held {
 		d.hold(j, err)
 		return
@@ -222,6 +226,7 @@
 		return
 	}
 	j.deadline = d.now.Add(verdictTimeout)
+	d.openJobs.Set(j)
 	d.stopTasks(j)
 }
 
@@ -258,6 +263,7 @@
 // close stops the placements of a job that was answered or has no caller left.
 func (d *Dispatcher) close(j *job) {
 	j.answered = true
+	d.openJobs.Remove(j)
 	d.stopTasks(j)
 	d.releaseIfEnded(j)
 }
@@ -278,6 +284,7 @@
 // placementEnded processes the final report on a placement.
 func (d *Dispatcher) placementEnded(p *placement, r session.Report) {
 	delete(d.placements, p.id)
+	d.inDoubt.Remove(p)
 	delete(d.suspects, p)
 	delete(p.agent.unacknowledged, p.id)
 	d.learnWait(p, r)
--- a/dispatch/load_bench_test.go
+++ b/dispatch/load_bench_test.go
@@ -59,3 +59,27 @@
 		})
 	}
 }
+
+// BenchmarkPollBesideOpenJobs measures a poll's reply without reports beside jobs that
+// run.
+func BenchmarkPollBesideOpenJobs(b *testing.B) {
+	for _, jobs := range []int{10, 1000} {
+		b.Run(fmt.Sprintf("jobs=%d", jobs), func(b *testing.B) {
+			d := dispatch.New(dispatch.Options{Entry: "entry-1", Zone: "zone-a", InDoubtTimeout: inDoubtTimeout, AnswerRetention: dispatch.DefaultAnswerRetention})
+			state := session.State{Seq: 1, Ready: true, FreeCPU: 64_000, Identity: &session.Identity{Service: "booking", Capacity: 64_000}, Slowness: 1000, Samples: 100}
+			d.Step(start, dispatch.SessionOpened{ID: 1, Agent: "agent-1", Zone: "zone-a", State: state})
+			for i := range jobs {
+				d.Step(start, dispatch.SubmitCalled{Call: dispatch.CallID(i + 1), Job: dispatch.Job{
+					Name: fmt.Sprintf("job-%d", i), Queue: queue(), Tasks: 2, CPU: 1, Estimate: 60 * time.Millisecond, Timeout: 3 * time.Second,
+				}})
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				state.Seq++
+				d.Step(start, dispatch.PollReplied{ID: 1, Reply: session.PollReply{State: state}})
+				d.NextWake()
+			}
+		})
+	}
+}
