--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -217,6 +217,8 @@
 			e.run(length)
 			g.Expect(e.rateBetween(2*time.Second, length)).To(BeNumerically(">=", 0.9*bestRate(arrivals)))
 			g.Expect(e.lost).To(BeZero(), "sessions lost")
+			counts := e.controller.Counts()
+			g.Expect(counts.Expired).To(BeNumerically("<=", counts.Rejected/50+1), "requests that waited before they were rejected")
 		})
 	}
 }
@@ -252,3 +254,81 @@
 		})
 	}
 }
+
+// arrivals lets requests arrive at once and returns how many may wait for a turn.
+func arrivals(c *overload.Controller, now time.Time, n int) int {
+	admitted := 0
+	for range n {
+		if c.Arrive(now) {
+			admitted++
+		}
+	}
+	return admitted
+}
+
+// Guards against bursts that are rejected although they would have their turns in time, and
+// against ones that make all others wait.
+func TestBurstMayWaitLongerThanOthers(t *testing.T) {
+	g := NewWithT(t)
+	c := overload.NewController()
+	const interval = 5 * time.Millisecond
+	now := time.Unix(0, 0)
+	turn := func() {
+		now = now.Add(interval)
+		c.Turn(now, 0)
+	}
+	arrivals(c, now, 100)
+	for range 100 {
+		turn()
+	}
+	g.Expect(arrivals(c, now, 100)).To(BeNumerically("~", 150/5, 1))
+	for range 100 { // as many arrive as get turns, and the wait stays long
+		turn()
+		arrivals(c, now, 1)
+	}
+	for c.ExpectedWait() > 50*time.Millisecond {
+		turn()
+	}
+	g.Expect(arrivals(c, now, 100)).To(BeNumerically("<=", 2))
+}
+
+// Guards against answers that come too late because a request has waited for its turn.
+func TestRequestThatHasWaitedTooLongIsRejected(t *testing.T) {
+	g := NewWithT(t)
+	c := overload.NewController()
+	now := time.Unix(0, 0)
+	arrivals(c, now, 2)
+	g.Expect(c.Turn(now, overload.MaxWait)).To(BeTrue())
+	g.Expect(c.Turn(now, overload.MaxWait+1)).To(BeFalse())
+}
+
+// Guards against an entry that admits all requests while it handles the messages of admitted
+// work late, against one that takes a single late agent for its own lateness, and against a
+// share that does not return.
+func TestShareFollowsLatenessOfMessages(t *testing.T) {
+	g := NewWithT(t)
+	c := overload.NewController()
+	now := time.Unix(0, 0)
+	observe := func(d time.Duration, delays ...time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(20 * time.Millisecond) {
+			for _, delay := range delays {
+				c.ObserveMessage(now, delay)
+			}
+		}
+	}
+	observe(time.Second, 300*time.Millisecond, time.Millisecond)
+	g.Expect(c.Overloaded()).To(BeFalse())
+	observe(time.Second, 300*time.Millisecond, 100*time.Millisecond)
+	g.Expect(c.Share()).To(BeNumerically("<", 0.2))
+	g.Expect(c.RetryAfter()).To(BeNumerically("~", 2*time.Second, 500*time.Millisecond))
+	admitted := 0
+	for range 100 {
+		if c.Arrive(now) {
+			admitted++
+			c.Leave(now)
+		}
+	}
+	g.Expect(admitted).To(BeNumerically("<", 20))
+	observe(2100*time.Millisecond, time.Millisecond)
+	g.Expect(c.Overloaded()).To(BeFalse())
+}
