Entries admit again after a pause of their process

What callers saw: nothing yet; found by review. After a pause of an entry's process, or intervals between turns of over 150 ms, each request that arrives while another waits for its turn is rejected as overloaded, for as long as the process runs, however idle it is.

Cause: the interval between turns is measured only if a request is left waiting after a turn. With an average over burstLimit one waiting request suffices to reject the next, so that none is ever left and the average stays. A pause of 3 s with two requests waiting adds 300 ms to it.

Change: a request that none was waiting before has waited for one interval at most, which lowers a longer average. A single interval counts as MaxWait at most.

--- a/overload/controller.go
+++ b/overload/controller.go
@@ -139,7 +139,9 @@
 	c.endWindow(now)
 	c.waiting--
 	if !c.lastTurn.IsZero() {
-		c.interval += time.Duration(intervalWeight * float64(now.Sub(c.lastTurn)-c.interval))
+		c.learnInterval(min(now.Sub(c.lastTurn), MaxWait)) // longer if the process was paused
+	} else if waited < c.interval {
+		c.learnInterval(waited) // no other was before it, so that it has waited for one interval at most
 	}
 	c.lastTurn = now
 	if c.waiting == 0 {
@@ -154,6 +156,10 @@
 	return true
 }
 
+func (c *Controller) learnInterval(d time.Duration) {
+	c.interval += time.Duration(intervalWeight * float64(d-c.interval))
+}
+
 // ObserveMessage records by how much a message of admitted work was handled late, counted
 // from the earliest time at which it can have arrived.
 func (c *Controller) ObserveMessage(now time.Time, delay time.Duration) {
