A copy submitted while another waits for its turn is not rejected

What callers saw: nothing yet; found by review. A request is answered 429 "not run" although a copy of it runs at the same entry.

Cause: AwaitTurn looks for the job first and enters the turn queue later. If the turn of another copy ends between the two, which is when the goroutine was not scheduled, so under overload, the second one waits for a turn of its own, and is rejected at its arrival or for having waited over MaxWait.

Change: AwaitTurn looks again before it rejects. A copy is in byJob or known to the dispatcher from its turn on.

Evidence: go test ./gateway -run TestCopySubmitted fails without the change (overloaded, not_run), passes with it.

--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -225,6 +225,8 @@
 		return nil, structs.Errorf(structs.CodeUnavailable, structs.NotRun, "%v", err)
 	case t != nil:
 		return t, nil
+	case g.knows(name): // a copy was submitted since
+		return nil, nil
 	}
 	return nil, g.rejectOverloaded(queue, name, now, now.Sub(arrived))
 }
--- a/gateway/turns_test.go
+++ b/gateway/turns_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/chestnuthollow/chestnuthollow/dispatch"
+	"github.com/chestnuthollow/chestnuthollow/overload"
 	"github.com/chestnuthollow/chestnuthollow/routing"
 	"github.com/chestnuthollow/chestnuthollow/session"
 	"github.com/chestnuthollow/chestnuthollow/structs"
@@ -124,3 +125,28 @@
 	g.Expect(turn).To(BeNil())
 	g.Expect(refused).To(BeNil())
 }
+
+// Guards against a copy of a submission that is rejected as not run although the other was
+// submitted while it waited: it had looked for the job before.
+func TestCopySubmittedMeanwhileIsNotRejected(t *testing.T) {
+	g := NewWithT(t)
+	var out strings.Builder
+	gw := newIdleGateway(&out)
+	q, free := newBusyQueue()
+	gw.turns = q
+	gw.step(dispatch.SessionOpened{ID: 1, Agent: "agent", State: session.State{
+		Ready: true, FreeCPU: 10, Stamp: session.ClockReading{Run: 1}, Slowness: 1000,
+		Identity: &session.Identity{Service: "s", Server: "server", Capacity: 10},
+	}})
+	refused := make(chan *structs.Error, 1)
+	go func() {
+		_, err := gw.AwaitTurn(t.Context(), "q", "job")
+		refused <- err
+	}()
+	g.Eventually(func() int { return q.state().waiting }).Should(Equal(1))
+	gw.step(dispatch.SubmitCalled{Call: 1, Job: dispatch.Job{Name: "job", Tasks: 1, CPU: 1, Estimate: time.Second, Queue: routing.Queue{Name: "q", Service: "s", Stretch: 2}}})
+	g.Expect(gw.knows("job")).To(BeTrue())
+	time.Sleep(overload.MaxWait + time.Millisecond) // the turn has expired
+	free()
+	g.Eventually(refused).Should(Receive(BeNil()))
+}
