A caller that leaves does not end a turn that a copy uses

What callers saw: nothing yet; found by review. A request may be answered 429 "not run" just before a copy of it is submitted at the same entry.

Cause: a caller that leaves as its turn is granted ends the turn, also if a copy shares it and is still decoded. The job is then neither in byJob nor known to the dispatcher, so that a third copy counts as new. The slot is free too early, too.

Change: the last caller that leaves ends the turn; one that stays ends it itself.

Evidence: go test ./gateway -run TestLeavingCaller fails without the change (byJob is empty), passes with it; go test -race ./gateway -run 'Turn|Copy|Copies|Overloaded' passes.

--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -42,7 +42,7 @@
 	queue   *turnQueue
 	job     string
 	arrived time.Time
-	callers int           // that wait for the decision
+	callers int           // that have not left before they learned of the decision
 	decided chan struct{} // closed when granted is set
 	granted bool          // the request may be handled
 	endOnce sync.Once
@@ -105,18 +105,19 @@
 	return t
 }
 
-// leave removes a caller that waited for a turn, and the turn if no other waits for it.
+// leave removes a caller that waited for a turn, and the turn if it has no other.
 func (q *turnQueue) leave(t *Turn) {
 	q.mu.Lock()
 	t.callers--
 	i := slices.Index(q.waiting, t)
-	if i >= 0 && t.callers == 0 {
+	last := t.callers == 0
+	if i >= 0 && last {
 		q.waiting = slices.Delete(q.waiting, i, i+1)
 		delete(q.byJob, t.job)
 		q.controller.Leave(time.Now())
 	}
 	q.mu.Unlock()
-	if i >= 0 {
+	if i >= 0 || !last {
 		return
 	}
 	<-t.decided
--- a/gateway/turns_test.go
+++ b/gateway/turns_test.go
@@ -150,3 +150,45 @@
 	free()
 	g.Eventually(refused).Should(Receive(BeNil()))
 }
+
+// Guards against a turn that ends while a copy of the submission still uses it, so that the next
+// copy is rejected as not run: the caller that leaves as the turn is granted ended it.
+func TestLeavingCallerDoesNotEndSharedTurn(t *testing.T) {
+	g := NewWithT(t)
+	q, free := newBusyQueue()
+	first, second := awaitAsync(t.Context(), q, "a"), awaitAsync(t.Context(), q, "a")
+	g.Eventually(func() int {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		return q.byJob["a"].calls()
+	}).Should(Equal(2))
+	free()
+	var a, b awaited
+	g.Eventually(first).Should(Receive(&a))
+	g.Eventually(second).Should(Receive(&b))
+	q.leave(a.Turn)
+	g.Expect(q.byJob).To(HaveKey("a"))
+	b.Turn.End()
+	g.Expect(q.byJob).To(BeEmpty())
+	g.Eventually(func() int { return len(q.slots) }).Should(BeZero())
+}
+
+// Guards against a lost turn: both callers leave as it is granted.
+func TestTurnEndsWhenAllItsCallersLeave(t *testing.T) {
+	g := NewWithT(t)
+	q, free := newBusyQueue()
+	first, second := awaitAsync(t.Context(), q, "a"), awaitAsync(t.Context(), q, "a")
+	g.Eventually(func() int {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		return q.byJob["a"].calls()
+	}).Should(Equal(2))
+	free()
+	var a, b awaited
+	g.Eventually(first).Should(Receive(&a))
+	g.Eventually(second).Should(Receive(&b))
+	q.leave(a.Turn)
+	q.leave(b.Turn)
+	g.Expect(q.byJob).To(BeEmpty())
+	g.Eventually(func() int { return len(q.slots) }).Should(BeZero())
+}
