The wait of a request is not taken for its timeout

What callers saw: nothing yet; found by review. Each job whose caller states no timeout is planned as if its caller had waited for an earlier submission: its tasks may end by three times the objective instead of by the objective.

Evidence: go test ./dispatch -run TestWaitingForTurnIsNoTimeout fails without the change (a request that has waited for 1 ms has 439 ms more to start than one that has not), passes with it.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -86,7 +86,7 @@
 		j.limitDeadline(d.leaveDeadline)
 	}
 	j.target = j.objective
-	if d.longestSlack.isResubmission(j.Queue.Name, j.Timeout+j.Waited, objective) {
+	if j.Timeout > 0 && d.longestSlack.isResubmission(j.Queue.Name, j.Timeout+j.Waited, objective) {
 		j.target = d.latestUsefulEnd(j)
 	}
 	d.recordDemand(j)
--- a/dispatch/slack_test.go
+++ b/dispatch/slack_test.go
@@ -105,3 +105,19 @@
 	}
 	h.Expect(submit("at once", 0) - submit("waited", waited)).To(Equal(waited))
 }
+
+// Guards against a job whose caller states no timeout and that is planned as if its caller had
+// waited before, to end late: the time that the request had waited was taken for the timeout.
+func TestWaitingForTurnIsNoTimeout(t *testing.T) {
+	h := newHarness(t)
+	h.agent(1, idle)
+	const waited = time.Millisecond
+	submit := func(name string, waited time.Duration) time.Duration {
+		h.call++
+		h.step(dispatch.SubmitCalled{Call: h.call, Job: dispatch.Job{
+			Name: name, Queue: queue(), Tasks: 1, CPU: 6000, MemMB: 1, Estimate: 100 * time.Millisecond, Waited: waited,
+		}})
+		return effects[dispatch.Order](h)[0].Start[0].StartWithin
+	}
+	h.Expect(submit("at once", 0) - submit("waited", waited)).To(Equal(waited))
+}
