An overloaded entry answers for canceled jobs

What callers saw: nothing yet; found by review. An overloaded entry answers 429 "not run" to a copy of a job that is marked as canceled and may have run, at this entry or another.

Cause: the exemption of known jobs from rejection covers open, delayed and answered jobs only.

Evidence: go test ./dispatch -run TestEntryKnowsCanceledJobs fails with the clause for marks disabled, passes with it.

--- a/dispatch/cancel_test.go
+++ b/dispatch/cancel_test.go
@@ -255,3 +255,13 @@
 	again, _ := h.placed()
 	h.Expect(again).To(BeEmpty())
 }
+
+// Guards against an overloaded entry that answers "not run" for a job that has been canceled, and
+// may have run before, instead of saying so.
+func TestEntryKnowsCanceledJobs(t *testing.T) {
+	h := newHarness(t)
+	h.step(dispatch.CancelsLearned{From: "entry-2", Cancels: canceled("a")})
+	h.Expect(h.d.Knows(queue().Name, "a")).To(BeTrue())
+	h.Expect(h.d.Knows("another", "a")).To(BeFalse())
+	h.Expect(h.d.Knows(queue().Name, "b")).To(BeFalse())
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -190,12 +190,15 @@
 	return s, ok
 }
 
-// Knows reports whether a submission of the job would join an earlier one, or get its
-// retained answer.
-func (d *Dispatcher) Knows(name string) bool {
+// Knows reports whether a submission of the job would join an earlier one, get its retained
+// answer or be answered as canceled.
+func (d *Dispatcher) Knows(queue, name string) bool {
 	if _, answered := d.retainedAnswers[name]; answered || d.jobs[name] != nil {
 		return true
 	}
+	if d.cancels.Has(d.now, cancels.Job{Queue: queue, Name: name}) {
+		return true
+	}
 	return slices.ContainsFunc(d.delayed, func(c delayedCall) bool { return c.submit.Job.Name == name })
 }
 
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -202,11 +202,11 @@
 // time.
 func (g *Gateway) overloaded() bool { return g.turns.state().overloaded }
 
-// knows reports whether a submission of the job would join an earlier one.
-func (g *Gateway) knows(job string) bool {
+// knows reports whether the answer to a submission of the job depends on an earlier request.
+func (g *Gateway) knows(queue, job string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.dispatcher.Knows(job)
+	return g.dispatcher.Knows(queue, job)
 }
 
 // AwaitTurn waits until a new request may be decoded and submitted. The turn must be ended,
@@ -214,7 +214,7 @@
 // rejected; the job has not run then. A submission of a job that this entry knows needs no
 // turn, because it cannot be rejected as not run.
 func (g *Gateway) AwaitTurn(ctx context.Context, queue, name string) (*Turn, *structs.Error) {
-	if g.knows(name) {
+	if g.knows(queue, name) {
 		return nil, nil
 	}
 	arrived := time.Now()
@@ -226,7 +226,7 @@
 		return nil, structs.Errorf(structs.CodeUnavailable, structs.NotRun, "%v", err)
 	case t != nil:
 		return t, nil
-	case g.knows(name): // a copy was submitted since
+	case g.knows(queue, name): // a copy was submitted since
 		return nil, nil
 	}
 	return nil, g.rejectOverloaded(queue, name, now, now.Sub(arrived))
--- a/gateway/turns_test.go
+++ b/gateway/turns_test.go
@@ -106,7 +106,7 @@
 		Identity: &session.Identity{Service: "s", Server: "server", Capacity: 10},
 	}})
 	gw.step(dispatch.SubmitCalled{Call: 1, Job: dispatch.Job{Name: "known", Tasks: 1, CPU: 1, Estimate: time.Second, Queue: routing.Queue{Name: "q", Service: "s", Stretch: 2}}})
-	g.Expect(gw.knows("known")).To(BeTrue())
+	g.Expect(gw.knows("q", "known")).To(BeTrue())
 
 	now := time.Now()
 	for range 100 { // turns that are far apart while others wait
@@ -145,7 +145,7 @@
 	}()
 	g.Eventually(func() int { return q.state().waiting }).Should(Equal(1))
 	gw.step(dispatch.SubmitCalled{Call: 1, Job: dispatch.Job{Name: "job", Tasks: 1, CPU: 1, Estimate: time.Second, Queue: routing.Queue{Name: "q", Service: "s", Stretch: 2}}})
-	g.Expect(gw.knows("job")).To(BeTrue())
+	g.Expect(gw.knows("q", "job")).To(BeTrue())
 	time.Sleep(overload.MaxWait + time.Millisecond) // the turn has expired
 	free()
 	g.Eventually(refused).Should(Receive(BeNil()))
