Failing tests: longer round trips, and agents that are late themselves

TestLongerRoundTripIsNoOverload: an entry measures how late it handles a reply as the round trip beyond the least one of the session, which is never measured anew. Once all round trips are 25 ms longer (another route, agents that wait for processor time), it takes that for its own lateness and admits 0.05 of the requests for as long as the sessions last, however idle it is.

TestLateAgentKeepsSessionsWhoseMessagesWait: an agent counts SessionTTL from when it handled the last message and ends sessions before it handles the event at hand. After 250 ms of its own lateness it ends sessions whose poll waits for it, and stops their runs.

Evidence: go test ./gateway -run TestLongerRoundTripIsNoOverload (0.05, 1 expected); go test ./taskrunner -run TestLateAgentKeepsSessionsWhoseMessagesWait (one CloseSession, none expected).

--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -46,3 +46,26 @@
 	now = now.Add(time.Minute)
 	g.Expect(gw.reserveReopening(now)).To(BeZero())
 }
+
+// Guards against an entry that rejects most requests while it is idle: the round trips to its
+// agents have become longer, by another route or by agents short of processor time, which counts
+// as its own lateness for as long as the sessions last.
+func TestLongerRoundTripIsNoOverload(t *testing.T) {
+	g := NewWithT(t)
+	q := newTurnQueue()
+	sessions := make([]agentSession, 40)
+	now := time.Now()
+	observe := func(length, roundTrip time.Duration) {
+		const period = 200 * time.Millisecond
+		for end := now.Add(length); now.Before(end); {
+			for i := range sessions {
+				now = now.Add(period / time.Duration(len(sessions)))
+				q.observeMessage(now, sessions[i].messageDelay(roundTrip))
+			}
+		}
+	}
+	observe(10*time.Second, 2*time.Millisecond)
+	g.Expect(q.state().share).To(Equal(1.0))
+	observe(time.Minute, 32*time.Millisecond)
+	g.Expect(q.state().share).To(Equal(1.0), "a minute later")
+}
--- a/taskrunner/poll_test.go
+++ b/taskrunner/poll_test.go
@@ -89,3 +89,21 @@
 	h.step(taskrunner.Ticked{})
 	h.Expect(effects[taskrunner.ReplyPoll](h)).To(ConsistOf(HaveField("Reply.Held", taskrunner.DefaultPollWait)))
 }
+
+// Guards against an agent short of processor time that ends its sessions by its own lateness: the
+// entries' messages wait for it, with clock readings that are recent, while it counts the time
+// since it handled the last ones.
+func TestLateAgentKeepsSessionsWhoseMessagesWait(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	h.lastCall++
+	h.step(taskrunner.PollCalled{Call: h.lastCall, Session: 1, Request: session.PollRequest{Echo: h.reading()}})
+	h.advance(taskrunner.DefaultPollWait)
+	h.step(taskrunner.Ticked{})
+	reading := effects[taskrunner.ReplyPoll](h)[0].Reply.State.Stamp
+	h.advance(taskrunner.DefaultPollWait + 60*time.Millisecond) // the poll came at once and has waited since
+	h.lastCall++
+	h.step(taskrunner.PollCalled{Call: h.lastCall, Session: 1, Request: session.PollRequest{Echo: reading}})
+	h.Expect(effects[taskrunner.CloseSession](h)).To(BeEmpty())
+	h.Expect(h.runner.OpenSessions()).To(Equal(1))
+}
