The objective of a delayed submission counts from its arrival

What callers saw: nothing yet; found by review. An entry that has just started delays submissions until it has heard of cancels. The objective of these jobs, and the latest start of their tasks, counted from the end of the delay.

Cause: the delay is taken off the timeout, but not added to the time that the request has waited.

Evidence: go test ./dispatch -run TestObjectiveCountsFromArrivalOfDelayedRequest fails without the change (after 80 ms the tasks may start as late as without delay), passes with it.

--- a/dispatch/cancel.go
+++ b/dispatch/cancel.go
@@ -104,8 +104,10 @@
 	list := d.delayed
 	d.delayed = nil
 	for _, c := range list {
+		waited := d.now.Sub(c.arrived)
+		c.submit.Job.Waited += waited
 		if c.submit.Job.Timeout > 0 {
-			c.submit.Job.Timeout = max(c.submit.Job.Timeout-d.now.Sub(c.arrived), time.Millisecond)
+			c.submit.Job.Timeout = max(c.submit.Job.Timeout-waited, time.Millisecond)
 		}
 		d.submit(c.submit)
 	}
--- a/dispatch/slack_test.go
+++ b/dispatch/slack_test.go
@@ -121,3 +121,20 @@
 	}
 	h.Expect(submit("at once", 0) - submit("waited", waited)).To(Equal(waited))
 }
+
+// Guards against an entry that has just started and counts a job's objective from when it has heard
+// of cancels.
+func TestObjectiveCountsFromArrivalOfDelayedRequest(t *testing.T) {
+	const delay = 80 * time.Millisecond
+	startWithin := func(delay time.Duration) time.Duration {
+		h := newHarness(t)
+		h.d = dispatch.New(dispatch.Options{Started: h.now, AwaitCancels: true, InDoubtTimeout: inDoubtTimeout, AnswerRetention: dispatch.DefaultAnswerRetention})
+		h.agent(1, idle)
+		h.submit("job", 1, 6000, 100*time.Millisecond)
+		h.now = h.now.Add(delay)
+		h.step(dispatch.CancelsLearned{From: "entry-2", All: true})
+		return effects[dispatch.Order](h)[0].Start[0].StartWithin
+	}
+	h := NewWithT(t)
+	h.Expect(startWithin(0) - startWithin(delay)).To(Equal(delay))
+}
