Entry: the round trip of a session follows longer ones

What callers saw: nothing yet; found by review. Once all round trips were 25 ms longer, by another route or by agents that wait for processor time, an idle entry admitted 0.05 of the requests for as long as the sessions lasted, because the least round trip was never measured anew.

Change: a longer round trip raises the least one by a 64th of the difference. While an entry is late the measure fades within half a minute; the wait for a turn, which is what admission rests on first, does not.

--- a/gateway/session.go
+++ b/gateway/session.go
@@ -40,6 +40,9 @@
 	// opening many. The burst covers the loss of all sessions of a subset at once.
 	reopenBurst     = 64
 	reopenPerSecond = 8
+	// roundTripWeight is the divisor by which a longer round trip raises the least one. At five
+	// polls a second it is followed within half a minute.
+	roundTripWeight = 64
 	// orderQueueSize bounds the orders queued for one agent, and the replies not
 	// yet processed.
 	orderQueueSize = 1024
@@ -239,12 +242,16 @@
 }
 
 // messageDelay returns by how much the reply to a poll that was under way for the given time
-// was handled late. The least such time of the session is taken for the round trip.
+// was handled late. The least such time of the session is taken for the round trip, and follows
+// longer ones slowly, which may be those of another route.
 func (s *agentSession) messageDelay(underWay time.Duration) time.Duration {
 	if s.roundTrip == 0 || underWay < s.roundTrip {
 		s.roundTrip = max(underWay, time.Nanosecond)
+		return 0
 	}
-	return max(underWay-s.roundTrip, 0)
+	delay := underWay - s.roundTrip
+	s.roundTrip += delay / roundTripWeight
+	return delay
 }
 
 // observeMessageDelay records by how much a message of a session was handled late.
