Agent: a list with unreadable rows does not show that a server is free of runs

What callers saw: nothing yet; found by reading. A task may run twice, and a server may be over its capacity, after a restart of its agent.

Cause: a restarted agent opens sessions and starts tasks once a list of its server's runs has none that it does not know. Rows that it could not decode were left out, so that a run of the agent before it could be hidden behind one. An entry takes the reply to its Hello as proof that no earlier run is left, and places the tasks again at once.

Change: while a list has such rows, the agent waits until the longest lease has expired since it learned of the incarnation; it asks for none meanwhile.

Evidence: go test ./taskrunner -run TestRestartedAgentWaitsForRunBehindUnreadableRow fails without the change (the session opens with the first list), passes with it. go test -race ./taskrunner, go test ./test/sessions ./sidecar ./test/encoded ./platform pass.

--- a/taskrunner/rows_test.go
+++ b/taskrunner/rows_test.go
@@ -41,6 +41,37 @@
 	h.Expect(h.pollReports(1)).To(ConsistOf(HaveField("Outcome", session.Lost)))
 }
 
+// Guards against a task that runs twice, and a server over its capacity: a restarted agent opened
+// sessions and started tasks although its server listed a row that it could not decode, behind
+// which a run of the agent before it may go on until its lease has expired.
+func TestRestartedAgentWaitsForRunBehindUnreadableRow(t *testing.T) {
+	h := newHarness(t)
+	h.step(taskrunner.Ticked{})
+	h.heartbeat(1, false)
+	h.lastCall++
+	h.step(taskrunner.HelloCalled{Call: h.lastCall, Session: 1, Request: session.HelloRequest{Entry: "entry", Incarnation: 11}})
+	// list delivers a list of one row that cannot be decoded, and reports whether the session opens.
+	list := func() bool {
+		h.advance(50 * time.Millisecond)
+		h.step(taskrunner.Ticked{})
+		renewals := effects[taskrunner.RenewLease](h)
+		h.Expect(renewals).To(ConsistOf(HaveField("Until", BeZero())), "the lease of the unknown run is not renewed")
+		h.step(taskrunner.RenewReplied{
+			ID: renewals[0].ID, OK: true, ServerIncarnation: incarnation, Clock: h.clock, UnreadableRunning: 1, Reason: "running[0]: task: missing",
+		})
+		return len(effects[taskrunner.ReplyHello](h)) > 0
+	}
+	const longestLease = time.Second
+	for begin := h.now; h.now.Sub(begin) < longestLease; {
+		h.Expect(list()).To(BeFalse(), "the run may go on")
+	}
+	opened := false
+	for range 4 {
+		opened = opened || list()
+	}
+	h.Expect(opened).To(BeTrue(), "every lease has expired")
+}
+
 // Guards against an agent that ends by itself, because a server lists a progress below
 // zero, and against runs that are stopped as hung because their progress is unknown.
 func TestOddProgressIsIgnored(t *testing.T) {
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -169,7 +169,7 @@
 	if outdated {
 		return
 	}
-	m.reconcileRunning(e.ID, e.Running)
+	m.reconcileRunning(e.ID, e.Running, e.UnreadableRunning)
 	if pending && !e.MoreEnds {
 		m.finishMissing(e)
 	}
@@ -221,6 +221,7 @@
 		m.earlierLeasesEnd = m.now.Add(renewalExpiry + m.longestLease())
 	}
 	m.clockIncarnation = e.ServerIncarnation
+	m.incarnationSince = m.now
 	m.clock = 0
 	m.noForeignRuns = false
 	m.seenEnd = 0
@@ -284,8 +285,9 @@
 
 // reconcileRunning compares the tasks that the server runs with those that this
 // agent has started. It stops unknown ones and records the progress of the others.
-// Once there are no unknown ones, it sets noForeignRuns.
-func (m *Runner) reconcileRunning(renewal uint64, rows []RunningRow) {
+// Once there are no unknown ones, it sets noForeignRuns. One behind an unreadable row is over
+// when its lease has expired, which this agent does not renew before.
+func (m *Runner) reconcileRunning(renewal uint64, rows []RunningRow, unreadable int) {
 	foreign := 0
 	for _, row := range rows {
 		r := m.runs[row.Key.TaskKey]
@@ -298,7 +300,8 @@
 		m.updateProgress(r, row.Percent)
 	}
 	m.foreignListed = foreign > 0
-	if !m.noForeignRuns && foreign == 0 {
+	hidden := unreadable > 0 && m.now.Sub(m.incarnationSince) <= m.longestLease()
+	if !m.noForeignRuns && foreign == 0 && !hidden {
 		m.noForeignRuns = true
 		m.log("server_ready", fmt.Sprintf("run=%d clock_ms=%d token=%d", m.clockIncarnation, m.clock.Milliseconds(), m.token))
 		m.wakePolls()
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -39,6 +39,7 @@
 	clock            time.Duration    // newest reading of the server's clock
 	clockIncarnation int64            // server incarnation that clock belongs to; zero before the first reading
 	clockReadAt      time.Time        // when the newest clock reading was received
+	incarnationSince time.Time        // when the agent learned of clockIncarnation
 	earlierLeasesEnd time.Time        // until when leases by the clock of earlier incarnations may last at the known one
 	leaseAskedAt     time.Time        // when a call that asks for a lease was last sent or carried out
 	confirmedAt      time.Time        // when the newest lease renewal that has a reply was sent
