Reproduce TWICE: an entry starts a submission read after its connection was reset

Connections to front-bagmati-a-3 were reset at 13.0 s. The copy of the job was admitted at front-bagmati-a-2 at 04.039 by the log's clock (13.04 s) and ran from 13.048 s. front-bagmati-a-3 admitted it at 04.088, well after the reset, started its tasks, and abandoned it at 04.096 as its caller had left: they ran from 13.093 to 13.13 s.

Cause: bytes that arrived before a reset can still be read after it. net/http notices that a client has left by a read in the background, which begins only when the body has been read, and tells the handler later; meanwhile the job is admitted and its tasks start. An entry that is short of processor time, or has been suspended, reads submissions long after their connections broke.

--- a/test/platform/twice_test.go
+++ b/test/platform/twice_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand"
+	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"testing"
@@ -69,6 +72,41 @@
 	g.Expect(s.invariants.err()).NotTo(HaveOccurred())
 }
 
+// Guards against tasks that run twice: an entry short of processor time reads a submission whose
+// connection was reset before, and starts its tasks while those of the copy run that the caller has
+// sent to another entry.
+func TestSubmissionReadAfterItsConnectionWasResetIsNotStarted(t *testing.T) {
+	const jobs = 20
+	g := NewWithT(t)
+	s := newSystem(t, 1, 2)
+	g.Expect(s.post(t.Context(), s.entries[0], "00e0", 1, 10, 300, "ok").code).To(Equal(http.StatusOK))
+	id := func(i int) string { return fmt.Sprintf("%016x", 0xe00+i) }
+	s.entries[0].signal(syscall.SIGSTOP)
+	for i := range jobs {
+		s.postAndReset(g, s.entries[0], id(i))
+	}
+	s.entries[0].signal(syscall.SIGCONT)
+	g.Expect(s.post(t.Context(), s.entries[0], "00e1", 1, 100, 300, "ok").err).NotTo(HaveOccurred())
+	started := 0
+	for i := range jobs {
+		started += s.invariants.startCount(id(i))
+	}
+	g.Expect(started).To(BeZero(), "tasks of jobs whose callers had left")
+}
+
+// postAndReset sends a submission and resets its connection.
+func (s *system) postAndReset(g *WithT, p *process, id string) {
+	const work, cpu = 300, 300
+	s.invariants.submitted(id, cpu, "ok")
+	body := fmt.Sprintf(`{"spec":"%d,%d,ok","bestEffort":true,"steps":[{"replicas":1,"cpu":%d,"memMb":16,"estimateMs":%d}]}`, work, cpu, cpu, work)
+	conn, err := net.Dial("tcp", p.jobsAddr)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = fmt.Fprintf(conn, "POST /holds/%s HTTP/1.1\r\nHost: a.example\r\nDeadline-Ms: 3000\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(conn.(*net.TCPConn).SetLinger(0)).To(Succeed())
+	g.Expect(conn.Close()).To(Succeed())
+}
+
 // Guards against tasks that run twice, or run although their job was refused: servers lose replies
 // all the while and decline calls by turns, and agents pause.
 func TestTasksRunOnceWhileRepliesAreLostAndCallsDeclined(t *testing.T) {
