Entry: a submission whose connection has broken before it was read is not run

Cause: whether a caller is still there was learned from net/http only, whose context ends some time after the whole request was read. An entry that is short of processor time reads requests late, and their tasks start in between.

Change: before a submission is passed on, the entry looks at its connection (a read that takes nothing and doesn't wait). What breaks later is found out as before.

--- a/internal/instance/serve.go
+++ b/internal/instance/serve.go
@@ -54,6 +54,7 @@
 func Serve(l net.Listener, h http.Handler, logger log.Logger) *http.Server {
 	s := &http.Server{
 		Handler:           h,
+		ConnContext:       withConn,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
