Dispatch: a candidate's timeline is built only if a task may have to wait

For each job, an entry built the timeline of every agent that may run it: two slices, a sort and a closure each, over half of the memory that a step allocates. While the free capacity suffices for all queued tasks, all unacknowledged placements and the task, it starts at once, and the timeline says nothing else. It is built when that no longer holds, with the tasks planned so far. Candidates are allocated in chunks.

--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -9,27 +9,61 @@
 	"github.com/chestnuthollow/chestnuthollow/session"
 )
 
-// candidate is an agent that may run tasks of a job.
+// candidate is an agent that may run tasks of a job. It is used within one step only.
 type candidate struct {
-	agent     *agent
-	timeline  *capacity.Timeline
-	runTime   time.Duration
-	overhead  time.Duration // expected time besides the work, see hopOverhead
-	jobTasks  int           // tasks of the job placed there
-	sameZone  bool          // in this entry's availability zone
-	freeShare float64       // see agent.unreservedShare, less the tasks planned so far
-	onTime    float64       // see Dispatcher.onTimeProbability
-	factor    float64       // of the run time, included in it; see awayFactor
-	choice    *places.Choice
+	agent *agent
+	// timeline is nil until a task may have to wait. Up to then, planned is the number of
+	// tasks planned, and spare the capacity that is left if these, all queued tasks and all
+	// unacknowledged placements have started; negative if they may have to wait.
+	timeline   *capacity.Timeline
+	spare      int
+	planned    int
+	dispatcher *Dispatcher
+	within     time.Duration // see Dispatcher.overtakenWithin
+	runTime    time.Duration
+	overhead   time.Duration // expected time besides the work, see hopOverhead
+	jobTasks   int           // tasks of the job placed there
+	sameZone   bool          // in this entry's availability zone
+	freeShare  float64       // see agent.unreservedShare, less the tasks planned so far
+	onTime     float64       // see Dispatcher.onTimeProbability
+	factor     float64       // of the run time, included in it; see awayFactor
+	choice     *places.Choice
 }
 
 // finish returns the expected time from now to the end of another task of the
 // given size. It reports false if the task never fits.
 func (c *candidate) finish(cpu int) (time.Duration, bool) {
-	start, ok := c.timeline.EarliestStart(cpu)
+	start, ok := c.earliestStart(cpu)
 	return start + c.runTime + c.overhead, ok
 }
 
+// earliestStart returns when a task of the given size can start. It reports false if the
+// task never fits.
+func (c *candidate) earliestStart(cpu int) (time.Duration, bool) {
+	if c.startsAtOnce(cpu) {
+		return 0, true
+	}
+	c.buildTimeline(cpu)
+	return c.timeline.EarliestStart(cpu)
+}
+
+// startsAtOnce reports whether a task starts at once because no task has to wait. If it
+// reports false, the timeline decides.
+func (c *candidate) startsAtOnce(cpu int) bool {
+	return c.timeline == nil && cpu >= 0 && cpu <= c.spare
+}
+
+// buildTimeline builds the timeline with the tasks planned so far, all of the given size.
+func (c *candidate) buildTimeline(cpu int) {
+	if c.timeline != nil {
+		return
+	}
+	c.timeline = c.dispatcher.capacityTimeline(c.agent, c.dispatcher.queuedAhead(c.agent, c.within))
+	for range c.planned {
+		c.timeline.Reserve(cpu, c.runTime)
+	}
+}
+
 // weightedFreeShare returns the free share of the candidate's capacity, weighted
 // by what its choice saves: traffic between zones, and copies of the job's spec.
 func (c *candidate) weightedFreeShare() float64 {
@@ -45,7 +79,13 @@
 
 // reserve reserves the candidate's capacity for a task of the job.
 func (c *candidate) reserve(j *job) {
-	c.timeline.Reserve(j.CPU, c.runTime)
+	if c.startsAtOnce(j.CPU) {
+		c.spare -= j.CPU
+		c.planned++
+	} else {
+		c.buildTimeline(j.CPU)
+		c.timeline.Reserve(j.CPU, c.runTime)
+	}
 	c.jobTasks++
 	c.freeShare -= float64(j.CPU) / float64(max(c.agent.identity.Capacity, 1))
 }
@@ -118,21 +158,30 @@
 	return required == "" || slices.Contains(a.identity.Labels, required)
 }
 
+// candidatesPerChunk is the number of candidates that are allocated together.
+const candidatesPerChunk = 16
+
 // candidates returns the agents that may run the tasks. Agents whose tasks often
 // fail, and those that one of the tasks avoids, are used only if there is no
 // other.
 func (d *Dispatcher) candidates(j *job, tasks []int, limits *placementLimits) []*candidate {
 	var healthy, fallback []*candidate
+	within := d.overtakenWithin(j)
+	var chunk []candidate
 	for _, a := range d.sortedAgents {
 		if !d.eligible(a, j) || !limits.permits(a.name) {
 			continue
 		}
 		factor := d.awayFactor(j, a)
 		runTime := scale(d.expectedRunTime(a, j), factor)
-		c := &candidate{
-			agent: a, timeline: d.capacityTimeline(a, d.queuedAhead(a, d.overtakenWithin(j))), runTime: runTime, overhead: hopOverhead,
-			jobTasks: d.tasksAt(j, a), sameZone: a.zone == d.opts.Zone, freeShare: a.unreservedShare(), factor: factor,
+		if len(chunk) == cap(chunk) {
+			chunk = make([]candidate, 0, candidatesPerChunk)
 		}
+		chunk = append(chunk, candidate{
+			agent: a, spare: a.spareCPU(), dispatcher: d, within: within, runTime: runTime, overhead: hopOverhead,
+			jobTasks: d.tasksAt(j, a), sameZone: a.zone == d.opts.Zone, freeShare: a.unreservedShare(), factor: factor,
+		})
+		c := &chunk[len(chunk)-1]
 		if !c.sameZone {
 			c.overhead += crossZoneOverhead
 		}
@@ -149,6 +198,25 @@
 	return fallback
 }
 
+// spareCPU returns the capacity that is left if all queued tasks and unacknowledged
+// placements have started; negative if it does not suffice for them.
+func (a *agent) spareCPU() int {
+	spare := a.state.FreeCPU
+	for _, q := range a.state.Queue {
+		if q.CPU > spare {
+			return -1
+		}
+		spare -= max(q.CPU, 0)
+	}
+	for _, p := range a.unacknowledged {
+		if p.job.CPU > spare {
+			return -1
+		}
+		spare -= max(p.job.CPU, 0)
+	}
+	return spare
+}
+
 // unreservedShare returns the share of the capacity that is neither in use nor
 // needed by queued tasks and unacknowledged placements.
 func (a *agent) unreservedShare() float64 {
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -123,7 +123,9 @@
 	copies := make([]*candidate, 0, len(candidates))
 	for _, c := range candidates {
 		s := *c
-		s.timeline = c.timeline.Clone()
+		if s.timeline != nil {
+			s.timeline = s.timeline.Clone()
+		}
 		copies = append(copies, &s)
 	}
 	var last places.Option
--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -29,7 +29,7 @@
 		if j.MaxPerServer > 0 && c.jobTasks >= j.MaxPerServer || c.runTime+c.overhead+finishMargin(c.runTime) > within {
 			continue
 		}
-		if start, ok := c.timeline.EarliestStart(j.CPU); !ok || start > 0 {
+		if start, ok := c.earliestStart(j.CPU); !ok || start > 0 {
 			continue
 		}
 		untilArrival := d.now.Sub(c.agent.stateAsOf) + c.overhead
