Entry: an order echoes the clock reading of the time at which it was given

What callers saw: nothing yet; found by review. The time in which a stopped run has to be over counts from the reading that the order to stop it echoes, and an entry that is late read that when it wrote the order. Change: the reading is taken when the dispatcher gives the order. TestOrderEchoesReadingOfItsTime guards it.

--- a/dispatch/candidates_test.go
+++ b/dispatch/candidates_test.go
@@ -17,7 +17,7 @@
 		ms := rapid.IntRange(-100, 1000)
 		d := New(Options{})
 		d.now = time.Unix(1000, 0)
-		a := &agent{stateReceivedAt: d.now.Add(-time.Duration(ms.Draw(t, "age")) * time.Millisecond), unacknowledged: make(map[uint64]*placement)}
+		a := &agent{stateAsOf: d.now.Add(-time.Duration(ms.Draw(t, "age")) * time.Millisecond), unacknowledged: make(map[uint64]*placement)}
 		a.state.FreeCPU = rapid.IntRange(-5000, 64_000).Draw(t, "free")
 		for range rapid.IntRange(0, 4).Draw(t, "running") {
 			a.state.Running = append(a.state.Running, session.RunningTask{CPU: cpu.Draw(t, "cpu"), Ms: ms.Draw(t, "ms")})
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -88,7 +88,7 @@
 	clockReading atomic.Pointer[session.ClockReading] // of the reply to Hello or to the last poll; echoed in each request
 	// evacuationSent is the version of the evacuations that the agent was sent last.
 	evacuationSent atomic.Int64
-	orders         chan dispatch.Order
+	orders         chan queuedOrder
 	replies        chan *rpc.Call
 	closed         chan struct{}
 	roundTrip      time.Duration // least one of the session's polls; zero before the first
@@ -203,7 +203,7 @@
 	}
 	s := &agentSession{
 		connector: c, agent: hello.Agent, client: client,
-		orders: make(chan dispatch.Order, orderQueueSize), replies: make(chan *rpc.Call, orderQueueSize), closed: make(chan struct{}),
+		orders: make(chan queuedOrder, orderQueueSize), replies: make(chan *rpc.Call, orderQueueSize), closed: make(chan struct{}),
 	}
 	s.clockReading.Store(&hello.State.Stamp)
 	s.evacuationSent.Store(req.Evacuation.Version)
@@ -302,11 +302,19 @@
 	}
 }
 
+// queuedOrder is an order with the clock reading that it echoes. The time in which a stopped
+// run has to be over counts from that reading, so that it is the newest when the order was
+// given and not when it is written.
+type queuedOrder struct {
+	dispatch.Order
+	echo session.ClockReading
+}
+
 // enqueue adds an order to the queue of the session and never blocks. If the queue
 // is full, it closes the connection, and the agent stops the session's tasks.
 func (s *agentSession) enqueue(o dispatch.Order) {
 	select {
-	case s.orders <- o:
+	case s.orders <- queuedOrder{Order: o, echo: *s.clockReading.Load()}:
 	default:
 		s.client.Close()
 	}
@@ -319,7 +327,7 @@
 		case <-s.closed:
 			return
 		case o := <-s.orders:
-			req := &session.OrderRequest{Echo: *s.clockReading.Load(), Start: o.Start, Stop: o.Stop, Recall: o.Recall, Evacuation: s.unsentEvacuation(), Cancels: o.Cancels}
+			req := &session.OrderRequest{Echo: o.echo, Start: o.Start, Stop: o.Stop, Recall: o.Recall, Evacuation: s.unsentEvacuation(), Cancels: o.Cancels}
 			s.client.Go(structs.AgentService+".Order", req, &orderReply{number: o.Number, sentAt: time.Now()}, s.replies)
 		}
 	}
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -7,6 +7,9 @@
 
 	. "github.com/onsi/gomega"
 	"golang.org/x/time/rate"
+
+	"github.com/chestnuthollow/chestnuthollow/dispatch"
+	"github.com/chestnuthollow/chestnuthollow/session"
 )
 
 // Guards against states that count as fresh because the entry has read them late, and against
@@ -69,3 +72,14 @@
 	observe(time.Minute, 32*time.Millisecond)
 	g.Expect(q.state().share).To(Equal(1.0), "a minute later")
 }
+
+// Guards against a stopped run that lasts too long because the order to stop it was written late
+// and echoed a newer clock reading.
+func TestOrderEchoesReadingOfItsTime(t *testing.T) {
+	g := NewWithT(t)
+	s := &agentSession{orders: make(chan queuedOrder, 1)}
+	s.clockReading.Store(&session.ClockReading{Run: 1, Clock: time.Second})
+	s.enqueue(dispatch.Order{Stop: []uint64{1}})
+	s.clockReading.Store(&session.ClockReading{Run: 1, Clock: 2 * time.Second})
+	g.Expect((<-s.orders).echo).To(Equal(session.ClockReading{Run: 1, Clock: time.Second}))
+}
