Polls are due by the time of the last reply

The wait of a poll was shortened by the echoed reading's age, which is known only up to the time between two lease renewals (50 ms): a calm entry with a round trip of 20 ms polled 105 times in 20 s in place of 100. The wait is now what is left of PollWait since the agent's last reply to the session. TestPollsKeepTheirPeriod holds 100 to 3 again (20 s, 2, 20 and 100 ms late).

--- a/taskrunner/options.go
+++ b/taskrunner/options.go
@@ -34,8 +34,8 @@
 	SessionTTL time.Duration
 	// RenewalWait is how long the server may delay the reply to a lease renewal.
 	RenewalWait time.Duration
-	// PollWait is how long the reply to a poll is delayed while there are no reports,
-	// less the age of the clock reading that the poll echoes.
+	// PollWait is how long after its last reply the reply to a poll is delayed while there
+	// are no reports.
 	PollWait time.Duration
 	// StopTimeout is the longest time that the server takes to end a stopped
 	// task.
--- a/taskrunner/poll.go
+++ b/taskrunner/poll.go
@@ -32,14 +32,10 @@
 }
 
 // pollWait returns how long a poll that has just arrived waits for reports. The time since
-// the entry's newest reading was sent to it is taken off, so that an entry that handles its
-// messages late polls with the same period, and its next echo is not older for the wait.
+// the last reply is taken off, so that an entry that handles its messages late polls with the
+// same period, and its next echo is not older for the wait.
 func (m *Runner) pollWait(s *entrySession) time.Duration {
-	if s.echoed.Run != m.clockIncarnation {
-		return m.opts.PollWait
-	}
-	sinceEchoed := max(m.clock-s.echoed.Clock, 0)
-	return max(m.opts.PollWait-sinceEchoed, min(minPollWait, m.opts.PollWait))
+	return max(m.opts.PollWait-m.now.Sub(s.answeredAt), min(minPollWait, m.opts.PollWait))
 }
 
 // answerPolls replies to the polls whose session has reports, or whose wait is over.
@@ -52,7 +48,7 @@
 			Reports: slices.Clone(s.reports), State: m.state(s), Evacuation: m.unsentEvacuation(s), Cancels: m.unsentCancels(s),
 			Held: max(m.now.Sub(s.poll.since), time.Nanosecond),
 		}})
-		s.poll = nil
+		s.poll, s.answeredAt = nil, m.now
 	}
 }
 
--- a/taskrunner/poll_test.go
+++ b/taskrunner/poll_test.go
@@ -70,8 +70,7 @@
 			h.makeReady()
 			entry := pollingEntry{lateness: lateness}
 			entry.run(h, 20*time.Second)
-			// The age of an echo is known up to the time between two renewals.
-			h.Expect(entry.polls).To(BeNumerically("~", 20*time.Second/taskrunner.DefaultPollWait, 6))
+			h.Expect(entry.polls).To(BeNumerically("~", 20*time.Second/taskrunner.DefaultPollWait, 3))
 		})
 	}
 }
--- a/taskrunner/session.go
+++ b/taskrunner/session.go
@@ -22,6 +22,7 @@
 	reports       []session.Report     // not acknowledged by the entry yet
 	lastReportSeq uint64
 	poll          *pendingPoll
+	answeredAt    time.Time // when the last reply to Hello or to a poll was sent
 	// topicUnheard is for how long the entry has not heard the operators' topic, by its last
 	// message; zero if it hears it. evacuationKnown is the newest version of the evacuations
 	// that the session has carried.
@@ -138,7 +139,7 @@
 		}
 		s.recordEvacuation(reply.Evacuation)
 		s.echoed = reply.State.Stamp
-		s.lastHeard = m.now
+		s.lastHeard, s.answeredAt = m.now, m.now
 		s.open, m.topic.viewsChanged = true, true
 		m.emit(ReplyHello{Call: s.hello.Call, Reply: reply})
 		s.hello = nil
