Tasks are placed again in proportion to completed ones

Cause: each task that was lost or not started was placed again, up to twelve times, whatever share of its work the entry completed. Planning these took the processor time that the entry needed to keep its sessions.

Change: a retry.Budget: half a task for each completed one, ten a second without any, and a balance of 512. Without a token the job is abandoned as overloaded, with the verdict that is certain. Tasks that failed, or that the entry itself has stopped or recalled, take none. Metric tasks.retries_denied; job_refused gives the reason.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -10,6 +10,7 @@
 	"github.com/chestnuthollow/chestnuthollow/containment"
 	"github.com/chestnuthollow/chestnuthollow/internal/indexheap"
 	"github.com/chestnuthollow/chestnuthollow/places"
+	"github.com/chestnuthollow/chestnuthollow/retry"
 	"github.com/chestnuthollow/chestnuthollow/session"
 	"github.com/chestnuthollow/chestnuthollow/spread"
 	"github.com/chestnuthollow/chestnuthollow/structs"
@@ -48,6 +49,8 @@
 	placements      map[uint64]*placement
 	inDoubt         *indexheap.Heap[*placement] // those whose session has ended, by inDoubtUntil
 	lastPlacementID uint64
+	retries         *retry.Budget // of tasks that were lost or not started
+	retriesRefilled time.Time     // when retries was last refilled for elapsed time
 	retainedAnswers map[string]Status
 	answerExpiry    []retainedAnswer // when each of retainedAnswers was given, oldest first
 	cancels         cancels.Marks
@@ -87,6 +90,7 @@
 		noAgentSince:    make(map[string]time.Time),
 		calls:           make(map[CallID]*job),
 		placements:      make(map[uint64]*placement),
+		retries:         retry.NewBudgetOf(retryShare, maxRetries),
 		retainedAnswers: make(map[string]Status),
 		pendingCancels:  make(map[CallID]*pendingCancel),
 		orders:          make(map[SessionID]*Order),
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -308,6 +308,7 @@
 	switch r.Outcome {
 	case session.Done:
 		t.done = true
+		d.retries.Succeeded()
 		j.unfinished--
 		if j.unfinished == 0 {
 			d.applyChanges(d.containment.Step(d.now, containment.JobCompleted{Queue: j.Queue.Name}))
@@ -330,16 +331,34 @@
 			return
 		}
 	}
-	d.reassign(j, p, r.Outcome.String()+": "+r.Reason)
+	d.reassign(j, p, r)
+}
+
+// takeRetry reports whether a task may be placed again after it was lost or not started. An entry
+// that places more tasks again than it completes has no processor time for those that it could
+// complete.
+func (d *Dispatcher) takeRetry() bool {
+	d.retries.RefillElapsed(d.now.Sub(d.retriesRefilled))
+	d.retriesRefilled = d.now
+	if d.retries.Take() {
+		return true
+	}
+	d.emit(RetryMetrics{Denied: 1})
+	return false
 }
 
 // reassign places a task whose last placement has ended without success. If that
 // is not possible, it holds or abandons the job.
-func (d *Dispatcher) reassign(j *job, p *placement, reason string) {
+func (d *Dispatcher) reassign(j *job, p *placement, r session.Report) {
+	reason := r.Outcome.String() + ": " + r.Reason
 	if j.tasks[p.index].placements >= maxPlacements {
 		d.abandon(j, structs.CodeUnavailable, "task reached its limit of placements, last outcome "+reason)
 		return
 	}
+	if r.Outcome != session.Failed && !p.stopRequested && !p.recalled && !d.takeRetry() {
+		d.abandon(j, structs.CodeOverloaded, "too many tasks were placed again for those that were completed; last outcome "+reason)
+		return
+	}
 	plan, err := d.plan(j, []int{p.index}, j.deadline)
 	if err != nil && d.mayHold(j, err) {
 		d.hold(j, err)
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -235,6 +235,9 @@
 	// PlacementMetrics is counted in the metrics with Scheduling.Spread: tasks placed, those
 	// of them in other availability zones, and tasks that an agent has not started.
 	PlacementMetrics struct{ Placed, OtherZone, Returned int }
+	// RetryMetrics is counted in the metrics: tasks that were lost or not started, and not
+	// placed again because too many had been.
+	RetryMetrics struct{ Denied int }
 	// ShareMetrics is counted in the metrics, if Scheduling.Shares is set: jobs that were
 	// admitted because they were owed capacity, or refused because of their share.
 	ShareMetrics struct {
@@ -277,6 +280,7 @@
 func (JobMetrics) isEffect()       {}
 func (CrashMetrics) isEffect()     {}
 func (PlacementMetrics) isEffect() {}
+func (RetryMetrics) isEffect()     {}
 func (PlaceMetrics) isEffect()     {}
 func (ShareMetrics) isEffect()     {}
 func (PlanMetrics) isEffect()      {}
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -113,6 +113,11 @@
 	moveMargin = 60 * time.Millisecond
 	// maxPlacements bounds how often one task is placed.
 	maxPlacements = 12
+	// retryShare is how many tasks that were lost or not started may be placed again for
+	// each completed task, and maxRetries the largest number of them without any: those of
+	// a dozen servers full of small tasks.
+	retryShare = 0.5
+	maxRetries = 512
 	// maxLosses bounds how often one task is placed again after it was lost. A task may
 	// have crashed a server also if no agent has reported it.
 	maxLosses = 4
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -27,8 +27,8 @@
 	cancelsReceived, cancelsLearned, cancelsUnconfirmed metrics.Counter
 	cancelsEntriesMissed, cancelsSubmitted              metrics.Counter
 
-	turnWait, messageDelay metrics.Histogram
-	reopeningsDelayed      metrics.Counter
+	turnWait, messageDelay           metrics.Histogram
+	reopeningsDelayed, retriesDenied metrics.Counter
 
 	placesKept, placesAway, placesGivenUp      metrics.Counter
 	tasksPlaced, tasksOtherZone, tasksReturned metrics.Counter
@@ -58,6 +58,7 @@
 		turnWait:          instance.Histogram("overload.turn_wait.time", r),
 		messageDelay:      instance.Histogram("overload.message_delay.time", r),
 		reopeningsDelayed: metrics.NewRegisteredCounter("sessions.reopenings_delayed", r),
+		retriesDenied:     metrics.NewRegisteredCounter("tasks.retries_denied", r),
 
 		placesKept:    metrics.NewRegisteredCounter("places.tasks_kept", r),
 		placesAway:    metrics.NewRegisteredCounter("places.tasks_away", r),
--- a/gateway/step.go
+++ b/gateway/step.go
@@ -32,6 +32,8 @@
 			g.metrics.recordPlan(&ef)
 		case dispatch.PlacementMetrics:
 			g.metrics.recordPlacement(&ef)
+		case dispatch.RetryMetrics:
+			g.metrics.retriesDenied.Inc(int64(ef.Denied))
 		case dispatch.ShareMetrics:
 			g.metrics.recordShare(&ef)
 		case dispatch.CrashMetrics:
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -9,8 +9,8 @@
 	// DefaultShare is the default number of retries permitted for each
 	// successful task.
 	DefaultShare = 0.2
-	// MaxBalance is the largest number of retries that a budget holds, and its
-	// initial balance.
+	// MaxBalance is the largest number of retries that a budget of NewBudget holds, and
+	// its initial balance.
 	MaxBalance = 64
 	// minRefillPerSecond is the number of retries that a budget gains per second
 	// even without successes.
@@ -18,10 +18,11 @@
 )
 
 // Budget is a retry budget. Each successful task adds a fraction of a retry to
-// its balance, up to MaxBalance, and each retry subtracts one. It is not safe
+// its balance, up to a maximum, and each retry subtracts one. It is not safe
 // for concurrent use.
 type Budget struct {
 	share   float64
+	max     float64 // largest balance
 	balance float64
 	counts  Counts
 }
@@ -36,7 +37,12 @@
 // NewBudget returns a budget with a full balance. If share is not positive,
 // DefaultShare is used.
 func NewBudget(share float64) *Budget {
-	b := &Budget{balance: MaxBalance}
+	return NewBudgetOf(share, MaxBalance)
+}
+
+// NewBudgetOf is NewBudget with another largest balance.
+func NewBudgetOf(share float64, maxBalance int) *Budget {
+	b := &Budget{balance: float64(maxBalance), max: float64(maxBalance)}
 	b.SetShare(share)
 	return b
 }
@@ -53,13 +59,13 @@
 // Succeeded refills the budget for one task that succeeded.
 func (b *Budget) Succeeded() {
 	b.counts.Successes++
-	b.balance = min(b.balance+b.share, MaxBalance)
+	b.balance = min(b.balance+b.share, b.max)
 }
 
 // RefillElapsed refills the budget for elapsed time, so that retries can detect
 // the recovery of a service that has had no successes.
 func (b *Budget) RefillElapsed(elapsed time.Duration) {
-	b.balance = min(b.balance+minRefillPerSecond*elapsed.Seconds(), MaxBalance)
+	b.balance = min(b.balance+minRefillPerSecond*elapsed.Seconds(), b.max)
 }
 
 // Take spends one retry. It returns false if the budget is used up.
