Dispatch: the memory of a step's candidates is used again

Planning allocated the candidates of each job anew, a fifth of all memory that an entry allocates. They are of no use after the step, so their memory is kept for the next one, up to 512 of them.

go test -bench BenchmarkEntry -benchtime 1500x -cpu 1 ./platform, three pairs side by side beside load 45 to 85: 28.9 to 29.1 KB a job before, 20.2 to 20.4 KB after, so that garbage is collected a third less often. Processor time is the same within the noise: 979, 971, 970 and 971, 963, 999 us a job.

The verbose output of TestHotRack*, TestSharesUnderLoad, and those named Spread, Fleet and Zone is the same before and after, line by line, without run times (197 lines).

--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -158,30 +158,54 @@
 	return required == "" || slices.Contains(a.identity.Labels, required)
 }
 
-// candidatesPerChunk is the number of candidates that are allocated together.
-const candidatesPerChunk = 16
+const (
+	// candidatesPerChunk is the number of candidates that are allocated together.
+	candidatesPerChunk = 16
+	// maxKeptChunks bounds the chunks that are used again. The jobs held while there was
+	// no agent are all planned in one step.
+	maxKeptChunks = 32
+)
+
+// candidateMemory is the memory of the candidates of one step, which is used again for
+// the next one.
+type candidateMemory struct {
+	chunks [][]candidate
+	used   int
+}
+
+func (m *candidateMemory) next() *candidate {
+	i := m.used / candidatesPerChunk
+	if i >= maxKeptChunks {
+		return new(candidate)
+	}
+	if i == len(m.chunks) {
+		m.chunks = append(m.chunks, make([]candidate, candidatesPerChunk))
+	}
+	c := &m.chunks[i][m.used%candidatesPerChunk]
+	m.used++
+	return c
+}
+
+// reset gives the memory of all candidates free.
+func (m *candidateMemory) reset() { m.used = 0 }
 
 // candidates returns the agents that may run the tasks. Agents whose tasks often
 // fail, and those that one of the tasks avoids, are used only if there is no
 // other.
 func (d *Dispatcher) candidates(j *job, tasks []int, limits *placementLimits) []*candidate {
-	var healthy, fallback []*candidate
+	healthy, fallback := make([]*candidate, 0, len(d.sortedAgents)), []*candidate(nil)
 	within := d.overtakenWithin(j)
-	var chunk []candidate
 	for _, a := range d.sortedAgents {
 		if !d.eligible(a, j) || !limits.permits(a.name) {
 			continue
 		}
 		factor := d.awayFactor(j, a)
 		runTime := scale(d.expectedRunTime(a, j), factor)
-		if len(chunk) == cap(chunk) {
-			chunk = make([]candidate, 0, candidatesPerChunk)
-		}
-		chunk = append(chunk, candidate{
+		c := d.candidateMemory.next()
+		*c = candidate{
 			agent: a, spare: a.spareCPU(), dispatcher: d, within: within, runTime: runTime, overhead: hopOverhead,
 			jobTasks: d.tasksAt(j, a), sameZone: a.zone == d.opts.Zone, freeShare: a.unreservedShare(), factor: factor,
-		})
-		c := &chunk[len(chunk)-1]
+		}
 		if !c.sameZone {
 			c.overhead += crossZoneOverhead
 		}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -37,6 +37,7 @@
 	longestSlack    longestSlack
 	runTimes        learnedRunTimes
 	chooser         *spread.Chooser
+	candidateMemory candidateMemory
 	inTime          []*candidate              // of the last choice; its memory is used again
 	servers         []spread.Server           // the same for the chooser
 	shares          map[string]*serviceShares // by service
@@ -101,6 +102,7 @@
 func (d *Dispatcher) Step(now time.Time, ev Event) []Effect {
 	d.now = now
 	d.effects = nil
+	d.candidateMemory.reset()
 	d.applyChanges(d.containment.Step(now, containment.Ticked{}))
 	switch e := ev.(type) {
 	case SubmitCalled:
