--- a/standin/keyedstore/store.go
+++ b/standin/keyedstore/store.go
@@ -246,24 +246,33 @@
 	return body, false, s.changed
 }
 
+// newestItem is the newest record of a key in a reply.
+type newestItem struct {
+	Key    string `json:"key"`
+	Value  []byte `json:"value"`
+	Offset int64  `json:"offset"`
+}
+
 func (s *Store) serveNewest(c echo.Context) error {
+	items, end := s.newest(c.QueryParam("topic"))
+	// Large values are encoded without the lock, which all other calls need.
+	reply, err := json.Marshal(map[string]any{"items": items, "hasMore": false, "endOffset": end})
+	if err != nil {
+		return err
+	}
+	return c.JSONBlob(http.StatusOK, reply)
+}
+
+// newest returns the newest record of each key of a topic, and the offset after the last record.
+func (s *Store) newest(name string) (items []newestItem, end int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.topic(c.QueryParam("topic"))
-	type item struct {
-		Key    string `json:"key"`
-		Value  []byte `json:"value"`
-		Offset int64  `json:"offset"`
-	}
-	items := []item{}
+	t := s.topic(name)
+	items = []newestItem{}
 	for _, k := range t.keyOrder {
 		if r := t.newest[k]; len(r.value) > 0 {
-			items = append(items, item{r.key, r.value, r.offset})
+			items = append(items, newestItem{r.key, r.value, r.offset})
 		}
 	}
-	reply, err := json.Marshal(map[string]any{"items": items, "hasMore": false, "endOffset": t.firstOffset + int64(len(t.records))})
-	if err != nil {
-		return err
-	}
-	return c.JSONBlob(http.StatusOK, reply)
+	return items, t.firstOffset + int64(len(t.records))
 }
