Entry: the queue of a session's orders takes 8 KB in place of 130 KB

Each session, also one that is opened again after it was lost, allocated room for 1024 orders by value. Found by the memory profile of BenchmarkEntry: 16 of 117 MB. Not measured after the change.

--- a/gateway/session.go
+++ b/gateway/session.go
@@ -88,7 +88,7 @@
 	clockReading atomic.Pointer[session.ClockReading] // of the reply to Hello or to the last poll; echoed in each request
 	// evacuationSent is the version of the evacuations that the agent was sent last.
 	evacuationSent atomic.Int64
-	orders         chan queuedOrder
+	orders         chan *queuedOrder
 	replies        chan *rpc.Call
 	closed         chan struct{}
 	roundTrip      time.Duration // least one of the session's polls; zero before the first
@@ -203,7 +203,7 @@
 	}
 	s := &agentSession{
 		connector: c, agent: hello.Agent, client: client,
-		orders: make(chan queuedOrder, orderQueueSize), replies: make(chan *rpc.Call, orderQueueSize), closed: make(chan struct{}),
+		orders: make(chan *queuedOrder, orderQueueSize), replies: make(chan *rpc.Call, orderQueueSize), closed: make(chan struct{}),
 	}
 	s.clockReading.Store(&hello.State.Stamp)
 	s.evacuationSent.Store(req.Evacuation.Version)
@@ -314,7 +314,7 @@
 // is full, it closes the connection, and the agent stops the session's tasks.
 func (s *agentSession) enqueue(o dispatch.Order) {
 	select {
-	case s.orders <- queuedOrder{Order: o, echo: *s.clockReading.Load()}:
+	case s.orders <- &queuedOrder{Order: o, echo: *s.clockReading.Load()}:
 	default:
 		s.client.Close()
 	}
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -77,7 +77,7 @@
 // and echoed a newer clock reading.
 func TestOrderEchoesReadingOfItsTime(t *testing.T) {
 	g := NewWithT(t)
-	s := &agentSession{orders: make(chan queuedOrder, 1)}
+	s := &agentSession{orders: make(chan *queuedOrder, 1)}
 	s.clockReading.Store(&session.ClockReading{Run: 1, Clock: time.Second})
 	s.enqueue(dispatch.Order{Stop: []uint64{1}})
 	s.clockReading.Store(&session.ClockReading{Run: 1, Clock: 2 * time.Second})
