--- a/command/daemon/platform.go
+++ b/command/daemon/platform.go
@@ -33,9 +33,15 @@
 	return &cli.Command{
 		Name:  "entry",
 		Usage: "admit callers' jobs from the platform's load balancer and place their tasks",
-		Flags: platformFlags(),
+		Flags: append(platformFlags(), &cli.FloatFlag{
+			Name: flagProcessors, Usage: "processor time of the instance, in processors, if the settings do not state it",
+			Sources: cli.EnvVars("CHESTNUTHOLLOW_PROCESSORS"),
+		}),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			opts := platformEntrySettings{Options: gateway.DefaultOptions()}
+			if c.IsSet(flagProcessors) {
+				opts.Processors = c.Float(flagProcessors)
+			}
 			return runPlatformRole(ctx, c, &role{
 				settings: &opts,
 				prepareReload: func(p process) (any, func()) {
--- a/command/daemon/role.go
+++ b/command/daemon/role.go
@@ -20,6 +20,8 @@
 const (
 	flagConfig = "config"
 	flagCheck  = "check"
+	// flagProcessors is one of the platform's entries only.
+	flagProcessors = "processors"
 )
 
 // process is an entry or agent, which runs until its context is canceled.
