--- a/review/harness/executor.go
+++ b/review/harness/executor.go
@@ -76,7 +76,7 @@
 	e.base = time.Duration(rand.IntN(1_000_000)) * time.Millisecond
 	e.server = leaseserver.New(e.born.UnixMilli(), e.base)
 	e.changed, e.gone = make(chan struct{}), make(chan struct{})
-	e.server.OnStart = func(t leaseserver.RunningTask) {
+	e.server.OnStart = func(t leaseserver.TaskRun) {
 		e.rec.log("run    start %s#%d at %s kind=%s", t.Name, t.Number, e.id, e.kind)
 		e.onStart(e, t.Name)
 	}
@@ -165,7 +165,7 @@
 			e.onEnd(e, r.Name, "crashed")
 		}
 	}
-	e.server.OnEnd, e.server.OnStart = func(leaseserver.TaskRun, string) {}, func(leaseserver.RunningTask) {}
+	e.server.OnEnd, e.server.OnStart = func(leaseserver.TaskRun, string) {}, func(leaseserver.TaskRun) {}
 }
 
 // crashDark ends the boot. Its address stays silent for the given time: connections are
--- a/standin/leaseserver/handler.go
+++ b/standin/leaseserver/handler.go
@@ -98,7 +98,7 @@
 	h.started = time.Now()
 	h.base = time.Duration(1+rand.IntN(1_000_000)) * time.Millisecond
 	h.server = New(h.started.UnixMilli(), h.base)
-	h.server.OnStart = func(t RunningTask) {
+	h.server.OnRunning = func(t RunningTask) {
 		if h.opts.OnStart != nil {
 			h.opts.OnStart(h.opts.ID, t, h.timeOf(t.Started))
 		}
--- a/standin/leaseserver/server.go
+++ b/standin/leaseserver/server.go
@@ -66,7 +66,8 @@
 	ended       []EndedTask
 	lastIndex   int64
 	endedRuns   map[string]int        // highest number of a run that has ended or was stopped, by task name
-	OnStart     func(RunningTask)     // called when a task starts; may be nil
+	OnStart     func(TaskRun)         // called when a task starts; may be nil
+	OnRunning   func(RunningTask)     // called after OnStart with all that is known of the task; may be nil
 	OnEnd       func(TaskRun, string) // called with the outcome when a task ends; may be nil
 	Accepted    int                   // number of tasks started
 	Crashed     bool                  // a task has crashed the server, which does nothing any more
@@ -191,7 +192,10 @@
 	s.running = append(s.running, run)
 	s.Accepted++
 	if s.OnStart != nil {
-		s.OnStart(run)
+		s.OnStart(run.TaskRun)
+	}
+	if s.OnRunning != nil {
+		s.OnRunning(run)
 	}
 	return ""
 }
--- a/test/sessions/simulation_test.go
+++ b/test/sessions/simulation_test.go
@@ -242,7 +242,7 @@
 	m.heartbeatSeq = 0
 	m.server = leaseserver.New(int64(m.sim.now/time.Millisecond)+1_000_000+int64(m.incarnations), m.clockBase)
 	s := m.server
-	s.OnStart = func(t leaseserver.RunningTask) { m.sim.taskStarted(m, t.Name) }
+	s.OnStart = func(t leaseserver.TaskRun) { m.sim.taskStarted(m, t.Name) }
 	s.OnEnd = func(t leaseserver.TaskRun, _ string) { m.sim.taskEnded(m.name, t.Name) }
 	m.advancePeriodically(s)
 }
