--- a/command/daemon/platform.go
+++ b/command/daemon/platform.go
@@ -34,7 +34,7 @@
 		Name:  "entry",
 		Usage: "admit callers' jobs from the platform's load balancer and place their tasks",
 		Flags: append(platformFlags(), &cli.FloatFlag{
-			Name: flagProcessors, Usage: "processor time of the instance, in processors, if the settings do not state it",
+			Name: flagProcessors, Value: gateway.DefaultOptions().Processors, Usage: "processor time of the instance, in processors, if the settings do not state it",
 			Sources: cli.EnvVars("CHESTNUTHOLLOW_PROCESSORS"),
 		}),
 		Action: func(ctx context.Context, c *cli.Command) error {
