--- a/test/platform/twice_test.go
+++ b/test/platform/twice_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand"
-	"net"
 	"net/http"
 	"sync"
 	"syscall"
@@ -96,13 +95,8 @@
 
 // postAndReset sends a submission and resets its connection.
 func (s *system) postAndReset(g *WithT, p *process, id string) {
-	const work, cpu = 300, 300
-	body := fmt.Sprintf(`{"spec":"%d,%d,ok","bestEffort":true,"steps":[{"replicas":1,"cpu":%d,"memMb":16,"estimateMs":%d}]}`, work, cpu, cpu, work)
-	conn, err := net.Dial("tcp", p.jobsAddr)
-	g.Expect(err).NotTo(HaveOccurred())
-	_, err = fmt.Fprintf(conn, "POST /holds/%s HTTP/1.1\r\nHost: a.example\r\nDeadline-Ms: 3000\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(conn.(*net.TCPConn).SetLinger(0)).To(Succeed())
+	conn := s.submitTasks(g, p, id, 1, 300)
+	g.Expect(conn.SetLinger(0)).To(Succeed())
 	g.Expect(conn.Close()).To(Succeed())
 }
 
