Dispatch: a check of a caller counts only in the step that it belongs to

A caller counted as connected for 50 ms after a check. On a machine whose clock stands still while it is suspended that is for ever: a job submitted just before the suspension was placed again for a caller that had left.

Now the step itself has to show that a caller is connected. At most 32 held jobs are checked at once, as most of them may have to be held longer when an agent has changed.

--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -8,19 +8,20 @@
 
 // A caller that has left may submit its job to another entry, and may be told there that the job
 // never runs. An entry can handle what it has received much later, because it was suspended or is
-// short of processor time. It therefore starts tasks only for callers that are connected: those of
-// submissions that it handles now, and those that CheckCallers has confirmed.
+// short of processor time. A task is therefore placed only in a step that shows that a caller of its
+// job is connected: its submission, or CallersChecked. No age of an earlier check would do, because
+// the clock may stand still while the machine is suspended.
 
-// CallerCheckAge is how long a caller counts as connected after a check. It bounds how often the
-// callers of held jobs are checked, and is far below the time after which a caller submits again.
-const CallerCheckAge = 50 * time.Millisecond
+// maxHeldChecked bounds the callers of held jobs that are checked at once: most of the held jobs may
+// have to be held longer.
+const maxHeldChecked = 32
 
 // waitingSubmission is a submission that is handled later: the entry has not heard of cancels yet,
 // or tasks of an earlier submission of the job are still being stopped.
 type waitingSubmission struct {
 	SubmitCalled
-	arrived   time.Time
-	checkedAt time.Time // when its caller was last known to be connected
+	arrived time.Time
+	checked uint64 // step in which its caller was last known to be connected
 }
 
 // reassignment is a task to be placed again after its last placement has ended without success.
@@ -32,13 +33,9 @@
 }
 
 func (d *Dispatcher) newWaitingSubmission(e SubmitCalled) waitingSubmission {
-	return waitingSubmission{SubmitCalled: e, arrived: d.now, checkedAt: d.now}
+	return waitingSubmission{SubmitCalled: e, arrived: d.now, checked: d.steps}
 }
 
-// isChecked reports whether a caller that was known to be connected at the given time still
-// counts as connected.
-func (d *Dispatcher) isChecked(at time.Time) bool { return d.now.Sub(at) <= CallerCheckAge }
-
 // checkCallers asks for the callers of all jobs whose tasks wait for that.
 func (d *Dispatcher) checkCallers() {
 	var calls []CallID
@@ -47,10 +44,8 @@
 		calls = append(calls, r.job.calls...)
 	}
 	if d.heldUnchecked {
-		for _, j := range d.heldJobs {
-			if !d.isChecked(j.checkedAt) {
-				calls = append(calls, j.calls...)
-			}
+		for _, j := range d.heldJobs[:min(len(d.heldJobs), maxHeldChecked)] {
+			calls = append(calls, j.calls...)
 		}
 	}
 	for _, s := range d.ready {
@@ -69,10 +64,10 @@
 	}
 	for _, call := range e.Connected {
 		if j := d.calls[call]; j != nil {
-			j.checkedAt = d.now
+			j.checked = d.steps
 		}
 		if i := slices.IndexFunc(d.ready, func(s waitingSubmission) bool { return s.Call == call }); i >= 0 {
-			d.ready[i].checkedAt = d.now
+			d.ready[i].checked = d.steps
 		}
 	}
 	waiting := d.reassignments
@@ -88,14 +83,14 @@
 	return r.job.answered || r.job.abandonErr != nil || t.done || t.current != nil
 }
 
-// placeAgain places a task again if a caller of its job is connected; otherwise it waits for
-// CallersChecked. If the task cannot be placed, it holds or abandons the job.
+// placeAgain places a task again if a caller of its job is known to be connected; otherwise it waits
+// for CallersChecked. If the task cannot be placed, it holds or abandons the job.
 func (d *Dispatcher) placeAgain(r reassignment) {
 	j := r.job
 	if r.ended() {
 		return
 	}
-	if !d.isChecked(j.checkedAt) {
+	if j.checked != d.steps {
 		d.reassignments = append(d.reassignments, r)
 		return
 	}
@@ -113,12 +108,13 @@
 	d.place(j, plan)
 }
 
-// submitReady submits what has waited and need not wait longer, if its caller is connected.
+// submitReady submits what has waited and need not wait longer, if its caller is known to be
+// connected.
 func (d *Dispatcher) submitReady() {
 	list := d.ready
 	d.ready = nil
 	for _, s := range list {
-		if !d.isChecked(s.checkedAt) {
+		if s.checked != d.steps {
 			d.ready = append(d.ready, s)
 			continue
 		}
@@ -127,6 +123,6 @@
 		if s.Job.Timeout > 0 {
 			s.Job.Timeout = max(s.Job.Timeout-waited, time.Millisecond)
 		}
-		d.submit(s.SubmitCalled, s.checkedAt)
+		d.submit(s.SubmitCalled)
 	}
 }
--- a/dispatch/callers_test.go
+++ b/dispatch/callers_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -50,7 +51,19 @@
 	h.Expect(h.stopped()).To(HaveLen(2))
 }
 
-// Guards against the same for a job that is held because the entry has no agents.
+// Guards against a caller that counts as connected although it has left while the machine, and its
+// clock, was suspended.
+func TestCheckOfCallerDoesNotOutliveSuspensionOfTheClock(t *testing.T) {
+	h := newHarness(t)
+	h.agent(1, idle)
+	call := h.submit("job", 1, 1000, longEstimate)
+	h.left = map[dispatch.CallID]bool{call: true}
+	h.step(dispatch.SessionEnded{ID: 1, LastHeard: h.now, Reason: "no reply"})
+	h.step(dispatch.SessionOpened{ID: 2, Agent: "agent-1", Zone: "zone-a", State: h.state(idle)})
+	h.expectNoStart()
+}
+
+// Guards against the start of a held job whose caller has left while the entry had no agents.
 func TestHeldJobIsNotPlacedForCallerThatHasLeft(t *testing.T) {
 	h := newHarness(t)
 	h.d = dispatch.New(dispatch.Options{Entry: "entry-1", Started: start, InDoubtTimeout: inDoubtTimeout, AnswerRetention: dispatch.DefaultAnswerRetention})
@@ -107,9 +120,8 @@
 	}
 }
 
-// Guards against callers that are checked again and again, and against a job that is given up although
-// a copy of it has a caller.
-func TestCallersAreCheckedOnceInAWhile(t *testing.T) {
+// Guards against a job that is given up although a copy of it has a caller.
+func TestTaskIsPlacedAgainForCallerOfCopy(t *testing.T) {
 	h := newHarness(t)
 	h.agent(1, idle)
 	h.agent(2, idle)
@@ -117,20 +129,32 @@
 	counts, ids := h.placed()
 	second := h.submit("job", 1, 1000, longEstimate)
 	h.left = map[dispatch.CallID]bool{first: true}
-	for _, test := range []struct {
-		after   time.Duration // the submissions
-		checked []dispatch.CallID
-	}{{20 * time.Millisecond, nil}, {100 * time.Millisecond, []dispatch.CallID{first, second}}, {120 * time.Millisecond, nil}, {200 * time.Millisecond, []dispatch.CallID{second}}} {
-		h.now = start.Add(test.after)
+	for _, checked := range [][]dispatch.CallID{{first, second}, {second}} {
 		for agent := range counts {
 			h.report(agent, idle, ids[0], session.NotStarted)
 		}
-		var checked []dispatch.CallID
-		for _, check := range effects[dispatch.CheckCallers](h) {
-			checked = append(checked, check.Calls...)
-		}
-		h.Expect(checked).To(Equal(test.checked), "checked after %v", test.after)
+		h.Expect(effects[dispatch.CheckCallers](h)).To(ConsistOf(dispatch.CheckCallers{Calls: checked}))
 		counts, ids = h.placed()
-		h.Expect(ids).To(HaveLen(1), "the copy has a caller")
+		h.Expect(ids).To(HaveLen(1))
 	}
 }
+
+// Guards against an entry that checks the callers of all held jobs whenever an agent has changed, and
+// against held jobs that are forgotten because their callers are checked by turns.
+func TestCallersOfManyHeldJobsAreCheckedByTurns(t *testing.T) {
+	const jobs = 100
+	h := newHarness(t)
+	h.d = dispatch.New(dispatch.Options{Entry: "entry-1", Started: start, InDoubtTimeout: inDoubtTimeout, AnswerRetention: dispatch.DefaultAnswerRetention})
+	for i := range jobs {
+		h.submit(fmt.Sprint("job-", i), 1, 1000, longEstimate)
+	}
+	most := 0
+	h.agent(1, serverState{capacity: 1000, free: 0, slowness: 1000, running: []session.RunningTask{{CPU: 1000, Ms: 5000}}})
+	for _, check := range effects[dispatch.CheckCallers](h) {
+		most = max(most, len(check.Calls))
+	}
+	h.Expect(most).To(And(BeNumerically(">", 0), BeNumerically("<", jobs/2)), "callers checked at once")
+	h.agent(2, serverState{capacity: 200_000, free: 200_000, slowness: 1000})
+	_, ids := h.placed()
+	h.Expect(ids).To(HaveLen(jobs))
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -20,6 +20,7 @@
 type Dispatcher struct {
 	opts    Options
 	now     time.Time
+	steps   uint64 // number of the current one
 	effects []Effect
 
 	agents       map[SessionID]*agent
@@ -104,13 +105,14 @@
 // Step applies one event and returns the effects to carry out, in order.
 func (d *Dispatcher) Step(now time.Time, ev Event) []Effect {
 	d.now = now
+	d.steps++
 	d.effects = nil
 	d.candidateMemory.reset()
 	d.applyChanges(d.containment.Step(now, containment.Ticked{}))
 	switch e := ev.(type) {
 	case SubmitCalled:
 		if !d.delay(e) {
-			d.submit(e, now)
+			d.submit(e)
 		}
 	case CallClosed:
 		d.callClosed(e.Call, "disconnected")
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -61,7 +61,7 @@
 		if j.answered || j.abandonErr != nil {
 			continue
 		}
-		if !d.isChecked(j.checkedAt) {
+		if j.checked != d.steps {
 			d.heldJobs = append(d.heldJobs, held[i:]...)
 			d.heldUnchecked = true
 			return
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -20,7 +20,7 @@
 	objective      time.Time // latency objective: when it should end
 	target         time.Time // by when tasks have to end if they can: the objective, or later if the caller has waited before
 	calls          []CallID
-	checkedAt      time.Time // when one of the callers was last known to be connected
+	checked        uint64 // step in which one of the callers was last known to be connected
 	tasks          []task
 	unfinished     int            // tasks not done
 	mayHaveRun     bool           // a placement ended with an outcome other than NotStarted
@@ -64,8 +64,8 @@
 
 // submit admits, holds or refuses a new job. A duplicate of a known job joins it
 // or gets its retained answer, and one of a canceled job is answered as canceled. The caller
-// was known to be connected at the given time.
-func (d *Dispatcher) submit(e SubmitCalled, checkedAt time.Time) {
+// is known to be connected.
+func (d *Dispatcher) submit(e SubmitCalled) {
 	if j := d.jobs[e.Job.Name]; j != nil {
 		d.join(j, e)
 		return
@@ -77,7 +77,7 @@
 	if d.answerCanceled(e) || d.refuseCrashing(e) {
 		return
 	}
-	j := &job{Job: e.Job, arrived: d.now.Add(-e.Job.Waited), checkedAt: checkedAt, unfinished: e.Job.Tasks, tasks: make([]task, e.Job.Tasks)}
+	j := &job{Job: e.Job, arrived: d.now.Add(-e.Job.Waited), checked: d.steps, unfinished: e.Job.Tasks, tasks: make([]task, e.Job.Tasks)}
 	objective := j.Queue.Objective(j.Estimate)
 	j.objective = j.arrived.Add(objective)
 	j.deadline = j.arrived.Add(usefulFactor * objective)
@@ -141,7 +141,7 @@
 		return
 	}
 	j.calls = append(j.calls, e.Call)
-	j.checkedAt = d.now
+	j.checked = d.steps
 	d.calls[e.Call] = j
 }
 
--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -51,7 +51,6 @@
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Eventually(gw.openJobs).Should(Equal(1))
 			g.Expect(test.leave(conn.(*net.TCPConn))).To(Succeed())
-			time.Sleep(2 * dispatch.CallerCheckAge) // the last check is too old
 			orders := 0
 			for _, ef := range gw.step(dispatch.SessionOpened{ID: 1, Agent: "agent", State: session.State{
 				Seq: 1, Ready: true, FreeCPU: 1000, FreeMem: 100, Slowness: 1000, Identity: &session.Identity{Service: "s", Capacity: 1000},
