--- a/command/service_test.go
+++ b/command/service_test.go
@@ -116,6 +116,23 @@
 	g.Expect(out.String()).NotTo(ContainSubstring("in force everywhere"))
 }
 
+// A false report: if the entries could not be listed when the time of the wait ended, the
+// list of processes that are behind was empty, and the revision counted as in force.
+func TestApplyWaitThatCannotCheckDoesNotReportInForce(t *testing.T) {
+	g := NewWithT(t)
+	url := fakeEntry(t, map[string]any{"PUT /v1/services/booking": structs.DocumentRecord{Service: "booking", Revision: 2}}, nil)
+	file := writeFile(t, "booking.toml", "service = \"booking\"\nowner = \"desk\"\n")
+	args := []string{"--entry", url, "service", "apply", "--wait", "--wait-timeout", "10ms", file}
+	r := run(t, args...)
+	g.Expect(r.status).To(Equal(exit.Failure))
+	g.Expect(r.out).To(ContainSubstring("revision 2 published"))
+	g.Expect(r.out).NotTo(ContainSubstring("in force everywhere"))
+
+	r = run(t, append([]string{"--json"}, args...)...)
+	g.Expect(r.status).To(Equal(exit.Failure))
+	g.Expect(r.out).NotTo(ContainSubstring("in_force"))
+}
+
 func TestJobCommands(t *testing.T) {
 	g := NewWithT(t)
 	url := startSystem(t).EntryURLs()[0]
