Recovery: a lost agent's awaited tasks are not waited for

Callers saw: the answer to a job whose home is gone came only at the end of their wait, although the agent that ran one of its tasks had been dropped meanwhile. Cause: a dropped agent was removed from the agents whose records are awaited, but not from those whose tasks are. Usually the call fails with its connection and says so; a call that is still queued for the agent ends with its link, without a word, and a record that arrives after the agent was dropped makes a call that is never sent.

Now both end at the drop, and the recovery is not final. That also holds for a replaced agent: it has reported the task, so another entry may have its outcome.

--- a/coordinator/recovery.go
+++ b/coordinator/recovery.go
@@ -39,9 +39,9 @@
 	// task that ran was lost.
 	incomplete bool
 	// pending holds the agents that have not answered, and awaited the attempts
-	// that are queued or running.
+	// that are queued or running, with their agents.
 	pending  map[structs.Incarnation]struct{}
-	awaited  map[structs.TaskRef]struct{}
+	awaited  map[structs.TaskRef]structs.Incarnation
 	statuses map[int]structs.TaskStatus // status of the newest attempt, by task index
 }
 
@@ -94,7 +94,7 @@
 		id:       e.ID,
 		homeDead: e.Dead,
 		pending:  make(map[structs.Incarnation]struct{}, len(agents)),
-		awaited:  make(map[structs.TaskRef]struct{}),
+		awaited:  make(map[structs.TaskRef]structs.Incarnation),
 		statuses: make(map[int]structs.TaskStatus),
 	}
 	if e.Spec != nil {
@@ -152,11 +152,16 @@
 	r.statuses[index] = *s
 	r.checkContent(s.Content)
 	r.tasks = max(r.tasks, s.JobTasks)
-	if s.Phase == structs.TaskRunning || s.Phase == structs.TaskQueued {
-		ref := structs.TaskRef{Task: s.Task, Attempt: s.Attempt}
-		r.awaited[ref] = struct{}{}
-		c.emit(QueryAwait{Call: r.call, Agent: agent, Ref: ref})
+	if s.Phase != structs.TaskRunning && s.Phase != structs.TaskQueued {
+		return
+	}
+	if c.agents[agent] == nil {
+		r.incomplete = true // dropped since it answered; nothing can be sent to it
+		return
 	}
+	ref := structs.TaskRef{Task: s.Task, Attempt: s.Attempt}
+	r.awaited[ref] = agent
+	c.emit(QueryAwait{Call: r.call, Agent: agent, Ref: ref})
 }
 
 // checkContent sets conflict if an agent has the job's identifier with
@@ -275,14 +280,24 @@
 	return structs.TaskResult{Index: index, Verdict: structs.MayHaveRun, Error: err}
 }
 
-// removeFromRecoveries stops recoveries from waiting for the records of an
-// agent that has been dropped. A replaced agent has lost its records; one that was
-// only unreachable may still report them.
+// removeFromRecoveries stops recoveries from waiting for an agent that has been
+// dropped. A replaced agent has lost its records; one that was only unreachable may
+// still report them. The outcome of a task that an agent had reported as queued or
+// running may be known to another entry.
 func (c *Coordinator) removeFromRecoveries(agent structs.Incarnation, replaced bool) {
 	for _, r := range c.sortedRecoveries() {
-		if _, isPending := r.pending[agent]; isPending {
+		_, waiting := r.pending[agent]
+		if waiting {
 			delete(r.pending, agent)
 			r.incomplete = r.incomplete || !replaced
+		}
+		for ref, id := range r.awaited {
+			if id == agent {
+				delete(r.awaited, ref)
+				r.incomplete, waiting = true, true
+			}
+		}
+		if waiting {
 			c.finishRecovery(r)
 		}
 	}
--- a/coordinator/recovery_test.go
+++ b/coordinator/recovery_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -96,16 +97,55 @@
 	g := NewWithT(t)
 	s := startRecovery(true)
 	s.replyQuery(agentA, doneStatus(1))
-	var r *Reply
+	r := s.untilReply(g)
+	g.Expect(r.Answer).To(BeNil())
+	g.Expect(r.Error.Code).To(Equal(structs.CodeHomeLost))
+	g.Expect(r.Error.Verdict).To(Equal(structs.MayHaveRun))
+	g.Expect(r.Error.RetryAfter).NotTo(BeZero())
+}
+
+// untilReply lets time pass without any message until the recovery replies.
+func (s *harness) untilReply(g Gomega) *Reply {
 	for range 400 {
 		s.advance(TickInterval)
-		if r = findReply(s.step(Ticked{})); r != nil {
+		if r := findReply(s.step(Ticked{})); r != nil {
+			return r
+		}
+	}
+	g.Expect(false).To(BeTrue(), "no reply within %s", 400*TickInterval)
+	return nil
+}
+
+// A recovery waited, until its caller gave up, for the outcome of a task at an agent that
+// had been dropped: a message that is still queued for an agent ends with its link.
+func TestRecoveryEndsWhenAgentOfAwaitedTaskIsLost(t *testing.T) {
+	g := NewWithT(t)
+	s := startRecovery(true)
+	s.replyQuery(agentA, doneStatus(1))
+	s.replyQuery(agentB, taskStatus(0, structs.TaskRunning, structs.TaskResult{}))
+	r := s.untilReply(g)
+	g.Expect(r.Answer).To(BeNil(), "the agent may still report the outcome")
+	g.Expect(r.Error.Code).To(Equal(structs.CodeHomeLost))
+	g.Expect(r.Error.Verdict).To(Equal(structs.MayHaveRun))
+	g.Expect(r.Error.RetryAfter).NotTo(BeZero())
+}
+
+// As above, if the agent was dropped before its records arrived.
+func TestRecoveryDoesNotAwaitTaskOfLostAgent(t *testing.T) {
+	g := NewWithT(t)
+	s := startRecovery(true)
+	var effects []Effect
+	for range 400 {
+		s.advance(TickInterval).step(AgentStateReceived{Agent: agentA, State: s.nextState(agentA)})
+		if effects = s.step(Ticked{}); slices.Contains(effects, Effect(DropAgent{Agent: agentB})) {
 			break
 		}
 	}
-	g.Expect(r).NotTo(BeNil(), "the recovery ends when the agent is dropped")
+	g.Expect(effects).To(ContainElement(DropAgent{Agent: agentB}))
+	s.replyQuery(agentB, taskStatus(0, structs.TaskRunning, structs.TaskResult{}))
+	r := findReply(s.replyQuery(agentA, doneStatus(1)))
+	g.Expect(r).NotTo(BeNil())
 	g.Expect(r.Answer).To(BeNil())
 	g.Expect(r.Error.Code).To(Equal(structs.CodeHomeLost))
 	g.Expect(r.Error.Verdict).To(Equal(structs.MayHaveRun))
-	g.Expect(r.Error.RetryAfter).NotTo(BeZero())
 }
