Coordinator: a scheduled retry that finds nothing queued is consumed

Callers saw: with few tasks queued, jobs refused as overloaded. Cause: a job that was refused and came back at its assigned time into an empty queue was admitted without being taken off the schedule of retries, so that its tasks counted twice, as queued ones and as retries to come, until the retry expired.

TestScheduledRetryIntoEmptyQueueIsCountedOnce failed before (overloaded, expected wait 1.5 s) and passes.

--- a/coordinator/overload.go
+++ b/coordinator/overload.go
@@ -26,6 +26,7 @@
 func (c *Coordinator) checkQueue(svc *service, spec *structs.JobSpec, key quota.Key) *structs.Error {
 	perSecond := svc.throughput.perSecond(c.now)
 	if perSecond == 0 || svc.queue.Len() == 0 {
+		svc.retrySchedule.Consume(c.now, key)
 		return nil
 	}
 	n := len(spec.Tasks)
--- a/coordinator/policy_test.go
+++ b/coordinator/policy_test.go
@@ -336,6 +336,24 @@
 	g.Expect(f.replyError(f.submitSpec(late))).To(BeNil(), "%v; came back after %v", err, err.RetryAfter)
 }
 
+// A job that came back when nothing was queued was counted twice, among the queued tasks
+// and among the retries to come, and others were refused because of it.
+func TestScheduledRetryIntoEmptyQueueIsCountedOnce(t *testing.T) {
+	g := NewWithT(t)
+	f := newSimulation(nil, identicalServers(1)...)
+	f.submit("a", 16)
+	f.runFor(time.Second, nil)
+	f.submit("a", 60)
+	late := jobSpec(120)
+	late.Timeout = 500 * time.Millisecond
+	err := f.replyError(f.submitSpec(late))
+	g.Expect(err).NotTo(BeNil())
+	f.runFor(err.RetryAfter, nil)
+	g.Expect(f.c.services["booking"].queue.Len()).To(BeZero())
+	g.Expect(f.replyError(f.submitSpec(late))).To(BeNil())
+	g.Expect(f.replyError(f.submit("b", 1))).To(BeNil(), "its team's turn comes next")
+}
+
 func TestJobThatCanNeverRunIsRejected(t *testing.T) {
 	doc := &document.Document{
 		Accept: document.Accept{Kinds: []string{"hold"}, MaxTasksPerJob: 100},
