Dump: the rate of a service falls while no task ends

Operators saw: tasks_per_second of a service that had been idle for minutes was the rate of its last tasks. Cause: the moving average was decayed only when a task ended or a job was submitted. The dump decays it to the time of the last event.

--- a/coordinator/dump.go
+++ b/coordinator/dump.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/retry"
 	"github.com/chestnuthollow/chestnuthollow/structs"
@@ -42,8 +43,8 @@
 	// Delayed is the number of tasks that wait for the retry budget.
 	Delayed int          `json:"delayed"`
 	Retries retry.Counts `json:"retries"`
-	// TasksPerSecond is the moving average of the rate at which tasks ended, as
-	// of its last update; zero if unknown.
+	// TasksPerSecond is the moving average of the rate at which tasks ended; zero if
+	// unknown.
 	TasksPerSecond float64 `json:"tasks_per_second"`
 }
 
@@ -89,7 +90,7 @@
 	}
 	slices.SortFunc(d.Peers, func(a, b structs.EntryInfo) int { return cmp.Compare(a.Name, b.Name) })
 	for _, svc := range c.services {
-		d.Services = append(d.Services, svc.dump())
+		d.Services = append(d.Services, svc.dump(c.now))
 	}
 	slices.SortFunc(d.Services, func(a, b ServiceDump) int { return cmp.Compare(a.Name, b.Name) })
 	for _, a := range c.agentList {
@@ -106,7 +107,7 @@
 	return d
 }
 
-func (s *service) dump() ServiceDump {
+func (s *service) dump(now time.Time) ServiceDump {
 	d := ServiceDump{
 		Name:     s.name,
 		Revision: s.record.Revision,
@@ -116,7 +117,7 @@
 		Delayed:  len(s.retryDelayed),
 		Retries:  s.retries.Counts(),
 
-		TasksPerSecond: s.throughput.rate,
+		TasksPerSecond: s.throughput.rateAt(now),
 	}
 	if s.doc != nil {
 		d.Owner = s.doc.Owner
--- a/coordinator/policy_test.go
+++ b/coordinator/policy_test.go
@@ -354,6 +354,18 @@
 	g.Expect(f.replyError(f.submit("b", 1))).To(BeNil(), "its team's turn comes next")
 }
 
+// The dump of a service that has had no work for minutes showed the rate of its last tasks.
+func TestDumpedRateFallsWhileNoTaskEnds(t *testing.T) {
+	g := NewWithT(t)
+	f := newSimulation(nil, identicalServers(1)...)
+	f.submit("a", 16)
+	f.runFor(time.Second, nil)
+	busy := f.c.Dump().Services[0].TasksPerSecond
+	g.Expect(busy).To(BeNumerically(">", 1))
+	f.runFor(10*rateWindow, nil)
+	g.Expect(f.c.Dump().Services[0].TasksPerSecond).To(BeNumerically("<", busy/1000))
+}
+
 func TestJobThatCanNeverRunIsRejected(t *testing.T) {
 	doc := &document.Document{
 		Accept: document.Accept{Kinds: []string{"hold"}, MaxTasksPerJob: 100},
--- a/coordinator/throughput.go
+++ b/coordinator/throughput.go
@@ -36,10 +36,15 @@
 }
 
 func (t *throughput) decay(now time.Time) {
-	t.rate *= math.Exp(-now.Sub(t.at).Seconds() / rateWindow.Seconds())
+	t.rate = t.rateAt(now)
 	t.at = now
 }
 
+// rateAt returns the moving average if no further task ends until now.
+func (t *throughput) rateAt(now time.Time) float64 {
+	return t.rate * math.Exp(-now.Sub(t.at).Seconds()/rateWindow.Seconds())
+}
+
 // perSecond returns the number of tasks expected to end per second: the recent
 // rate or, if higher, the rate at which the tasks now in flight would end. It
 // is zero if no service time is known.
