Coordinator: the watermark waits for jobs whose answers were evicted early

Callers could see: the answer of a job that was complete a moment ago is lost with its entry, although the agents had its results. Cause: the watermark passes a job 10 s after it was final, but one whose answer was evicted for its number or bytes it passed at the next tick, and the agents forgot the records that another entry recovers the answer from.

Jobs evicted within WatermarkLag now hold the watermark back until the lag is over. Refused jobs don't, since agents know nothing of them, so that a flood of refusals takes no memory.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 	jobs          map[uint64]*job // jobs whose home is this entry, by sequence number
 	openList      []*job          // admitted jobs; final ones are removed at the next tick
 	finalSeqs     []uint64        // sequence numbers of final jobs, oldest first
+	evictedEarly  []evictedAnswer // answers evicted within WatermarkLag, oldest first
 	waitingCalls  map[CallID]*job // calls that wait for a final answer
 	recoveries    map[CallID]*recovery
 	closedReports map[structs.Incarnation]structs.ClosedReport
--- a/coordinator/finish.go
+++ b/coordinator/finish.go
@@ -223,6 +223,9 @@
 			return
 		}
 		c.heldBytes -= j.memoryBytes
+		if len(j.tasks) > 0 && !j.finalBy(c.watermarkCutoff()) {
+			c.evictedEarly = append(c.evictedEarly, evictedAnswer{seq: j.id.Seq, finalAt: j.finalAt})
+		}
 		delete(c.jobs, j.id.Seq)
 		c.finalSeqs = c.finalSeqs[1:]
 	}
--- a/coordinator/ids.go
+++ b/coordinator/ids.go
@@ -112,13 +112,25 @@
 	return ranges
 }
 
+// evictedAnswer is a final job whose answer has been evicted.
+type evictedAnswer struct {
+	seq     uint64
+	finalAt time.Time
+}
+
+// watermarkCutoff returns the time by which a job must have been final for the watermark
+// to pass it.
+func (c *Coordinator) watermarkCutoff() time.Time { return c.now.Add(-c.cfg.WatermarkLag) }
+
 // advanceWatermark moves the watermark past sequences whose jobs are final. It
 // never passes a sequence that may still be submitted or whose job is open. A
 // final job holds it back for WatermarkLag, because another entry can recover
-// the job as long as the agents keep their records of it.
+// the job as long as the agents keep their records of it. That holds also for a job
+// whose answer is evicted earlier.
 func (c *Coordinator) advanceWatermark() {
-	cutoff := c.now.Add(-c.cfg.WatermarkLag)
-	for c.ids.watermark < c.ids.next {
+	cutoff := c.watermarkCutoff()
+	limit := c.firstEvictedAfter(cutoff)
+	for c.ids.watermark < limit {
 		seq := c.ids.watermark
 		if _, isReserved := c.ids.reserved[seq]; isReserved {
 			return
@@ -129,3 +141,16 @@
 		c.ids.watermark++
 	}
 }
+
+// firstEvictedAfter returns the lowest sequence whose answer has been evicted and whose
+// job was final only after the cutoff, or the next sequence to allocate if there is none.
+func (c *Coordinator) firstEvictedAfter(cutoff time.Time) uint64 {
+	for len(c.evictedEarly) > 0 && !c.evictedEarly[0].finalAt.After(cutoff) {
+		c.evictedEarly = c.evictedEarly[1:]
+	}
+	first := c.ids.next
+	for _, e := range c.evictedEarly {
+		first = min(first, e.seq)
+	}
+	return first
+}
--- a/coordinator/limits_test.go
+++ b/coordinator/limits_test.go
@@ -91,3 +91,23 @@
 	g.Expect(findReply(effects).Error.Verdict).To(Equal(structs.MayHaveRun))
 	g.Expect(findReply(s.step(GetCalled{Call: 10, ID: jobID(3)})).Answer.State).To(Equal(structs.JobComplete))
 }
+
+// After an answer was evicted for lack of space, the agents were told at once to forget
+// the job's records, and no entry could recover the answer.
+func TestWatermarkWaitsForEvictedJobs(t *testing.T) {
+	g := NewWithT(t)
+	s := newLimitedHarness()
+	s.c.cfg.MaxHeldBytes = 1 << 20
+	for seq := uint64(1); seq <= 4; seq++ {
+		s.step(SubmitCalled{Call: CallID(seq), Spec: jobSpec(1)})
+		s.replyRan(agentA, taskRef(seq, 0, 1))
+	}
+	for range int(defaultWatermarkLag/TickInterval) - 1 {
+		s.advance(TickInterval).step(Ticked{})
+		g.Expect(s.c.Dump().Answers).To(Equal(2))
+		g.Expect(s.c.Dump().Watermark).To(Equal(uint64(1)))
+	}
+	s.advance(TickInterval).step(Ticked{})
+	g.Expect(s.c.Dump().Watermark).To(Equal(uint64(5)))
+	g.Expect(s.c.evictedEarly).To(BeEmpty())
+}
