Retry budget: a task that waits for it is counted as denied once

Operators saw: in the dump, retries.denied grew by hundreds a second while a few tasks waited for the budget. Cause: each event polled the budget for the delayed tasks with Take, which counts. They now ask Available first.

--- a/coordinator/policy_test.go
+++ b/coordinator/policy_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/chestnuthollow/chestnuthollow/document"
+	"github.com/chestnuthollow/chestnuthollow/retry"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -419,6 +420,27 @@
 	}
 }
 
+// The dump's number of denied retries grew with each event while a task waited for the
+// budget, and said nothing about the number of tasks.
+func TestTaskThatWaitsForRetryBudgetIsDeniedOnce(t *testing.T) {
+	g := NewWithT(t)
+	s := newHarness()
+	s.addService(agentA)
+	s.step(Ticked{}) // the next one refills by the time since
+	svc := s.c.services["booking"]
+	svc.retries = retry.NewBudgetOf(0, 1)
+	svc.retries.Take()
+	s.step(SubmitCalled{Call: 1, Spec: jobSpec(1)})
+	s.replyRefused(agentA, taskRef(1, 0, 1), structs.CodeOverloaded)
+	for range 10 {
+		g.Expect(placements(s.advance(time.Millisecond).step(Ticked{}))).To(BeEmpty())
+	}
+	g.Expect(s.c.Dump().Services[0].Delayed).To(Equal(1))
+	g.Expect(s.c.Dump().Services[0].Retries.Denied).To(Equal(uint64(1)))
+	g.Expect(placements(s.advance(200 * time.Millisecond).step(Ticked{}))).To(HaveLen(1))
+	g.Expect(s.c.Dump().Services[0].Retries).To(Equal(retry.Counts{Retries: 2, Denied: 1}))
+}
+
 func TestCancellationOfManyJobsIsBatched(t *testing.T) {
 	g := NewWithT(t)
 	f := newSimulation(nil, identicalServers(4)...)
--- a/coordinator/retries.go
+++ b/coordinator/retries.go
@@ -20,9 +20,10 @@
 	for len(s.retryDelayed) > 0 {
 		next := s.retryDelayed[0]
 		if next.job.failure == nil {
-			if !s.retries.Take() {
+			if !s.retries.Available() {
 				return
 			}
+			s.retries.Take()
 			s.queue.pushFront(next.job, next.index)
 		}
 		s.retryDelayed[0] = queuedTask{}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -31,7 +31,8 @@
 type Counts struct {
 	Successes uint64 `json:"successes"`
 	Retries   uint64 `json:"retries"`
-	Denied    uint64 `json:"denied"`
+	// Denied is the number of calls of Take that returned false.
+	Denied uint64 `json:"denied"`
 }
 
 // NewBudget returns a budget with a full balance. If share is not positive,
@@ -68,9 +69,12 @@
 	b.balance = min(b.balance+minRefillPerSecond*elapsed.Seconds(), b.max)
 }
 
+// Available reports whether Take would spend a retry.
+func (b *Budget) Available() bool { return b.balance >= 1 }
+
 // Take spends one retry. It returns false if the budget is used up.
 func (b *Budget) Take() bool {
-	if b.balance < 1 {
+	if !b.Available() {
 		b.counts.Denied++
 		return false
 	}
