--- a/placement/service_times.go
+++ b/placement/service_times.go
@@ -81,7 +81,8 @@
 
 func (c *classMean) add(seconds float64) {
 	c.samples++
-	c.mean += weight(c.samples, classWeight) * (seconds - c.mean)
+	// The mean has no initial value that counts as a sample.
+	c.mean += weight(c.samples-1, classWeight) * (seconds - c.mean)
 }
 
 // weight returns the weight of the nth sample in a moving average. It starts as
