Entry: forwarding to an unreachable home ends with its caller

The pause between attempts to reach a job's home was slept through, although the caller had disconnected or the entry was stopping.

TestForwardEndsWithItsCaller failed before (100 ms in place of 10) and passes.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/coordinator"
+	"github.com/chestnuthollow/chestnuthollow/internal/ctxsleep"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -48,7 +49,7 @@
 			if out.homeDead || failures == maxForwardFailures {
 				return out
 			}
-			time.Sleep(forwardRetryDelay)
+			ctxsleep.For(ctx, forwardRetryDelay)
 			continue
 		}
 		failures = 0
