Entry: requests that wait for the coordinator are bounded

An entry that is late could use up its memory: the queue of events had no bound, a request stays in it when its caller has disconnected, and its end adds another event.

Agents repeat a refused announcement. All other events are still taken: they belong to admitted requests and tasks and must not be lost.

--- a/entry/jobrequest.go
+++ b/entry/jobrequest.go
@@ -36,12 +36,35 @@
 	}
 }
 
+// startsNew reports whether the request submits a job under a new id, so that no copy of
+// it can be admitted.
+func (r *jobRequest) startsNew() bool {
+	return r.op == structs.OpSubmit && r.id == (structs.JobID{}) && !r.recovery
+}
+
+// retryAfterQueueFull is the RetryAfter of a request that the event queue has no space for.
+const retryAfterQueueFull = time.Second
+
+// queueFullError is the reply to a request that the event queue has no space for. The
+// request has no effect, but the id that it names stays open, for a copy of it.
+func queueFullError(startsNew bool) *structs.Error {
+	if startsNew {
+		return structs.Errorf(structs.CodeOverloaded, structs.NotRun, "too many requests wait at this entry").
+			WithRetryAfter(retryAfterQueueFull)
+	}
+	return structs.Errorf(structs.CodeUnavailable, structs.MayHaveRun, "too many requests wait at this entry").
+		WithRetryAfter(retryAfterQueueFull)
+}
+
 // callCoordinator passes a job request to the coordinator and returns its reply, a
 // coordinator.Reply or coordinator.Forward. When r.wait has passed, the reply has the
 // job's current state. It returns nil if ctx or the loop ended first.
 func (e *Entry) callCoordinator(ctx context.Context, r *jobRequest) coordinator.Effect {
 	call, reply := e.calls.open()
-	e.events.post(r.event(call))
+	if !e.events.offer(r.event(call)) {
+		e.calls.remove(call)
+		return coordinator.Reply{Call: call, Error: queueFullError(r.startsNew())}
+	}
 	timer := time.NewTimer(max(r.wait, 0))
 	defer timer.Stop()
 	expired := timer.C
@@ -103,7 +126,10 @@
 
 func (e *Entry) reserve(ctx context.Context, count int) ([]structs.JobID, *structs.Error) {
 	call, reply := e.calls.open()
-	e.events.post(coordinator.ReserveCalled{Call: call, Count: count})
+	if !e.events.offer(coordinator.ReserveCalled{Call: call, Count: count}) {
+		e.calls.remove(call)
+		return nil, queueFullError(true)
+	}
 	select {
 	case ef := <-reply:
 		f := ef.(coordinator.ReplyIDs)
--- a/entry/receiver.go
+++ b/entry/receiver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/chestnuthollow/chestnuthollow/coordinator"
 	"github.com/chestnuthollow/chestnuthollow/structs"
@@ -15,7 +16,9 @@
 
 // Announce registers an incarnation of an agent.
 func (r *receiver) Announce(req *structs.AnnounceRequest, reply *structs.AnnounceReply) error {
-	r.entry.events.post(coordinator.AgentAnnounced{Info: req.Info})
+	if !r.entry.events.offer(coordinator.AgentAnnounced{Info: req.Info}) {
+		return errors.New("too many events wait at this entry: announce again later")
+	}
 	if req.State.Incarnation != 0 {
 		r.entry.events.post(coordinator.AgentStateReceived{Agent: req.Info.Incarnation, State: req.State})
 	}
