Stand-in: the store's reply to several records names the end of all of them

Users of the stand-in that append several records at once got the end offset of the first. The records of an append are now taken together, with consecutive offsets, and none of them if one is malformed. The product appends one record at a time, so nothing it does has changed.

--- a/standin/keyedstore/store.go
+++ b/standin/keyedstore/store.go
@@ -112,20 +112,32 @@
 	return t
 }
 
-func (s *Store) append(name string, content []byte) int64 {
+// append appends records, each encoded without its length, and returns the offset of the
+// first of them.
+func (s *Store) append(name string, contents ...[]byte) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
+	first := t.endOffset()
+	for _, content := range contents {
+		t.append(content)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return first
+}
+
+// endOffset returns the offset after the last record.
+func (t *topic) endOffset() int64 { return t.firstOffset + int64(len(t.records)) }
+
+func (t *topic) append(content []byte) {
 	n := int(content[0])
-	r := record{key: string(content[1 : 1+n]), value: content[1+n:], raw: content, offset: t.firstOffset + int64(len(t.records))}
+	r := record{key: string(content[1 : 1+n]), value: content[1+n:], raw: content, offset: t.endOffset()}
 	t.records = append(t.records, r)
 	if _, ok := t.newest[r.key]; !ok {
 		t.keyOrder = append(t.keyOrder, r.key)
 	}
 	t.newest[r.key] = r
-	close(s.changed)
-	s.changed = make(chan struct{})
-	return r.offset
 }
 
 // Handler serves the store.
@@ -181,18 +193,17 @@
 	if name == "keyed.op" || name == "keyed.servers" {
 		return c.NoContent(http.StatusForbidden)
 	}
-	first := int64(-1)
+	var contents [][]byte
 	for len(body) > 4 {
 		n := int(binary.BigEndian.Uint32(body))
 		if n < 1 || n > len(body)-4 || int(body[4]) >= n {
 			return c.NoContent(http.StatusBadRequest)
 		}
-		if offset := s.append(name, append([]byte(nil), body[4:4+n]...)); first < 0 {
-			first = offset
-		}
+		contents = append(contents, body[4:4+n])
 		body = body[4+n:]
 	}
-	return c.JSON(http.StatusOK, map[string]int64{"offset": first, "endOffset": first + 1})
+	first := s.append(name, contents...)
+	return c.JSON(http.StatusOK, map[string]int64{"offset": first, "endOffset": first + int64(len(contents))})
 }
 
 func (s *Store) serveRead(c echo.Context) error {
@@ -235,7 +246,7 @@
 	if from < t.firstOffset {
 		return nil, true, s.changed
 	}
-	body = binary.BigEndian.AppendUint64(nil, uint64(t.firstOffset)+uint64(len(t.records)))
+	body = binary.BigEndian.AppendUint64(nil, uint64(t.endOffset()))
 	body = binary.BigEndian.AppendUint64(body, uint64(t.firstOffset))
 	for i, r := range t.records[min(from-t.firstOffset, int64(len(t.records))):] {
 		if i > 0 && len(body)+len(r.raw) > maxBytes {
@@ -274,5 +285,5 @@
 			items = append(items, newestItem{r.key, r.value, r.offset})
 		}
 	}
-	return items, t.firstOffset + int64(len(t.records))
+	return items, t.endOffset()
 }
