--- a/test/e2e/standin_test.go
+++ b/test/e2e/standin_test.go
@@ -23,8 +23,7 @@
 type taskPayload struct {
 	Token string `json:"token"` // unique among all tasks
 	// Millis is the duration of the task on a server of slowness 1.
-	Millis int  `json:"ms"`
-	Fail   bool `json:"fail,omitempty"`
+	Millis int `json:"ms"`
 }
 
 // startRecord is one line of the backend servers' record of starts.
@@ -90,10 +89,6 @@
 			fmt.Fprintln(os.Stderr, err)
 		}
 		time.Sleep(time.Duration(float64(task.Millis) * factor * float64(time.Millisecond)))
-		if task.Fail {
-			http.Error(w, "failure requested by the task", http.StatusInternalServerError)
-			return
-		}
 		w.Header().Set("Content-Type", "text/plain")
 		fmt.Fprint(w, resultOf(task.Token))
 	}))
--- a/test/model/checker_test.go
+++ b/test/model/checker_test.go
@@ -26,7 +26,6 @@
 	starts     map[string]int            // by token
 	tasks      map[string]structs.TaskID // by token, as named by the first start
 	notRun     map[string]string         // by token: the reply that reported it
-	ran        map[string]string
 	violations []string
 	stats      *statistics
 }
@@ -81,7 +80,6 @@
 		starts: make(map[string]int),
 		tasks:  make(map[string]structs.TaskID),
 		notRun: make(map[string]string),
-		ran:    make(map[string]string),
 		stats:  stats,
 	}
 }
--- a/test/model/simulation_test.go
+++ b/test/model/simulation_test.go
@@ -36,13 +36,11 @@
 
 type entryNode struct {
 	node
-	index       int
 	c           *coordinator.Coordinator
 	nextID      coordinator.CallID
 	openCalls   map[coordinator.CallID]*replyHandler
 	connections map[structs.Incarnation]*agentNode // open connections by the agent's incarnation
 	blockRPCs   map[*agentNode]bool                // agents to which new RPCs fail
-	drained     bool
 }
 
 // replyHandler receives the reply to one call of a caller.
@@ -54,13 +52,11 @@
 
 type agentNode struct {
 	node
-	index     int
 	slots     int
 	x         *executor.Executor
 	nextID    executor.CallID
 	openCalls map[executor.CallID]func(any)
 	started   map[structs.TaskID]*backendCall
-	drained   bool
 }
 
 // backendCall is a task in flight to, or running at, the backend server.
@@ -76,12 +72,12 @@
 		checker: newChecker(stats),
 	}
 	for i := range agents {
-		a := &agentNode{index: i, slots: 1 + i%2}
+		a := &agentNode{slots: 1 + i%2}
 		a.name = fmt.Sprintf("agent-%d", i)
 		sim.agents = append(sim.agents, a)
 	}
 	for i := range entries {
-		e := &entryNode{index: i, blockRPCs: make(map[*agentNode]bool)}
+		e := &entryNode{blockRPCs: make(map[*agentNode]bool)}
 		e.name = fmt.Sprintf("entry-%d", i)
 		sim.entries = append(sim.entries, e)
 	}
@@ -114,7 +110,7 @@
 
 func (sim *simulation) startEntry(e *entryNode) {
 	e.incarnation = sim.nextIncarnation()
-	e.up, e.paused, e.drained = true, false, false
+	e.up, e.paused = true, false
 	e.openCalls = make(map[coordinator.CallID]*replyHandler)
 	e.connections = make(map[structs.Incarnation]*agentNode)
 	e.c = newCoordinator(sim.entryInfo(e), uint64(e.incarnation))
@@ -128,7 +124,7 @@
 
 func (sim *simulation) startAgent(a *agentNode) {
 	a.incarnation = sim.nextIncarnation()
-	a.up, a.paused, a.drained = true, false, false
+	a.up, a.paused = true, false
 	a.openCalls = make(map[executor.CallID]func(any))
 	a.started = make(map[structs.TaskID]*backendCall)
 	a.x = newExecutor(sim.agentInfo(a))
@@ -232,9 +228,7 @@
 		sim.pushDocument(e, ef.Agent, ef.Record)
 	case coordinator.FetchDocument:
 		sim.pushDocument(e, ef.Agent, structs.DocumentRecord{})
-	case coordinator.Drained:
-		e.drained = true
-	case coordinator.LogEvent:
+	case coordinator.Drained, coordinator.LogEvent:
 	default:
 		sim.checker.violationf("%s: effect %T is not simulated", e.name, ef)
 	}
@@ -454,9 +448,7 @@
 				deliver: func() { sim.stepEntry(e, coordinator.AgentStateReceived{Agent: incarnation, State: state}) },
 			})
 		}
-	case executor.Drained:
-		a.drained = true
-	case executor.LogEvent:
+	case executor.Drained, executor.LogEvent:
 	default:
 		sim.checker.violationf("%s: effect %T is not simulated", a.name, ef)
 	}
