--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -64,8 +64,8 @@
 		return refuse(structs.CodeInvalid, "a job needs at least one task")
 	case n > structs.MaxTasksPerJob:
 		return refuse(structs.CodeTooLarge, "job has %d tasks: the limit is %d", n, structs.MaxTasksPerJob)
-	case spec.Timeout < 0 || spec.Timeout > c.cfg.MaxTimeout:
-		return refuse(structs.CodeInvalid, "timeout %s: want 0 to %s", spec.Timeout, c.cfg.MaxTimeout)
+	case spec.Timeout < 0 || spec.Timeout > c.opts.MaxTimeout:
+		return refuse(structs.CodeInvalid, "timeout %s: want 0 to %s", spec.Timeout, c.opts.MaxTimeout)
 	case spec.PayloadBytes() > structs.MaxJobBytes:
 		return refuse(structs.CodeTooLarge, "payloads total %d bytes: the limit is %d", spec.PayloadBytes(), structs.MaxJobBytes)
 	}
@@ -122,9 +122,9 @@
 		return structs.Errorf(structs.CodeUnavailable, structs.NotRun, "service %s has no available backend server", svc.name).
 			WithRetryAfter(retryAfterUnavailable)
 	}
-	over := c.openJobs >= c.cfg.MaxOpenJobs ||
-		c.openTasks+len(spec.Tasks) > c.cfg.MaxOpenTasks ||
-		c.heldBytes+spec.PayloadBytes() > c.cfg.MaxHeldBytes
+	over := c.openJobs >= c.opts.MaxOpenJobs ||
+		c.openTasks+len(spec.Tasks) > c.opts.MaxOpenTasks ||
+		c.heldBytes+spec.PayloadBytes() > c.opts.MaxHeldBytes
 	if over {
 		return structs.Errorf(structs.CodeOverloaded, structs.NotRun, "this entry has reached its limit of open jobs, open tasks or held bytes").
 			WithRetryAfter(retryAfterOverload)
--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -157,7 +157,7 @@
 		c.dropAgent(a, "replaced")
 		return
 	}
-	if !a.unansweredSince.IsZero() && c.now.Sub(a.unansweredSince) > c.cfg.AgentLostAfter {
+	if !a.unansweredSince.IsZero() && c.now.Sub(a.unansweredSince) > c.opts.AgentLostAfter {
 		c.dropAgent(a, "lost")
 		return
 	}
@@ -172,12 +172,12 @@
 // with attempts outstanding, and HeartbeatInterval otherwise.
 func (c *Coordinator) heartbeatInterval(a *agent) time.Duration {
 	if a.suspect {
-		return c.cfg.ProbeAfter
+		return c.opts.ProbeAfter
 	}
-	if len(a.attempts) > 0 && c.now.Sub(a.lastContact) >= c.cfg.ProbeAfter {
-		return c.cfg.ProbeAfter
+	if len(a.attempts) > 0 && c.now.Sub(a.lastContact) >= c.opts.ProbeAfter {
+		return c.opts.ProbeAfter
 	}
-	return c.cfg.HeartbeatInterval
+	return c.opts.HeartbeatInterval
 }
 
 // replaceAgent ends the in-doubt attempts of an agent process that another
--- a/coordinator/bench_test.go
+++ b/coordinator/bench_test.go
@@ -44,7 +44,7 @@
 
 func benchmarkTask(b *testing.B, agents, size, jobs int) {
 	const slots = 8
-	s := &benchmarkDriver{b: b, c: New(Config{Self: structs.EntryInfo{Incarnation: selfHome}, Seed: 1, MaxQueueWait: time.Hour, MaxOpenTasks: 1 << 20}), now: startTime}
+	s := &benchmarkDriver{b: b, c: New(Options{Self: structs.EntryInfo{Incarnation: selfHome}, Seed: 1, MaxQueueWait: time.Hour, MaxOpenTasks: 1 << 20}), now: startTime}
 	s.step(DocumentChanged{Record: structs.DocumentRecord{Service: "booking", Revision: 1}, Document: &document.Document{}})
 	for i := range agents {
 		s.step(AgentAnnounced{Info: structs.AgentInfo{Incarnation: structs.Incarnation(i + 1), Service: "booking", Slots: slots}})
@@ -114,7 +114,7 @@
 func measureState(b *testing.B, agents, tasks int) {
 	for b.Loop() {
 		before := heapBytes()
-		s := &benchmarkDriver{b: b, c: New(Config{Self: structs.EntryInfo{Incarnation: selfHome}, Seed: 1}), now: startTime}
+		s := &benchmarkDriver{b: b, c: New(Options{Self: structs.EntryInfo{Incarnation: selfHome}, Seed: 1}), now: startTime}
 		s.step(DocumentChanged{Record: structs.DocumentRecord{Service: "booking", Revision: 1}, Document: &document.Document{}})
 		for i := range agents {
 			s.step(AgentAnnounced{Info: structs.AgentInfo{Incarnation: structs.Incarnation(i + 1), Service: "booking", Slots: 8}})
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -8,7 +8,7 @@
 
 // Coordinator holds the state of one entry. It is not safe for concurrent use.
 type Coordinator struct {
-	cfg Config
+	opts Options
 
 	ids           idAllocator
 	jobs          map[uint64]*job // jobs whose home is this entry, by sequence number
@@ -40,9 +40,9 @@
 }
 
 // New returns a Coordinator with no jobs, agents, peers or documents.
-func New(cfg Config) *Coordinator {
+func New(opts Options) *Coordinator {
 	return &Coordinator{
-		cfg:           cfg.withDefaults(),
+		opts:          opts.withDefaults(),
 		ids:           newIDAllocator(),
 		jobs:          make(map[uint64]*job),
 		waitingCalls:  make(map[CallID]*job),
@@ -134,7 +134,7 @@
 	}
 	c.drained = true
 	c.emit(Drained{Report: structs.ClosedReport{
-		Home:        c.cfg.Self.Incarnation,
+		Home:        c.opts.Self.Incarnation,
 		Next:        c.ids.next,
 		Unsubmitted: c.ids.unsubmitted(),
 	}})
@@ -145,7 +145,7 @@
 	c.liveEntries = max(ev.Live, 1)
 	clear(c.peers)
 	for _, e := range ev.Entries {
-		if e.Incarnation != c.cfg.Self.Incarnation {
+		if e.Incarnation != c.opts.Self.Incarnation {
 			c.peers[e.Incarnation] = e
 		}
 	}
--- a/coordinator/dump.go
+++ b/coordinator/dump.go
@@ -75,7 +75,7 @@
 // Dump returns a snapshot of the state.
 func (c *Coordinator) Dump() Dump {
 	d := Dump{
-		Self:      c.cfg.Self,
+		Self:      c.opts.Self,
 		Leaving:   c.leaving,
 		OpenJobs:  c.openJobs,
 		OpenTasks: c.openTasks,
--- a/coordinator/finish.go
+++ b/coordinator/finish.go
@@ -38,7 +38,7 @@
 	}
 	if j.failure == nil {
 		j.failure = err
-		j.verdictDeadline = c.now.Add(c.cfg.FailSettleTimeout)
+		j.verdictDeadline = c.now.Add(c.opts.FailSettleTimeout)
 		j.service.queue.remove(j)
 		c.abandonTasks(j, mode)
 	}
@@ -143,7 +143,7 @@
 // and counts nothing, if they would exceed twice MaxHeldBytes: admission stops
 // at MaxHeldBytes, and the rest is for the results of admitted jobs.
 func (c *Coordinator) holdBytes(j *job, bytes int) bool {
-	if c.heldBytes+bytes > 2*c.cfg.MaxHeldBytes {
+	if c.heldBytes+bytes > 2*c.opts.MaxHeldBytes {
 		return false
 	}
 	j.memoryBytes += bytes
@@ -165,7 +165,7 @@
 
 // tick applies timeouts and runs periodic work.
 func (c *Coordinator) tick() {
-	c.ids.expire(c.now.Add(-c.cfg.ReservationTTL))
+	c.ids.expire(c.now.Add(-c.opts.ReservationTTL))
 	c.tickJobs()
 	for _, a := range append([]*agent(nil), c.agentList...) {
 		c.tickAgent(a)
@@ -217,8 +217,8 @@
 func (c *Coordinator) evictAnswers() {
 	for len(c.finalSeqs) > 0 {
 		j := c.jobs[c.finalSeqs[0]]
-		expired := c.now.Sub(j.finalAt) >= c.cfg.AnswerTTL
-		overLimit := len(c.finalSeqs) > c.cfg.MaxAnswers || c.heldBytes > c.cfg.MaxHeldBytes
+		expired := c.now.Sub(j.finalAt) >= c.opts.AnswerTTL
+		overLimit := len(c.finalSeqs) > c.opts.MaxAnswers || c.heldBytes > c.opts.MaxHeldBytes
 		if !expired && !overLimit {
 			return
 		}
--- a/coordinator/harness_test.go
+++ b/coordinator/harness_test.go
@@ -33,7 +33,7 @@
 
 func newHarness() *harness {
 	self := structs.EntryInfo{Name: "entry-1", Incarnation: selfHome}
-	return &harness{c: New(Config{Self: self, Seed: 1}), now: startTime}
+	return &harness{c: New(Options{Self: self, Seed: 1}), now: startTime}
 }
 
 func (s *harness) section(format string, args ...any) {
--- a/coordinator/ids.go
+++ b/coordinator/ids.go
@@ -71,21 +71,21 @@
 	first := c.ids.allocate(c.now, e.Count)
 	list := make([]structs.JobID, e.Count)
 	for i := range list {
-		list[i] = structs.JobID{Home: c.cfg.Self.Incarnation, Seq: first + uint64(i)}
+		list[i] = structs.JobID{Home: c.opts.Self.Incarnation, Seq: first + uint64(i)}
 	}
 	c.emit(ReplyIDs{Call: e.Call, IDs: list})
 }
 
 func (c *Coordinator) checkReserve(count int) *structs.Error {
-	if count < 1 || count > c.cfg.MaxIDsPerReservation {
-		return structs.Errorf(structs.CodeInvalid, structs.NotRun, "cannot reserve %d job ids: want 1 to %d", count, c.cfg.MaxIDsPerReservation)
+	if count < 1 || count > c.opts.MaxIDsPerReservation {
+		return structs.Errorf(structs.CodeInvalid, structs.NotRun, "cannot reserve %d job ids: want 1 to %d", count, c.opts.MaxIDsPerReservation)
 	}
 	if c.leaving {
 		return c.leavingError()
 	}
-	if len(c.ids.reserved)+count > c.cfg.MaxReservedIDs {
+	if len(c.ids.reserved)+count > c.opts.MaxReservedIDs {
 		return structs.Errorf(structs.CodeOverloaded, structs.NotRun, "too many reserved job ids are not yet submitted").
-			WithRetryAfter(c.cfg.ReservationTTL)
+			WithRetryAfter(c.opts.ReservationTTL)
 	}
 	return nil
 }
@@ -120,7 +120,7 @@
 
 // watermarkCutoff returns the time by which a job must have been final for the watermark
 // to pass it.
-func (c *Coordinator) watermarkCutoff() time.Time { return c.now.Add(-c.cfg.WatermarkLag) }
+func (c *Coordinator) watermarkCutoff() time.Time { return c.now.Add(-c.opts.WatermarkLag) }
 
 // advanceWatermark moves the watermark past sequences whose jobs are final. It
 // never passes a sequence that may still be submitted or whose job is open. A
--- a/coordinator/limits_test.go
+++ b/coordinator/limits_test.go
@@ -13,7 +13,7 @@
 // kind.
 func newLimitedHarness() *harness {
 	s := newHarness()
-	s.c = New(Config{
+	s.c = New(Options{
 		Self:           structs.EntryInfo{Name: "entry-1", Incarnation: selfHome},
 		Seed:           1,
 		MaxReservedIDs: 3,
@@ -79,7 +79,7 @@
 func TestEvictedJobsNeverStartAgain(t *testing.T) {
 	g := NewWithT(t)
 	s := newLimitedHarness()
-	s.c.cfg.MaxHeldBytes = 1 << 20
+	s.c.opts.MaxHeldBytes = 1 << 20
 	for seq := uint64(1); seq <= 3; seq++ {
 		s.step(SubmitCalled{Call: CallID(seq), Spec: jobSpec(1)})
 		s.replyRan(agentA, taskRef(seq, 0, 1))
@@ -97,7 +97,7 @@
 func TestWatermarkWaitsForEvictedJobs(t *testing.T) {
 	g := NewWithT(t)
 	s := newLimitedHarness()
-	s.c.cfg.MaxHeldBytes = 1 << 20
+	s.c.opts.MaxHeldBytes = 1 << 20
 	for seq := uint64(1); seq <= 4; seq++ {
 		s.step(SubmitCalled{Call: CallID(seq), Spec: jobSpec(1)})
 		s.replyRan(agentA, taskRef(seq, 0, 1))
--- a/coordinator/config.go
+++ b/coordinator/options.go
@@ -7,8 +7,8 @@
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
-// Config holds the parameters of a Coordinator. Zero fields take the defaults.
-type Config struct {
+// Options holds the parameters of a Coordinator. Zero fields take the defaults.
+type Options struct {
 	Self structs.EntryInfo
 	// Seed feeds every random choice.
 	Seed uint64
@@ -81,29 +81,29 @@
 	defaultMaxAttempts          = 16
 )
 
-func (c Config) withDefaults() Config {
-	if c.NewPolicy == nil {
-		c.NewPolicy = func(seed uint64) placement.Policy { return placement.NewLeastExpectedFinish(seed) }
+func (o Options) withDefaults() Options {
+	if o.NewPolicy == nil {
+		o.NewPolicy = func(seed uint64) placement.Policy { return placement.NewLeastExpectedFinish(seed) }
 	}
-	orDefault(&c.ReservationTTL, defaultReservationTTL)
-	orDefault(&c.AnswerTTL, defaultAnswerTTL)
-	orDefault(&c.DefaultTimeout, defaultTimeout)
-	orDefault(&c.MaxTimeout, defaultMaxTimeout)
-	orDefault(&c.HeartbeatInterval, defaultHeartbeatInterval)
-	orDefault(&c.ProbeAfter, defaultProbeAfter)
-	orDefault(&c.AgentLostAfter, defaultAgentLostAfter)
-	orDefault(&c.SettleRetryInterval, defaultSettleRetryInterval)
-	orDefault(&c.MaxQueueWait, defaultMaxQueueWait)
-	orDefault(&c.FailSettleTimeout, defaultFailSettleTimeout)
-	orDefault(&c.WatermarkLag, defaultWatermarkLag)
-	orDefault(&c.MaxIDsPerReservation, defaultMaxIDsPerReservation)
-	orDefault(&c.MaxReservedIDs, defaultMaxReservedIDs)
-	orDefault(&c.MaxOpenJobs, defaultMaxOpenJobs)
-	orDefault(&c.MaxOpenTasks, defaultMaxOpenTasks)
-	orDefault(&c.MaxAnswers, defaultMaxAnswers)
-	orDefault(&c.MaxHeldBytes, defaultMaxHeldBytes)
-	orDefault(&c.MaxAttempts, defaultMaxAttempts)
-	return c
+	orDefault(&o.ReservationTTL, defaultReservationTTL)
+	orDefault(&o.AnswerTTL, defaultAnswerTTL)
+	orDefault(&o.DefaultTimeout, defaultTimeout)
+	orDefault(&o.MaxTimeout, defaultMaxTimeout)
+	orDefault(&o.HeartbeatInterval, defaultHeartbeatInterval)
+	orDefault(&o.ProbeAfter, defaultProbeAfter)
+	orDefault(&o.AgentLostAfter, defaultAgentLostAfter)
+	orDefault(&o.SettleRetryInterval, defaultSettleRetryInterval)
+	orDefault(&o.MaxQueueWait, defaultMaxQueueWait)
+	orDefault(&o.FailSettleTimeout, defaultFailSettleTimeout)
+	orDefault(&o.WatermarkLag, defaultWatermarkLag)
+	orDefault(&o.MaxIDsPerReservation, defaultMaxIDsPerReservation)
+	orDefault(&o.MaxReservedIDs, defaultMaxReservedIDs)
+	orDefault(&o.MaxOpenJobs, defaultMaxOpenJobs)
+	orDefault(&o.MaxOpenTasks, defaultMaxOpenTasks)
+	orDefault(&o.MaxAnswers, defaultMaxAnswers)
+	orDefault(&o.MaxHeldBytes, defaultMaxHeldBytes)
+	orDefault(&o.MaxAttempts, defaultMaxAttempts)
+	return o
 }
 
 func orDefault[T comparable](p *T, v T) {
--- a/coordinator/overload.go
+++ b/coordinator/overload.go
@@ -30,7 +30,7 @@
 		return nil
 	}
 	n := len(spec.Tasks)
-	limit := c.cfg.MaxQueueWait
+	limit := c.opts.MaxQueueWait
 	tasksAhead := svc.queue.EstimateBacklog(spec.Team, n)
 	if svc.retrySchedule.IsDue(c.now, key) {
 		limit *= scheduledWaitFactor
@@ -54,7 +54,7 @@
 // timeout returns the job's timeout, which counts from its admission.
 func (c *Coordinator) timeout(spec *structs.JobSpec) time.Duration {
 	if spec.Timeout == 0 {
-		return c.cfg.DefaultTimeout
+		return c.opts.DefaultTimeout
 	}
 	return spec.Timeout
 }
--- a/coordinator/pause_test.go
+++ b/coordinator/pause_test.go
@@ -16,7 +16,7 @@
 // entry runs is dropped.
 func TestPauseOfEntryIsNotAgentSilence(t *testing.T) {
 	g := NewWithT(t)
-	c := coordinator.New(coordinator.Config{Self: structs.EntryInfo{Incarnation: 1}})
+	c := coordinator.New(coordinator.Options{Self: structs.EntryInfo{Incarnation: 1}})
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	dropped := func(ev coordinator.Event) bool {
 		return slices.Contains(c.Step(now, ev), coordinator.Effect(coordinator.DropAgent{Agent: 2}))
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -159,7 +159,7 @@
 
 // logTask emits an event about one task if LogTasks is set.
 func (c *Coordinator) logTask(event string, a *agent, ref structs.TaskRef, r *structs.TaskResult) {
-	if !c.cfg.LogTasks {
+	if !c.opts.LogTasks {
 		return
 	}
 	e := LogEvent{Event: event, Job: ref.Task.Job, Task: ref.Task.Index, Agent: a.info.Incarnation}
@@ -193,7 +193,7 @@
 	if r.Error.Code == structs.CodeHomeFenced {
 		c.homeFenced(a)
 	}
-	if j.failure != nil || !retryable(r.Error.Code) || t.attempt >= c.cfg.MaxAttempts {
+	if j.failure != nil || !retryable(r.Error.Code) || t.attempt >= c.opts.MaxAttempts {
 		c.endTask(j, t, *r)
 		return
 	}
--- a/coordinator/recall.go
+++ b/coordinator/recall.go
@@ -20,7 +20,7 @@
 // recallFromSlowAgents recalls the tasks that wait at slow agents, if no task
 // waits at this entry and the policy has an agent for one more.
 func (c *Coordinator) recallFromSlowAgents(svc *service) {
-	if c.cfg.NoRecall || svc.queue.Len() > 0 || svc.throughput.inFlight == 0 {
+	if c.opts.NoRecall || svc.queue.Len() > 0 || svc.throughput.inFlight == 0 {
 		return
 	}
 	threshold := recallThreshold * svc.throughput.meanServiceTime()
--- a/coordinator/service.go
+++ b/coordinator/service.go
@@ -32,11 +32,11 @@
 func (c *Coordinator) service(name string) *service {
 	svc := c.services[name]
 	if svc == nil {
-		seed := c.cfg.Seed + uint64(len(c.services))
+		seed := c.opts.Seed + uint64(len(c.services))
 		svc = &service{
 			name:          name,
-			policy:        c.cfg.NewPolicy(seed),
-			queue:         newQueue(c.cfg.MaxOpenTasks),
+			policy:        c.opts.NewPolicy(seed),
+			queue:         newQueue(c.opts.MaxOpenTasks),
 			limiter:       quota.New(),
 			retrySchedule: quota.NewRetrySchedule(),
 			retries:       retry.NewBudget(0),
--- a/coordinator/settle.go
+++ b/coordinator/settle.go
@@ -40,7 +40,7 @@
 			Agent: a.info.Incarnation,
 			Request: structs.SettleRequest{
 				Agent: a.info.Incarnation,
-				Home:  c.cfg.Self.Incarnation,
+				Home:  c.opts.Self.Incarnation,
 				Mode:  structs.SettleMode(mode),
 				Tasks: refs,
 			},
@@ -112,6 +112,6 @@
 	if a == nil {
 		return
 	}
-	a.nextSettle = c.now.Add(c.cfg.SettleRetryInterval)
+	a.nextSettle = c.now.Add(c.opts.SettleRetryInterval)
 	c.retrySettle(a, e.Tasks)
 }
--- a/coordinator/submit.go
+++ b/coordinator/submit.go
@@ -18,7 +18,7 @@
 
 // local reports whether this entry is the job's home.
 func (c *Coordinator) local(id structs.JobID) bool {
-	return homeOf(id) == c.cfg.Self.Incarnation
+	return homeOf(id) == c.opts.Self.Incarnation
 }
 
 // submit admits a job, or attaches the caller to the job that already exists
@@ -29,7 +29,7 @@
 			c.replyError(e.Call, err)
 			return
 		}
-		e.ID = structs.JobID{Home: c.cfg.Self.Incarnation, Seq: c.ids.allocate(c.now, 1)}
+		e.ID = structs.JobID{Home: c.opts.Self.Incarnation, Seq: c.ids.allocate(c.now, 1)}
 	}
 	if !c.local(e.ID) {
 		c.forward(e.Call, structs.OpSubmit, e.ID, &e.Spec)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -80,7 +80,7 @@
 		RPCAddr:     e.RPCAddr(),
 		HTTPAddr:    e.HTTPAddr(),
 	}
-	e.coord = coordinator.New(coordinator.Config{
+	e.coord = coordinator.New(coordinator.Options{
 		Self:         e.self,
 		Seed:         e.seed(),
 		MaxOpenJobs:  opts.MaxOpenJobs,
--- a/test/model/reducers_test.go
+++ b/test/model/reducers_test.go
@@ -7,7 +7,7 @@
 )
 
 func newCoordinator(self structs.EntryInfo, seed uint64) *coordinator.Coordinator {
-	return coordinator.New(coordinator.Config{Self: self, Seed: seed})
+	return coordinator.New(coordinator.Options{Self: self, Seed: seed})
 }
 
 func newExecutor(info structs.AgentInfo) *executor.Executor {
