Settle: tests that tasks beyond the limit of a reply are asked for again

TestAttemptsWithoutStatusAreSettledAgain fails without coordinator.retrySettle; TestTasksBeyondSettleLimitAreNotFenced holds the agent's side.

--- a/coordinator/settle_test.go
+++ b/coordinator/settle_test.go
@@ -53,3 +53,27 @@
 	g.Expect(again).To(HaveLen(1))
 	g.Expect(again[0].Request.Tasks).To(ConsistOf(broken))
 }
+
+// An agent answers for a limited number of tasks of one settle. The tasks beyond it must
+// not stay in doubt.
+func TestAttemptsWithoutStatusAreSettledAgain(t *testing.T) {
+	g := NewWithT(t)
+	s := newHarness()
+	s.addService(agentA)
+	s.step(SubmitCalled{Call: 1, Spec: jobSpec(2), Wait: true})
+	first := settleEffects(s.step(CancelCalled{Call: 2, ID: jobID(1)}))
+	g.Expect(first).To(HaveLen(1))
+	refs := first[0].Request.Tasks
+	g.Expect(refs).To(HaveLen(2))
+	fenced := func(ref structs.TaskRef) structs.SettleReply {
+		status := structs.TaskStatus{Task: ref.Task, Attempt: ref.Attempt, Phase: structs.TaskFenced}
+		return structs.SettleReply{Statuses: []structs.TaskStatus{status}, State: s.nextState(agentA)}
+	}
+	again := settleEffects(s.step(SettleReplied{Agent: agentA, Tasks: refs, Reply: fenced(refs[0])}))
+	g.Expect(again).To(HaveLen(1))
+	g.Expect(again[0].Request.Tasks).To(ConsistOf(refs[1]))
+	g.Expect(again[0].Request.Mode).To(Equal(first[0].Request.Mode))
+	r := findReply(s.step(SettleReplied{Agent: agentA, Tasks: refs[1:], Reply: fenced(refs[1])}))
+	g.Expect(r.Answer.State).To(Equal(structs.JobFailed))
+	g.Expect(r.Answer.Results[1].Verdict).To(Equal(structs.NotRun))
+}
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -174,6 +174,19 @@
 	g.Expect(h.result(h.await(task(1, 1), 1)).Verdict).To(Equal(structs.Ran))
 }
 
+// Tasks beyond MaxSettleTasks are left as they are: without a status, the home knows nothing
+// of them and asks again.
+func TestTasksBeyondSettleLimitAreNotFenced(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(func(o *executor.Options) { o.MaxSettleTasks = 1 })
+	st := h.settle(structs.SettleRecall, ref(task(1, 0), 1), ref(task(1, 1), 1)).Statuses
+	g.Expect(st).To(HaveLen(1))
+	g.Expect(st[0].Phase).To(Equal(structs.TaskFenced))
+	h.run(request(task(1, 0), 1))
+	h.run(request(task(1, 1), 1))
+	g.Expect(h.started).To(ConsistOf(ref(task(1, 1), 1)))
+}
+
 // A backend server's long message is cut between characters, and the hint when to come
 // back is kept.
 func TestLongErrorMessageIsCutOnly(t *testing.T) {
--- a/executor/settle.go
+++ b/executor/settle.go
@@ -26,7 +26,8 @@
 	e.replyError(call, req.Task, structs.Errorf(structs.CodeFenced, structs.NotRun, "the agent has no record of the task and will not start this attempt"))
 }
 
-// settle handles Agent.Settle. Tasks beyond MaxSettleTasks get no status.
+// settle handles Agent.Settle. Tasks beyond MaxSettleTasks get no status, and the home asks
+// for them again.
 func (e *Executor) settle(now time.Time, call CallID, req *structs.SettleRequest) {
 	if req.Agent != e.opts.Incarnation {
 		e.reply(call, &structs.SettleReply{State: e.State()})
