--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -111,6 +111,24 @@
 	g.Expect(l.OpenTasks("shop")).To(Equal(20))
 }
 
+// An entry admits more than its share only as a single job, so that jobs larger than a share
+// can run. Entries must not exceed the limit with smaller jobs, or with several.
+func TestOpenTasksExceedShareOnlyByOneJob(t *testing.T) {
+	const entries, limit = 4, 100
+	sizes := []int{1, 5, 24, 25, 26, 50, 75, limit}
+	for _, first := range sizes {
+		for _, size := range sizes {
+			l := newLimiters(entries, withQuota(document.Quota{MaxOpenTasks: limit}))[0]
+			_ = l.Admit(start, "shop", key(0), first)
+			for job := range uint64(1 + limit/size) {
+				_ = l.Admit(start, "shop", key(1+job), size)
+			}
+			NewWithT(t).Expect(l.OpenTasks("shop")).To(BeNumerically("<=", max(limit/entries, first)),
+				"a job of %d tasks, then jobs of %d", first, size)
+		}
+	}
+}
+
 type arrival struct {
 	at       time.Duration
 	job      uint64
