Membership: tests of what equal digests and requests of unreachable processes mean

'Equal digests hide a changed incarnation': shown and left. A third process with equal digests does not pass it on; the process itself does, in its requests, which reach all entries in turn. Hidden meanwhile are the service, rack and processors of the new incarnation. With incarnations in the digest the old one would spread too: they are random, so that a table takes whichever it hears last. A fix needs an order of incarnations in session.Process, that is a new encoded field, and changes in gateway and sidecar.

'An address counts as reachable because its owner called': refuted. A process that sends requests is alive; were it removed because it cannot be dialed, its next request would add it again.

TestNewIncarnationIsLearnedFromItsOwnRequest fails if Add keeps the known incarnation, TestProcessThatSendsRequestsIsNotRemoved with a timeout of 15 s in place of 60.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -81,7 +81,8 @@
 	}
 }
 
-// MarkReachable records that a message of the process at the address has arrived.
+// MarkReachable records that a message of the process at the address has arrived, which may
+// be its request: a process that sends any is alive, even if it cannot be dialed at present.
 func (t *Table) MarkReachable(now time.Time, addr string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -92,3 +92,36 @@
 	g.Expect(table.Replaces(p)).To(BeFalse())
 	g.Expect(table.Replaces(process(session.RoleAgent, 11))).To(BeFalse(), "its address is not known")
 }
+
+// Digests are of addresses only, so that a new incarnation is not learned from a third
+// process whose digest is equal. It must be learned from its own requests. Incarnations have
+// no order: if they were part of the digest, processes that know the old one would hand it
+// back to those that know the new one.
+func TestNewIncarnationIsLearnedFromItsOwnRequest(t *testing.T) {
+	g := NewWithT(t)
+	a, b := entryPair(1)
+	restarted := process(session.RoleAgent, 10)
+	restarted.Incarnation += 100
+	a.Add(now, restarted)
+	req := &session.ExchangeRequest{From: process(session.RoleEntry, 2), Digest: b.Digest()}
+	g.Expect(a.ProcessesFor(process(session.RoleEntry, 1), req)).To(BeEmpty())
+
+	g.Expect(b.Replaces(restarted)).To(BeTrue())
+	g.Expect(b.Add(now, restarted)).To(BeFalse(), "its address is known")
+	g.Expect(b.List(session.RoleAgent)).To(ConsistOf(restarted))
+	g.Expect(b.Replaces(restarted)).To(BeFalse())
+}
+
+// A process that sends requests but cannot be reached is alive and may be reachable again
+// soon. Were it removed, its next request would add it again.
+func TestProcessThatSendsRequestsIsNotRemoved(t *testing.T) {
+	g := NewWithT(t)
+	table, _ := entryPair(1)
+	agent := process(session.RoleAgent, 10)
+	for passed := time.Duration(0); passed < 5*time.Minute; passed += 30 * time.Second {
+		table.Add(now.Add(passed), agent)
+		table.MarkReachable(now.Add(passed), agent.Addr)
+		g.Expect(table.MarkUnreachable(now.Add(passed+29*time.Second), agent.Addr)).To(BeFalse())
+	}
+	g.Expect(table.MarkUnreachable(now.Add(7*time.Minute), agent.Addr)).To(BeTrue(), "it sends no requests any more")
+}
