Stand-in: calls for another server are rejected also while calls are late

Starts and stops that the stand-in carries out late were not checked either: with a share of late calls, a server carried out runs for another one that had been at its address.

--- a/standin/leaseserver/handler.go
+++ b/standin/leaseserver/handler.go
@@ -355,6 +355,11 @@
 			panic(http.ErrAbortHandler)
 		}
 		path := c.Path()[strings.LastIndexByte(c.Path(), '/')+1:]
+		if h.forOtherServer(c) {
+			h.record(path, &body, "421")
+			h.mu.Unlock()
+			return c.NoContent(http.StatusMisdirectedRequest)
+		}
 		if path == stopPath && rand.Float64() < h.hangingStopShare {
 			h.record(path, &body, "hangs")
 			h.mu.Unlock()
@@ -375,11 +380,6 @@
 			<-c.Request().Context().Done()
 			return nil
 		}
-		if h.forOtherServer(c) {
-			h.record(path, &body, "421")
-			h.mu.Unlock()
-			return c.NoContent(http.StatusMisdirectedRequest)
-		}
 		if rand.Float64() < h.declinedShare {
 			h.record(path, &body, "503")
 			h.mu.Unlock()
--- a/standin/leaseserver/handler_test.go
+++ b/standin/leaseserver/handler_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -94,6 +97,28 @@
 	g.Expect(started).To(HaveLen(1))
 }
 
+// Guards against a stand-in that carries out calls for another server, at once or late: the
+// platform's servers reject them.
+func TestCallsForOtherServerAreRejected(t *testing.T) {
+	for _, late := range []float64{0, 1} {
+		for _, call := range []string{"run-start", "run-stop", "hold"} {
+			t.Run(fmt.Sprintf("%s/late share %v", call, late), func(t *testing.T) {
+				g := NewWithT(t)
+				server := leaseserver.NewHTTPServer(leaseserver.Options{ID: "server-1", HeartbeatURL: "http://127.0.0.1:1"})
+				defer server.Close()
+				server.SetDelayedCallShare(late)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				request := httptest.NewRequestWithContext(ctx, http.MethodPost, "/chestnuthollow/"+call, strings.NewReader(`{}`))
+				request.Header.Set("Expect-Instance", "server-2")
+				reply := httptest.NewRecorder()
+				server.Handler().ServeHTTP(reply, request)
+				g.Expect(reply.Code).To(Equal(http.StatusMisdirectedRequest))
+			})
+		}
+	}
+}
+
 // Guards against an end that is told by the time at which a busy machine got round to it.
 func TestEndsAreToldByTheServersClock(t *testing.T) {
 	g := NewWithT(t)
