--- a/coordinator/ids.go
+++ b/coordinator/ids.go
@@ -71,21 +71,21 @@
 	first := c.ids.allocate(c.now, e.Count)
 	list := make([]structs.JobID, e.Count)
 	for i := range list {
-		list[i] = structs.JobID{Home: c.cfg.Self.Incarnation, Seq: first + uint64(i)}
+		list[i] = structs.JobID{Home: c.opts.Self.Incarnation, Seq: first + uint64(i)}
 	}
 	c.emit(ReplyIDs{Call: e.Call, IDs: list})
 }
 
 func (c *Coordinator) checkReserve(count int) *structs.Error {
-	if count < 1 || count > c.cfg.MaxIDsPerReservation {
-		return structs.Errorf(structs.CodeInvalid, structs.NotRun, "cannot reserve %d job ids: want 1 to %d", count, c.cfg.MaxIDsPerReservation)
+	if count < 1 || count > c.opts.MaxIDsPerReservation {
+		return structs.Errorf(structs.CodeInvalid, structs.NotRun, "cannot reserve %d job ids: want 1 to %d", count, c.opts.MaxIDsPerReservation)
 	}
 	if c.leaving {
 		return c.leavingError()
 	}
-	if len(c.ids.reserved)+count > c.cfg.MaxReservedIDs {
+	if len(c.ids.reserved)+count > c.opts.MaxReservedIDs {
 		return structs.Errorf(structs.CodeOverloaded, structs.NotRun, "too many reserved job ids are not yet submitted").
-			WithRetryAfter(c.cfg.ReservationTTL)
+			WithRetryAfter(c.opts.ReservationTTL)
 	}
 	return nil
 }
@@ -112,13 +112,25 @@
 	return ranges
 }
 
+// evictedAnswer is a final job whose answer has been evicted.
+type evictedAnswer struct {
+	seq     uint64
+	finalAt time.Time
+}
+
+// watermarkCutoff returns the time by which a job must have been final for the watermark
+// to pass it.
+func (c *Coordinator) watermarkCutoff() time.Time { return c.now.Add(-c.opts.WatermarkLag) }
+
 // advanceWatermark moves the watermark past sequences whose jobs are final. It
 // never passes a sequence that may still be submitted or whose job is open. A
 // final job holds it back for WatermarkLag, because another entry can recover
-// the job as long as the agents keep their records of it.
+// the job as long as the agents keep their records of it. That holds also for a job
+// whose answer is evicted earlier.
 func (c *Coordinator) advanceWatermark() {
-	cutoff := c.now.Add(-c.cfg.WatermarkLag)
-	for c.ids.watermark < c.ids.next {
+	cutoff := c.watermarkCutoff()
+	limit := c.firstEvictedAfter(cutoff)
+	for c.ids.watermark < limit {
 		seq := c.ids.watermark
 		if _, isReserved := c.ids.reserved[seq]; isReserved {
 			return
@@ -129,3 +141,16 @@
 		c.ids.watermark++
 	}
 }
+
+// firstEvictedAfter returns the lowest sequence whose answer has been evicted and whose
+// job was final only after the cutoff, or the next sequence to allocate if there is none.
+func (c *Coordinator) firstEvictedAfter(cutoff time.Time) uint64 {
+	for len(c.evictedEarly) > 0 && !c.evictedEarly[0].finalAt.After(cutoff) {
+		c.evictedEarly = c.evictedEarly[1:]
+	}
+	first := c.ids.next
+	for _, e := range c.evictedEarly {
+		first = min(first, e.seq)
+	}
+	return first
+}
--- a/coordinator/overload.go
+++ b/coordinator/overload.go
@@ -26,10 +26,11 @@
 func (c *Coordinator) checkQueue(svc *service, spec *structs.JobSpec, key quota.Key) *structs.Error {
 	perSecond := svc.throughput.perSecond(c.now)
 	if perSecond == 0 || svc.queue.Len() == 0 {
+		svc.retrySchedule.Consume(c.now, key)
 		return nil
 	}
 	n := len(spec.Tasks)
-	limit := c.cfg.MaxQueueWait
+	limit := c.opts.MaxQueueWait
 	tasksAhead := svc.queue.EstimateBacklog(spec.Team, n)
 	if svc.retrySchedule.IsDue(c.now, key) {
 		limit *= scheduledWaitFactor
@@ -53,7 +54,7 @@
 // timeout returns the job's timeout, which counts from its admission.
 func (c *Coordinator) timeout(spec *structs.JobSpec) time.Duration {
 	if spec.Timeout == 0 {
-		return c.cfg.DefaultTimeout
+		return c.opts.DefaultTimeout
 	}
 	return spec.Timeout
 }
--- a/coordinator/policy_test.go
+++ b/coordinator/policy_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/chestnuthollow/chestnuthollow/document"
+	"github.com/chestnuthollow/chestnuthollow/retry"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -336,6 +337,36 @@
 	g.Expect(f.replyError(f.submitSpec(late))).To(BeNil(), "%v; came back after %v", err, err.RetryAfter)
 }
 
+// A job that came back when nothing was queued was counted twice, among the queued tasks
+// and among the retries to come, and others were refused because of it.
+func TestScheduledRetryIntoEmptyQueueIsCountedOnce(t *testing.T) {
+	g := NewWithT(t)
+	f := newSimulation(nil, identicalServers(1)...)
+	f.submit("a", 16)
+	f.runFor(time.Second, nil)
+	f.submit("a", 60)
+	late := jobSpec(120)
+	late.Timeout = 500 * time.Millisecond
+	err := f.replyError(f.submitSpec(late))
+	g.Expect(err).NotTo(BeNil())
+	f.runFor(err.RetryAfter, nil)
+	g.Expect(f.c.services["booking"].queue.Len()).To(BeZero())
+	g.Expect(f.replyError(f.submitSpec(late))).To(BeNil())
+	g.Expect(f.replyError(f.submit("b", 1))).To(BeNil(), "its team's turn comes next")
+}
+
+// The dump of a service that has had no work for minutes showed the rate of its last tasks.
+func TestDumpedRateFallsWhileNoTaskEnds(t *testing.T) {
+	g := NewWithT(t)
+	f := newSimulation(nil, identicalServers(1)...)
+	f.submit("a", 16)
+	f.runFor(time.Second, nil)
+	busy := f.c.Dump().Services[0].TasksPerSecond
+	g.Expect(busy).To(BeNumerically(">", 1))
+	f.runFor(10*rateWindow, nil)
+	g.Expect(f.c.Dump().Services[0].TasksPerSecond).To(BeNumerically("<", busy/1000))
+}
+
 func TestJobThatCanNeverRunIsRejected(t *testing.T) {
 	doc := &document.Document{
 		Accept: document.Accept{Kinds: []string{"hold"}, MaxTasksPerJob: 100},
@@ -389,6 +420,27 @@
 	}
 }
 
+// The dump's number of denied retries grew with each event while a task waited for the
+// budget, and said nothing about the number of tasks.
+func TestTaskThatWaitsForRetryBudgetIsDeniedOnce(t *testing.T) {
+	g := NewWithT(t)
+	s := newHarness()
+	s.addService(agentA)
+	s.step(Ticked{}) // the next one refills by the time since
+	svc := s.c.services["booking"]
+	svc.retries = retry.NewBudgetOf(0, 1)
+	svc.retries.Take()
+	s.step(SubmitCalled{Call: 1, Spec: jobSpec(1)})
+	s.replyRefused(agentA, taskRef(1, 0, 1), structs.CodeOverloaded)
+	for range 10 {
+		g.Expect(placements(s.advance(time.Millisecond).step(Ticked{}))).To(BeEmpty())
+	}
+	g.Expect(s.c.Dump().Services[0].Delayed).To(Equal(1))
+	g.Expect(s.c.Dump().Services[0].Retries.Denied).To(Equal(uint64(1)))
+	g.Expect(placements(s.advance(200 * time.Millisecond).step(Ticked{}))).To(HaveLen(1))
+	g.Expect(s.c.Dump().Services[0].Retries).To(Equal(retry.Counts{Retries: 2, Denied: 1}))
+}
+
 func TestCancellationOfManyJobsIsBatched(t *testing.T) {
 	g := NewWithT(t)
 	f := newSimulation(nil, identicalServers(4)...)
