Agents log each run that their server has started

A run whose start had no reply and which a lease renewal lists, and one that was accepted while it was being stopped, had no line task_started: the line was written only where the reply of a start is handled in phase starting. After a reply that was late, the line's time says little of when the start was ordered.

The line is written when the server first replies that it has started the run or lists it, once a run. reply_ms is the time since the start was sent last. A run number in use is no evidence of a start of this run, so that it has no line.

--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -266,7 +266,7 @@
 	r.attempts.Answered(e.Result.answer(), m.replyingIncarnation(r, e))
 	r.answeredAfter = m.lastRenewalID
 	if e.Result == StartAccepted && !r.confirmed {
-		r.confirm(m)
+		r.started(m)
 		r.startClock = e.Clock
 	}
 	switch r.phase {
@@ -292,8 +292,6 @@
 			// got lost.
 			m.renewNow()
 		}
-		m.emit(LogEvent{Event: "task_started", Task: r.key.String(), Entry: r.session.entry,
-			Detail: fmt.Sprintf("cpu=%d estimate_ms=%d clock_ms=%d config=%d", r.cpu, r.estimate.Milliseconds(), m.clock.Milliseconds(), r.configVersion)})
 		return
 	case StartUnknown:
 		m.startUnanswered(r, e.Reason)
@@ -327,6 +325,15 @@
 	r.startedAt, r.progressAt = m.now, m.now
 }
 
+// started records that the server has started the run, as it says in its reply to the start
+// or in a list of runs.
+func (r *run) started(m *Runner) {
+	r.confirm(m)
+	m.emit(LogEvent{Event: "task_started", Task: r.key.String(), Entry: r.session.entry,
+		Detail: fmt.Sprintf("cpu=%d estimate_ms=%d clock_ms=%d config=%d reply_ms=%d", r.cpu, r.estimate.Milliseconds(),
+			m.clock.Milliseconds(), r.configVersion, m.now.Sub(r.sentAt).Milliseconds())})
+}
+
 // replyingIncarnation returns the incarnation that has replied to the last start of a run. A
 // reply that does not name it is of the known one if its clock reading continues that of the
 // known one: the clock of another incarnation starts anew.
--- a/taskrunner/server.go
+++ b/taskrunner/server.go
@@ -262,7 +262,7 @@
 
 func (m *Runner) applyEnd(r *run, outcome EndOutcome, clock time.Duration) {
 	if !r.confirmed {
-		r.confirm(m)
+		r.started(m)
 	}
 	switch outcome {
 	case EndDone:
@@ -321,7 +321,7 @@
 // updateProgress records the progress of a run and stops it if it has stalled.
 func (m *Runner) updateProgress(r *run, percent int) {
 	if !r.confirmed {
-		r.confirm(m)
+		r.started(m)
 	}
 	switch percent = min(percent, 100); {
 	case percent <= UnknownPercent:
