--- a/command/root.go
+++ b/command/root.go
@@ -49,6 +49,7 @@
 			statusCommand(),
 			dumpCommand(),
 			checkCommand(),
+			checkRefusalsCommand(),
 			configCommand(),
 			loadCommand(),
 		},
