Soak: a refused job must not run, at any entry and at any time

The soak looked at one attempt of a job, only if none of its tasks had started before, and for 50 ms.

The invariants checker gets each answer 429 or 503 with the time at which it arrived, and compares it with the times of all starts of the job at the servers, of those before too: they are allowed only if an earlier attempt had no answer. Callers do not submit a job again after such an answer. An attempt to which the connection was refused has not reached an entry.

TestRefusedJobByTheTimesOfItsStarts checks the checker.

--- a/test/platform/invariants_test.go
+++ b/test/platform/invariants_test.go
@@ -1,6 +1,7 @@
 package platform_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -38,3 +39,42 @@
 		})
 	}
 }
+
+// Guards against a check that passes over a start long after the refusal of its job, or one before it
+// that no other attempt explains, and against one that fails for what an attempt without an answer
+// had started.
+func TestRefusedJobByTheTimesOfItsStarts(t *testing.T) {
+	answered := time.Now()
+	for name, test := range map[string]struct {
+		startsAfter      []time.Duration // after the answer
+		unansweredBefore bool
+		violations       int
+	}{
+		"never started":                        {nil, false, 0},
+		"started before, only attempt":         {[]time.Duration{-time.Millisecond}, false, 1},
+		"started before by an earlier attempt": {[]time.Duration{-time.Second, -time.Millisecond}, true, 0},
+		"started after, only attempt":          {[]time.Duration{time.Millisecond}, false, 1},
+		"started after by an earlier attempt":  {[]time.Duration{-time.Second, time.Millisecond}, true, 1},
+		"started long after":                   {[]time.Duration{10 * time.Second}, true, 1},
+		"two tasks, before and after":          {[]time.Duration{-time.Second, time.Second}, false, 2},
+	} {
+		for _, order := range []string{"starts known first", "answer known first"} {
+			t.Run(name+", "+order, func(t *testing.T) {
+				g := NewWithT(t)
+				c := newInvariantChecker()
+				if order == "answer known first" {
+					c.refused("00e3", refusal{answered, test.unansweredBefore})
+				}
+				for i, after := range test.startsAfter {
+					run := leaseserver.RunningTask{TaskRun: leaseserver.TaskRun{Name: fmt.Sprintf("00e3.0.0.%d", i), Number: 1}}
+					c.resized("server-1", serverCPU)
+					c.started("server-1", run, answered.Add(after))
+				}
+				c.started("server-1", leaseserver.RunningTask{TaskRun: leaseserver.TaskRun{Name: "00e4.0.0.0", Number: 1}}, answered.Add(time.Second))
+				c.refused("00e3", refusal{answered, test.unansweredBefore})
+				g.Expect(c.violations).To(HaveLen(test.violations))
+				g.Expect(c.err() != nil).To(Equal(test.violations > 0))
+			})
+		}
+	}
+}
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -32,8 +34,9 @@
 const regressionSeed, regressionEntries, regressionAgents = 5, 6, 16
 
 // TestSoak injects faults drawn from a seed from outside the processes. It checks that
-// no task runs twice at the same time, that answers to callers are true, and that
-// entries serve again after the faults.
+// no task runs twice at the same time, that answers to callers are true, that no task
+// starts after its job was refused as not run, and that entries serve again after the
+// faults.
 //
 //	go test ./test/platform -run TestSoak -soak.seed 100 -soak.runs 50 -timeout 60m
 func TestSoak(t *testing.T) {
@@ -67,19 +70,24 @@
 	rng      *rand.Rand // draws the faults
 	zones    *rand.Rand // draws the evacuations
 	sizes    *rand.Rand // draws the sizes of configurations and the rate of the store's link
-	calls    *rand.Rand // draws what happens to the calls of servers
+	disturbs *rand.Rand // draws what happens to the calls of servers
 	pairs    *rand.Rand // draws servers that are lost together with their agents
+	leaves   *rand.Rand // draws entries that are suspended and left by their callers
 	faults   sync.WaitGroup
+	callers  sync.WaitGroup
 	mu       sync.Mutex
 	faultLog []string
 	counts   map[string]int
+	calls    map[*openCall]struct{}
+	surges   int // number of surges
 }
 
 func soakOnce(t *testing.T, seed int64, entries, agents int) {
 	s := &soak{
 		system: newSystem(t, entries, agents), rng: rand.New(rand.NewSource(seed)), zones: rand.New(rand.NewSource(seed + 1)),
-		sizes: rand.New(rand.NewSource(-seed)), calls: rand.New(rand.NewSource(seed + 2)),
-		pairs: rand.New(rand.NewSource(seed + 3)), counts: make(map[string]int),
+		sizes: rand.New(rand.NewSource(-seed)), disturbs: rand.New(rand.NewSource(seed + 2)),
+		pairs: rand.New(rand.NewSource(seed + 3)), leaves: rand.New(rand.NewSource(seed + 4)),
+		counts: make(map[string]int), calls: make(map[*openCall]struct{}),
 	}
 	t.Cleanup(func() {
 		if t.Failed() || s.invariants.err() != nil {
@@ -87,11 +95,10 @@
 		}
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	var callers sync.WaitGroup
 	for i := range max(minCallers, agents) {
-		callers.Add(1)
+		s.callers.Add(1)
 		go func() {
-			defer callers.Done()
+			defer s.callers.Done()
 			s.submitJobs(ctx, rand.New(rand.NewSource(seed*100+int64(i))), i)
 		}()
 	}
@@ -102,6 +109,7 @@
 			s.disturbCalls()
 			s.loseServerAndAgent()
 		}
+		s.suspendAndLeaveEntry(ctx)
 		s.evacuateZone()
 	}
 	s.faults.Wait()
@@ -110,7 +118,8 @@
 	s.changeConfigOverSlowLink()
 	s.expectRecovery()
 	cancel()
-	callers.Wait()
+	s.callers.Wait()
+	s.checkLogs()
 	t.Logf("seed %d: %v", seed, s.counts)
 	if err := s.invariants.err(); err != nil {
 		t.Errorf("seed %d: %v; faults: %v", seed, err, s.faultLog)
@@ -129,55 +138,89 @@
 	s.counts[what]++
 }
 
-// submitJobs submits jobs one after the other until ctx is canceled. Like a caller, it
-// submits a job again if its connection broke.
+// soakJob is a job that its caller submits until it has an answer.
+type soakJob struct {
+	id, outcome string
+	tasks, ms   int
+	firstEntry  *process // for the first attempt; nil for any
+	leftEntry   *process // which the caller has left during the last attempt, or nil
+	unanswered  bool     // an attempt that may have reached an entry had no answer
+}
+
+// submitJobs submits jobs one after the other until ctx is canceled.
 func (s *soak) submitJobs(ctx context.Context, rng *rand.Rand, caller int) {
 	sizes := rand.New(rand.NewSource(-int64(caller)))
 	for n := 0; ctx.Err() == nil; n++ {
-		id := fmt.Sprintf("%08x%08x", caller, n)
-		tasks, ms := 1+rng.Intn(6), 20+rng.Intn(600)
-		outcome := []string{"ok", "ok", "ok", "ok", "ok", "fail", "hang"}[rng.Intn(7)]
+		j := &soakJob{id: fmt.Sprintf("%08x%08x", caller, n), tasks: 1 + rng.Intn(6), ms: 20 + rng.Intn(600)}
+		j.outcome = []string{"ok", "ok", "ok", "ok", "ok", "fail", "hang"}[rng.Intn(7)]
 		if sizes.Intn(25) == 0 {
-			ms, outcome = 1+sizes.Intn(30), "crash"
+			j.ms, j.outcome = 1+sizes.Intn(30), "crash"
 		}
-		for range 3 {
-			if !s.submitOnce(ctx, rng, id, tasks, ms, outcome) {
-				break
-			}
-			time.Sleep(1300 * time.Millisecond)
+		s.submitJob(ctx, rng, j)
+	}
+}
+
+// submitJob submits a job. Like a caller, it submits it again if its connection broke.
+func (s *soak) submitJob(ctx context.Context, rng *rand.Rand, j *soakJob) {
+	for range 3 {
+		if !s.submitOnce(ctx, rng, j) {
+			return
 		}
+		time.Sleep(resubmitAfter)
 	}
 }
 
 // submitOnce submits a job once and reports whether it may be submitted again. It
-// checks that a job refused as not run has not run, and that only jobs whose tasks
+// checks that a job refused as not run does not run, and that only jobs whose tasks
 // succeed are reported as completed.
-func (s *soak) submitOnce(ctx context.Context, rng *rand.Rand, id string, tasks, ms int, outcome string) bool {
+func (s *soak) submitOnce(ctx context.Context, rng *rand.Rand, j *soakJob) bool {
 	limit := 3 * time.Second
 	if rng.Intn(8) == 0 {
 		limit = time.Duration(rng.Intn(400)) * time.Millisecond // disconnects early
 	}
 	call, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	before := s.invariants.startCount(id)
-	a := s.post(call, s.entries[rng.Intn(len(s.entries))], id, tasks, ms, 2000+rng.Intn(4000), outcome)
+	i := rng.Intn(len(s.entries))
+	entry := s.entries[i]
+	switch {
+	case j.firstEntry != nil:
+		entry, j.firstEntry = j.firstEntry, nil
+	case entry == j.leftEntry:
+		entry = s.entries[(i+1)%len(s.entries)]
+	}
+	call, open := s.openCall(call, entry)
+	a := s.post(call, entry, j.id, j.tasks, j.ms, 2000+rng.Intn(4000), j.outcome)
+	left, answeredAt := s.closeCall(open)
+	if j.leftEntry = nil; left {
+		j.leftEntry = entry
+	}
 	s.count(fmt.Sprintf("%d %s", a.code, a.state))
+	s.checkRefusal(j.id, a, answeredAt, j.unanswered)
 	switch {
 	case a.err != nil || a.code == 502 || a.code == 504:
-		return true
-	case (a.code == 429 || a.code == 503) && before == 0:
-		time.Sleep(50 * time.Millisecond)
-		if s.invariants.startCount(id) > 0 {
-			s.t.Errorf("job %s was refused as not run, but has run", id)
+		if !errors.Is(a.err, syscall.ECONNREFUSED) {
+			j.unanswered = true
 		}
-	case a.code == 200 && a.state == "failed" && outcome == "ok" && !s.invariants.mayBeFailed(id, tasks):
-		s.t.Errorf("job %s could be done, and was reported as failed", id)
-	case a.code == 200 && a.state == "completed" && outcome != "ok":
-		s.t.Errorf("job %s, whose tasks %s, was reported as completed", id, outcome)
+		return true
+	case a.code == 200 && a.state == "failed" && j.outcome == "ok" && !s.invariants.mayBeFailed(j.id, j.tasks):
+		s.t.Errorf("job %s could be done, and was reported as failed", j.id)
+	case a.code == 200 && a.state == "completed" && j.outcome != "ok":
+		s.t.Errorf("job %s, whose tasks %s, was reported as completed", j.id, j.outcome)
 	}
 	return false
 }
 
+// checkRefusal has the starts of a job checked from now on if the answer says that it does not run.
+func (s *soak) checkRefusal(id string, a answer, at time.Time, unansweredBefore bool) {
+	if a.err != nil || a.code != http.StatusTooManyRequests && a.code != http.StatusServiceUnavailable {
+		return
+	}
+	if unansweredBefore {
+		s.count("refused after an attempt without an answer")
+	}
+	s.invariants.refused(id, refusal{at: at, unansweredBefore: unansweredBefore})
+}
+
 // injectFault injects one drawn fault. It ends by itself, and may overlap with others.
 func (s *soak) injectFault() {
 	entry := s.entries[s.rng.Intn(len(s.entries))]
@@ -261,15 +304,15 @@
 // disturbCalls lets the calls of a drawn server fail for some time: stops hang, most calls are
 // declined, or calls are declined and replies lost by turns. It may overlap with other faults.
 func (s *soak) disturbCalls() {
-	server := s.servers[s.calls.Intn(len(s.servers))]
-	duration := time.Duration(300+s.calls.Intn(2500)) * time.Millisecond
+	server := s.servers[s.disturbs.Intn(len(s.servers))]
+	duration := time.Duration(300+s.disturbs.Intn(2500)) * time.Millisecond
 	apply := []func(){
 		func() { server.SetHangingStops(1) },
 		func() { server.SetHangingStops(1); server.SetUnhealthy(0.4, 0.2) },
 		func() { server.SetUnhealthy(0.9, 0.1) },
 		func() { server.SetUnhealthy(0.4, 0.3) },
 	}
-	kind := s.calls.Intn(2 * len(apply))
+	kind := s.disturbs.Intn(2 * len(apply))
 	if kind >= len(apply) {
 		return
 	}
@@ -385,7 +428,13 @@
 	for i, p := range s.entries {
 		ok := false
 		for end := time.Now().Add(bound); !ok && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-			ok = s.inForce(p, s.version) && s.post(context.Background(), p, fmt.Sprintf("ff%06x%08x", i, time.Now().UnixNano()&0xffffffff), 1, 20, 1000, "ok").state == "completed"
+			if !s.inForce(p, s.version) {
+				continue
+			}
+			id := fmt.Sprintf("ff%06x%08x", i, time.Now().UnixNano()&0xffffffff)
+			a := s.post(context.Background(), p, id, 1, 20, 1000, "ok")
+			s.checkRefusal(id, a, time.Now(), false)
+			ok = a.state == "completed"
 		}
 		if !ok {
 			s.t.Errorf("%s does not complete a job by version %d within %v after the last fault; %s; log: %s", p.name, s.version, bound, p.status(), p.logTail())
--- a/test/platform/system_test.go
+++ b/test/platform/system_test.go
@@ -469,16 +469,17 @@
 }
 
 // invariantChecker checks by the starts and ends at the servers that no task runs
-// twice at the same time, that no server runs more than its capacity, and that tasks
-// that crash servers are given up.
+// twice at the same time, that no server runs more than its capacity, that tasks
+// that crash servers are given up, and that jobs refused as not run do not run.
 type invariantChecker struct {
 	mu             sync.Mutex
 	running        map[string]serverRun    // by task name, the run started last
 	overlaps       map[serverRun][]overlap // by the earlier run, until it has ended
 	startsByServer map[string]int
-	startsByJob    map[string]int    // number of task starts, by job
-	used           map[string]int    // thousandths of a core in use, by server
-	sizes          map[serverRun]int // thousandths of a core of each run that is counted in used
+	startsByJob    map[string][]taskStart
+	refusals       map[string]refusal // the first one, by job
+	used           map[string]int     // thousandths of a core in use, by server
+	sizes          map[serverRun]int  // thousandths of a core of each run that is counted in used
 	capacity       map[string]serverCapacity
 	crashes        map[string]int // servers that crashed while they ran the task, by task name
 	startsAfter    map[string]int // starts after maxCrashes, by task name
@@ -492,6 +493,20 @@
 	since       time.Time
 }
 
+// taskStart is the start of a task at a server.
+type taskStart struct {
+	task, server string
+	at           time.Time
+}
+
+// refusal is the answer to a caller that its job was not accepted and never runs.
+type refusal struct {
+	at time.Time // when the caller received it
+	// unansweredBefore is set if an earlier attempt had no answer. Its tasks may have started
+	// before the refusal, but not after it.
+	unansweredBefore bool
+}
+
 // serverRun is a run at a server.
 type serverRun struct {
 	server string
@@ -508,7 +523,7 @@
 func newInvariantChecker() *invariantChecker {
 	return &invariantChecker{
 		record:  newRecorder(),
-		running: make(map[string]serverRun), overlaps: make(map[serverRun][]overlap), startsByJob: make(map[string]int), startsByServer: make(map[string]int), used: make(map[string]int),
+		running: make(map[string]serverRun), overlaps: make(map[serverRun][]overlap), startsByJob: make(map[string][]taskStart), refusals: make(map[string]refusal), startsByServer: make(map[string]int), used: make(map[string]int),
 		capacity: make(map[string]serverCapacity), crashes: make(map[string]int), startsAfter: make(map[string]int), sizes: make(map[serverRun]int),
 	}
 }
@@ -545,7 +560,11 @@
 	}
 	c.running[t.Name] = run
 	job, _, _ := strings.Cut(t.Name, ".")
-	c.startsByJob[job]++
+	start := taskStart{t.Name, server, at}
+	c.startsByJob[job] = append(c.startsByJob[job], start)
+	if r, ok := c.refusals[job]; ok {
+		c.checkRefused(start, r)
+	}
 	c.startsByServer[server]++
 	// A job may be submitted again with another size while its tasks run.
 	c.sizes[run] = t.Behavior.CPU
@@ -617,7 +636,31 @@
 func (c *invariantChecker) startCount(job string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.startsByJob[job]
+	return len(c.startsByJob[job])
+}
+
+// refused records that a caller was told that its job does not run. The caller does not submit
+// it again.
+func (c *invariantChecker) refused(job string, r refusal) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.refusals[job]; ok {
+		return
+	}
+	c.refusals[job] = r
+	for _, s := range c.startsByJob[job] {
+		c.checkRefused(s, r)
+	}
+}
+
+// checkRefused checks a start of a task whose job was refused. The caller holds c.mu.
+func (c *invariantChecker) checkRefused(s taskStart, r refusal) {
+	switch {
+	case s.at.After(r.at):
+		c.violated(s.task, []string{s.server}, "task %s started at %s %v after its job was refused as not run", s.task, s.server, s.at.Sub(r.at))
+	case !r.unansweredBefore:
+		c.violated(s.task, []string{s.server}, "task %s had started at %s %v before its job was refused as not run, and no earlier attempt was without an answer", s.task, s.server, r.at.Sub(s.at))
+	}
 }
 
 // err returns an error if an invariant was violated.
