--- a/refusals/refusals.go
+++ b/refusals/refusals.go
@@ -34,6 +34,9 @@
 // caller has disconnected before.
 const CallerLeft = "the caller has disconnected"
 
+// rounding is the precision of times that are logged as a number of ms.
+const rounding = time.Millisecond
+
 // notRun is the verdict of a refusal.
 const notRun = "not_run"
 
@@ -144,7 +147,9 @@
 			}
 		case "job_refused", "job_answered", "job_abandoned":
 			if open != nil {
-				open.end, open.endedBy, open.refused = line.At, line.Event, line.isRefusal()
+				submitted := line.At.Add(-line.milliseconds("waited_ms"))
+				open.end, open.endedBy = line.At, line.Event
+				open.refused = line.isRefusal() && !submitted.After(open.calls[0].Add(rounding))
 			}
 		}
 		if line.isRefusal() {
--- a/refusals/refusals_test.go
+++ b/refusals/refusals_test.go
@@ -59,6 +59,7 @@
 		"rejected elsewhere, then started":       {[]string{admitted(10, "e1"), at(1400, "e2") + "event=job_rejected job=j1 queue=q verdict=not_run reason=leaving", taskStarted(1700, "aa", 2)}, certain},
 		"started, refused elsewhere":             {[]string{admitted(10, "e1"), taskStarted(15, "aa", 2), refused(1400, "e2", "not_run", 0)}, none},
 		"started, refused by the same entry":     {[]string{admitted(10, "e1"), taskStarted(15, "aa", 2), refused(500, "e1", "not_run", 490)}, certain},
+		"started, a later call was refused":      {[]string{admitted(10, "e1"), taskStarted(15, "aa", 2), refused(1500, "e1", "not_run", 0)}, none},
 		"refused by the same entry, started":     {[]string{admitted(10, "e1"), refused(500, "e1", "not_run", 490), taskStarted(600, "aa", 2)}, certain},
 		"held, refused elsewhere, then admitted": {[]string{event(10, "e1", "job_held"), refused(1400, "e2", "not_run", 0), admitted(1500, "e1"), taskStarted(1505, "aa", 2)}, certain},
 		"waited, refused elsewhere, then admitted": {[]string{refused(1400, "e2", "not_run", 0),
