Soak: jobs of left entries are small, and the surge comes with their copies

The 40 jobs were of 2 to 6 cores a task, so that most were refused at once, and the surge lasted until after the entry had resumed, so that it had no free capacity for the tasks that it places again. Now they take 24 of 80 cores, and the surge ends 100 ms after the copies.

--- a/test/platform/soak_leave_test.go
+++ b/test/platform/soak_leave_test.go
@@ -17,10 +17,14 @@
 const (
 	// openJobs is the number of jobs that an entry gets before its callers leave it.
 	openJobs = 40
+	// openCPU is the size of their tasks, in thousandths of a core.
+	openCPU = 300
 	// surgeCallers is the number of callers that submit short jobs while the copies come.
-	surgeCallers = 24
-	// surgePause is how long each of them waits between its jobs.
-	surgePause = 250 * time.Millisecond
+	surgeCallers = 40
+	// surgeBefore and surgeAfter are when the surge begins and ends, before and after the copies.
+	surgeBefore, surgeAfter = 250 * time.Millisecond, 100 * time.Millisecond
+	// surgePause is how long each caller of the surge waits between its jobs.
+	surgePause = 100 * time.Millisecond
 	// slowStop and slowRun are by turns how long a slow entry is suspended and runs.
 	slowStop, slowRun = 60 * time.Millisecond, 4 * time.Millisecond
 	// logFlush is longer than a process keeps lines in its buffer.
@@ -107,7 +111,7 @@
 			if n > 0 {
 				return nil
 			}
-			return &soakJob{id: fmt.Sprintf("5%03x%04x%08x", surge, i, 0), tasks: 2, ms: 600, outcome: "ok", firstEntry: entry}
+			return &soakJob{id: fmt.Sprintf("5%03x%04x%08x", surge, i, 0), tasks: 2, ms: 600, cpu: openCPU, outcome: "ok", firstEntry: entry}
 		})
 	}
 	s.faults.Add(1)
@@ -117,7 +121,12 @@
 		resume := time.Now().Add(duration)
 		entry.signal(syscall.SIGSTOP)
 		s.leaveCalls(entry, reset)
-		s.surgeOfShortJobs(ctx, surge, seed, time.Now().Add(duration+resubmitAfter))
+		copies := time.Now().Add(resubmitAfter)
+		s.faults.Add(1)
+		time.AfterFunc(time.Until(copies)-surgeBefore, func() {
+			defer s.faults.Done()
+			s.surgeOfShortJobs(ctx, surge, seed, copies.Add(surgeAfter))
+		})
 		for slow && time.Now().Before(resume) {
 			time.Sleep(slowStop)
 			entry.signal(syscall.SIGCONT)
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -142,6 +142,7 @@
 type soakJob struct {
 	id, outcome string
 	tasks, ms   int
+	cpu         int      // of each task; zero for another size at each attempt
 	firstEntry  *process // for the first attempt; nil for any
 	leftEntry   *process // which the caller has left during the last attempt, or nil
 	unanswered  bool     // an attempt that may have reached an entry had no answer
@@ -188,8 +189,12 @@
 	case entry == j.leftEntry:
 		entry = s.entries[(i+1)%len(s.entries)]
 	}
+	cpu := 2000 + rng.Intn(4000)
+	if j.cpu > 0 {
+		cpu = j.cpu
+	}
 	call, open := s.openCall(call, entry)
-	a := s.post(call, entry, j.id, j.tasks, j.ms, 2000+rng.Intn(4000), j.outcome)
+	a := s.post(call, entry, j.id, j.tasks, j.ms, cpu, j.outcome)
 	left, answeredAt := s.closeCall(open)
 	if j.leftEntry = nil; left {
 		j.leftEntry = entry
