--- a/refusals/log.go
+++ b/refusals/log.go
@@ -23,11 +23,13 @@
 	Event   string    `json:"event"`
 	Text    string    `json:"text"` // from the line's first key on
 
-	task    string // ID/INDEX#RUN; empty for lines of entries
-	entry   string // incarnation of the entry for which an agent has acted
-	verdict string
-	reason  string
-	detail  map[string]string
+	task       string // ID/INDEX#RUN; empty for lines of entries
+	entry      string // incarnation of the entry for which an agent has acted
+	verdict    string
+	reason     string
+	waited     time.Duration // since the request came
+	reply      time.Duration // since the start was sent
+	mayHaveRun bool
 }
 
 // Log is what is known of the jobs from the lines of several processes. The zero value
@@ -49,9 +51,6 @@
 	incarnation string
 }
 
-// firstKey matches where a process's own line begins, after any prefix.
-var firstKey = regexp.MustCompile(`(^|\s)(level|ts|event)=`)
-
 // taskID matches the id of a task and its job, as in abc/0#1.
 var taskID = regexp.MustCompile(`([^\s"=,/[]+)/\d+#\d+`)
 
@@ -76,11 +75,7 @@
 }
 
 func (l *Log) add(text string) {
-	at := firstKey.FindStringIndex(text)
-	if at == nil {
-		return
-	}
-	text = strings.TrimSpace(text[at[0]:])
+	text = withoutPrefix(text)
 	f, err := fields(text)
 	if err != nil {
 		l.Unreadable++
@@ -102,9 +97,12 @@
 		l.Unreadable++
 		return
 	}
-	if line.detail, err = fields(f["detail"]); err != nil {
-		line.detail = nil // free text
+	detail, err := fields(f["detail"])
+	if err != nil {
+		detail = nil // free text
 	}
+	line.waited, line.reply = milliseconds(detail["waited_ms"]), milliseconds(detail["reply_ms"])
+	line.mayHaveRun = detail["may_have_run"] == "true"
 	switch line.Event {
 	case "started":
 		if id := f["incarnation"]; id != "" {
@@ -113,7 +111,7 @@
 			l.incarnated[id] = struct{}{}
 		}
 	case "session_opened":
-		if name := line.detail["entry"]; name != "" {
+		if name := detail["entry"]; name != "" {
 			l.processOf[line.entry] = name
 		}
 	}
@@ -122,12 +120,25 @@
 	}
 }
 
+// withoutPrefix returns a process's own line, from its first key on.
+func withoutPrefix(text string) string {
+	for _, key := range []string{"level=", "ts=", "event="} {
+		if i := strings.Index(text, key); i == 0 || i > 0 && strings.ContainsRune(" \t|", rune(text[i-1])) {
+			return text[i:]
+		}
+	}
+	return text
+}
+
 // jobsNamed returns the jobs that a line names, by their own ids or by those of tasks.
 func jobsNamed(f map[string]string, text string) []string {
-	var jobs []string
 	if f["job"] != "" {
-		jobs = append(jobs, f["job"])
+		return []string{f["job"]}
 	}
+	if !strings.Contains(text, "#") {
+		return nil
+	}
+	var jobs []string
 	for _, m := range taskID.FindAllStringSubmatch(text, -1) {
 		if !slices.Contains(jobs, m[1]) {
 			jobs = append(jobs, m[1])
@@ -148,9 +159,9 @@
 	return f, d.Err()
 }
 
-// milliseconds returns a value of the line's detail as a duration; zero if it has none.
-func (l *Line) milliseconds(key string) time.Duration {
-	ms, err := strconv.ParseInt(l.detail[key], 10, 64)
+// milliseconds returns a number of ms as a duration; zero if it is none.
+func milliseconds(text string) time.Duration {
+	ms, err := strconv.ParseInt(text, 10, 64)
 	if err != nil {
 		return 0
 	}
--- a/refusals/refusals.go
+++ b/refusals/refusals.go
@@ -138,7 +138,7 @@
 		}
 		switch line.Event {
 		case "job_admitted", "job_held", "job_delayed", "job_joined":
-			at := line.At.Add(-line.milliseconds("waited_ms"))
+			at := line.At.Add(-line.waited)
 			switch {
 			case open == nil:
 				h.submissions[entry] = append(h.submissions[entry], &submission{calls: []time.Time{at}})
@@ -147,13 +147,13 @@
 			}
 		case "job_refused", "job_answered", "job_abandoned":
 			if open != nil {
-				submitted := line.At.Add(-line.milliseconds("waited_ms"))
+				submitted := line.At.Add(-line.waited)
 				open.end, open.endedBy = line.At, line.Event
 				open.refused = line.isRefusal() && !submitted.After(open.calls[0].Add(rounding))
 			}
 		}
 		if line.isRefusal() {
-			h.refusals = append(h.refusals, refusal{line.At, line.At.Add(-line.milliseconds("waited_ms")), line.Process, entry})
+			h.refusals = append(h.refusals, refusal{line.At, line.At.Add(-line.waited), line.Process, entry})
 		}
 	}
 	return h
@@ -196,7 +196,7 @@
 	if !timed && !h.showsUnloggedStart(line) {
 		return nil
 	}
-	ordered := line.At.Add(-line.milliseconds("reply_ms"))
+	ordered := line.At.Add(-line.reply)
 	s := h.submissionOf(line)
 	if s != nil && s.refused && timed && !line.At.After(s.end) {
 		return &verdict{true, fmt.Sprintf("task %s was started %v before the entry refused the job as not run", line.task, s.end.Sub(line.At))}
@@ -246,7 +246,7 @@
 	switch line.Event {
 	case "foreign_run_stopped":
 	case "task_ended":
-		if line.detail["may_have_run"] != "true" {
+		if !line.mayHaveRun {
 			return false
 		}
 	default:
