--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/chestnuthollow/chestnuthollow/dispatch"
 	"github.com/chestnuthollow/chestnuthollow/internal/instance"
+	"github.com/chestnuthollow/chestnuthollow/refusals"
 	"github.com/chestnuthollow/chestnuthollow/routing"
 	"github.com/chestnuthollow/chestnuthollow/session"
 	"github.com/chestnuthollow/chestnuthollow/structs"
@@ -78,3 +79,8 @@
 	g.Expect(gw.openJobs()).To(BeZero())
 	g.Expect(out.String()).To(ContainSubstring("event=job_rejected job=job queue=q verdict=not_run"))
 }
+
+// Guards against a check of logs that takes a rejection for which no caller waits for a refusal.
+func TestReasonOfCallerThatLeftIsKnownToTheCheckOfLogs(t *testing.T) {
+	NewWithT(t).Expect(errCallerLeft.Error()).To(Equal(refusals.CallerLeft))
+}
