A late reply of a short-lived server does not advance its successor's clock

What callers may see: a task that starts, or runs on, up to a second longer than entries count with.

Cause: replies to starts and stops do not name the incarnation. The agent took their clock reading for the known incarnation's if that clock could show it by now, with a second of tolerance. The clock of an incarnation that crashed within a second of its start is inside that tolerance, so that its reply, handled after the agent had learned of the successor, set the clock ahead by up to a second. Starts and leases end by this clock: 300 ms after the reading, which then was up to 1.3 s.

Change: such a reading counts only if the call was for the known incarnation. Calls for one reach no other (TestCallsReachOnlyTheIncarnationThatTheyAreFor), so that nothing is inferred from the clocks of two incarnations any more.

Evidence: TestLateReplyOfShortLivedIncarnationDoesNotAdvanceClock, start and stop, failed before: clock 900 ms, the successor's shows 100 ms. Both pass now; ./test/sessions and the random walks of ./taskrunner pass.

--- a/taskrunner/incarnations_test.go
+++ b/taskrunner/incarnations_test.go
@@ -275,3 +275,36 @@
 	h.step(taskrunner.StartReplied{Key: runKey("job", 0), Result: taskrunner.StartOtherServer, Clock: time.Second, ServerIncarnation: incarnation + 1})
 	h.Expect(h.pollReports(1)).To(ConsistOf(HaveField("Outcome", session.NotStarted)))
 }
+
+// replaceServer replaces the server by an incarnation whose clock shows the given time.
+func (h *harness) replaceServer(incarnation int64, clock time.Duration) {
+	h.clock = clock
+	h.step(taskrunner.RenewReplied{ID: 0, OK: true, ServerIncarnation: incarnation, Clock: clock})
+	h.step(taskrunner.ServerReported{Info: taskrunner.ServerInfo{ID: "server-1", Incarnation: incarnation, Seq: 1, Service: "booking", CPU: 20_000, MemMB: 1000}})
+}
+
+// Guards against starts and leases that last longer than entries count with: a server crashes
+// within a second of its start, and the reply to a start or a stop that it has sent before is taken
+// for a reading of its successor's clock.
+func TestLateReplyOfShortLivedIncarnationDoesNotAdvanceClock(t *testing.T) {
+	const (
+		shortLived, successor = incarnation + 1, incarnation + 2
+		clockOfReply          = 900 * time.Millisecond
+		clockOfSuccessor      = 100 * time.Millisecond
+	)
+	for name, reply := range map[string]taskrunner.Event{
+		"start": taskrunner.StartReplied{Key: runKey("job", 0), Result: taskrunner.StartAccepted, Clock: clockOfReply},
+		"stop":  taskrunner.StopReplied{Key: runKey("job", 0), OK: true, Clock: clockOfReply, Known: shortLived},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.makeReady()
+			h.replaceServer(shortLived, clockOfReply-50*time.Millisecond)
+			h.order(1, session.ClockReading{Run: shortLived, Clock: h.clock}, "job", 1000, 1)
+			h.Expect(effects[taskrunner.StartTask](h)).To(HaveLen(1))
+			h.replaceServer(successor, clockOfSuccessor)
+			h.step(reply)
+			h.Expect(h.helloState().Stamp).To(Equal(session.ClockReading{Run: successor, Clock: clockOfSuccessor}))
+		})
+	}
+}
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -257,12 +257,14 @@
 	if e.Result == StartUnknown || e.Result == StartAccepted {
 		m.leaseAsked() // until now the call may have been carried out
 	}
-	m.readClock(e.ServerIncarnation, e.Clock)
 	m.health.recordStartReply(e.Broken)
 	r := m.runs[e.Key.TaskKey]
 	if r == nil || r.key != e.Key {
 		return
 	}
+	if e.ServerIncarnation != 0 || r.sentTo == m.clockIncarnation {
+		m.readClock(e.ServerIncarnation, e.Clock)
+	}
 	r.attempts.Answered(e.Result.answer(), m.replyingIncarnation(r, e))
 	r.answeredAfter = m.lastRenewalID
 	if e.Result == StartAccepted && !r.confirmed {
@@ -393,9 +395,12 @@
 }
 
 func (m *Runner) stopReplied(e StopReplied) {
+	if e.Known != m.clockIncarnation {
+		return
+	}
 	m.readClock(0, e.Clock)
 	r := m.runs[e.Key.TaskKey]
-	if r == nil || r.key != e.Key || r.phase != stopping || e.Known != m.clockIncarnation {
+	if r == nil || r.key != e.Key || r.phase != stopping {
 		return
 	}
 	if r.stopAcked {
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -238,7 +238,8 @@
 }
 
 // readClock updates the clock from a reading of the given server incarnation. Zero stands
-// for one that is not named: it is ignored unless it continues the clock.
+// for one that is not named, in the reply to a call for the known incarnation: it is ignored
+// unless it continues the clock.
 func (m *Runner) readClock(incarnation int64, clock time.Duration) {
 	if clock <= m.clock || incarnation == 0 && !m.continuesClock(clock) {
 		return
