--- a/taskrunner/taskrunner_test.go
+++ b/taskrunner/taskrunner_test.go
@@ -26,13 +26,15 @@
 	lastCall    taskrunner.CallID
 }
 
+var harnessOptions = taskrunner.Options{
+	Agent: "agent-1", Incarnation: 1, Zone: "zone-a", Service: "booking", Token: 100,
+	Lease: taskrunner.DefaultLease, SessionTTL: taskrunner.DefaultSessionTTL, RenewalWait: taskrunner.DefaultRenewalWait,
+	PollWait: taskrunner.DefaultPollWait, StopTimeout: 50 * time.Millisecond, LeaseMax: time.Second,
+}
+
 func newHarness(t *testing.T) *harness {
 	h := &harness{GomegaWithT: NewWithT(t), now: startTime, clock: time.Hour}
-	h.runner = taskrunner.New(taskrunner.Options{
-		Agent: "agent-1", Incarnation: 1, Zone: "zone-a", Service: "booking", Token: 100,
-		Lease: taskrunner.DefaultLease, SessionTTL: taskrunner.DefaultSessionTTL, RenewalWait: taskrunner.DefaultRenewalWait,
-		PollWait: taskrunner.DefaultPollWait, StopTimeout: 50 * time.Millisecond, LeaseMax: time.Second,
-	})
+	h.runner = taskrunner.New(harnessOptions)
 	return h
 }
 
