A late agent keeps the sessions whose messages wait for it

Callers saw tasks stopped and started again elsewhere on busy machines.

Cause: Step ends sessions by the time since it handled their last message, before it handles the next one. A poll follows the reply to the one before it, so that its entry was alive after that reply; likewise an order that echoes a clock reading, after the reply that has carried it.

Change: before sessions expire, the message that is about to be handled counts as sent at that time at the earliest. A message that has waited for longer than SessionTTL since keeps no session, as before.

Why it is safe: what entries count with does not rest on when the agent handles a message. Sessions still end by the age of the echoed reading as soon as the agent has a newer one, before it renews a lease, and no start has a lease beyond SessionTTL after that reading.

What remains: if the reply to a lease renewal is handled before the message that waits with it, the reading that was echoed last is too old by the server's clock, and the session ends. The agent cannot know then that a message waits.

--- a/taskrunner/poll.go
+++ b/taskrunner/poll.go
@@ -44,11 +44,13 @@
 		if s.poll == nil || len(s.reports) == 0 && m.now.Before(s.poll.due) {
 			continue
 		}
-		m.emit(ReplyPoll{Call: s.poll.call, Reply: session.PollReply{
+		reply := session.PollReply{
 			Reports: slices.Clone(s.reports), State: m.state(s), Evacuation: m.unsentEvacuation(s), Cancels: m.unsentCancels(s),
 			Held: max(m.now.Sub(s.poll.since), time.Nanosecond),
-		}})
-		s.poll, s.answeredAt = nil, m.now
+		}
+		m.emit(ReplyPoll{Call: s.poll.call, Reply: reply})
+		s.poll = nil
+		s.answered(m, reply.State.Stamp)
 	}
 }
 
--- a/taskrunner/poll_test.go
+++ b/taskrunner/poll_test.go
@@ -106,3 +106,52 @@
 	h.Expect(effects[taskrunner.CloseSession](h)).To(BeEmpty())
 	h.Expect(h.runner.OpenSessions()).To(Equal(1))
 }
+
+// Guards against the same for an order that is handled before the poll.
+func TestLateAgentKeepsSessionsWhoseOrdersWait(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	h.lastCall++
+	h.step(taskrunner.PollCalled{Call: h.lastCall, Session: 1, Request: session.PollRequest{Echo: h.reading()}})
+	h.advance(taskrunner.DefaultPollWait)
+	h.answerRenewal(0, nil)
+	reading := effects[taskrunner.ReplyPoll](h)[0].Reply.State.Stamp
+	h.Expect(reading).To(Equal(h.reading()))
+	h.advance(taskrunner.DefaultPollWait + 60*time.Millisecond)
+	h.order(1, reading, "job", 1000, 1)
+	h.Expect(effects[taskrunner.CloseSession](h)).To(BeEmpty())
+	h.Expect(effects[taskrunner.StartTask](h)).To(ConsistOf(HaveField("Until", reading.Clock+taskrunner.DefaultLease)))
+}
+
+// Guards against sessions that messages keep although they have waited for longer than a session
+// lasts, or echo a reading that is too old by the server's clock.
+func TestMessagesThatWaitedLongKeepNoSession(t *testing.T) {
+	const late = taskrunner.DefaultSessionTTL + 10*time.Millisecond
+	for name, message := range map[string]func(*harness, session.ClockReading){
+		"poll": func(h *harness, echo session.ClockReading) {
+			h.lastCall++
+			h.step(taskrunner.PollCalled{Call: h.lastCall, Session: 1, Request: session.PollRequest{Echo: echo}})
+		},
+		"order": func(h *harness, echo session.ClockReading) { h.order(1, echo, "job", 1000, 1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.makeReady()
+			echo := h.reading()
+			h.advance(late)
+			message(h, echo)
+			h.Expect(effects[taskrunner.CloseSession](h)).To(HaveLen(1), "by the agent's clock")
+			h.Expect(effects[taskrunner.StartTask](h)).To(BeEmpty())
+
+			h = newHarness(t)
+			h.makeReady()
+			h.advance(late - 20*time.Millisecond)
+			message(h, echo)
+			h.Expect(effects[taskrunner.CloseSession](h)).To(BeEmpty())
+			h.advance(20 * time.Millisecond)
+			h.answerRenewal(0, nil)
+			h.Expect(effects[taskrunner.CloseSession](h)).To(HaveLen(1), "by the server's clock")
+			h.Expect(effects[taskrunner.StartTask](h)).To(BeEmpty())
+		})
+	}
+}
--- a/taskrunner/session.go
+++ b/taskrunner/session.go
@@ -18,11 +18,14 @@
 	open          bool                 // the reply to Hello has been sent
 	hello         *HelloCalled         // awaiting its reply; nil once it has been sent
 	echoed        session.ClockReading // newest echoed clock reading
-	lastHeard     time.Time            // when the last message arrived
+	lastHeard     time.Time            // when the last message was handled, or sent at the earliest
 	reports       []session.Report     // not acknowledged by the entry yet
 	lastReportSeq uint64
 	poll          *pendingPoll
 	answeredAt    time.Time // when the last reply to Hello or to a poll was sent
+	// stamp is the clock reading in that reply, stampedAt when it was first sent.
+	stamp     session.ClockReading
+	stampedAt time.Time
 	// topicUnheard is for how long the entry has not heard the operators' topic, by its last
 	// message; zero if it hears it. evacuationKnown is the newest version of the evacuations
 	// that the session has carried.
@@ -72,6 +75,37 @@
 	}
 }
 
+// heardBefore records, before sessions expire, when at the earliest the entry has sent the message
+// that is about to be handled: a poll follows the reply to the one before it, and a clock reading is
+// echoed after the reply that carried it. The message may have waited for an agent that is short
+// of processor time. How old its clock reading is limits the session as before.
+func (m *Runner) heardBefore(ev Event) {
+	switch e := ev.(type) {
+	case PollCalled:
+		if s := m.openSession(e.Session); s != nil {
+			s.heardAt(s.answeredAt)
+		}
+	case OrderCalled:
+		if s := m.openSession(e.Session); s != nil && e.Request.Echo == s.stamp {
+			s.heardAt(s.stampedAt)
+		}
+	}
+}
+
+func (s *entrySession) heardAt(t time.Time) {
+	if t.After(s.lastHeard) {
+		s.lastHeard = t
+	}
+}
+
+// answered records a reply to Hello or to a poll.
+func (s *entrySession) answered(m *Runner, stamp session.ClockReading) {
+	s.answeredAt = m.now
+	if stamp != s.stamp {
+		s.stamp, s.stampedAt = stamp, m.now
+	}
+}
+
 // hello adds a session and ends an earlier one of the same entry. The session opens
 // when answerHellos replies.
 func (m *Runner) hello(e HelloCalled) {
@@ -139,7 +173,8 @@
 		}
 		s.recordEvacuation(reply.Evacuation)
 		s.echoed = reply.State.Stamp
-		s.lastHeard, s.answeredAt = m.now, m.now
+		s.lastHeard = m.now
+		s.answered(m, reply.State.Stamp)
 		s.open, m.topic.viewsChanged = true, true
 		m.emit(ReplyHello{Call: s.hello.Call, Reply: reply})
 		s.hello = nil
--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -102,6 +102,7 @@
 	m.now = now
 	m.effects = nil
 	m.health.decay(now)
+	m.heardBefore(ev)
 	m.expire()
 	switch e := ev.(type) {
 	case HelloCalled:
