Calls that start, stop or keep runs are made only for a known incarnation

A server's next incarnation, under the same id, carries out a start that was for an earlier one seconds before, while the agent is suspended; its lease is by the earlier clock. The agent cannot know: the walk assumed what bound connections exclude.

No such call leaves the agent. Starts and stops carry the known incarnation, and a renewal that names none asks for no lease: that is the first call to a server, and the first ones after it was replaced, rejects the agent's token or has not replied for as long as a lease lasts. Until now this rested on reading the reducer.

--- a/taskrunner/orders_test.go
+++ b/taskrunner/orders_test.go
@@ -20,7 +20,6 @@
 	crossing    bool // calls in flight may reach the next incarnation
 	suspension  bool // the agent may be suspended, with or without its server being replaced
 	unnamed     bool // replies to starts do not name the incarnation
-	unbound     bool // any incarnation carries out calls for a known one
 }
 
 const (
@@ -100,7 +99,7 @@
 
 // execute carries out a call at the current incarnation and returns the reply.
 func (w *orderWalk) execute(ef taskrunner.Effect) taskrunner.Event {
-	if reply := w.refuseOther(ef); reply != nil && !w.faults.unbound {
+	if reply := w.refuseOther(ef); reply != nil {
 		return reply
 	}
 	switch e := ef.(type) {
@@ -159,6 +158,19 @@
 	return nil
 }
 
+// isBound reports whether a call is for one incarnation of the server, or starts and keeps nothing.
+func isBound(ef taskrunner.Effect) bool {
+	switch e := ef.(type) {
+	case taskrunner.StartTask:
+		return e.Known != 0
+	case taskrunner.StopTask:
+		return e.Known != 0
+	case taskrunner.RenewLease:
+		return e.Known != 0 || e.Until <= 0
+	}
+	return true
+}
+
 // refuseOther returns the reply to a call that is for another incarnation, or nil.
 func (w *orderWalk) refuseOther(ef taskrunner.Effect) taskrunner.Event {
 	switch e := ef.(type) {
@@ -209,6 +221,9 @@
 		case taskrunner.StartTask, taskrunner.StopTask, taskrunner.RenewLease:
 			w.inFlight = append(w.inFlight, &orderCall{effect: ef, sentAt: w.now, boot: w.boot})
 			w.log("agent -> %T %+v", ef, ef)
+			if !isBound(ef) {
+				w.fail("%T is for no incarnation of the server", ef)
+			}
 		case taskrunner.LogEvent:
 			w.log("agent: %s %s", e.Event, e.Detail)
 			if e.Event == "task_ended" && w.outcome == "" {
@@ -394,7 +409,7 @@
 		"suspended agent":           {suspension: true},
 		"unnamed incarnations":      {unnamed: true},
 		"all":                       {crossing: true, lateReplies: true, suspension: true},
-		"unbound calls":             {crossing: true, lateReplies: true, suspension: true, unbound: true},
+		"as on the platform":        {crossing: true, lateReplies: true, suspension: true, unnamed: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			failures := map[string]int{}
