--- a/taskrunner/taskrunner.go
+++ b/taskrunner/taskrunner.go
@@ -102,6 +102,7 @@
 	m.now = now
 	m.effects = nil
 	m.health.decay(now)
+	m.heardBefore(ev)
 	m.expire()
 	switch e := ev.(type) {
 	case HelloCalled:
@@ -238,7 +239,8 @@
 }
 
 // readClock updates the clock from a reading of the given server incarnation. Zero stands
-// for one that is not named: it is ignored unless it continues the clock.
+// for one that is not named, in the reply to a call for the known incarnation: it is ignored
+// unless it continues the clock.
 func (m *Runner) readClock(incarnation int64, clock time.Duration) {
 	if clock <= m.clock || incarnation == 0 && !m.continuesClock(clock) {
 		return
