Dispatch: callers that have left take no retries from those that wait

Callers saw: not reported; found by reading. At an entry that was suspended a job can be given up with "too many tasks were placed again for those that were completed", although nearly all of the lost tasks belonged to callers that have left.

Cause: since a task that is placed again waits for the check of its callers, but its retry was taken from the budget before. The retries of callers that turn out to have left were spent.

Evidence: TestCallersThatHaveLeftUseNoRetries: 590 jobs of callers that have left and one of a caller that waits, all lost; the last one's retry is denied before the change.

Change: the retry is taken when the task is placed, in placeAgain.

--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
 // A caller that has left may submit its job to another entry, and may be told there that the job
@@ -30,6 +32,7 @@
 	index  int
 	agent  string // of the last placement
 	reason string // why that has ended
+	retry  bool   // it is taken from Dispatcher.retries when it is placed
 }
 
 func (d *Dispatcher) newWaitingSubmission(e SubmitCalled) waitingSubmission {
@@ -94,6 +97,10 @@
 		d.reassignments = append(d.reassignments, r)
 		return
 	}
+	if r.retry && !d.takeRetry() {
+		d.abandon(j, structs.CodeOverloaded, "too many tasks were placed again for those that were completed; last outcome "+r.reason)
+		return
+	}
 	plan, err := d.plan(j, []int{r.index}, j.deadline)
 	if err != nil && d.mayHold(j, err) {
 		d.hold(j, err)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -360,9 +360,8 @@
 		d.abandon(j, structs.CodeUnavailable, "task reached its limit of placements, last outcome "+reason)
 		return
 	}
-	if r.Outcome != session.Failed && !p.stopRequested && !p.recalled && !d.takeRetry() {
-		d.abandon(j, structs.CodeOverloaded, "too many tasks were placed again for those that were completed; last outcome "+reason)
-		return
-	}
-	d.placeAgain(reassignment{job: j, index: p.index, agent: p.agent.name, reason: reason})
+	d.placeAgain(reassignment{
+		job: j, index: p.index, agent: p.agent.name, reason: reason,
+		retry: r.Outcome != session.Failed && !p.stopRequested && !p.recalled,
+	})
 }
--- a/dispatch/retries_test.go
+++ b/dispatch/retries_test.go
@@ -80,3 +80,28 @@
 		h.Expect(effects[dispatch.RetryMetrics](h)).To(BeEmpty())
 	}
 }
+
+// Guards against jobs that are given up because callers that have left have used up the tasks that may
+// be placed again.
+func TestCallersThatHaveLeftUseNoRetries(t *testing.T) {
+	const agents, jobs = 30, 590 // more jobs than tasks that may be placed again
+	h := newHarness(t)
+	for id := range dispatch.SessionID(agents) {
+		h.agent(id+1, idle)
+	}
+	gone := make([]dispatch.CallID, jobs)
+	for i := range gone {
+		gone[i] = h.submit(fmt.Sprintf("job-%d", i), 1, 1000, longEstimate)
+	}
+	h.submit("last", 1, 1000, longEstimate)
+	counts, _ := h.placed()
+	h.Expect(counts).To(HaveLen(1))
+	h.suspended(gone...)
+	for id := range dispatch.SessionID(agents) {
+		h.step(dispatch.SessionEnded{ID: id + 1, LastHeard: start, Reason: "no reply"})
+		h.Expect(effects[dispatch.RetryMetrics](h)).To(BeEmpty())
+		h.step(dispatch.SessionOpened{ID: 100 + id, Agent: fmt.Sprintf("agent-%d", id+1), Zone: "zone-a", State: h.state(idle)})
+		h.Expect(effects[dispatch.RetryMetrics](h)).To(BeEmpty())
+	}
+	h.Expect(h.d.OpenJobs()).To(Equal(1))
+}
