Gateway: the request of a caller that is found to have left ends

Callers saw: nothing; found by reading. An entry keeps a goroutine and a connection for each such request until it stops.

Cause: when CheckCallers finds that a caller has left, its job is closed without an answer, and Submit waits for the end of the request's context. net/http does not end that if a byte stands behind the request.

Evidence: TestSubmitOfCallerThatHasLeftReturns: Submit has not returned after a second before the change; 10 runs with -race pass after it.

Change: checkCallers gives such a Submit the outcome of a caller that has disconnected.

--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -84,3 +84,34 @@
 func TestReasonOfCallerThatLeftIsKnownToTheCheckOfLogs(t *testing.T) {
 	NewWithT(t).Expect(errCallerLeft.Error()).To(Equal(refusals.CallerLeft))
 }
+
+// Guards against requests that are kept until the process stops: net/http does not notice that a client
+// has left if a byte stands behind its request.
+func TestSubmitOfCallerThatHasLeftReturns(t *testing.T) {
+	g := NewWithT(t)
+	gw := newIdleGateway(new(strings.Builder))
+	gw.logger = log.NewNopLogger()
+	gw.dispatcher = dispatch.New(dispatch.Options{Started: time.Now().Add(time.Minute)})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	outcome := make(chan Outcome, 1)
+	s := instance.Serve(l, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		outcome <- gw.Submit(r.Context(), dispatch.Job{
+			Name: "job", Queue: routing.Queue{Name: "q", Service: "s", Stretch: 2}, Tasks: 1, CPU: 100, Estimate: time.Minute,
+		}, nil)
+	}), log.NewNopLogger())
+	defer s.Close()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(gw.openJobs).Should(Equal(1))
+	_, err = fmt.Fprint(conn, "\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(conn.Close()).To(Succeed())
+	gw.step(dispatch.SessionOpened{ID: 1, Agent: "agent", State: session.State{
+		Seq: 1, Ready: true, FreeCPU: 1000, FreeMem: 100, Slowness: 1000, Identity: &session.Identity{Service: "s", Capacity: 1000},
+	}})
+	g.Expect(gw.openJobs()).To(BeZero())
+	g.Eventually(outcome).Should(Receive(Equal(Outcome{Status: dispatch.Canceled})))
+}
--- a/gateway/step.go
+++ b/gateway/step.go
@@ -64,8 +64,8 @@
 	return effects
 }
 
-// checkCallers looks which callers are connected. One whose Submit has ended has left. The caller
-// holds g.mu.
+// checkCallers looks which callers are connected, and ends the Submit of those that have left: the
+// contexts of their requests may not end. The caller holds g.mu.
 func (g *Gateway) checkCallers(check dispatch.CheckCallers) dispatch.CallersChecked {
 	var checked dispatch.CallersChecked
 	for _, call := range check.Calls {
@@ -73,6 +73,7 @@
 			checked.Connected = append(checked.Connected, call)
 		} else {
 			checked.Left = append(checked.Left, call)
+			g.deliver(call, Outcome{Status: dispatch.Canceled})
 		}
 	}
 	return checked
