--- a/refusals/refusals_test.go
+++ b/refusals/refusals_test.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// Guards against lines that are lost in the output of a bench, where other text precedes them,
+// Guards against lines that are lost where other text precedes them, or lines of several processes are mixed,
 // and against a finding whose lines are not in order of time.
 func TestLinesOfSeveralProcessesWithPrefix(t *testing.T) {
 	g := NewWithT(t)
--- a/test/platform/soak_leave_test.go
+++ b/test/platform/soak_leave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand"
 	"net"
@@ -82,7 +83,7 @@
 			continue
 		}
 		if conn, ok := c.conn.(*net.TCPConn); ok && reset {
-			if err := conn.SetLinger(0); err != nil {
+			if err := conn.SetLinger(0); err != nil && !errors.Is(err, net.ErrClosed) {
 				s.t.Logf("reset of a connection to %s: %v", entry.name, err)
 			}
 		}
