Stand-in: the store wakes the readers of a topic only, and encodes a record once

In a dump at load 97, 928 goroutines wait for the lock of the store: each append to any topic wakes all waiting readers, and each takes the lock.

Change: each topic has its own channel for waiting readers. A record is encoded when it is appended, without the lock.

go test -race ./platform ./keyedlog ./evacuationlog passes.

--- a/standin/keyedstore/store.go
+++ b/standin/keyedstore/store.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -38,7 +39,6 @@
 // Store is the stand-in. It has to be created with New.
 type Store struct {
 	mu        sync.Mutex
-	changed   chan struct{} // closed and replaced at each append
 	topics    map[string]*topic
 	mode      Mode
 	delay     time.Duration
@@ -46,6 +46,7 @@
 }
 
 type topic struct {
+	changed     chan struct{} // closed and replaced at each append
 	firstOffset int64
 	records     []record // the retained ones, the first with offset firstOffset
 	newest      map[string]record
@@ -56,12 +57,13 @@
 	key    string
 	value  []byte
 	raw    []byte // encoded, without its length
+	item   []byte // encoded for log-newest, without its offset and what follows
 	offset int64
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{changed: make(chan struct{}), topics: make(map[string]*topic)}
+	return &Store{topics: make(map[string]*topic)}
 }
 
 // SetMode sets the fault of all topics and the delay of calls in mode Serving.
@@ -106,25 +108,27 @@
 func (s *Store) topic(name string) *topic {
 	t := s.topics[name]
 	if t == nil {
-		t = &topic{newest: make(map[string]record)}
+		t = &topic{changed: make(chan struct{}), newest: make(map[string]record)}
 		s.topics[name] = t
 	}
 	return t
 }
 
 func (s *Store) append(name string, content []byte) int64 {
+	n := int(content[0])
+	r := record{key: string(content[1 : 1+n]), value: content[1+n:], raw: content}
+	r.item = encodeItem(r.key, r.value)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
-	n := int(content[0])
-	r := record{key: string(content[1 : 1+n]), value: content[1+n:], raw: content, offset: t.firstOffset + int64(len(t.records))}
+	r.offset = t.firstOffset + int64(len(t.records))
 	t.records = append(t.records, r)
 	if _, ok := t.newest[r.key]; !ok {
 		t.keyOrder = append(t.keyOrder, r.key)
 	}
 	t.newest[r.key] = r
-	close(s.changed)
-	s.changed = make(chan struct{})
+	close(t.changed)
+	t.changed = make(chan struct{})
 	return r.offset
 }
 
@@ -227,13 +231,13 @@
 
 // read returns the reply to a read from an offset on, with at least one record if there
 // is any and as many as fit into maxBytes. It reports whether records from that offset
-// on have been discarded, and returns the channel that is closed at the next append.
+// on have been discarded, and returns the channel that is closed at the topic's next append.
 func (s *Store) read(name string, from int64, maxBytes int) (body []byte, truncated bool, changed chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
 	if from < t.firstOffset {
-		return nil, true, s.changed
+		return nil, true, t.changed
 	}
 	body = binary.BigEndian.AppendUint64(nil, uint64(t.firstOffset)+uint64(len(t.records)))
 	body = binary.BigEndian.AppendUint64(body, uint64(t.firstOffset))
@@ -243,35 +247,44 @@
 		}
 		body = append(binary.BigEndian.AppendUint32(body, uint32(len(r.raw))), r.raw...)
 	}
-	return body, false, s.changed
+	return body, false, t.changed
 }
 
-// newestItem is the newest record of a key in a reply.
-type newestItem struct {
-	Key    string `json:"key"`
-	Value  []byte `json:"value"`
-	Offset int64  `json:"offset"`
+// encodeItem encodes a record for log-newest, up to its offset. A large one is encoded once, and not
+// for each reader.
+func encodeItem(key string, value []byte) []byte {
+	text, err := json.Marshal(struct {
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
+	}{key, value})
+	if err != nil {
+		panic(err) // strings and bytes can always be encoded
+	}
+	return text[:len(text)-1]
 }
 
 func (s *Store) serveNewest(c echo.Context) error {
 	items, end := s.newest(c.QueryParam("topic"))
-	// Large values are encoded without the lock, which all other calls need.
-	reply, err := json.Marshal(map[string]any{"items": items, "hasMore": false, "endOffset": end})
-	if err != nil {
-		return err
+	reply := []byte(`{"items":[`)
+	for i, r := range items {
+		if i > 0 {
+			reply = append(reply, ',')
+		}
+		reply = append(reply, r.item...)
+		reply = fmt.Appendf(reply, `,"offset":%d}`, r.offset)
 	}
+	reply = fmt.Appendf(reply, `],"hasMore":false,"endOffset":%d}`, end)
 	return c.JSONBlob(http.StatusOK, reply)
 }
 
 // newest returns the newest record of each key of a topic, and the offset after the last record.
-func (s *Store) newest(name string) (items []newestItem, end int64) {
+func (s *Store) newest(name string) (items []record, end int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
-	items = []newestItem{}
 	for _, k := range t.keyOrder {
 		if r := t.newest[k]; len(r.value) > 0 {
-			items = append(items, newestItem{r.key, r.value, r.offset})
+			items = append(items, r)
 		}
 	}
 	return items, t.firstOffset + int64(len(t.records))
