Dispatch: copies that have waited share one answer

Callers saw: nothing so far.

Cause: since copies that wait for the end of earlier tasks are submitted with the time they have waited, one by one. The older one has less time left and may be refused, and the younger one is admitted after it.

Change: of the copies of a job the newest is submitted; the others join its job or share its refusal.

--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -120,16 +120,38 @@
 func (d *Dispatcher) submitReady() {
 	list := d.ready
 	d.ready = nil
-	for _, s := range list {
-		if s.checked != d.steps {
-			d.ready = append(d.ready, s)
-			continue
+	for len(list) > 0 {
+		name := list[0].Job.Name
+		var copies, others []waitingSubmission
+		for _, s := range list {
+			switch {
+			case s.Job.Name != name:
+				others = append(others, s)
+			case s.checked != d.steps:
+				d.ready = append(d.ready, s)
+			default:
+				copies = append(copies, s)
+			}
 		}
+		d.submitCopies(copies)
+		list = others
+	}
+}
+
+// submitCopies submits the newest of the copies, which has the most time left. The others share its
+// job, or its refusal.
+func (d *Dispatcher) submitCopies(copies []waitingSubmission) {
+	var refused *structs.Error
+	for i, s := range slices.Backward(copies) {
 		waited := d.now.Sub(s.arrived)
 		s.Job.Waited += waited
 		if s.Job.Timeout > 0 {
 			s.Job.Timeout = max(s.Job.Timeout-waited, time.Millisecond)
 		}
-		d.submit(s.SubmitCalled)
+		if i == len(copies)-1 || refused == nil {
+			refused = d.submit(s.SubmitCalled)
+			continue
+		}
+		d.refuse(&job{Job: s.Job, arrived: s.arrived}, s.Call, refused)
 	}
 }
--- a/dispatch/callers_test.go
+++ b/dispatch/callers_test.go
@@ -120,6 +120,26 @@
 	}
 }
 
+// Guards against a copy that is refused as not run while a later one is admitted: both have waited for
+// the tasks of an earlier submission, and the older one has less time left.
+func TestCopiesThatHaveWaitedShareTheirAnswer(t *testing.T) {
+	const estimate = 100 * time.Millisecond
+	h := newHarness(t)
+	h.agent(1, idle)
+	first := h.submit("job", 1, 1000, estimate)
+	_, ids := h.placed()
+	h.step(dispatch.CallClosed{Call: first})
+	h.submit("job", 1, 1000, estimate)
+	h.now = h.now.Add(callersGone)
+	h.submit("job", 1, 1000, estimate)
+	h.report(1, idle, ids[0], session.Stopped)
+	h.Expect(effects[dispatch.Refused](h)).To(BeEmpty())
+	_, ids = h.placed()
+	h.Expect(ids).To(HaveLen(1))
+	h.report(1, idle, ids[0], session.Done)
+	h.Expect(effects[dispatch.Answered](h)).To(HaveLen(2))
+}
+
 // Guards against a job that is given up although a copy of it has a caller.
 func TestTaskIsPlacedAgainForCallerOfCopy(t *testing.T) {
 	h := newHarness(t)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -64,18 +64,18 @@
 
 // submit admits, holds or refuses a new job. A duplicate of a known job joins it
 // or gets its retained answer, and one of a canceled job is answered as canceled. The caller
-// is known to be connected.
-func (d *Dispatcher) submit(e SubmitCalled) {
+// is known to be connected. It returns why a new job was refused.
+func (d *Dispatcher) submit(e SubmitCalled) *structs.Error {
 	if j := d.jobs[e.Job.Name]; j != nil {
 		d.join(j, e)
-		return
+		return nil
 	}
 	if status, ok := d.retainedAnswers[e.Job.Name]; ok {
 		d.emit(Answered{Call: e.Call, Status: status})
-		return
+		return nil
 	}
 	if d.answerCanceled(e) || d.refuseCrashing(e) {
-		return
+		return nil
 	}
 	j := &job{Job: e.Job, arrived: d.now.Add(-e.Job.Waited), checked: d.steps, unfinished: e.Job.Tasks, tasks: make([]task, e.Job.Tasks)}
 	objective := j.Queue.Objective(j.Estimate)
@@ -96,7 +96,7 @@
 	held := err != nil && d.mayHold(j, err)
 	if err != nil && !held {
 		d.refuse(j, e.Call, err)
-		return
+		return err
 	}
 	j.calls = []CallID{e.Call}
 	d.calls[e.Call] = j
@@ -104,9 +104,10 @@
 	d.openJobs.Set(j)
 	if held {
 		d.hold(j, err)
-		return
+		return nil
 	}
 	d.admit(j, plan)
+	return nil
 }
 
 // latestUsefulEnd returns by when a job must be expected to end to be admitted:
