--- a/internal/instance/disconnect.go
+++ b/internal/instance/disconnect.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // connKey is the key of the connection in the context of a request.
@@ -30,6 +33,17 @@
 	}
 	closed := false
 	// Control, unlike Read, does not wait for the read of net/http that is pending.
-	err = raw.Control(func(fd uintptr) { closed = isPeerClosed(int(fd)) })
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case err != nil:
+			closed = !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
+		case n == 0:
+			closed = true
+		default:
+			closed = isClosedBehindUnread(int(fd))
+		}
+	})
 	return closed || err != nil
 }
--- a/internal/instance/disconnect_linux.go
+++ b/internal/instance/disconnect_linux.go
@@ -6,9 +6,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// isPeerClosed reports whether the other side of a connection has closed or reset it. Unlike a read,
-// poll shows that behind bytes that were not read yet.
-func isPeerClosed(fd int) bool {
+// isClosedBehindUnread reports whether the other side of a connection has closed or reset it although
+// bytes stand before that which were not read yet.
+func isClosedBehindUnread(fd int) bool {
 	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 	for {
 		n, err := unix.Poll(fds, 0)
