Gateway: a submission rejected as its caller has left may run for a copy

Callers saw: not reported; found by reading. A client that closes its side of the connection after its submission, and still reads, is told with 503 that the job never runs, while the entry runs it for a copy. The log line job_rejected says verdict=not_run.

Cause: Submit looks at the connection before the dispatcher looks for a copy.

Evidence: TestJobOfCallerThatHasLeftMayRunForCopy failed before: not run, with the copy open.

--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -115,3 +115,20 @@
 	g.Expect(gw.openJobs()).To(BeZero())
 	g.Eventually(outcome).Should(Receive(Equal(Outcome{Status: dispatch.Canceled})))
 }
+
+// Guards against a job that is said not to have run while a copy of it is open: a client that has closed
+// only its side of the connection still reads the answer.
+func TestJobOfCallerThatHasLeftMayRunForCopy(t *testing.T) {
+	g := NewWithT(t)
+	var out strings.Builder
+	gw := newIdleGateway(&out)
+	gw.dispatcher = dispatch.New(dispatch.Options{Started: time.Now().Add(time.Minute)})
+	job := dispatch.Job{Name: "job", Queue: routing.Queue{Name: "q", Service: "s", Stretch: 2}, Tasks: 1, CPU: 100, Estimate: time.Minute}
+	go gw.Submit(t.Context(), job, nil)
+	g.Eventually(gw.openJobs).Should(Equal(1))
+	ctx, leave := context.WithCancel(t.Context())
+	leave()
+	o := gw.Submit(ctx, job, nil)
+	g.Expect(o.Refused).To(HaveField("Verdict", structs.MayHaveRun))
+	g.Expect(gw.openJobs()).To(Equal(1))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -240,10 +240,14 @@
 	c := &pendingCall{request: ctx, outcome: make(chan Outcome, 1)}
 	g.mu.Lock()
 	if instance.Disconnected(ctx) {
+		verdict := structs.NotRun
+		if g.dispatcher.Knows(j.Queue.Name, j.Name) {
+			verdict = structs.MayHaveRun // for a copy
+		}
 		g.mu.Unlock()
 		t.End()
-		g.JobRejected(j.Name, j.Queue.Name, errCallerLeft)
-		return Outcome{Refused: structs.Errorf(structs.CodeUnavailable, structs.NotRun, "%v", errCallerLeft)}
+		g.logRejected(j.Name, j.Queue.Name, verdict, errCallerLeft)
+		return Outcome{Refused: structs.Errorf(structs.CodeUnavailable, verdict, "%v", errCallerLeft)}
 	}
 	g.lastCall++
 	call := g.lastCall
@@ -285,8 +289,12 @@
 // JobRejected logs and counts a submission that was rejected before it reached the
 // dispatcher.
 func (g *Gateway) JobRejected(job, queue string, err error) {
+	g.logRejected(job, queue, structs.NotRun, err)
+}
+
+func (g *Gateway) logRejected(job, queue string, verdict structs.Verdict, err error) {
 	g.metrics.rejected.Inc(1)
-	level.Info(g.logger).Log("event", "job_rejected", "job", job, "queue", queue, "verdict", structs.NotRun, "reason", err)
+	level.Info(g.logger).Log("event", "job_rejected", "job", job, "queue", queue, "verdict", verdict, "reason", err)
 }
 
 // Reload applies changed settings. Only new seeds take effect; all other settings
