--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -82,13 +82,18 @@
 	surges   int // number of surges
 }
 
-func soakOnce(t *testing.T, seed int64, entries, agents int) {
-	s := &soak{
+// newSoak returns a soak of a new system, whose faults are drawn from a seed.
+func newSoak(t *testing.T, seed int64, entries, agents int) *soak {
+	return &soak{
 		system: newSystem(t, entries, agents), rng: rand.New(rand.NewSource(seed)), zones: rand.New(rand.NewSource(seed + 1)),
 		sizes: rand.New(rand.NewSource(-seed)), disturbs: rand.New(rand.NewSource(seed + 2)),
 		pairs: rand.New(rand.NewSource(seed + 3)), leaves: rand.New(rand.NewSource(seed + 4)),
 		counts: make(map[string]int), calls: make(map[*openCall]struct{}),
 	}
+}
+
+func soakOnce(t *testing.T, seed int64, entries, agents int) {
+	s := newSoak(t, seed, entries, agents)
 	t.Cleanup(func() {
 		if t.Failed() || s.invariants.err() != nil {
 			s.saveLogs(seed)
--- a/test/platform/twice_test.go
+++ b/test/platform/twice_test.go
@@ -116,8 +116,9 @@
 		lostShare     = 0.1
 		longestPause  = 400 // ms
 	)
-	s := &soak{system: newSystem(t, 3, 6), counts: make(map[string]int)}
-	rng := rand.New(rand.NewSource(1))
+	const seed = 1
+	s := newSoak(t, seed, 3, 6)
+	rng := rand.New(rand.NewSource(seed))
 	ctx, cancel := context.WithCancel(t.Context())
 	var callers sync.WaitGroup
 	for i := range 2 * minCallers {
