Dispatch: submissions that have waited are grouped in one pass

Callers saw: nothing so far. Found by the review: with n submissions of as many jobs that wait for cancels, submitReady went over the list n times, under the lock of the entry.

--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -65,11 +65,15 @@
 	for _, call := range e.Left {
 		d.callClosed(call, "disconnected before tasks were placed")
 	}
+	connected := make(map[CallID]bool, len(e.Connected))
 	for _, call := range e.Connected {
+		connected[call] = true
 		if j := d.calls[call]; j != nil {
 			j.checked = d.steps
 		}
-		if i := slices.IndexFunc(d.ready, func(s waitingSubmission) bool { return s.Call == call }); i >= 0 {
+	}
+	for i := range d.ready {
+		if connected[d.ready[i].Call] {
 			d.ready[i].checked = d.steps
 		}
 	}
@@ -118,23 +122,25 @@
 // submitReady submits what has waited and need not wait longer, if its caller is known to be
 // connected.
 func (d *Dispatcher) submitReady() {
+	if len(d.ready) == 0 {
+		return
+	}
 	list := d.ready
 	d.ready = nil
-	for len(list) > 0 {
-		name := list[0].Job.Name
-		var copies, others []waitingSubmission
-		for _, s := range list {
-			switch {
-			case s.Job.Name != name:
-				others = append(others, s)
-			case s.checked != d.steps:
-				d.ready = append(d.ready, s)
-			default:
-				copies = append(copies, s)
-			}
+	copies := make(map[string][]waitingSubmission)
+	var names []string // in the order of arrival
+	for _, s := range list {
+		if s.checked != d.steps {
+			d.ready = append(d.ready, s)
+			continue
+		}
+		if copies[s.Job.Name] == nil {
+			names = append(names, s.Job.Name)
 		}
-		d.submitCopies(copies)
-		list = others
+		copies[s.Job.Name] = append(copies[s.Job.Name], s)
+	}
+	for _, name := range names {
+		d.submitCopies(copies[name])
 	}
 }
 
