--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -8,8 +8,8 @@
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
-// A caller that has left may submit its job to another entry, and may be told there that the job
-// never runs. An entry can handle what it has received much later, because it was suspended or is
+// A caller that has left may submit its job to another entry, which may reject it as not run. An
+// entry can handle what it has received much later, because it was suspended or is
 // short of processor time. A task is therefore placed only in a step that shows that a caller of its
 // job is connected: its submission, or CallersChecked. No age of an earlier check would do, because
 // the clock may stand still while the machine is suspended.
--- a/refusals/refusals.go
+++ b/refusals/refusals.go
@@ -1,5 +1,5 @@
 // Package refusals finds in the logs of all processes the jobs of which a task was started
-// although their callers had been told that they never run. An entry says so with a line
+// although an entry had refused them as not run. An entry refuses a job with a line
 // job_refused or job_rejected whose verdict is not_run, an agent starts a task with a line
 // task_started; the lines are joined by the job's id and ordered by their times. It does no
 // I/O of its own.
@@ -40,8 +40,7 @@
 // notRun is the verdict of a refusal.
 const notRun = "not_run"
 
-// Finding is a job of which a task was started after its caller had been told that it does
-// not run.
+// Finding is a job of which a task was started after it was refused as not run.
 type Finding struct {
 	Job     string `json:"job"`
 	Certain bool   `json:"certain"`
@@ -92,7 +91,7 @@
 	return findings
 }
 
-// isRefusal reports whether the line tells a caller that its job does not run.
+// isRefusal reports whether the line is a refusal as not run that a caller has received.
 func (l *Line) isRefusal() bool {
 	switch l.Event {
 	case "job_refused":
