--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -70,7 +70,7 @@
 		to.WriteString(as.agent.name)
 	}
 	d.emit(LogEvent{Event: event, Job: j.Name, Queue: j.Queue.Name,
-		Detail: fmt.Sprintf("tasks=%d uncertain=%d cpu=%d estimate_ms=%d expected_ms=%d objective_ms=%d target_ms=%d deadline_ms=%d%s to=%s", j.Tasks, uncertainTasks(plan), j.CPU,
+		Detail: fmt.Sprintf("tasks=%d uncertain=%d cpu=%d estimate_ms=%d expected_ms=%d objective_ms=%d target_ms=%d deadline_ms=%d waited_ms=%d%s to=%s", j.Tasks, uncertainTasks(plan), j.CPU,
 			j.Estimate.Milliseconds(), lastFinish(plan).Milliseconds(), j.objective.Sub(j.arrived).Milliseconds(),
-			j.target.Sub(j.arrived).Milliseconds(), j.deadline.Sub(j.arrived).Milliseconds(), d.spreadDetail(plan), to.String())})
+			j.target.Sub(j.arrived).Milliseconds(), j.deadline.Sub(j.arrived).Milliseconds(), d.now.Sub(j.arrived).Milliseconds(), d.spreadDetail(plan), to.String())})
 }
