Agent: a late reply to a start is not taken for one of a queued copy

What could be seen: an agent ends by itself (stack overflow), and its server's runs end with their leases.

Cause: copies of a job that two entries place have the same run numbers. If a run has ended, and a copy of it is queued when a late reply to its start arrives, the reply was recorded for the copy. A queued run that may be running can neither be dropped nor stopped: stop and finish called each other.

Change: a reply to a start is ignored for a run that is queued, as its rows in lists are.

--- a/taskrunner/attempts_test.go
+++ b/taskrunner/attempts_test.go
@@ -101,3 +101,21 @@
 	h.step(taskrunner.Ticked{})
 	h.answerRenewal(h.newestRenewalID(), running, ended...)
 }
+
+// Guards against an agent that ends by a stack overflow: a late reply to the start of an earlier run is
+// taken for one of a copy that is still queued, and the session of the copy ends.
+func TestLateReplyIsNotTakenForQueuedCopy(t *testing.T) {
+	h := newHarness(t)
+	h.makeReady()
+	h.order(1, h.reading(), "job", 20_000, 1, 2)
+	started := effects[taskrunner.StartTask](h)
+	h.Expect(started).To(HaveLen(1), "there is capacity for one")
+	copied := started[0].Key
+	copied.Index = 1 - copied.Index
+	h.acceptStart(copied)
+	h.step(taskrunner.OrderCalled{Call: 999, Session: 1, Request: session.OrderRequest{Echo: h.reading(), Recall: []uint64{1, 2}}})
+	reports := h.pollReports(1)
+	h.Expect(reports).To(HaveLen(1))
+	h.Expect(reports[0].Outcome).To(Equal(session.NotStarted))
+	h.step(taskrunner.SessionClosed{Session: 1})
+}
--- a/taskrunner/run.go
+++ b/taskrunner/run.go
@@ -259,7 +259,7 @@
 	}
 	m.health.recordStartReply(e.Broken)
 	r := m.runs[e.Key.TaskKey]
-	if r == nil || r.key != e.Key {
+	if r == nil || r.key != e.Key || r.phase == queued { // a queued one is a copy of the run that was started
 		return
 	}
 	if e.ServerIncarnation != 0 || r.sentTo == m.clockIncarnation {
