--- /dev/null
+++ b/test/platform/silent_test.go
@@ -0,0 +1,109 @@
+package platform_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
+)
+
+// silence cuts a connection off at its client's side without a word: the kernel drops all segments that
+// arrive for it, and the other side gets no acknowledgement, FIN or RST, as after a partition.
+func silence(g *WithT, conn *net.TCPConn) {
+	raw, err := conn.SyscallConn()
+	g.Expect(err).NotTo(HaveOccurred())
+	drop := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
+	var filterErr error
+	err = raw.Control(func(fd uintptr) {
+		filterErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(drop)), Filter: &drop[0]})
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(filterErr).NotTo(HaveOccurred())
+}
+
+// Guards against a task that runs twice: an entry is suspended with jobs open, the ends of their callers'
+// connections never reach it, the callers submit their jobs again at another entry, and the first one is
+// resumed.
+func TestResumedEntryStartsNothingForCallersWhoseEndIsUnseen(t *testing.T) {
+	const rounds, jobs = 4, 20
+	g := NewWithT(t)
+	s := newSystem(t, 2, 4)
+	g.Expect(s.post(t.Context(), s.entries[0], "00e0", 1, 10, 300, "ok").code).To(Equal(http.StatusOK))
+	for round := range rounds {
+		id := func(i int) string { return fmt.Sprintf("%016x", 0x100*(round+1)+i) }
+		var conns []*net.TCPConn
+		for i := range jobs {
+			conns = append(conns, s.submitTasks(g, s.entries[0], id(i), 2, 600))
+		}
+		time.Sleep(time.Duration(20+60*round) * time.Millisecond)
+		s.entries[0].signal(syscall.SIGSTOP)
+		for _, c := range conns {
+			silence(g, c)
+		}
+		time.Sleep(resubmitAfter)
+		for i := range jobs {
+			conns = append(conns, s.submitTasks(g, s.entries[1], id(i), 2, 600))
+		}
+		time.Sleep(time.Duration(60+60*(round%2)) * time.Millisecond)
+		s.entries[0].signal(syscall.SIGCONT)
+		time.Sleep(2 * time.Second)
+		for _, c := range conns {
+			c.Close()
+		}
+	}
+	g.Expect(s.invariants.err()).NotTo(HaveOccurred())
+}
+
+// Guards against a task that runs twice: a caller of long tasks is cut off from its entry, which still
+// reaches its agents, and submits its job again at another entry.
+func TestLongTasksOfSilentCallersAreStoppedBeforeCopiesRun(t *testing.T) {
+	const jobs = 20
+	for name, cutAfter := range map[string]time.Duration{"at once": 0, "later": 1200 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newSystem(t, 2, 4)
+			g.Expect(s.post(t.Context(), s.entries[0], "00e0", 1, 10, 300, "ok").code).To(Equal(http.StatusOK))
+			id := func(i int) string { return fmt.Sprintf("%016x", 0x100+i) }
+			var conns []*net.TCPConn
+			for i := range jobs {
+				conns = append(conns, s.submitTasks(g, s.entries[0], id(i), 2, 3000))
+			}
+			g.Eventually(func() int { return s.invariants.runningTasks(id(jobs - 1)) }, "3s", "5ms").Should(Equal(2))
+			time.Sleep(cutAfter)
+			for _, c := range conns {
+				silence(g, c)
+			}
+			time.Sleep(resubmitAfter)
+			for i := range jobs {
+				conns = append(conns, s.submitTasks(g, s.entries[1], id(i), 2, 300))
+			}
+			time.Sleep(2 * time.Second)
+			for _, c := range conns {
+				c.Close()
+			}
+			g.Expect(s.invariants.err()).NotTo(HaveOccurred())
+		})
+	}
+}
+
+// Guards against jobs that are given up although their callers still wait.
+func TestLongTasksOfCallersThatWaitAreCompleted(t *testing.T) {
+	const jobs = 8
+	g := NewWithT(t)
+	s := newSystem(t, 1, 4)
+	g.Expect(s.post(t.Context(), s.entries[0], "00e0", 1, 10, 300, "ok").code).To(Equal(http.StatusOK))
+	answers := make(chan answer, jobs)
+	for i := range jobs {
+		go func() { answers <- s.post(t.Context(), s.entries[0], fmt.Sprintf("%016x", 0x100+i), 2, 2500, 300, "ok") }()
+	}
+	for range jobs {
+		a := <-answers
+		g.Expect(a.err).NotTo(HaveOccurred())
+		g.Expect(a.code).To(Equal(http.StatusOK))
+	}
+}
