Entry: tasks are started and kept only on young signs of their callers

What callers saw: a task ran twice at once. The attempt of a caller had ended and its copy ran at another entry, while the first entry, which no FIN or RST had reached, started its tasks again after a suspension, or let long ones run on.

Cause: an entry took the absence of an end for the presence of a caller. After a partition or a suspension of the machine nothing arrives either way.

Change: the dispatcher keeps the last sign of each caller: when the last byte of its submission has arrived, or when the last probe was sent that the caller's operating system has acknowledged. Callers are probed when it is 250 ms old and tasks of theirs may run, and before tasks are placed later than that. One that has acknowledged nothing for 500 ms counts as disconnected: its tasks are stopped, and it is answered that the job may have run (504). Tasks are over 765 ms after that at the latest, 35 ms before a copy may come. A probe is one byte of an interim response (100 Continue), and its acknowledgement is read from the socket (SIOCOUTQ). Submissions that were read late, as the socket says or after a pause of the entry, wait for a sign too. The dispatcher's clock is now one that counts the time in which the machine is suspended, as the agents'. A held job whose caller gives no sign does not delay those behind it.

Tests: dispatch/liveness_test.go. TestTaskOfLostAgentIsReassignedAfterInDoubtTimeout expected no wake-up before the end of the in-doubt time; there are two for probes of the caller now. It follows each wake-up, expects that none starts a task, and the last one as before. New metrics callers.probed and callers.silent.

--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -11,8 +11,8 @@
 // A caller that has left may submit its job to another entry, which may reject it as not run. An
 // entry can handle what it has received much later, because it was suspended or is
 // short of processor time. A task is therefore placed only in a step that shows that a caller of its
-// job is connected: its submission, or CallersChecked. No age of an earlier check would do, because
-// the clock may stand still while the machine is suspended.
+// job is connected, as far as the entry's sockets show: its submission, or CallersChecked. The last sign
+// of that caller has to be young besides, see liveness.go.
 
 // maxHeldChecked bounds the callers of held jobs that are checked at once: most of the held jobs may
 // have to be held longer.
@@ -23,7 +23,7 @@
 type waitingSubmission struct {
 	SubmitCalled
 	arrived time.Time
-	checked uint64 // step in which its caller was last known to be connected
+	checked uint64 // step in which its caller was last known to be connected; zero if its last sign is old
 }
 
 // reassignment is a task to be placed again after its last placement has ended without success.
@@ -35,11 +35,28 @@
 	retry  bool   // it is taken from Dispatcher.retries when it is placed
 }
 
+// submitCalled handles a submission, or keeps it until it may be handled.
+func (d *Dispatcher) submitCalled(e SubmitCalled) {
+	c := d.addCaller(e)
+	switch {
+	case d.delay(e):
+	case d.hasFreshSign(c):
+		d.submit(e)
+	default:
+		d.ready = append(d.ready, d.newWaitingSubmission(e))
+	}
+}
+
 func (d *Dispatcher) newWaitingSubmission(e SubmitCalled) waitingSubmission {
-	return waitingSubmission{SubmitCalled: e, arrived: d.now, checked: d.steps}
+	s := waitingSubmission{SubmitCalled: e, arrived: d.now}
+	if c := d.callers[e.Call]; c != nil && d.hasFreshSign(c) {
+		s.checked = d.steps
+	}
+	return s
 }
 
-// checkCallers asks for the callers of all jobs whose tasks wait for that.
+// checkCallers asks for the callers of all jobs whose tasks wait for that: whether they are connected
+// if their last signs are young, and for signs otherwise.
 func (d *Dispatcher) checkCallers() {
 	var calls []CallID
 	d.reassignments = slices.DeleteFunc(d.reassignments, func(r reassignment) bool { return r.ended() })
@@ -54,9 +71,21 @@
 	for _, s := range d.ready {
 		calls = append(calls, s.Call)
 	}
-	if len(calls) > 0 {
-		slices.Sort(calls)
-		d.emit(CheckCallers{Calls: slices.Compact(calls)})
+	slices.Sort(calls)
+	var fresh []CallID
+	var old []*caller
+	for _, call := range slices.Compact(calls) {
+		switch c := d.callers[call]; {
+		case c == nil:
+		case d.hasFreshSign(c):
+			fresh = append(fresh, call)
+		default:
+			old = append(old, c)
+		}
+	}
+	d.probe(old)
+	if len(fresh) > 0 {
+		d.emit(CheckCallers{Calls: fresh})
 	}
 }
 
@@ -68,7 +97,7 @@
 	connected := make(map[CallID]bool, len(e.Connected))
 	for _, call := range e.Connected {
 		connected[call] = true
-		if j := d.calls[call]; j != nil {
+		if j := d.jobOf(call); j != nil {
 			j.checked = d.steps
 		}
 	}
--- a/dispatch/callers_bench_test.go
+++ b/dispatch/callers_bench_test.go
@@ -20,7 +20,7 @@
 					d.Step(start, dispatch.SubmitCalled{Call: dispatch.CallID(i + 1), Job: dispatch.Job{Name: fmt.Sprint("job-", i), Queue: queue(), Tasks: 1, CPU: 1000, Estimate: 100 * time.Millisecond}})
 				}
 				b.StartTimer()
-				d.StepChecked(start.Add(time.Millisecond), dispatch.CancelsLearned{From: "entry-2", All: true}, nil)
+				d.StepChecked(start.Add(time.Millisecond), dispatch.CancelsLearned{From: "entry-2", All: true}, dispatch.Callers{})
 			}
 		})
 	}
--- a/dispatch/callers_test.go
+++ b/dispatch/callers_test.go
@@ -19,9 +19,9 @@
 
 // suspended lets time pass in which the entry handles nothing and the callers leave.
 func (h *harness) suspended(callers ...dispatch.CallID) {
-	h.left = make(map[dispatch.CallID]bool)
+	h.Left = make(map[dispatch.CallID]bool)
 	for _, call := range callers {
-		h.left[call] = true
+		h.Left[call] = true
 	}
 	h.now = h.now.Add(callersGone)
 }
@@ -57,7 +57,7 @@
 	h := newHarness(t)
 	h.agent(1, idle)
 	call := h.submit("job", 1, 1000, longEstimate)
-	h.left = map[dispatch.CallID]bool{call: true}
+	h.Left = map[dispatch.CallID]bool{call: true}
 	h.step(dispatch.SessionEnded{ID: 1, LastHeard: h.now, Reason: "no reply"})
 	h.step(dispatch.SessionOpened{ID: 2, Agent: "agent-1", Zone: "zone-a", State: h.state(idle)})
 	h.expectNoStart()
@@ -148,7 +148,7 @@
 	first := h.submit("job", 1, 1000, longEstimate)
 	counts, ids := h.placed()
 	second := h.submit("job", 1, 1000, longEstimate)
-	h.left = map[dispatch.CallID]bool{first: true}
+	h.Left = map[dispatch.CallID]bool{first: true}
 	for _, checked := range [][]dispatch.CallID{{first, second}, {second}} {
 		for agent := range counts {
 			h.report(agent, idle, ids[0], session.NotStarted)
--- a/dispatch/cancel.go
+++ b/dispatch/cancel.go
@@ -57,8 +57,7 @@
 		d.answer(j, Canceled, reason)
 	}
 	for _, next := range j.successors {
-		delete(d.calls, next.Call)
-		d.emit(Answered{Call: next.Call, Status: Canceled})
+		d.emitAnswer(next.Call, Canceled)
 	}
 	j.successors = nil
 	return true
@@ -72,7 +71,7 @@
 	d.emit(LogEvent{Event: "canceled_job_submitted", Job: e.Job.Name, Queue: e.Job.Queue.Name})
 	d.emit(CancelMetrics{Submitted: 1})
 	d.emit(JobMetrics{Queue: e.Job.Queue.Name, Status: Canceled})
-	d.emit(Answered{Call: e.Call, Status: Canceled})
+	d.emitAnswer(e.Call, Canceled)
 	return true
 }
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -44,7 +44,10 @@
 	shares          map[string]*serviceShares // by service
 	jobs            map[string]*job           // open, or answered with tasks not yet ended, by name
 	openJobs        *indexheap.Heap[*job]     // those not answered, by deadline
-	calls           map[CallID]*job
+	callers         map[CallID]*caller        // by their pending calls
+	watched         *indexheap.Heap[*caller]  // those of open jobs, and those that were probed, by due
+	pause           time.Duration             // how long the entry handled nothing before resumedAt
+	resumedAt       time.Time
 	heldJobs        []*job               // open, with tasks to place once agents are available
 	heldUnchecked   bool                 // they wait for CallersChecked
 	reassignments   []reassignment       // those that wait for it
@@ -93,7 +96,13 @@
 			func(p *placement) *indexheap.Index { return &p.inDoubtIndex }),
 		usableAgentLost: make(map[string]time.Time),
 		noAgentSince:    make(map[string]time.Time),
-		calls:           make(map[CallID]*job),
+		callers:         make(map[CallID]*caller),
+		watched: indexheap.New(func(a, b *caller) bool {
+			if c := a.due.Compare(b.due); c != 0 {
+				return c < 0
+			}
+			return a.id < b.id
+		}, func(c *caller) *indexheap.Index { return &c.dueIndex }),
 		placements:      make(map[uint64]*placement),
 		retries:         retry.NewBudgetOf(retryShare, maxRetries),
 		retainedAnswers: make(map[string]Status),
@@ -102,22 +111,24 @@
 	}
 }
 
-// Step applies one event and returns the effects to carry out, in order.
+// Step applies one event and returns the effects to carry out, in order. The clock of now, and of all
+// times in events, must count the time in which the machine is suspended: callers, agents and servers do
+// not wait for the entry meanwhile.
 func (d *Dispatcher) Step(now time.Time, ev Event) []Effect {
-	d.now = now
+	d.observeTime(now)
 	d.steps++
 	d.effects = nil
 	d.candidateMemory.reset()
 	d.applyChanges(d.containment.Step(now, containment.Ticked{}))
 	switch e := ev.(type) {
 	case SubmitCalled:
-		if !d.delay(e) {
-			d.submit(e)
-		}
+		d.submitCalled(e)
 	case CallClosed:
 		d.callClosed(e.Call, "disconnected")
 	case CallersChecked:
 		d.callersChecked(e)
+	case CallersAcknowledged:
+		d.callersAcknowledged(e)
 	case CancelCalled:
 		d.cancel(e)
 	case PeersNotified:
@@ -143,6 +154,7 @@
 		d.leave(e.Until)
 	}
 	d.expire()
+	d.watchCallers()
 	d.endDelay()
 	d.submitReady()
 	if d.heldJobsDue() {
@@ -176,6 +188,7 @@
 		wakeBy(d.opts.Started.Add(cancelsTimeout))
 	}
 	wakeBy(d.earliestHoldDeadline())
+	wakeBy(d.nextWatch())
 	return wake
 }
 
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -26,7 +26,7 @@
 	last []dispatch.Effect
 	call dispatch.CallID
 	seq  uint64
-	left map[dispatch.CallID]bool // callers whose connections have ended, without CallClosed so far
+	dispatch.Callers
 }
 
 func newHarness(t *testing.T) *harness {
@@ -35,10 +35,10 @@
 	return h
 }
 
-// step applies an event, replies to CheckCallers, and checks the deadlines that the dispatcher has
+// step applies an event, replies to CheckCallers and ProbeCallers, and checks the deadlines that the dispatcher has
 // indexed.
 func (h *harness) step(ev dispatch.Event) {
-	h.last = h.d.StepChecked(h.now, ev, h.left)
+	h.last = h.d.StepChecked(h.now, ev, h.Callers)
 	open, earliest := h.d.ScannedDeadlines()
 	if indexed, by := h.d.IndexedDeadlines(); indexed != open || !by.Equal(earliest) {
 		h.Expect([]any{indexed, by}).To(Equal([]any{open, earliest}), "open jobs and earliest deadline indexed after %T", ev)
@@ -281,8 +281,15 @@
 	h.step(dispatch.SessionEnded{ID: 1, LastHeard: lastHeard, Reason: "test"})
 	counts, _ := h.placed()
 	h.Expect(counts).To(BeEmpty())
-	h.Expect(h.d.NextWake()).To(Equal(lastHeard.Add(inDoubtTimeout)))
-	h.now = lastHeard.Add(inDoubtTimeout)
+	until := lastHeard.Add(inDoubtTimeout)
+	for wake := h.d.NextWake(); wake.Before(until); wake = h.d.NextWake() { // its caller is probed meanwhile
+		h.Expect(wake).To(BeTemporally(">", h.now))
+		h.now = wake
+		h.step(dispatch.Ticked{})
+		h.expectNoStart()
+	}
+	h.Expect(h.d.NextWake()).To(Equal(until))
+	h.now = until
 	h.poll(2, serverState{capacity: 20_000, free: 10_000, slowness: 500}) // keeps the agent's state recent
 	counts, _ = h.placed()
 	h.Expect(counts).To(Equal(map[dispatch.SessionID]int{2: 1}))
--- a/dispatch/export_test.go
+++ b/dispatch/export_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chestnuthollow/chestnuthollow/quota"
@@ -48,23 +49,37 @@
 	return d.openJobs.Len(), earliest
 }
 
-// StepChecked is Step with replies to CheckCallers, by which the given callers have left.
-func (d *Dispatcher) StepChecked(now time.Time, ev Event, left map[CallID]bool) []Effect {
+// Callers are those whose connections have ended without CallClosed so far, and those from which no sign
+// arrives.
+type Callers struct{ Left, Silent map[CallID]bool }
+
+// StepChecked is Step with replies to CheckCallers and ProbeCallers.
+func (d *Dispatcher) StepChecked(now time.Time, ev Event, callers Callers) []Effect {
 	effects := d.Step(now, ev)
 	for _, ef := range effects {
-		check, ok := ef.(CheckCallers)
-		if !ok {
-			continue
-		}
-		var reply CallersChecked
-		for _, call := range check.Calls {
-			if left[call] {
-				reply.Left = append(reply.Left, call)
-			} else {
-				reply.Connected = append(reply.Connected, call)
+		switch ef := ef.(type) {
+		case CheckCallers:
+			connected, left := callers.look(ef.Calls)
+			effects = append(effects, d.StepChecked(now, CallersChecked{Connected: connected, Left: left}, callers)...)
+		case ProbeCallers:
+			connected, left := callers.look(ef.Calls)
+			connected = slices.DeleteFunc(connected, func(c CallID) bool { return callers.Silent[c] })
+			if len(connected)+len(left) > 0 {
+				effects = append(effects, d.StepChecked(now, CallersAcknowledged{Calls: connected, Left: left}, callers)...)
 			}
 		}
-		effects = append(effects, d.StepChecked(now, reply, left)...)
 	}
 	return effects
 }
+
+// look returns the callers that have not left, and those that have.
+func (c Callers) look(calls []CallID) (connected, left []CallID) {
+	for _, call := range calls {
+		if c.Left[call] {
+			left = append(left, call)
+		} else {
+			connected = append(connected, call)
+		}
+	}
+	return connected, left
+}
--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -48,7 +48,7 @@
 			d := dispatch.New(dispatch.Options{Entry: "e", Started: start, InDoubtTimeout: inDoubtTimeout, AnswerRetention: dispatch.DefaultAnswerRetention, Scheduling: scheduling})
 			now := start
 			step := func(ev dispatch.Event) {
-				for _, ef := range d.StepChecked(now, ev, nil) {
+				for _, ef := range d.StepChecked(now, ev, dispatch.Callers{}) {
 					switch ef.(type) {
 					case dispatch.Answered, dispatch.Refused:
 						answered = true
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -51,20 +51,25 @@
 // within their objective or, once their hold time is over, while their answer is
 // useful. Jobs that cannot be placed when their hold time is over are abandoned.
 // It stops at the first job that has to be held longer, because an entry that
-// was just resumed has many of them and little processor time, and at the first
-// whose callers have to be checked.
+// was just resumed has many of them and little processor time. Jobs whose callers
+// have to be checked stay held.
 func (d *Dispatcher) placeHeldJobs() {
 	held := d.heldJobs
 	d.heldJobs = nil
 	d.heldUnchecked = false
+	unchecked := 0
 	for i, j := range held {
 		if j.answered || j.abandonErr != nil {
 			continue
 		}
 		if j.checked != d.steps {
-			d.heldJobs = append(d.heldJobs, held[i:]...)
 			d.heldUnchecked = true
-			return
+			if unchecked++; unchecked == maxHeldChecked {
+				d.heldJobs = append(d.heldJobs, held[i:]...)
+				return
+			}
+			d.heldJobs = append(d.heldJobs, j)
+			continue
 		}
 		holdExpired := !d.now.Before(j.holdUntil)
 		latest := j.objective
@@ -82,6 +87,7 @@
 			d.abandon(j, err.Code, err.Message)
 		default:
 			d.heldJobs = append(d.heldJobs, held[i:]...)
+			d.heldUnchecked = false
 			return
 		}
 	}
@@ -95,12 +101,12 @@
 	return !due.IsZero() && (d.agentsChanged || d.heldUnchecked || !d.now.Before(due))
 }
 
-// earliestHoldDeadline returns when the first of the hold times ends; zero if no
-// job is held.
+// earliestHoldDeadline returns when the first of the hold times ends, of jobs that do
+// not wait for signs of their callers; zero if there is none.
 func (d *Dispatcher) earliestHoldDeadline() time.Time {
 	var earliest time.Time
 	for _, j := range d.heldJobs {
-		if earliest.IsZero() || j.holdUntil.Before(earliest) {
+		if (earliest.IsZero() || j.holdUntil.Before(earliest)) && !d.awaitsSign(j) {
 			earliest = j.holdUntil
 		}
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -71,7 +71,7 @@
 		return nil
 	}
 	if status, ok := d.retainedAnswers[e.Job.Name]; ok {
-		d.emit(Answered{Call: e.Call, Status: status})
+		d.emitAnswer(e.Call, status)
 		return nil
 	}
 	if d.answerCanceled(e) || d.refuseCrashing(e) {
@@ -99,7 +99,7 @@
 		return err
 	}
 	j.calls = []CallID{e.Call}
-	d.calls[e.Call] = j
+	d.assign(e.Call, j)
 	d.jobs[j.Name] = j
 	d.openJobs.Set(j)
 	if held {
@@ -138,12 +138,12 @@
 	d.emit(LogEvent{Event: "job_joined", Job: j.Name, Queue: j.Queue.Name, Detail: fmt.Sprintf("answered=%t live=%d", j.answered, j.livePlacements)})
 	if j.answered {
 		j.successors = append(j.successors, d.newWaitingSubmission(e))
-		d.calls[e.Call] = j
+		d.assign(e.Call, j)
 		return
 	}
 	j.calls = append(j.calls, e.Call)
 	j.checked = d.steps
-	d.calls[e.Call] = j
+	d.assign(e.Call, j)
 }
 
 // limitDeadline moves a job's deadline to t if it is later.
@@ -164,10 +164,17 @@
 	return list
 }
 
+// emitAnswer gives the final answer to a call.
+func (d *Dispatcher) emitAnswer(call CallID, s Status) {
+	d.removeCaller(call)
+	d.emit(Answered{Call: call, Status: s})
+}
+
 func (d *Dispatcher) refuse(j *job, call CallID, err *structs.Error) {
 	d.emit(LogEvent{Event: "job_refused", Job: j.Name, Queue: j.Queue.Name, Verdict: &err.Verdict,
 		Detail: fmt.Sprintf("code=%s reason=%q retry_after_ms=%d waited_ms=%d", err.Code, err.Message, err.RetryAfter.Milliseconds(), d.now.Sub(j.arrived).Milliseconds())})
 	d.emit(JobMetrics{Queue: j.Queue.Name, Took: d.now.Sub(j.arrived)})
+	d.removeCaller(call)
 	d.emit(Refused{Call: call, Error: err})
 }
 
@@ -176,13 +183,13 @@
 // for jobs that still have callers.
 func (d *Dispatcher) callClosed(call CallID, reason string) {
 	isCall := func(s waitingSubmission) bool { return s.Call == call }
-	j := d.calls[call]
+	j := d.jobOf(call)
+	d.removeCaller(call)
 	if j == nil {
 		d.delayed = slices.DeleteFunc(d.delayed, isCall)
 		d.ready = slices.DeleteFunc(d.ready, isCall)
 		return
 	}
-	delete(d.calls, call)
 	if i := slices.IndexFunc(j.successors, isCall); i >= 0 {
 		j.successors = slices.Delete(j.successors, i, i+1)
 		return
@@ -209,8 +216,7 @@
 			took.Milliseconds(), j.objective.Sub(j.arrived).Milliseconds(), j.Tasks, j.unfinished)})
 	d.emit(JobMetrics{Queue: j.Queue.Name, Status: s, Took: took, Late: late})
 	for _, call := range j.calls {
-		delete(d.calls, call)
-		d.emit(Answered{Call: call, Status: s})
+		d.emitAnswer(call, s)
 	}
 	j.calls = nil
 	d.retainedAnswers[j.Name] = s
@@ -244,7 +250,6 @@
 		err.Verdict = structs.NotRun
 	}
 	for _, call := range j.calls {
-		delete(d.calls, call)
 		d.refuse(j, call, &err)
 	}
 	j.calls = nil
@@ -282,7 +287,7 @@
 	}
 	delete(d.jobs, j.Name)
 	for _, next := range j.successors {
-		delete(d.calls, next.Call)
+		d.assign(next.Call, nil)
 		d.ready = append(d.ready, next)
 	}
 }
--- /dev/null
+++ b/dispatch/liveness_test.go
@@ -0,0 +1,249 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnuthollow/chestnuthollow/dispatch"
+	"github.com/chestnuthollow/chestnuthollow/session"
+	"github.com/chestnuthollow/chestnuthollow/structs"
+)
+
+// veryLong is the estimate of tasks that run longer than callers wait before they submit again.
+const veryLong = 2500 * time.Millisecond
+
+// stopTime is how long a task may run on after it was stopped, if its server does not reply to stops.
+const stopTime = 765 * time.Millisecond
+
+// silent lets the callers give no sign any more.
+func (h *harness) silent(callers ...dispatch.CallID) {
+	h.Silent = make(map[dispatch.CallID]bool)
+	for _, call := range callers {
+		h.Silent[call] = true
+	}
+}
+
+// wait lets time pass. The entry polls its agents and is woken when it asks for that; do is called
+// after each step.
+func (h *harness) wait(d time.Duration, do func()) {
+	const pollInterval = 40 * time.Millisecond
+	for end := h.now.Add(d); h.now.Before(end); {
+		next := h.now.Add(pollInterval)
+		if wake := h.d.NextWake(); !wake.IsZero() && wake.Before(next) {
+			next = wake
+		}
+		if end.Before(next) {
+			next = end
+		}
+		h.now = next
+		h.step(dispatch.Ticked{})
+		do()
+	}
+}
+
+// Guards against a task that runs twice: its caller is cut off and submits the job elsewhere, and nobody
+// stops the task.
+func TestTasksOfSilentCallerAreOverBeforeItsCopyMayRun(t *testing.T) {
+	for name, silentAfter := range map[string]time.Duration{"at once": 0, "later": 1100 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.agent(1, idle)
+			call := h.submit("job", 2, 1000, veryLong)
+			h.wait(silentAfter, func() {})
+			lastSign := h.now
+			h.silent(call)
+			stopped := time.Time{}
+			h.wait(dispatch.ResubmissionDelay, func() {
+				if len(h.stopped()) == 0 {
+					return
+				}
+				stopped = h.now
+				h.Expect(h.stopped()).To(HaveLen(2))
+				h.Expect(effects[dispatch.Refused](h)).To(ConsistOf(HaveField("Error.Verdict", structs.MayHaveRun)))
+			})
+			h.Expect(stopped).NotTo(BeZero())
+			h.Expect(stopped.Add(stopTime)).To(BeTemporally("<", lastSign.Add(dispatch.ResubmissionDelay)))
+			h.Expect(h.d.OpenJobs()).To(BeZero())
+		})
+	}
+}
+
+// Guards against a job that is given up although its caller waits.
+func TestLongJobOfCallerThatAcknowledgesProbesGoesOn(t *testing.T) {
+	h := newHarness(t)
+	h.agent(1, idle)
+	h.submit("job", 2, 1000, veryLong)
+	probes := 0
+	h.wait(2900*time.Millisecond, func() {
+		h.Expect(h.stopped()).To(BeEmpty())
+		probes += len(effects[dispatch.ProbeCallers](h))
+	})
+	h.Expect(h.d.OpenJobs()).To(Equal(1))
+	h.Expect(probes).To(BeNumerically("~", 11, 1))
+}
+
+// Guards against probes that cost short jobs anything.
+func TestCallersOfShortJobsAreNotProbed(t *testing.T) {
+	h := newHarness(t)
+	h.agent(1, idle)
+	h.submit("job", 1, 1000, 200*time.Millisecond)
+	_, ids := h.placed()
+	h.wait(240*time.Millisecond, func() { h.Expect(effects[dispatch.ProbeCallers](h)).To(BeEmpty()) })
+	h.report(1, idle, ids[0], session.Done)
+	h.Expect(effects[dispatch.Answered](h)).To(HaveLen(1))
+	h.wait(time.Second, func() { h.Expect(effects[dispatch.ProbeCallers](h)).To(BeEmpty()) })
+	h.Expect(h.d.NextWake()).To(BeZero())
+}
+
+// Guards against many wake-ups for callers whose signs have about the same age.
+func TestCallersAreProbedTogether(t *testing.T) {
+	const jobs = 10
+	h := newHarness(t)
+	h.agent(1, serverState{capacity: 200_000, free: 200_000, slowness: 1000})
+	for i := range jobs {
+		h.submit(fmt.Sprint("job-", i), 1, 1000, veryLong)
+		h.now = h.now.Add(2 * time.Millisecond)
+	}
+	var batches []int
+	h.wait(400*time.Millisecond, func() {
+		for _, p := range effects[dispatch.ProbeCallers](h) {
+			batches = append(batches, len(p.Calls))
+		}
+	})
+	h.Expect(batches).To(Equal([]int{jobs}))
+}
+
+// Guards against tasks that start twice: an entry that was suspended finds its agents again, and no end of
+// its callers' connections has reached it.
+func TestLostTasksAreNotPlacedAgainForSilentCallers(t *testing.T) {
+	h := newHarness(t)
+	h.agent(1, idle)
+	first := h.submit("job-1", 2, 1000, longEstimate)
+	h.submit("job-2", 2, 1000, longEstimate)
+	heard := h.now
+	h.silent(first)
+	h.now = h.now.Add(callersGone)
+	h.step(dispatch.SessionEnded{ID: 1, LastHeard: heard, Reason: "no reply"})
+	h.step(dispatch.SessionOpened{ID: 2, Agent: "agent-1", Zone: "zone-a", State: h.state(idle)})
+	counts, _ := h.placed()
+	h.Expect(counts).To(Equal(map[dispatch.SessionID]int{2: 2}), "tasks of the caller that gives signs")
+	h.wait(time.Second, h.expectNoStart)
+	h.Expect(h.d.OpenJobs()).To(Equal(1))
+}
+
+// Guards against a job of a caller that waits being given up because the entry was suspended, so that it
+// could not ask.
+func TestCallerIsAskedAfterSuspensionBeforeItIsGivenUp(t *testing.T) {
+	h := newHarness(t)
+	h.agent(1, idle)
+	call := h.submit("job", 2, 1000, veryLong)
+	h.silent(call)
+	h.now = h.now.Add(700 * time.Millisecond)
+	h.step(dispatch.Ticked{})
+	h.Expect(effects[dispatch.ProbeCallers](h)).To(HaveLen(1))
+	h.now = h.now.Add(50 * time.Millisecond)
+	h.step(dispatch.CallersAcknowledged{Calls: []dispatch.CallID{call}})
+	h.wait(100*time.Millisecond, func() { h.Expect(h.stopped()).To(BeEmpty()) })
+	h.Expect(h.d.OpenJobs()).To(Equal(1))
+}
+
+// Guards against a start that rests on an acknowledgement that is old when it is handled: the entry was
+// suspended after it had sent the probe.
+func TestOldAcknowledgementStartsNothing(t *testing.T) {
+	h := newHarness(t)
+	h.agent(1, idle)
+	h.agent(2, idle)
+	call := h.submit("job", 1, 1000, longEstimate)
+	counts, ids := h.placed()
+	h.silent(call)
+	h.now = h.now.Add(300 * time.Millisecond)
+	for agent := range counts {
+		h.report(agent, idle, ids[0], session.NotStarted)
+	}
+	h.expectNoStart()
+	h.now = h.now.Add(400 * time.Millisecond)
+	h.step(dispatch.CallersAcknowledged{Calls: []dispatch.CallID{call}})
+	h.expectNoStart()
+	h.Expect(effects[dispatch.ProbeCallers](h)).To(HaveLen(1), "asked again")
+	h.now = h.now.Add(5 * time.Millisecond)
+	h.step(dispatch.CallersAcknowledged{Calls: []dispatch.CallID{call}})
+	_, ids = h.placed()
+	h.Expect(ids).To(HaveLen(1))
+}
+
+// Guards against a task that starts for a submission that was sent long before: it has waited in the
+// socket of an entry that was suspended or short of processor time.
+func TestSubmissionThatIsReadLateWaitsForSign(t *testing.T) {
+	submit := func(h *harness, lastReceived time.Duration) dispatch.CallID {
+		h.call++
+		h.step(dispatch.SubmitCalled{Call: h.call, LastReceived: lastReceived, Job: dispatch.Job{
+			Name: "job", Queue: queue(), Tasks: 1, CPU: 1000, MemMB: 1, Estimate: longEstimate, Timeout: 3 * time.Second,
+		}})
+		return h.call
+	}
+	for name, arrive := range map[string]func(*harness) dispatch.CallID{
+		"received long ago": func(h *harness) dispatch.CallID { return submit(h, time.Second) },
+		"entry has paused": func(h *harness) dispatch.CallID {
+			h.now = h.now.Add(callersGone)
+			h.poll(1, idle)
+			return submit(h, 0)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.agent(1, idle)
+			h.silent(1)
+			call := arrive(h)
+			h.expectNoStart()
+			h.Expect(effects[dispatch.ProbeCallers](h)).To(ConsistOf(dispatch.ProbeCallers{Calls: []dispatch.CallID{call}}))
+			refused := 0
+			h.wait(time.Second, func() {
+				h.expectNoStart()
+				refused += len(effects[dispatch.Refused](h))
+			})
+			h.Expect(refused).To(Equal(1))
+			h.Expect(h.d.OpenJobs()).To(BeZero())
+		})
+		t.Run(name+", the caller waits", func(t *testing.T) {
+			h := newHarness(t)
+			h.agent(1, idle)
+			arrive(h)
+			_, ids := h.placed()
+			h.Expect(ids).To(HaveLen(1))
+		})
+	}
+}
+
+// Guards against held jobs that wait behind one whose caller gives no sign.
+func TestSilentCallerDoesNotDelayHeldJobsOfOthers(t *testing.T) {
+	h := newHarness(t)
+	h.d = dispatch.New(dispatch.Options{Entry: "entry-1", Started: start, InDoubtTimeout: inDoubtTimeout, AnswerRetention: dispatch.DefaultAnswerRetention})
+	first := h.submit("job-1", 1, 1000, longEstimate)
+	h.submit("job-2", 1, 1000, longEstimate)
+	h.silent(first)
+	h.now = h.now.Add(290 * time.Millisecond)
+	h.agent(1, idle)
+	_, ids := h.placed()
+	h.Expect(ids).To(HaveLen(1))
+	h.wait(time.Second, h.expectNoStart)
+	h.Expect(h.d.OpenJobs()).To(Equal(1))
+}
+
+// Guards against a job that is stopped although the caller of a copy waits for it.
+func TestJobGoesOnForCallerOfCopy(t *testing.T) {
+	h := newHarness(t)
+	h.agent(1, idle)
+	first := h.submit("job", 1, 1000, veryLong)
+	h.submit("job", 1, 1000, veryLong)
+	h.silent(first)
+	refused := 0
+	h.wait(2*time.Second, func() {
+		h.Expect(h.stopped()).To(BeEmpty())
+		refused += len(effects[dispatch.Refused](h))
+	})
+	h.Expect(refused).To(Equal(1))
+	h.Expect(h.d.OpenJobs()).To(Equal(1))
+}
--- a/dispatch/malformed_test.go
+++ b/dispatch/malformed_test.go
@@ -93,7 +93,7 @@
 		now := start
 		for i := range rapid.IntRange(1, 30).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 600).Draw(t, "wait")) * time.Millisecond)
-			d.StepChecked(now, malformedEvent(dispatch.CallID(i)).Draw(t, "event"), nil)
+			d.StepChecked(now, malformedEvent(dispatch.CallID(i)).Draw(t, "event"), dispatch.Callers{})
 			d.NextWake()
 			d.Dump(now)
 			d.FreeShare()
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -91,12 +91,18 @@
 	SubmitCalled struct {
 		Call CallID
 		Job  Job
+		// LastReceived is how long ago the last byte of the submission has arrived; zero if that is
+		// not known.
+		LastReceived time.Duration
 	}
 	// CallClosed reports that the caller closed its request before the answer.
 	CallClosed struct{ Call CallID }
 	// CallersChecked is the reply to CheckCallers: which of the callers are connected now, and
 	// which have closed or reset their connections.
 	CallersChecked struct{ Connected, Left []CallID }
+	// CallersAcknowledged reports on callers of earlier ProbeCallers: whose side of the connection
+	// has acknowledged the probe, and which have closed or reset their connections.
+	CallersAcknowledged struct{ Calls, Left []CallID }
 	// CancelCalled cancels a job; NotifyPeers and CancelReplied follow.
 	CancelCalled struct {
 		Call  CallID
@@ -186,6 +192,9 @@
 	// CheckCallers asks whether callers are still connected. CallersChecked follows at once; until
 	// then no task of their jobs is placed.
 	CheckCallers struct{ Calls []CallID }
+	// ProbeCallers asks for signs of callers, which only their side of the connection can give.
+	// CallersAcknowledged follows, unless a caller gives none.
+	ProbeCallers struct{ Calls []CallID }
 	// CloseSession closes a session that has no tasks.
 	CloseSession struct{ ID SessionID }
 	// Answered is the final answer of a job: Completed, Failed or Canceled.
@@ -227,6 +236,9 @@
 	// from other processes, entries that did not reply to one, cancels without a final
 	// answer, and submissions of canceled jobs.
 	CancelMetrics struct{ Received, Learned, EntriesMissed, Unconfirmed, Submitted int }
+	// CallerMetrics is counted in the metrics: probes of callers, and callers that were given up
+	// because they did not acknowledge one.
+	CallerMetrics struct{ Probed, Silent int }
 	// CrashMetrics is counted in the metrics: crashes of servers that were reported,
 	// tasks given up because of them, and queues confined.
 	CrashMetrics struct{ Servers, TasksGivenUp, QueuesConfined int }
@@ -260,23 +272,26 @@
 	}
 )
 
-func (SubmitCalled) isEvent()      {}
-func (CallClosed) isEvent()        {}
-func (CallersChecked) isEvent()    {}
-func (CancelCalled) isEvent()      {}
-func (PeersNotified) isEvent()     {}
-func (CancelsLearned) isEvent()    {}
-func (SessionOpened) isEvent()     {}
-func (SessionEnded) isEvent()      {}
-func (SessionRetired) isEvent()    {}
-func (OrderReplied) isEvent()      {}
-func (PollReplied) isEvent()       {}
-func (LeaveRequested) isEvent()    {}
-func (EvacuationChanged) isEvent() {}
-func (Ticked) isEvent()            {}
+func (SubmitCalled) isEvent()        {}
+func (CallClosed) isEvent()          {}
+func (CallersChecked) isEvent()      {}
+func (CallersAcknowledged) isEvent() {}
+func (CancelCalled) isEvent()        {}
+func (PeersNotified) isEvent()       {}
+func (CancelsLearned) isEvent()      {}
+func (SessionOpened) isEvent()       {}
+func (SessionEnded) isEvent()        {}
+func (SessionRetired) isEvent()      {}
+func (OrderReplied) isEvent()        {}
+func (PollReplied) isEvent()         {}
+func (LeaveRequested) isEvent()      {}
+func (EvacuationChanged) isEvent()   {}
+func (Ticked) isEvent()              {}
 
 func (Order) isEffect()            {}
 func (CheckCallers) isEffect()     {}
+func (ProbeCallers) isEffect()     {}
+func (CallerMetrics) isEffect()    {}
 func (CloseSession) isEffect()     {}
 func (Answered) isEffect()         {}
 func (Refused) isEffect()          {}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -43,6 +43,9 @@
 		d.notePlace(p, as)
 		d.addToOrder(o, j, session.Placement{ID: p.id, Index: as.index, Attempt: t.placements}, max(d.maxWait(&as, t, startWithin), time.Millisecond), scale(j.Estimate, as.factor))
 	}
+	for _, call := range j.calls {
+		d.watch(d.callers[call])
+	}
 }
 
 // addToOrder adds a task to the part of the order that belongs to its job. With
--- a/dispatch/shares_load_test.go
+++ b/dispatch/shares_load_test.go
@@ -248,7 +248,7 @@
 
 func (s *site) stepEntry(i int, ev dispatch.Event) {
 	e := s.entries[i]
-	for _, ef := range e.d.StepChecked(s.time(), ev, nil) {
+	for _, ef := range e.d.StepChecked(s.time(), ev, dispatch.Callers{}) {
 		switch ef := ef.(type) {
 		case dispatch.Order:
 			n := int(ef.ID - 1)
--- a/dispatch/spread_test.go
+++ b/dispatch/spread_test.go
@@ -182,7 +182,7 @@
 }
 
 func (c *cluster) step(entry int, ev dispatch.Event) {
-	for _, ef := range c.entries[entry].StepChecked(start.Add(time.Duration(c.now)*time.Millisecond), ev, nil) {
+	for _, ef := range c.entries[entry].StepChecked(start.Add(time.Duration(c.now)*time.Millisecond), ev, dispatch.Callers{}) {
 		switch ef := ef.(type) {
 		case dispatch.Order:
 			a := c.fakes[ef.ID-1]
--- a/gateway/cancels.go
+++ b/gateway/cancels.go
@@ -10,6 +10,7 @@
 
 	"github.com/chestnuthollow/chestnuthollow/cancels"
 	"github.com/chestnuthollow/chestnuthollow/dispatch"
+	"github.com/chestnuthollow/chestnuthollow/internal/boottime"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcconn"
 	"github.com/chestnuthollow/chestnuthollow/session"
 	"github.com/chestnuthollow/chestnuthollow/structs"
@@ -249,7 +250,7 @@
 func (g *Gateway) knownCancels() []session.Cancel {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.dispatcher.Cancels(time.Now())
+	return g.dispatcher.Cancels(boottime.Now())
 }
 
 // wantsCancels reports whether this entry has started so late that others may know of
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/chestnuthollow/chestnuthollow/dispatch"
 	"github.com/chestnuthollow/chestnuthollow/evacuation"
+	"github.com/chestnuthollow/chestnuthollow/internal/boottime"
 	"github.com/chestnuthollow/chestnuthollow/internal/instance"
 	"github.com/chestnuthollow/chestnuthollow/internal/ops"
 	"github.com/chestnuthollow/chestnuthollow/internal/randid"
@@ -98,6 +99,7 @@
 // pendingCall is a Submit that has no outcome yet.
 type pendingCall struct {
 	request context.Context
+	probe   *instance.ClientProbe
 	outcome chan Outcome
 }
 
@@ -134,7 +136,7 @@
 		Zone: opts.Zone, Processors: opts.Processors,
 	}
 	g.dispatcher = dispatch.New(dispatch.Options{
-		Entry: opts.Name, Incarnation: g.self.Incarnation, Zone: opts.Zone, Started: g.startedAt,
+		Entry: opts.Name, Incarnation: g.self.Incarnation, Zone: opts.Zone, Started: boottime.Now(),
 		AwaitCancels: true, FarFactor: opts.FarFactor, Scheduling: opts.Scheduling,
 		InDoubtTimeout: taskrunner.InDoubtTimeout(opts.LeaseMax.D(), opts.StopTimeout.D()), AnswerRetention: dispatch.DefaultAnswerRetention,
 	})
@@ -173,8 +175,9 @@
 	stopRequestedAt := time.Now()
 	level.Info(g.logger).Log("event", "stopping", "open_jobs", g.openJobs(), "grace", g.opts.Grace.D())
 	g.leaving.Store(true)
-	until := stopRequestedAt.Add(g.opts.Grace.D() - shutdownReserve)
-	g.step(dispatch.LeaveRequested{Until: until})
+	serveFor := g.opts.Grace.D() - shutdownReserve
+	until := stopRequestedAt.Add(serveFor)
+	g.step(dispatch.LeaveRequested{Until: boottime.Now().Add(serveFor)})
 	for time.Now().Before(until) && (time.Since(stopRequestedAt) < minLeaveTime || g.openJobs() > 0) {
 		time.Sleep(leavePollInterval)
 	}
@@ -237,7 +240,7 @@
 // Canceled. The job is then stopped, unless a duplicate of the submission still waits for its
 // answer.
 func (g *Gateway) Submit(ctx context.Context, j dispatch.Job, t *Turn) Outcome {
-	c := &pendingCall{request: ctx, outcome: make(chan Outcome, 1)}
+	c := &pendingCall{request: ctx, probe: instance.NewClientProbe(ctx), outcome: make(chan Outcome, 1)}
 	g.mu.Lock()
 	if instance.Disconnected(ctx) {
 		verdict := structs.NotRun
@@ -252,10 +255,13 @@
 	g.lastCall++
 	call := g.lastCall
 	g.calls[call] = c
-	g.stepAndUnlock(dispatch.SubmitCalled{Call: call, Job: j})
+	g.stepAndUnlock(dispatch.SubmitCalled{Call: call, Job: j, LastReceived: max(c.probe.LastReceived(), j.Waited)})
 	t.End()
 	select {
 	case o := <-c.outcome:
+		if err := c.probe.Finish(); err != nil {
+			level.Info(g.logger).Log("event", "caller_disconnected", "job", j.Name, "queue", j.Queue.Name, "reason", err)
+		}
 		return o
 	case <-ctx.Done():
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -1,11 +1,10 @@
 package gateway
 
 import (
-	"time"
-
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/chestnuthollow/chestnuthollow/dispatch"
+	"github.com/chestnuthollow/chestnuthollow/internal/boottime"
 	"github.com/chestnuthollow/chestnuthollow/internal/instance"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcconn"
 	"github.com/chestnuthollow/chestnuthollow/session"
@@ -29,6 +28,7 @@
 
 	turnWait, messageDelay           metrics.Histogram
 	reopeningsDelayed, retriesDenied metrics.Counter
+	callersProbed, callersSilent     metrics.Counter
 
 	placesKept, placesAway, placesGivenUp      metrics.Counter
 	tasksPlaced, tasksOtherZone, tasksReturned metrics.Counter
@@ -59,6 +59,8 @@
 		messageDelay:      instance.Histogram("overload.message_delay.time", r),
 		reopeningsDelayed: metrics.NewRegisteredCounter("sessions.reopenings_delayed", r),
 		retriesDenied:     metrics.NewRegisteredCounter("tasks.retries_denied", r),
+		callersProbed:     metrics.NewRegisteredCounter("callers.probed", r),
+		callersSilent:     metrics.NewRegisteredCounter("callers.silent", r),
 
 		placesKept:    metrics.NewRegisteredCounter("places.tasks_kept", r),
 		placesAway:    metrics.NewRegisteredCounter("places.tasks_away", r),
@@ -163,5 +165,5 @@
 		UnheardMs   int64               `json:"topic_unheard_ms"` // zero unless the view of the evacuations is stale
 		Leaving     bool                `json:"leaving"`
 		State       any                 `json:"state"`
-	}{g.opts.Name, g.self.Incarnation, g.config.raw().Version, evacuated, unheard.Milliseconds(), g.leaving.Load(), g.dispatcher.Dump(time.Now())}
+	}{g.opts.Name, g.self.Incarnation, g.config.raw().Version, evacuated, unheard.Milliseconds(), g.leaving.Load(), g.dispatcher.Dump(boottime.Now())}
 }
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/chestnuthollow/chestnuthollow/dispatch"
+	"github.com/chestnuthollow/chestnuthollow/internal/boottime"
 	"github.com/chestnuthollow/chestnuthollow/internal/ctxsleep"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcconn"
 	"github.com/chestnuthollow/chestnuthollow/platformlog"
@@ -190,12 +191,12 @@
 	defer client.Close()
 	req := session.HelloRequest{Entry: g.opts.Name, Incarnation: g.self.Incarnation, ConfigVersion: g.config.raw().Version, OmitConfig: true, Evacuation: g.evacuation(), TopicUnheard: g.topicUnheard()}
 	var hello session.HelloReply
-	sentAt := time.Now()
+	sentAt := boottime.Now()
 	if err := callWithTimeout(client, structs.AgentService+".Hello", &req, &hello, helloTimeout); err != nil {
 		return false, err
 	}
-	lastHeard := time.Now()
-	g.members.MarkReachable(lastHeard, c.addr)
+	lastHeard := boottime.Now()
+	g.members.MarkReachable(time.Now(), c.addr)
 	g.updateEvacuation(hello.Evacuation, "agent "+hello.Agent)
 	g.updateConfig(hello.Config, "agent "+hello.Agent)
 	if hello.ConfigVersion > req.ConfigVersion {
@@ -209,7 +210,7 @@
 	s.evacuationSent.Store(req.Evacuation.Version)
 	g.addSession(s, &hello, stateTime(sentAt, hello.Held))
 	c.sessionID.Store(uint64(s.id))
-	c.setUsable(lastHeard, hello.State.Ready)
+	c.setUsable(time.Now(), hello.State.Ready)
 	go s.writeOrders()
 	go s.readReplies()
 	lastHeard, err = s.poll(ctx, lastHeard)
@@ -282,13 +283,14 @@
 		}
 		req := session.PollRequest{Echo: *s.clockReading.Load(), Seen: seen, Evacuation: s.unsentEvacuation(), TopicUnheard: s.connector.gateway.topicUnheard()}
 		var reply session.PollReply
-		sentAt := time.Now()
+		sentAt := boottime.Now()
 		if err := callWithTimeout(s.client, structs.AgentService+".Poll", &req, &reply, pollTimeout); err != nil {
 			return lastHeard, err
 		}
-		lastHeard = time.Now()
+		lastHeard = boottime.Now()
+		now := time.Now()
 		s.clockReading.Store(&reply.State.Stamp)
-		s.connector.setUsable(lastHeard, reply.State.Ready)
+		s.connector.setUsable(now, reply.State.Ready)
 		if reply.Evacuation.Version > 0 {
 			s.connector.gateway.updateEvacuation(reply.Evacuation, "agent "+s.agent)
 		}
@@ -296,7 +298,7 @@
 			seen = reply.Reports[n-1].Seq
 		}
 		if reply.Held > 0 {
-			s.connector.gateway.observeMessageDelay(lastHeard, s.messageDelay(lastHeard.Sub(sentAt)-reply.Held))
+			s.connector.gateway.observeMessageDelay(now, s.messageDelay(lastHeard.Sub(sentAt)-reply.Held))
 		}
 		s.connector.gateway.step(dispatch.PollReplied{ID: s.id, Reply: reply, AsOf: stateTime(sentAt, reply.Held)})
 	}
@@ -328,7 +330,7 @@
 			return
 		case o := <-s.orders:
 			req := &session.OrderRequest{Echo: o.echo, Start: o.Start, Stop: o.Stop, Recall: o.Recall, Evacuation: s.unsentEvacuation(), Cancels: o.Cancels}
-			s.client.Go(structs.AgentService+".Order", req, &orderReply{number: o.Number, sentAt: time.Now()}, s.replies)
+			s.client.Go(structs.AgentService+".Order", req, &orderReply{number: o.Number, sentAt: boottime.Now()}, s.replies)
 		}
 	}
 }
--- a/gateway/step.go
+++ b/gateway/step.go
@@ -6,6 +6,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/chestnuthollow/chestnuthollow/dispatch"
+	"github.com/chestnuthollow/chestnuthollow/internal/boottime"
 	"github.com/chestnuthollow/chestnuthollow/internal/instance"
 )
 
@@ -21,7 +22,7 @@
 func (g *Gateway) stepAndUnlock(ev dispatch.Event) []dispatch.Effect {
 	effects := g.apply(ev)
 	if wake := g.dispatcher.NextWake(); !wake.IsZero() {
-		g.wakeTimer.Reset(max(time.Until(wake), time.Millisecond))
+		g.wakeTimer.Reset(max(wake.Sub(boottime.Now()), time.Millisecond))
 	}
 	g.mu.Unlock()
 	for _, ef := range effects {
@@ -38,6 +39,9 @@
 			g.metrics.retriesDenied.Inc(int64(ef.Denied))
 		case dispatch.ShareMetrics:
 			g.metrics.recordShare(&ef)
+		case dispatch.CallerMetrics:
+			g.metrics.callersProbed.Inc(int64(ef.Probed))
+			g.metrics.callersSilent.Inc(int64(ef.Silent))
 		case dispatch.CrashMetrics:
 			g.metrics.recordCrash(&ef)
 		case dispatch.CancelMetrics:
@@ -52,7 +56,7 @@
 // apply steps the dispatcher and carries out the effects, until it asks for no more callers. The
 // caller holds g.mu.
 func (g *Gateway) apply(ev dispatch.Event) []dispatch.Effect {
-	effects := g.dispatcher.Step(time.Now(), ev)
+	effects := g.dispatcher.Step(boottime.Now(), ev)
 	for _, ef := range effects {
 		g.carryOut(ef)
 	}
@@ -86,6 +90,8 @@
 		if s := g.sessions[ef.ID]; s != nil {
 			s.enqueue(ef)
 		}
+	case dispatch.ProbeCallers:
+		g.probeCallers(ef.Calls)
 	case dispatch.CloseSession:
 		g.closeSession(ef.ID)
 	case dispatch.Answered:
--- a/runtimes/load_test.go
+++ b/runtimes/load_test.go
@@ -114,6 +114,8 @@
 		switch ef := ef.(type) {
 		case dispatch.CheckCallers:
 			f.stepEntry(e, dispatch.CallersChecked{Connected: ef.Calls})
+		case dispatch.ProbeCallers:
+			f.stepEntry(e, dispatch.CallersAcknowledged{Calls: ef.Calls})
 		case dispatch.Order:
 			s := f.servers[ef.ID-1]
 			f.after(linkDelay, func() {
--- a/test/platform/silent_test.go
+++ b/test/platform/silent_test.go
@@ -99,7 +99,9 @@
 	g.Expect(s.post(t.Context(), s.entries[0], "00e0", 1, 10, 300, "ok").code).To(Equal(http.StatusOK))
 	answers := make(chan answer, jobs)
 	for i := range jobs {
-		go func() { answers <- s.post(t.Context(), s.entries[0], fmt.Sprintf("%016x", 0x100+i), 2, 2500, 300, "ok") }()
+		go func() {
+			answers <- s.post(t.Context(), s.entries[0], fmt.Sprintf("%016x", 0x100+i), 2, 2500, 300, "ok")
+		}()
 	}
 	for range jobs {
 		a := <-answers
--- a/test/sessions/entry_test.go
+++ b/test/sessions/entry_test.go
@@ -281,6 +281,18 @@
 			}
 		}
 		e.step(checked)
+	case dispatch.ProbeCallers:
+		e.deliverAfter(e.sim.draw(time.Millisecond, 6*time.Millisecond), func() {
+			var acked dispatch.CallersAcknowledged
+			for _, call := range ef.Calls {
+				if e.ended[call] {
+					acked.Left = append(acked.Left, call)
+				} else {
+					acked.Calls = append(acked.Calls, call)
+				}
+			}
+			e.step(acked)
+		})
 	case dispatch.Order:
 		c := e.conns[ef.ID]
 		if c == nil {
