Entry: a caller is given up only after a look at its socket

A caller that has acknowledged its probe could be given up by an entry that was short of processor time: the wake-up that gives callers up came before the look that finds the acknowledgement.

Change: the dispatcher asks for what is known of overdue callers (CheckProbes), which the shell answers at once, and gives up those of which nothing is known.

Evidence: TestAcknowledgementThatIsHandledLateKeepsCaller; the caller is given up in it without the change.

--- a/dispatch/export_test.go
+++ b/dispatch/export_test.go
@@ -53,7 +53,7 @@
 // arrives.
 type Callers struct{ Left, Silent map[CallID]bool }
 
-// StepChecked is Step with replies to CheckCallers and ProbeCallers.
+// StepChecked is Step with replies to CheckCallers, ProbeCallers and CheckProbes.
 func (d *Dispatcher) StepChecked(now time.Time, ev Event, callers Callers) []Effect {
 	effects := d.Step(now, ev)
 	for _, ef := range effects {
@@ -61,6 +61,18 @@
 		case CheckCallers:
 			connected, left := callers.look(ef.Calls)
 			effects = append(effects, d.StepChecked(now, CallersChecked{Connected: connected, Left: left}, callers)...)
+		case CheckProbes:
+			connected, left := callers.look(ef.Calls)
+			var reply CallersAcknowledged
+			reply.Left = left
+			for _, call := range connected {
+				if callers.Silent[call] {
+					reply.Silent = append(reply.Silent, call)
+				} else {
+					reply.Calls = append(reply.Calls, call)
+				}
+			}
+			effects = append(effects, d.StepChecked(now, reply, callers)...)
 		case ProbeCallers:
 			connected, left := callers.look(ef.Calls)
 			connected = slices.DeleteFunc(connected, func(c CallID) bool { return callers.Silent[c] })
--- a/dispatch/liveness.go
+++ b/dispatch/liveness.go
@@ -154,13 +154,20 @@
 		c.lastSign, c.probed = c.probed, time.Time{}
 		d.watch(c)
 	}
+	for _, call := range e.Silent {
+		if c := d.callers[call]; c != nil && !c.probed.IsZero() {
+			d.callerSilent(c)
+		}
+	}
 	d.heldUnchecked = len(d.heldJobs) > 0
 }
 
-// watchCallers probes the callers whose last signs are old, and gives up those that have not acknowledged
-// a probe in time.
+// watchCallers probes the callers whose last signs are old. Those that should have acknowledged a probe
+// by now are given up by the reply to CheckProbes: an entry short of processor time has received
+// acknowledgements of which it has not heard yet.
 func (d *Dispatcher) watchCallers() {
 	var due []*caller
+	var overdue []CallID
 	for d.watched.Len() > 0 {
 		c := d.watched.First()
 		if d.now.Before(c.due) && (len(due) == 0 || !c.probed.IsZero() || d.now.Add(probeWindow).Before(c.due)) {
@@ -169,12 +176,15 @@
 		d.watched.Remove(c)
 		switch {
 		case !c.probed.IsZero():
-			d.callerSilent(c)
+			overdue = append(overdue, c.id)
 		case c.job.livePlacements > 0:
 			due = append(due, c)
 		}
 	}
 	d.probe(due)
+	if len(overdue) > 0 {
+		d.emit(CheckProbes{Calls: overdue})
+	}
 }
 
 // callerSilent gives up a caller that has not acknowledged a probe. If it is there after all, it learns
--- a/dispatch/liveness_test.go
+++ b/dispatch/liveness_test.go
@@ -247,3 +247,22 @@
 	h.Expect(refused).To(Equal(1))
 	h.Expect(h.d.OpenJobs()).To(Equal(1))
 }
+
+// Guards against a caller that is given up although it has acknowledged the probe: the entry was short of
+// processor time, or suspended, and has not looked at the acknowledgement yet.
+func TestAcknowledgementThatIsHandledLateKeepsCaller(t *testing.T) {
+	h := newHarness(t)
+	h.agent(1, idle)
+	call := h.submit("job", 2, 1000, veryLong)
+	h.silent(call)
+	h.now = h.now.Add(260 * time.Millisecond)
+	h.step(dispatch.Ticked{})
+	h.Expect(effects[dispatch.ProbeCallers](h)).To(HaveLen(1))
+	h.silent()
+	h.now = h.now.Add(400 * time.Millisecond)
+	h.step(dispatch.Ticked{})
+	h.Expect(effects[dispatch.CheckProbes](h)).To(HaveLen(1))
+	h.Expect(h.stopped()).To(BeEmpty())
+	h.wait(time.Second, func() { h.Expect(h.stopped()).To(BeEmpty()) })
+	h.Expect(h.d.OpenJobs()).To(Equal(1))
+}
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -101,8 +101,9 @@
 	// which have closed or reset their connections.
 	CallersChecked struct{ Connected, Left []CallID }
 	// CallersAcknowledged reports on callers of earlier ProbeCallers: whose side of the connection
-	// has acknowledged the probe, and which have closed or reset their connections.
-	CallersAcknowledged struct{ Calls, Left []CallID }
+	// has acknowledged the probe, and which have closed or reset their connections. In reply to
+	// CheckProbes it also has the callers of which neither is known.
+	CallersAcknowledged struct{ Calls, Left, Silent []CallID }
 	// CancelCalled cancels a job; NotifyPeers and CancelReplied follow.
 	CancelCalled struct {
 		Call  CallID
@@ -195,6 +196,8 @@
 	// ProbeCallers asks for signs of callers, which only their side of the connection can give.
 	// CallersAcknowledged follows, unless a caller gives none.
 	ProbeCallers struct{ Calls []CallID }
+	// CheckProbes asks for what is known of probed callers now. CallersAcknowledged follows at once.
+	CheckProbes struct{ Calls []CallID }
 	// CloseSession closes a session that has no tasks.
 	CloseSession struct{ ID SessionID }
 	// Answered is the final answer of a job: Completed, Failed or Canceled.
@@ -290,6 +293,7 @@
 
 func (Order) isEffect()            {}
 func (CheckCallers) isEffect()     {}
+func (CheckProbes) isEffect()      {}
 func (ProbeCallers) isEffect()     {}
 func (CallerMetrics) isEffect()    {}
 func (CloseSession) isEffect()     {}
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -57,7 +57,8 @@
 	})
 }
 
-// lookForAcks looks which callers have acknowledged their probes. The caller holds g.mu.
+// lookForAcks looks which callers have acknowledged their probes. It also returns those that have not, and
+// are connected as far as is known. The caller holds g.mu.
 func (g *Gateway) lookForAcks(calls []dispatch.CallID) (acked dispatch.CallersAcknowledged, waiting []dispatch.CallID) {
 	for _, call := range calls {
 		c := g.calls[call]
--- a/gateway/step.go
+++ b/gateway/step.go
@@ -53,7 +53,7 @@
 	return effects
 }
 
-// apply steps the dispatcher and carries out the effects, until it asks for no more callers. The
+// apply steps the dispatcher and carries out the effects, until it asks for nothing more. The
 // caller holds g.mu.
 func (g *Gateway) apply(ev dispatch.Event) []dispatch.Effect {
 	effects := g.dispatcher.Step(boottime.Now(), ev)
@@ -61,8 +61,13 @@
 		g.carryOut(ef)
 	}
 	for _, ef := range effects {
-		if check, ok := ef.(dispatch.CheckCallers); ok {
-			effects = append(effects, g.apply(g.checkCallers(check))...)
+		switch ef := ef.(type) {
+		case dispatch.CheckCallers:
+			effects = append(effects, g.apply(g.checkCallers(ef))...)
+		case dispatch.CheckProbes:
+			acked, silent := g.lookForAcks(ef.Calls)
+			acked.Silent = silent
+			effects = append(effects, g.apply(acked)...)
 		}
 	}
 	return effects
