Entries: of two submissions of a job at two entries the older one is stopped

What callers saw: tasks ran twice at once where something between a caller and its entry, a proxy or a balancer that ends TCP itself, acknowledges what the entry sends although the caller has gone.

Cause: an acknowledgement is a sign of the other end of the TCP connection, which need not be the caller.

Change: entries tell each other every 400 ms which of their jobs were submitted 600 ms ago or earlier, so that it is known when the next submission may come, after 1,300 ms. An entry that gets a submission of such a job has the other one stop it and waits for the end of its tasks, 300 ms at most. Before tasks of a job that was submitted 1 s ago or earlier are placed, the other entries are asked for newer submissions. An entry without a reply goes by the signs of callers alone. Where there are more than 16 other entries, 16 are told, those of the same availability zone first. New message Entry.OpenJobs, which earlier builds lack: they are told in vain.

Tests: dispatch/elsewhere_test.go.

--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/chestnuthollow/chestnuthollow/session"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
@@ -22,8 +23,9 @@
 // or tasks of an earlier submission of the job are still being stopped.
 type waitingSubmission struct {
 	SubmitCalled
-	arrived time.Time
-	checked uint64 // step in which its caller was last known to be connected; zero if its last sign is old
+	arrived  time.Time
+	checked  uint64 // step in which its caller was last known to be connected; zero if its last sign is old
+	asksPeer bool   // another entry, which has told of the job, is asked to stop it
 }
 
 // reassignment is a task to be placed again after its last placement has ended without success.
@@ -38,8 +40,15 @@
 // submitCalled handles a submission, or keeps it until it may be handled.
 func (d *Dispatcher) submitCalled(e SubmitCalled) {
 	c := d.addCaller(e)
+	entry := d.entryThatHas(e.Job.Name)
 	switch {
 	case d.delay(e):
+	case entry != "":
+		s := d.newWaitingSubmission(e)
+		s.asksPeer = true
+		d.ready = append(d.ready, s)
+		d.emit(LogEvent{Event: "job_open_elsewhere", Job: e.Job.Name, Queue: e.Job.Queue.Name, Detail: fmt.Sprintf("entry=%q", entry)})
+		d.emit(AskPeers{Jobs: []session.OpenJob{{Job: e.Job.Name, AgeMs: max(e.LastReceived, 0).Milliseconds()}}, Entry: entry})
 	case d.hasFreshSign(c):
 		d.submit(e)
 	default:
@@ -59,18 +68,29 @@
 // if their last signs are young, and for signs otherwise.
 func (d *Dispatcher) checkCallers() {
 	var calls []CallID
+	var late []*job
 	d.reassignments = slices.DeleteFunc(d.reassignments, func(r reassignment) bool { return r.ended() })
+	check := func(j *job) {
+		if d.mayPlaceLate(j) {
+			calls = append(calls, j.calls...)
+		} else {
+			late = append(late, j)
+		}
+	}
 	for _, r := range d.reassignments {
-		calls = append(calls, r.job.calls...)
+		check(r.job)
 	}
 	if d.heldUnchecked {
 		for _, j := range d.heldJobs[:min(len(d.heldJobs), maxHeldChecked)] {
-			calls = append(calls, j.calls...)
+			check(j)
 		}
 	}
 	for _, s := range d.ready {
-		calls = append(calls, s.Call)
+		if !s.asksPeer {
+			calls = append(calls, s.Call)
+		}
 	}
+	d.askPeers(late)
 	slices.Sort(calls)
 	var fresh []CallID
 	var old []*caller
@@ -97,7 +117,7 @@
 	connected := make(map[CallID]bool, len(e.Connected))
 	for _, call := range e.Connected {
 		connected[call] = true
-		if j := d.jobOf(call); j != nil {
+		if j := d.jobOf(call); j != nil && d.mayPlaceLate(j) {
 			j.checked = d.steps
 		}
 	}
@@ -159,7 +179,7 @@
 	copies := make(map[string][]waitingSubmission)
 	var names []string // in the order of arrival
 	for _, s := range list {
-		if s.checked != d.steps {
+		if s.checked != d.steps || s.asksPeer {
 			d.ready = append(d.ready, s)
 			continue
 		}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -46,6 +46,8 @@
 	openJobs        *indexheap.Heap[*job]     // those not answered, by deadline
 	callers         map[CallID]*caller        // by their pending calls
 	watched         *indexheap.Heap[*caller]  // those of open jobs, and those that were probed, by due
+	elsewhere       map[string]openElsewhere  // jobs that other entries have told of, by name
+	elsewhereSwept  time.Time                 // when the old ones of these were removed last
 	pause           time.Duration             // how long the entry handled nothing before resumedAt
 	resumedAt       time.Time
 	heldJobs        []*job               // open, with tasks to place once agents are available
@@ -97,6 +99,7 @@
 		usableAgentLost: make(map[string]time.Time),
 		noAgentSince:    make(map[string]time.Time),
 		callers:         make(map[CallID]*caller),
+		elsewhere:       make(map[string]openElsewhere),
 		watched: indexheap.New(func(a, b *caller) bool {
 			if c := a.due.Compare(b.due); c != 0 {
 				return c < 0
@@ -127,6 +130,10 @@
 		d.callClosed(e.Call, "disconnected")
 	case CallersChecked:
 		d.callersChecked(e)
+	case PeerJobs:
+		d.peerJobs(e)
+	case PeersAsked:
+		d.peersAsked(e)
 	case CallersAcknowledged:
 		d.callersAcknowledged(e)
 	case CancelCalled:
--- a/dispatch/export_test.go
+++ b/dispatch/export_test.go
@@ -51,9 +51,13 @@
 
 // Callers are those whose connections have ended without CallClosed so far, and those from which no sign
 // arrives.
-type Callers struct{ Left, Silent map[CallID]bool }
+type Callers struct {
+	Left, Silent map[CallID]bool
+	// Newer are jobs of which other entries have newer submissions, in reply to AskPeers.
+	Newer []JobElsewhere
+}
 
-// StepChecked is Step with replies to CheckCallers, ProbeCallers and CheckProbes.
+// StepChecked is Step with replies to CheckCallers, ProbeCallers, CheckProbes and AskPeers.
 func (d *Dispatcher) StepChecked(now time.Time, ev Event, callers Callers) []Effect {
 	effects := d.Step(now, ev)
 	for _, ef := range effects {
@@ -61,6 +65,8 @@
 		case CheckCallers:
 			connected, left := callers.look(ef.Calls)
 			effects = append(effects, d.StepChecked(now, CallersChecked{Connected: connected, Left: left}, callers)...)
+		case AskPeers:
+			effects = append(effects, d.StepChecked(now, PeersAsked{Jobs: ef.Jobs, Newer: callers.Newer}, callers)...)
 		case CheckProbes:
 			connected, left := callers.look(ef.Calls)
 			var reply CallersAcknowledged
@@ -95,3 +101,6 @@
 	}
 	return connected, left
 }
+
+// JobsElsewhere returns the number of jobs of other entries that are remembered.
+func (d *Dispatcher) JobsElsewhere() int { return len(d.elsewhere) }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -20,7 +20,10 @@
 	objective      time.Time // latency objective: when it should end
 	target         time.Time // by when tasks have to end if they can: the objective, or later if the caller has waited before
 	calls          []CallID
-	checked        uint64 // step in which one of the callers was last known to be connected
+	newest         time.Time // when the newest submission was sent, as far as is known
+	peersAsked     time.Time // when the other entries were last asked for newer ones
+	asksPeers      bool      // they are being asked
+	checked        uint64    // step in which one of the callers was last known to be connected
 	tasks          []task
 	unfinished     int            // tasks not done
 	mayHaveRun     bool           // a placement ended with an outcome other than NotStarted
@@ -99,6 +102,7 @@
 		return err
 	}
 	j.calls = []CallID{e.Call}
+	j.newest = d.now.Add(-max(e.LastReceived, 0))
 	d.assign(e.Call, j)
 	d.jobs[j.Name] = j
 	d.openJobs.Set(j)
@@ -143,6 +147,7 @@
 	}
 	j.calls = append(j.calls, e.Call)
 	j.checked = d.steps
+	j.newest = d.now.Add(-max(e.LastReceived, 0))
 	d.assign(e.Call, j)
 }
 
--- a/dispatch/liveness.go
+++ b/dispatch/liveness.go
@@ -118,9 +118,10 @@
 	return d.now.Sub(c.lastSign) <= probeInterval
 }
 
-// awaitsSign reports whether all callers of the job were probed and have not acknowledged that yet.
+// awaitsSign reports whether all callers of the job were probed and have not acknowledged that yet, or the
+// other entries have been asked for newer submissions of it.
 func (d *Dispatcher) awaitsSign(j *job) bool {
-	return !slices.ContainsFunc(j.calls, func(call CallID) bool { return d.callers[call].probed.IsZero() })
+	return j.asksPeers || !slices.ContainsFunc(j.calls, func(call CallID) bool { return d.callers[call].probed.IsZero() })
 }
 
 // probe asks callers for a sign, except those that were asked already.
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -81,6 +81,9 @@
 // String returns the name of the result as written to logs.
 func (r CancelResult) String() string { return cancelResultNames[r] }
 
+// JobElsewhere is a job that is open at another entry.
+type JobElsewhere struct{ Job, Entry string }
+
 // Event is an input of the state machine.
 type Event interface{ isEvent() }
 
@@ -104,6 +107,17 @@
 	// has acknowledged the probe, and which have closed or reset their connections. In reply to
 	// CheckProbes it also has the callers of which neither is known.
 	CallersAcknowledged struct{ Calls, Left, Silent []CallID }
+	// PeerJobs are jobs that are open at another entry. PeerJobsCompared follows.
+	PeerJobs struct {
+		From string
+		Jobs []session.OpenJob
+	}
+	// PeersAsked reports that AskPeers has ended, or that the other entries were told of jobs: those of
+	// which they have newer submissions, and where.
+	PeersAsked struct {
+		Jobs  []session.OpenJob // of AskPeers
+		Newer []JobElsewhere
+	}
 	// CancelCalled cancels a job; NotifyPeers and CancelReplied follow.
 	CancelCalled struct {
 		Call  CallID
@@ -198,6 +212,14 @@
 	ProbeCallers struct{ Calls []CallID }
 	// CheckProbes asks for what is known of probed callers now. CallersAcknowledged follows at once.
 	CheckProbes struct{ Calls []CallID }
+	// AskPeers asks whether other entries have newer submissions of jobs, and has them stop older ones;
+	// only the one at Entry if that is set. PeersAsked follows within PeerJobsTimeout.
+	AskPeers struct {
+		Jobs  []session.OpenJob
+		Entry string
+	}
+	// PeerJobsCompared is the reply to PeerJobs.
+	PeerJobsCompared struct{ States []session.JobState }
 	// CloseSession closes a session that has no tasks.
 	CloseSession struct{ ID SessionID }
 	// Answered is the final answer of a job: Completed, Failed or Canceled.
@@ -239,9 +261,9 @@
 	// from other processes, entries that did not reply to one, cancels without a final
 	// answer, and submissions of canceled jobs.
 	CancelMetrics struct{ Received, Learned, EntriesMissed, Unconfirmed, Submitted int }
-	// CallerMetrics is counted in the metrics: probes of callers, and callers that were given up
-	// because they did not acknowledge one.
-	CallerMetrics struct{ Probed, Silent int }
+	// CallerMetrics is counted in the metrics: probes of callers, callers that were given up
+	// because they did not acknowledge one, and those of jobs with a newer submission elsewhere.
+	CallerMetrics struct{ Probed, Silent, Replaced int }
 	// CrashMetrics is counted in the metrics: crashes of servers that were reported,
 	// tasks given up because of them, and queues confined.
 	CrashMetrics struct{ Servers, TasksGivenUp, QueuesConfined int }
@@ -279,6 +301,8 @@
 func (CallClosed) isEvent()          {}
 func (CallersChecked) isEvent()      {}
 func (CallersAcknowledged) isEvent() {}
+func (PeerJobs) isEvent()            {}
+func (PeersAsked) isEvent()          {}
 func (CancelCalled) isEvent()        {}
 func (PeersNotified) isEvent()       {}
 func (CancelsLearned) isEvent()      {}
@@ -293,6 +317,8 @@
 
 func (Order) isEffect()            {}
 func (CheckCallers) isEffect()     {}
+func (AskPeers) isEffect()         {}
+func (PeerJobsCompared) isEffect() {}
 func (CheckProbes) isEffect()      {}
 func (ProbeCallers) isEffect()     {}
 func (CallerMetrics) isEffect()    {}
--- a/gateway/cancels.go
+++ b/gateway/cancels.go
@@ -41,12 +41,14 @@
 	err   error
 }
 
-// peerLink sends cancels to the entry at an address, one call at a time.
+// peerLink sends cancels and questions to the entry at an address, one call at a time.
 type peerLink struct {
 	gateway *Gateway
 	addr    string
 	queue   chan tell
-	client  *rpc.Client // nil while there is no connection
+	// questions are the jobs that the entry is to be told of.
+	questions chan jobsQuestion
+	client    *rpc.Client // nil while there is no connection
 }
 
 // Cancel cancels a job at all entries.
@@ -109,9 +111,7 @@
 	defer g.peersMu.Unlock()
 	l := g.peers[addr]
 	if l == nil {
-		l = &peerLink{gateway: g, addr: addr, queue: make(chan tell, peerQueueSize)}
-		g.peers[addr] = l
-		go l.run()
+		l = g.newPeerLink(addr)
 	}
 	select {
 	case l.queue <- t:
@@ -120,6 +120,14 @@
 	}
 }
 
+// newPeerLink adds a link to the entry at an address. The caller holds g.peersMu.
+func (g *Gateway) newPeerLink(addr string) *peerLink {
+	l := &peerLink{gateway: g, addr: addr, queue: make(chan tell, peerQueueSize), questions: make(chan jobsQuestion, peerQueueSize)}
+	g.peers[addr] = l
+	go l.run()
+	return l
+}
+
 func (l *peerLink) run() {
 	idle := time.NewTimer(peerIdleTimeout)
 	defer idle.Stop()
@@ -131,6 +139,9 @@
 		case t := <-l.queue:
 			l.send(l.batch(t))
 			idle.Reset(peerIdleTimeout)
+		case q := <-l.questions:
+			l.ask(q)
+			idle.Reset(peerIdleTimeout)
 		case <-idle.C:
 			if l.remove() {
 				l.close()
@@ -141,11 +152,11 @@
 	}
 }
 
-// remove removes the link from the gateway unless cancels wait in it.
+// remove removes the link from the gateway unless cancels or questions wait in it.
 func (l *peerLink) remove() bool {
 	l.gateway.peersMu.Lock()
 	defer l.gateway.peersMu.Unlock()
-	if len(l.queue) > 0 {
+	if len(l.queue)+len(l.questions) > 0 {
 		return false
 	}
 	delete(l.gateway.peers, l.addr)
@@ -197,15 +208,24 @@
 	return known, err
 }
 
+// connect opens a connection if there is none.
+func (l *peerLink) connect() error {
+	if l.client != nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(l.gateway.background, dialTimeout)
+	defer cancel()
+	client, err := rpcconn.DialContext(ctx, l.addr)
+	if err != nil {
+		return err
+	}
+	l.client = client
+	return nil
+}
+
 func (l *peerLink) tryCall(req *session.CancelRequest) ([]bool, error) {
-	if l.client == nil {
-		ctx, cancel := context.WithTimeout(l.gateway.background, dialTimeout)
-		defer cancel()
-		client, err := rpcconn.DialContext(ctx, l.addr)
-		if err != nil {
-			return nil, err
-		}
-		l.client = client
+	if err := l.connect(); err != nil {
+		return nil, err
 	}
 	var reply session.CancelReply
 	err := callWithTimeout(l.client, structs.EntryService+".Cancel", req, &reply, peerCallTimeout)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -169,6 +169,7 @@
 	go g.copyConfig()
 	go g.followMembers()
 	go g.exchangeLoop()
+	go g.announceJobs()
 	go g.maintainSubset()
 
 	<-ctx.Done()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -29,6 +29,7 @@
 	turnWait, messageDelay           metrics.Histogram
 	reopeningsDelayed, retriesDenied metrics.Counter
 	callersProbed, callersSilent     metrics.Counter
+	callersReplaced                  metrics.Counter
 
 	placesKept, placesAway, placesGivenUp      metrics.Counter
 	tasksPlaced, tasksOtherZone, tasksReturned metrics.Counter
@@ -61,6 +62,7 @@
 		retriesDenied:     metrics.NewRegisteredCounter("tasks.retries_denied", r),
 		callersProbed:     metrics.NewRegisteredCounter("callers.probed", r),
 		callersSilent:     metrics.NewRegisteredCounter("callers.silent", r),
+		callersReplaced:   metrics.NewRegisteredCounter("callers.replaced", r),
 
 		placesKept:    metrics.NewRegisteredCounter("places.tasks_kept", r),
 		placesAway:    metrics.NewRegisteredCounter("places.tasks_away", r),
--- a/gateway/step.go
+++ b/gateway/step.go
@@ -42,6 +42,7 @@
 		case dispatch.CallerMetrics:
 			g.metrics.callersProbed.Inc(int64(ef.Probed))
 			g.metrics.callersSilent.Inc(int64(ef.Silent))
+			g.metrics.callersReplaced.Inc(int64(ef.Replaced))
 		case dispatch.CrashMetrics:
 			g.metrics.recordCrash(&ef)
 		case dispatch.CancelMetrics:
@@ -97,6 +98,8 @@
 		}
 	case dispatch.ProbeCallers:
 		g.probeCallers(ef.Calls)
+	case dispatch.AskPeers:
+		go g.askPeers(ef)
 	case dispatch.CloseSession:
 		g.closeSession(ef.ID)
 	case dispatch.Answered:
--- a/runtimes/load_test.go
+++ b/runtimes/load_test.go
@@ -114,6 +114,8 @@
 		switch ef := ef.(type) {
 		case dispatch.CheckCallers:
 			f.stepEntry(e, dispatch.CallersChecked{Connected: ef.Calls})
+		case dispatch.AskPeers:
+			f.stepEntry(e, dispatch.PeersAsked{Jobs: ef.Jobs})
 		case dispatch.ProbeCallers:
 			f.stepEntry(e, dispatch.CallersAcknowledged{Calls: ef.Calls})
 		case dispatch.Order:
--- a/session/messages.go
+++ b/session/messages.go
@@ -76,6 +76,38 @@
 	Known []bool
 }
 
+// OpenJob is a job that is open at an entry.
+type OpenJob struct {
+	Job   string // the caller's name of the job
+	AgeMs int64  // time since the newest submission of it, in ms
+}
+
+// OpenJobsRequest tells an entry of jobs that are open at another one (Entry.OpenJobs). Of a job that both
+// have, the one with the older submission stops its tasks. Entries of earlier builds lack the method.
+type OpenJobsRequest struct {
+	Entry string // name of the sender
+	Jobs  []OpenJob
+}
+
+// JobState is what an entry knows of a job of another one.
+type JobState uint8
+
+// States.
+const (
+	// JobUnknown means that no task of the job runs or will be started, unless it is submitted there. An
+	// entry whose submission has about the same age says so too.
+	JobUnknown JobState = iota
+	// JobNewer means that the entry has a newer submission of the job.
+	JobNewer
+	// JobEnding means that the entry has stopped the job, and tasks of it may still run.
+	JobEnding
+)
+
+// OpenJobsReply answers an OpenJobsRequest.
+type OpenJobsReply struct {
+	States []JobState // for each of OpenJobsRequest.Jobs
+}
+
 // ConfigRequest asks an agent for its version of the configuration (Agent.Config).
 type ConfigRequest struct {
 	AcceptGzip bool
--- a/test/platform/silent_test.go
+++ b/test/platform/silent_test.go
@@ -26,10 +26,23 @@
 	g.Expect(filterErr).NotTo(HaveOccurred())
 }
 
+// unseenEnds are the ways in which the end of a caller's connection does not reach its entry. A proxy between
+// the two keeps the connection to the entry open, and acknowledges what the entry sends.
+var unseenEnds = map[string]func(*WithT, *net.TCPConn){
+	"cut off": silence,
+	"proxied": func(*WithT, *net.TCPConn) {},
+}
+
 // Guards against a task that runs twice: an entry is suspended with jobs open, the ends of their callers'
 // connections never reach it, the callers submit their jobs again at another entry, and the first one is
 // resumed.
 func TestResumedEntryStartsNothingForCallersWhoseEndIsUnseen(t *testing.T) {
+	for name, end := range unseenEnds {
+		t.Run(name, func(t *testing.T) { resumeAfterUnseenEnds(t, end) })
+	}
+}
+
+func resumeAfterUnseenEnds(t *testing.T, end func(*WithT, *net.TCPConn)) {
 	const rounds, jobs = 4, 20
 	g := NewWithT(t)
 	s := newSystem(t, 2, 4)
@@ -43,7 +56,7 @@
 		time.Sleep(time.Duration(20+60*round) * time.Millisecond)
 		s.entries[0].signal(syscall.SIGSTOP)
 		for _, c := range conns {
-			silence(g, c)
+			end(g, c)
 		}
 		time.Sleep(resubmitAfter)
 		for i := range jobs {
@@ -62,33 +75,37 @@
 // Guards against a task that runs twice: a caller of long tasks is cut off from its entry, which still
 // reaches its agents, and submits its job again at another entry.
 func TestLongTasksOfSilentCallersAreStoppedBeforeCopiesRun(t *testing.T) {
+	for name, end := range unseenEnds {
+		for when, cutAfter := range map[string]time.Duration{"at once": 0, "later": 1200 * time.Millisecond} {
+			t.Run(name+" "+when, func(t *testing.T) { submitAgainDuringLongTasks(t, end, cutAfter) })
+		}
+	}
+}
+
+func submitAgainDuringLongTasks(t *testing.T, end func(*WithT, *net.TCPConn), cutAfter time.Duration) {
 	const jobs = 20
-	for name, cutAfter := range map[string]time.Duration{"at once": 0, "later": 1200 * time.Millisecond} {
-		t.Run(name, func(t *testing.T) {
-			g := NewWithT(t)
-			s := newSystem(t, 2, 4)
-			g.Expect(s.post(t.Context(), s.entries[0], "00e0", 1, 10, 300, "ok").code).To(Equal(http.StatusOK))
-			id := func(i int) string { return fmt.Sprintf("%016x", 0x100+i) }
-			var conns []*net.TCPConn
-			for i := range jobs {
-				conns = append(conns, s.submitTasks(g, s.entries[0], id(i), 2, 3000))
-			}
-			g.Eventually(func() int { return s.invariants.runningTasks(id(jobs - 1)) }, "3s", "5ms").Should(Equal(2))
-			time.Sleep(cutAfter)
-			for _, c := range conns {
-				silence(g, c)
-			}
-			time.Sleep(resubmitAfter)
-			for i := range jobs {
-				conns = append(conns, s.submitTasks(g, s.entries[1], id(i), 2, 300))
-			}
-			time.Sleep(2 * time.Second)
-			for _, c := range conns {
-				c.Close()
-			}
-			g.Expect(s.invariants.err()).NotTo(HaveOccurred())
-		})
+	g := NewWithT(t)
+	s := newSystem(t, 2, 4)
+	g.Expect(s.post(t.Context(), s.entries[0], "00e0", 1, 10, 300, "ok").code).To(Equal(http.StatusOK))
+	id := func(i int) string { return fmt.Sprintf("%016x", 0x100+i) }
+	var conns []*net.TCPConn
+	for i := range jobs {
+		conns = append(conns, s.submitTasks(g, s.entries[0], id(i), 2, 3000))
+	}
+	g.Eventually(func() int { return s.invariants.runningTasks(id(jobs - 1)) }, "3s", "5ms").Should(Equal(2))
+	time.Sleep(cutAfter)
+	for _, c := range conns {
+		end(g, c)
 	}
+	time.Sleep(resubmitAfter)
+	for i := range jobs {
+		conns = append(conns, s.submitTasks(g, s.entries[1], id(i), 2, 300))
+	}
+	time.Sleep(2 * time.Second)
+	for _, c := range conns {
+		c.Close()
+	}
+	g.Expect(s.invariants.err()).NotTo(HaveOccurred())
 }
 
 // Guards against jobs that are given up although their callers still wait.
--- a/test/sessions/entry_test.go
+++ b/test/sessions/entry_test.go
@@ -281,6 +281,8 @@
 			}
 		}
 		e.step(checked)
+	case dispatch.AskPeers:
+		e.deliverAfter(e.sim.draw(time.Millisecond, 6*time.Millisecond), func() { e.step(dispatch.PeersAsked{Jobs: ef.Jobs}) })
 	case dispatch.CheckProbes:
 		e.step(dispatch.CallersAcknowledged{Silent: ef.Calls})
 	case dispatch.ProbeCallers:
