Entry: tasks of silent callers are over in time after short suspensions and pauses

What callers could see: a task ran twice at once if its caller had left unseen, its entry had been suspended for less than a session, so that the agents kept the task, and the server did not reply to stops.

Cause: the entry waited for an acknowledgement before it stopped them, and the time in which a stopped run is over counted from a clock reading that it had received after the suspension.

Change: tasks are stopped when the last sign is 480 ms old, in the first step after a suspension. The order echoes a reading from before that time (Order.EchoBefore). The caller is asked again, is given up 250 ms after that, and its tasks are placed again if it gives a sign.

--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -15,8 +15,8 @@
 // job is connected, as far as the entry's sockets show: its submission, or CallersChecked. The last sign
 // of that caller has to be young besides, see liveness.go.
 
-// maxHeldChecked bounds the callers of held jobs that are checked at once: most of the held jobs may
-// have to be held longer.
+// maxHeldChecked bounds the held jobs whose callers are checked at once: most of them may have to be held
+// longer.
 const maxHeldChecked = 32
 
 // waitingSubmission is a submission that is handled later: the entry has not heard of cancels yet,
@@ -81,8 +81,18 @@
 		check(r.job)
 	}
 	if d.heldUnchecked {
-		for _, j := range d.heldJobs[:min(len(d.heldJobs), maxHeldChecked)] {
+		looks := 0
+		for _, j := range d.heldJobs {
+			if j.answered || d.awaitsSign(j) {
+				continue
+			}
 			check(j)
+			if d.hasFreshCaller(j) {
+				looks++
+			}
+			if looks == maxHeldChecked {
+				break
+			}
 		}
 	}
 	for _, s := range d.ready {
@@ -117,12 +127,12 @@
 	connected := make(map[CallID]bool, len(e.Connected))
 	for _, call := range e.Connected {
 		connected[call] = true
-		if j := d.jobOf(call); j != nil && d.mayPlaceLate(j) {
+		if j := d.jobOf(call); j != nil && d.hasFreshSign(d.callers[call]) && d.mayPlaceLate(j) {
 			j.checked = d.steps
 		}
 	}
 	for i := range d.ready {
-		if connected[d.ready[i].Call] {
+		if c := d.callers[d.ready[i].Call]; c != nil && connected[c.id] && d.hasFreshSign(c) {
 			d.ready[i].checked = d.steps
 		}
 	}
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -63,12 +63,18 @@
 			continue
 		}
 		if j.checked != d.steps {
+			d.heldJobs = append(d.heldJobs, j)
+			if d.awaitsSign(j) {
+				continue
+			}
 			d.heldUnchecked = true
-			if unchecked++; unchecked == maxHeldChecked {
-				d.heldJobs = append(d.heldJobs, held[i:]...)
+			if d.hasFreshCaller(j) {
+				unchecked++
+			}
+			if unchecked == maxHeldChecked {
+				d.heldJobs = append(d.heldJobs, held[i+1:]...)
 				return
 			}
-			d.heldJobs = append(d.heldJobs, j)
 			continue
 		}
 		holdExpired := !d.now.Before(j.holdUntil)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -23,6 +23,7 @@
 	newest         time.Time // when the newest submission was sent, as far as is known
 	peersAsked     time.Time // when the other entries were last asked for newer ones
 	asksPeers      bool      // they are being asked
+	stopEchoBefore time.Time // see Order.EchoBefore, of orders that stop its tasks; zero if they count from now
 	checked        uint64    // step in which one of the callers was last known to be connected
 	tasks          []task
 	unfinished     int            // tasks not done
@@ -274,6 +275,9 @@
 	p.stopRequested = true
 	o := d.orderTo(p.agent)
 	o.Stop = append(o.Stop, p.id)
+	if before := p.job.stopEchoBefore; !before.IsZero() && (o.EchoBefore.IsZero() || before.Before(o.EchoBefore)) {
+		o.EchoBefore = before
+	}
 }
 
 // close stops the placements of a job that was answered or has no caller left.
--- a/dispatch/liveness.go
+++ b/dispatch/liveness.go
@@ -16,8 +16,8 @@
 // operating system sends only while the connection is open there. Tasks are started within
 // probeInterval of the last sign, and stopped silenceTimeout after it.
 //
-//	start:        probeInterval + an agent's queue and lease after the last order < ResubmissionDelay
-//	keep running: silenceTimeout + the time in which a stopped task is over      < ResubmissionDelay
+//	start:        silenceTimeout + the lease of a start after the last order < ResubmissionDelay
+//	keep running: silenceTimeout + the time in which a stopped task is over < ResubmissionDelay
 //
 // docs/PROOFS.md has the figures.
 
@@ -26,20 +26,20 @@
 	// again, by the platform's terms.
 	ResubmissionDelay = 1300 * time.Millisecond
 	// probeInterval is the age of the last sign from which on a caller is probed. A probe that is lost
-	// once, and an acknowledgement that the caller's system delays, arrive within silenceTimeout of it:
-	// both take up to 200 ms.
+	// once, or an acknowledgement that the caller's system delays, arrives within silenceTimeout of the
+	// sign: each takes up to 200 ms.
 	probeInterval = 250 * time.Millisecond
-	// silenceTimeout is the age of the last sign from which on a caller counts as disconnected. A task
-	// is over 765 ms after it was stopped, even if its server does not reply to stops.
-	silenceTimeout = 500 * time.Millisecond
-	// minProbeWait is how long the acknowledgement of a probe is awaited although silenceTimeout has
-	// passed, because the entry has been suspended: a few round trips within a region, and the delay
-	// of an acknowledgement.
-	minProbeWait = 100 * time.Millisecond
+	// silenceTimeout is the age of the last sign at which the tasks of a caller are stopped. A task is over
+	// 815 ms after the clock reading that the order to stop it echoes, even if its server does not reply to
+	// stops.
+	silenceTimeout = 480 * time.Millisecond
+	// minProbeWait is how long the acknowledgement of a probe is awaited before the caller counts as
+	// disconnected: the time after which a lost packet is sent again, and a few round trips.
+	minProbeWait = 250 * time.Millisecond
 	// probeWindow is by how much probes are sent early, so that one wake-up serves several callers.
 	probeWindow = 25 * time.Millisecond
-	// backlogTime is how long after a pause submissions may be handled that have arrived during it.
-	backlogTime = 250 * time.Millisecond
+	// backlogTime is how long after a pause submissions count as having arrived during it.
+	backlogTime = ResubmissionDelay
 )
 
 // caller is a pending call and the last sign of its caller.
@@ -100,8 +100,9 @@
 	switch {
 	case !c.probed.IsZero():
 		c.due = c.lastSign.Add(silenceTimeout)
-		if earliest := c.probed.Add(minProbeWait); c.due.Before(earliest) {
-			c.due = earliest
+		isStopDue := c.job != nil && c.job.livePlacements > 0 && d.now.Before(c.due)
+		if end := c.probed.Add(minProbeWait); c.due.Before(end) && !isStopDue {
+			c.due = end
 		}
 	case c.job != nil && !c.job.answered && c.job.livePlacements > 0:
 		c.due = c.lastSign.Add(probeInterval)
@@ -118,6 +119,11 @@
 	return d.now.Sub(c.lastSign) <= probeInterval
 }
 
+// hasFreshCaller is hasFreshSign for any caller of the job.
+func (d *Dispatcher) hasFreshCaller(j *job) bool {
+	return slices.ContainsFunc(j.calls, func(call CallID) bool { return d.hasFreshSign(d.callers[call]) })
+}
+
 // awaitsSign reports whether all callers of the job were probed and have not acknowledged that yet, or the
 // other entries have been asked for newer submissions of it.
 func (d *Dispatcher) awaitsSign(j *job) bool {
@@ -183,14 +189,45 @@
 		}
 	}
 	d.probe(due)
+	for _, c := range due {
+		d.stopUnlessSign(c.job)
+	}
 	if len(overdue) > 0 {
 		d.emit(CheckProbes{Calls: overdue})
 	}
 }
 
-// callerSilent gives up a caller that has not acknowledged a probe. If it is there after all, it learns
-// that its job may have run.
+// stopUnlessSign stops the tasks of a job unless one of its callers has given a sign within silenceTimeout.
+// They are placed again if one gives a sign later.
+func (d *Dispatcher) stopUnlessSign(j *job) {
+	var newest time.Time
+	for _, call := range j.calls {
+		if sign := d.callers[call].lastSign; newest.Before(sign) {
+			newest = sign
+		}
+	}
+	if limit := newest.Add(silenceTimeout); !d.now.Before(limit) {
+		j.stopEchoBefore = limit
+		d.stopTasks(j)
+	}
+}
+
+// callerSilent stops the tasks of a caller that has acknowledged no probe so far. It gives the caller up if
+// that had time to. If the caller is there after all, it learns that its job may have run.
 func (d *Dispatcher) callerSilent(c *caller) {
+	if j := c.job; j != nil && !j.answered {
+		d.stopUnlessSign(j)
+	}
+	if d.resumedAt.After(c.probed) {
+		// The acknowledgement may have been lost while the machine was suspended.
+		c.probed = time.Time{}
+		d.probe([]*caller{c})
+		return
+	}
+	if d.now.Before(c.probed.Add(minProbeWait)) {
+		d.watch(c)
+		return
+	}
 	reason := fmt.Sprintf("no sign of the caller for %d ms", d.now.Sub(c.lastSign).Milliseconds())
 	d.emit(CallerMetrics{Silent: 1})
 	d.emit(Refused{Call: c.id, Error: structs.Errorf(structs.CodeUnavailable, structs.MayHaveRun, "%s", reason)})
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -203,6 +203,9 @@
 		Recall []uint64 // ids of placements to return if they have not been started
 		// Cancels are jobs of which the agent has to stop all tasks and to start none.
 		Cancels []session.Cancel
+		// EchoBefore is set if the agents have to count from a time that has passed: the order echoes the
+		// newest clock reading that was received before it.
+		EchoBefore time.Time
 	}
 	// CheckCallers asks whether callers are still connected. CallersChecked follows at once; until
 	// then no task of their jobs is placed.
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net/rpc"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -87,6 +89,8 @@
 	id           dispatch.SessionID
 	client       *rpc.Client
 	clockReading atomic.Pointer[session.ClockReading] // of the reply to Hello or to the last poll; echoed in each request
+	readingsMu   sync.Mutex
+	readings     []receivedReading // earlier ones and the newest, oldest first
 	// evacuationSent is the version of the evacuations that the agent was sent last.
 	evacuationSent atomic.Int64
 	orders         chan *queuedOrder
@@ -206,7 +210,7 @@
 		connector: c, agent: hello.Agent, client: client,
 		orders: make(chan *queuedOrder, orderQueueSize), replies: make(chan *rpc.Call, orderQueueSize), closed: make(chan struct{}),
 	}
-	s.clockReading.Store(&hello.State.Stamp)
+	s.storeReading(lastHeard, hello.State.Stamp)
 	s.evacuationSent.Store(req.Evacuation.Version)
 	g.addSession(s, &hello, stateTime(sentAt, hello.Held))
 	c.sessionID.Store(uint64(s.id))
@@ -289,7 +293,7 @@
 		}
 		lastHeard = boottime.Now()
 		now := time.Now()
-		s.clockReading.Store(&reply.State.Stamp)
+		s.storeReading(lastHeard, reply.State.Stamp)
 		s.connector.setUsable(now, reply.State.Ready)
 		if reply.Evacuation.Version > 0 {
 			s.connector.gateway.updateEvacuation(reply.Evacuation, "agent "+s.agent)
@@ -304,6 +308,49 @@
 	}
 }
 
+// receivedReading is a clock reading with the time when its message was received.
+type receivedReading struct {
+	reading session.ClockReading
+	at      time.Time
+}
+
+const (
+	// readingSpacing is the least time between the readings that are kept, and maxReadings their number:
+	// they cover the time for which a session lasts without a message, and more.
+	readingSpacing = 100 * time.Millisecond
+	maxReadings    = 12
+)
+
+// storeReading records the clock reading of a message.
+func (s *agentSession) storeReading(now time.Time, r session.ClockReading) {
+	s.readingsMu.Lock()
+	defer s.readingsMu.Unlock()
+	if n := len(s.readings); n >= 2 && now.Sub(s.readings[n-2].at) < readingSpacing {
+		s.readings = s.readings[:n-1]
+	}
+	s.readings = append(s.readings, receivedReading{reading: r, at: now})
+	if len(s.readings) > maxReadings {
+		s.readings = slices.Delete(s.readings, 0, 1)
+	}
+	s.clockReading.Store(&r)
+}
+
+// echo returns the newest clock reading that was received before the given time, or the newest of all if that is
+// zero. If all that are kept are newer, it returns the oldest.
+func (s *agentSession) echo(before time.Time) session.ClockReading {
+	if before.IsZero() {
+		return *s.clockReading.Load()
+	}
+	s.readingsMu.Lock()
+	defer s.readingsMu.Unlock()
+	for _, r := range slices.Backward(s.readings) {
+		if !r.at.After(before) {
+			return r.reading
+		}
+	}
+	return s.readings[0].reading
+}
+
 // queuedOrder is an order with the clock reading that it echoes. The time in which a stopped
 // run has to be over counts from that reading, so that it is the newest when the order was
 // given and not when it is written.
@@ -316,7 +363,7 @@
 // is full, it closes the connection, and the agent stops the session's tasks.
 func (s *agentSession) enqueue(o dispatch.Order) {
 	select {
-	case s.orders <- &queuedOrder{Order: o, echo: *s.clockReading.Load()}:
+	case s.orders <- &queuedOrder{Order: o, echo: s.echo(o.EchoBefore)}:
 	default:
 		s.client.Close()
 	}
--- a/test/platform/silent_test.go
+++ b/test/platform/silent_test.go
@@ -108,6 +108,44 @@
 	g.Expect(s.invariants.err()).NotTo(HaveOccurred())
 }
 
+// Guards against a task that runs twice: its caller is cut off without a word, its entry is suspended for less than a
+// session, so that the agents keep the task, and the servers leave stops without a reply.
+func TestTasksOfSilentCallerAreOverInTimeWhileStopsHang(t *testing.T) {
+	const rounds, pausedAfter = 4, 235 * time.Millisecond
+	for name, pause := range map[string]time.Duration{"not suspended": 0, "suspended": 330 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newSystem(t, 2, 6)
+			g.Expect(s.post(t.Context(), s.entries[0], "00e0", 1, 10, 300, "ok").code).To(Equal(http.StatusOK))
+			for round := range rounds {
+				id := fmt.Sprintf("%016x", 0x100+round)
+				for _, server := range s.servers {
+					server.SetHangingStops(1)
+				}
+				sent := time.Now()
+				first := s.submitTasks(g, s.entries[0], id, 2, 3000)
+				g.Eventually(func() int { return s.invariants.runningTasks(id) }, "3s", "2ms").Should(Equal(2))
+				silence(g, first)
+				if pause > 0 {
+					time.Sleep(time.Until(sent.Add(pausedAfter)))
+					s.entries[0].signal(syscall.SIGSTOP)
+					time.Sleep(pause)
+					s.entries[0].signal(syscall.SIGCONT)
+				}
+				time.Sleep(time.Until(sent.Add(resubmitAfter)))
+				second := s.submitTasks(g, s.entries[1], id, 2, 300)
+				time.Sleep(resubmitAfter)
+				for _, server := range s.servers {
+					server.SetHangingStops(0)
+				}
+				second.Close()
+				first.Close()
+			}
+			g.Expect(s.invariants.err()).NotTo(HaveOccurred())
+		})
+	}
+}
+
 // Guards against jobs that are given up although their callers still wait.
 func TestLongTasksOfCallersThatWaitAreCompleted(t *testing.T) {
 	const jobs = 8
