TestAdmittedJobContinuesAfterUsefulTime: the entry goes on meanwhile

It jumped by 2 s in one step, which is a suspension of the entry, after which tasks are stopped until their callers give signs. Now it follows each wake-up, and checks after each that nothing is stopped.

--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -191,9 +191,7 @@
 	h.agent(1, idle)
 	h.submit("hold", 1, 6000, 60*time.Millisecond)
 	_, ids := h.placed()
-	h.now = h.now.Add(2 * time.Second)
-	h.step(dispatch.Ticked{})
-	h.Expect(h.stopped()).To(BeEmpty())
+	h.wait(2*time.Second, func() { h.Expect(h.stopped()).To(BeEmpty()) })
 	h.report(1, idle, ids[0], session.Done)
 	h.Expect(effects[dispatch.Answered](h)).To(ConsistOf(HaveField("Status", dispatch.Completed)))
 }
