Capacity: a task of negative size reserves nothing

What could be seen: an entry takes a server for full because an agent has reported a queued task whose size is a very large negative number.

Cause: the reservation subtracts the size, which overflows. Change: a negative size counts as zero.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -52,8 +52,10 @@
 }
 
 // Reserve reserves capacity for a task from its earliest start on and returns that
-// start. It reports false, and reserves nothing, if the task never fits.
+// start. It reports false, and reserves nothing, if the task never fits. A malformed task
+// of negative size reserves nothing.
 func (t *Timeline) Reserve(cpu int, runTime time.Duration) (time.Duration, bool) {
+	cpu = max(cpu, 0)
 	start, ok := t.EarliestStart(cpu)
 	if !ok {
 		return 0, false
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -1,6 +1,7 @@
 package capacity_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -54,3 +55,15 @@
 	a, b := capacity.Release{At: second, CPU: 3}, capacity.Release{At: second, CPU: 5}
 	g.Expect(startOfNext(a, b)).To(Equal(startOfNext(b, a)))
 }
+
+// Guards against a task of negative size, as an odd message may have, that takes all capacity by an overflow, so that
+// no other task is expected to start.
+func TestTaskOfNegativeSizeReservesNothing(t *testing.T) {
+	for _, cpu := range []int{-1, math.MinInt} {
+		tl := capacity.New(1000, nil)
+		tl.Reserve(cpu, time.Second)
+		if start, ok := tl.EarliestStart(1000); start != 0 || !ok {
+			t.Errorf("after a task of %d thousandths of a core: start %v, %t", cpu, start, ok)
+		}
+	}
+}
