--- a/internal/boundhttp/boundhttp.go
+++ b/internal/boundhttp/boundhttp.go
@@ -1,7 +1,7 @@
 // Package boundhttp keeps the HTTP client whose connections lead to the newest known
 // incarnation of a server. A connection ends with the process that it leads to, so that a call
 // over it cannot reach another incarnation, which may have the same address and id and a clock
-// that starts anew.
+// that starts anew. It also bounds the connections, and keeps those on which replies are late.
 package boundhttp
 
 import (
