--- a/test/platform/silent_test.go
+++ b/test/platform/silent_test.go
@@ -1,6 +1,7 @@
 package platform_test
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -12,18 +13,24 @@
 	"golang.org/x/sys/unix"
 )
 
-// silence cuts a connection off at its client's side without a word: the kernel drops all segments that
-// arrive for it, and the other side gets no acknowledgement, FIN or RST, as after a partition.
+// silence is dropIncoming for a test.
 func silence(g *WithT, conn *net.TCPConn) {
+	g.Expect(dropIncoming(conn)).To(Succeed())
+}
+
+// dropIncoming cuts a connection off at its client's side without a word: the kernel drops all segments
+// that arrive for it, and the other side gets no acknowledgement, FIN or RST, as after a partition.
+func dropIncoming(conn *net.TCPConn) error {
 	raw, err := conn.SyscallConn()
-	g.Expect(err).NotTo(HaveOccurred())
+	if err != nil {
+		return err
+	}
 	drop := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
 	var filterErr error
 	err = raw.Control(func(fd uintptr) {
 		filterErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(drop)), Filter: &drop[0]})
 	})
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(filterErr).NotTo(HaveOccurred())
+	return errors.Join(err, filterErr)
 }
 
 // unseenEnds are the ways in which the end of a caller's connection does not reach its entry. A proxy between
@@ -164,3 +171,38 @@
 		g.Expect(a.code).To(Equal(http.StatusOK))
 	}
 }
+
+// Guards against callers that are given up because the entry was suspended: their systems have acknowledged
+// the probes that it had sent before.
+func TestCallersThatWaitAreNotGivenUpAfterSuspensions(t *testing.T) {
+	const (
+		rounds    = 8
+		jobs      = 40
+		suspended = 600 * time.Millisecond
+	)
+	g := NewWithT(t)
+	s := newSystem(t, 1, 4)
+	entry := s.entries[0]
+	g.Expect(s.post(t.Context(), entry, "00e0", 1, 10, 300, "ok").code).To(Equal(http.StatusOK))
+	givenUp := 0
+	for round := range rounds {
+		answers := make(chan answer, jobs)
+		for i := range jobs {
+			go func() {
+				answers <- s.post(t.Context(), entry, fmt.Sprintf("%016x", 0x100*(round+1)+i), 2, 1500, 300, "ok")
+			}()
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(time.Duration(50+35*round) * time.Millisecond)
+		entry.signal(syscall.SIGSTOP)
+		time.Sleep(suspended)
+		entry.signal(syscall.SIGCONT)
+		for range jobs {
+			if a := <-answers; a.givenUp {
+				givenUp++
+			}
+		}
+	}
+	g.Expect(givenUp).To(BeZero())
+	g.Expect(s.invariants.err()).NotTo(HaveOccurred())
+}
