--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -23,9 +23,9 @@
 // or tasks of an earlier submission of the job are still being stopped.
 type waitingSubmission struct {
 	SubmitCalled
-	arrived  time.Time
-	checked  uint64 // step in which its caller was last known to be connected; zero if its last sign is old
-	asksPeer bool   // another entry, which has told of the job, is asked to stop it
+	arrived    time.Time
+	checked    uint64 // step in which its caller was last known to be connected; zero if its last sign is old
+	awaitsPeer bool   // another entry, which has announced the job, is asked to stop it
 }
 
 // reassignment is a task to be placed again after its last placement has ended without success.
@@ -40,12 +40,12 @@
 // submitCalled handles a submission, or keeps it until it may be handled.
 func (d *Dispatcher) submitCalled(e SubmitCalled) {
 	c := d.addCaller(e)
-	entry := d.entryThatHas(e.Job.Name)
+	entry := d.announcingEntry(e.Job.Name)
 	switch {
 	case d.delay(e):
 	case entry != "":
 		s := d.newWaitingSubmission(e)
-		s.asksPeer = true
+		s.awaitsPeer = true
 		d.ready = append(d.ready, s)
 		d.emit(LogEvent{Event: "job_open_elsewhere", Job: e.Job.Name, Queue: e.Job.Queue.Name, Detail: fmt.Sprintf("entry=%q", entry)})
 		d.emit(AskPeers{Jobs: []session.OpenJob{{Job: e.Job.Name, AgeMs: max(e.LastReceived, 0).Milliseconds()}}, Entry: entry})
@@ -96,7 +96,7 @@
 		}
 	}
 	for _, s := range d.ready {
-		if !s.asksPeer {
+		if !s.awaitsPeer {
 			calls = append(calls, s.Call)
 		}
 	}
@@ -189,7 +189,7 @@
 	copies := make(map[string][]waitingSubmission)
 	var names []string // in the order of arrival
 	for _, s := range list {
-		if s.checked != d.steps || s.asksPeer {
+		if s.checked != d.steps || s.awaitsPeer {
 			d.ready = append(d.ready, s)
 			continue
 		}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -46,7 +46,7 @@
 	openJobs        *indexheap.Heap[*job]     // those not answered, by deadline
 	callers         map[CallID]*caller        // by their pending calls
 	watched         *indexheap.Heap[*caller]  // those of open jobs, and those that were probed, by due
-	elsewhere       map[string]openElsewhere  // jobs that other entries have told of, by name
+	elsewhere       map[string]openElsewhere  // jobs that other entries have announced, by name
 	elsewhereSwept  time.Time                 // when the old ones of these were removed last
 	pause           time.Duration             // how long the entry handled nothing before resumedAt
 	resumedAt       time.Time
--- a/dispatch/elsewhere.go
+++ b/dispatch/elsewhere.go
@@ -11,10 +11,11 @@
 )
 
 // Between a caller and an entry there may be a proxy that acknowledges probes although the caller has
-// gone. Then only the entry that has the next submission of the job knows of the end. Entries
-// therefore tell each other which jobs they have had open for long, before callers may submit them again:
+// disconnected. Then only the entry that has the next submission of the job knows of the end. Entries
+// therefore announce to each other the jobs that they have had open for long, before callers may submit
+// these again:
 //
-//   - An entry that gets a submission of a job that another one has told of asks that one to stop it, and
+//   - An entry that gets a submission of a job that another one has announced has that one stop it, and
 //     waits until its tasks are over.
 //   - An entry that would place tasks of a job that was submitted long ago, because it was suspended or has
 //     lost agents, first asks the others whether they have a newer submission.
@@ -22,11 +23,10 @@
 // Both add to the signs of callers, and replace none: an entry that gets no reply goes by these alone.
 
 const (
-	// longOpen is the age of the newest submission of a job from which on other entries are told of it.
-	// The next one may come at ResubmissionDelay, and telling them takes up to AnnounceInterval.
+	// longOpen is the age of the newest submission of a job from which on it is announced. The next one may
+	// come at ResubmissionDelay, and the announcement takes up to AnnounceInterval.
 	longOpen = 600 * time.Millisecond
-	// AnnounceInterval is the interval at which an entry tells the others of its jobs that are open for
-	// long.
+	// AnnounceInterval is the interval at which an entry announces its jobs that are open for long.
 	AnnounceInterval = 400 * time.Millisecond
 	// announcementTTL is how long an announcement counts: one may be lost.
 	announcementTTL = 2*AnnounceInterval + 200*time.Millisecond
@@ -36,7 +36,7 @@
 	// minAgeDifference is by how much a submission must be newer than another one to replace it. The two
 	// are ResubmissionDelay apart, less what they have waited to be read.
 	minAgeDifference = ResubmissionDelay / 2
-	// MaxAnnouncedJobs bounds the jobs that entries tell each other of at once.
+	// MaxAnnouncedJobs bounds the jobs in one message between entries.
 	MaxAnnouncedJobs = 512
 	// maxElsewhere bounds the jobs of other entries that an entry remembers.
 	maxElsewhere = 8192
@@ -45,7 +45,7 @@
 	PeerJobsTimeout = 300 * time.Millisecond
 )
 
-// openElsewhere is a job that another entry has told of.
+// openElsewhere is a job that another entry has announced.
 type openElsewhere struct {
 	entry string
 	at    time.Time // when it did
@@ -54,7 +54,7 @@
 // ageOf returns the time since the newest submission of the job.
 func (d *Dispatcher) ageOf(j *job) time.Duration { return d.now.Sub(j.newest) }
 
-// LongOpenJobs returns the jobs of which other entries have to be told, oldest first.
+// LongOpenJobs returns the jobs that are to be announced, oldest first.
 func (d *Dispatcher) LongOpenJobs(now time.Time) []session.OpenJob {
 	var list []session.OpenJob
 	for _, j := range d.jobs {
@@ -116,8 +116,9 @@
 	}
 }
 
-// entryThatHas returns the other entry that has told of the job of late; empty if none has.
-func (d *Dispatcher) entryThatHas(name string) string {
+// announcingEntry returns the other entry that has announced the job within announcementTTL; empty if none
+// has.
+func (d *Dispatcher) announcingEntry(name string) string {
 	if o, ok := d.elsewhere[name]; ok && d.now.Sub(o.at) <= announcementTTL && d.jobs[name] == nil {
 		return o.entry
 	}
@@ -165,7 +166,7 @@
 		}
 		for i := range d.ready {
 			if d.ready[i].Job.Name == o.Job {
-				d.ready[i].asksPeer = false
+				d.ready[i].awaitsPeer = false
 			}
 		}
 		delete(d.elsewhere, o.Job)
--- a/dispatch/elsewhere_test.go
+++ b/dispatch/elsewhere_test.go
@@ -12,8 +12,8 @@
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
 
-// told returns what the entry replies if another one tells of a job.
-func (h *harness) told(job string, age time.Duration) session.JobState {
+// announced returns what the entry replies if another one announces a job.
+func (h *harness) announced(job string, age time.Duration) session.JobState {
 	h.step(dispatch.PeerJobs{From: "entry-2", Jobs: []session.OpenJob{{Job: job, AgeMs: age.Milliseconds()}}})
 	return effects[dispatch.PeerJobsCompared](h)[0].States[0]
 }
@@ -26,12 +26,12 @@
 	h.submit("job", 1, 1000, veryLong)
 	_, ids := h.placed()
 	h.wait(dispatch.ResubmissionDelay, func() {})
-	h.Expect(h.told("job", time.Millisecond)).To(Equal(session.JobEnding))
+	h.Expect(h.announced("job", time.Millisecond)).To(Equal(session.JobEnding))
 	h.Expect(h.stopped()).To(Equal(ids))
 	h.Expect(effects[dispatch.Refused](h)).To(ConsistOf(HaveField("Error.Verdict", structs.MayHaveRun)))
-	h.Expect(h.told("job", 10*time.Millisecond)).To(Equal(session.JobEnding))
+	h.Expect(h.announced("job", 10*time.Millisecond)).To(Equal(session.JobEnding))
 	h.report(1, idle, ids[0], session.Stopped)
-	h.Expect(h.told("job", 20*time.Millisecond)).To(Equal(session.JobUnknown))
+	h.Expect(h.announced("job", 20*time.Millisecond)).To(Equal(session.JobUnknown))
 	h.Expect(h.d.OpenJobs()).To(BeZero())
 }
 
@@ -41,9 +41,9 @@
 	h := newHarness(t)
 	h.agent(1, idle)
 	h.submit("job", 1, 1000, veryLong)
-	h.Expect(h.told("job", dispatch.ResubmissionDelay)).To(Equal(session.JobNewer))
+	h.Expect(h.announced("job", dispatch.ResubmissionDelay)).To(Equal(session.JobNewer))
 	h.Expect(h.stopped()).To(BeEmpty())
-	h.Expect(h.told("job", 200*time.Millisecond)).To(Equal(session.JobUnknown))
+	h.Expect(h.announced("job", 200*time.Millisecond)).To(Equal(session.JobUnknown))
 	h.Expect(h.stopped()).To(BeEmpty())
 	h.Expect(h.d.OpenJobs()).To(Equal(1))
 }
@@ -52,7 +52,7 @@
 func TestSubmissionWaitsForEndOfJobElsewhere(t *testing.T) {
 	h := newHarness(t)
 	h.agent(1, idle)
-	h.told("job", 700*time.Millisecond)
+	h.announced("job", 700*time.Millisecond)
 	h.now = h.now.Add(600 * time.Millisecond)
 	h.poll(1, idle)
 	job := dispatch.Job{Name: "job", Queue: queue(), Tasks: 1, CPU: 1000, MemMB: 1, Estimate: longEstimate, Timeout: 3 * time.Second}
@@ -74,12 +74,12 @@
 	h.Expect(ids).To(HaveLen(1))
 }
 
-// Guards against submissions that wait for what another entry told long ago, and against memory for it.
+// Guards against submissions that wait because of an announcement of long ago, and against memory for it.
 func TestJobsElsewhereAreForgotten(t *testing.T) {
 	h := newHarness(t)
 	h.agent(1, idle)
 	for i := range 20 {
-		h.told(fmt.Sprint("job-", i), time.Second)
+		h.announced(fmt.Sprint("job-", i), time.Second)
 		h.now = h.now.Add(200 * time.Millisecond)
 		h.poll(1, idle)
 	}
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -112,8 +112,8 @@
 		From string
 		Jobs []session.OpenJob
 	}
-	// PeersAsked reports that AskPeers has ended, or that the other entries were told of jobs: those of
-	// which they have newer submissions, and where.
+	// PeersAsked is the reply to AskPeers, or the result of an announcement: jobs of which other entries
+	// have newer submissions.
 	PeersAsked struct {
 		Jobs  []session.OpenJob // of AskPeers
 		Newer []JobElsewhere
--- a/gateway/cancels.go
+++ b/gateway/cancels.go
@@ -46,7 +46,7 @@
 	gateway *Gateway
 	addr    string
 	queue   chan tell
-	// questions are the jobs that the entry is to be told of.
+	// questions are announcements of jobs that wait.
 	questions chan jobsQuestion
 	client    *rpc.Client // nil while there is no connection
 }
--- a/gateway/openjobs.go
+++ b/gateway/openjobs.go
@@ -16,13 +16,13 @@
 )
 
 const (
-	// openJobsTimeout bounds the call that tells an entry of jobs: a few round trips within a region. An
+	// openJobsTimeout bounds the call that announces jobs to an entry: a few round trips within a region. An
 	// entry that has not replied by then is suspended or cut off.
 	openJobsTimeout = 100 * time.Millisecond
 	// endingRetry is the interval at which an entry is asked whether a job that it has stopped is over.
 	endingRetry = 20 * time.Millisecond
-	// maxAnnouncedPeers bounds the entries that are told of jobs that are open for long. Where there are
-	// more, those of the same availability zone come first, which the balancer prefers for a caller.
+	// maxAnnouncedPeers bounds the entries to which jobs that are open for long are announced. Where there
+	// are more, those of the same availability zone come first, which the balancer prefers for a caller.
 	maxAnnouncedPeers = 16
 )
 
@@ -37,7 +37,7 @@
 	err    error
 }
 
-// announceJobs tells the other entries of the jobs that are open here for long, again and again.
+// announceJobs announces the jobs that are open here for long to the other entries.
 func (g *Gateway) announceJobs() {
 	tick := time.NewTicker(dispatch.AnnounceInterval)
 	defer tick.Stop()
@@ -51,9 +51,9 @@
 		if len(jobs) == 0 {
 			continue
 		}
-		for _, p := range g.announcedPeers() {
+		for _, p := range g.announcementTargets() {
 			go func() {
-				if newer := g.tellOfJobs(p, jobs, false); len(newer) > 0 {
+				if newer := g.compareJobs(p, jobs, false); len(newer) > 0 {
 					g.step(dispatch.PeersAsked{Newer: newer})
 				}
 			}()
@@ -61,8 +61,8 @@
 	}
 }
 
-// announcedPeers returns the entries that are told of jobs that are open here for long.
-func (g *Gateway) announcedPeers() []session.Process {
+// announcementTargets returns the entries to which jobs that are open here for long are announced.
+func (g *Gateway) announcementTargets() []session.Process {
 	peers := g.members.List(session.RoleEntry)
 	if len(peers) <= maxAnnouncedPeers {
 		return peers
@@ -88,7 +88,7 @@
 			continue
 		}
 		waiting.Go(func() {
-			newer := g.tellOfJobs(p, e.Jobs, true)
+			newer := g.compareJobs(p, e.Jobs, true)
 			mu.Lock()
 			defer mu.Unlock()
 			asked.Newer = append(asked.Newer, newer...)
@@ -98,9 +98,9 @@
 	g.step(asked)
 }
 
-// tellOfJobs tells an entry of jobs, and returns those of which it has newer submissions. If awaitEnd is set, it
-// waits until the tasks of those that the entry has stopped are over.
-func (g *Gateway) tellOfJobs(p session.Process, jobs []session.OpenJob, awaitEnd bool) []dispatch.JobElsewhere {
+// compareJobs has an entry compare jobs with its own, and returns those of which it has newer submissions. If
+// awaitEnd is set, it waits until the tasks of those that the entry has stopped are over.
+func (g *Gateway) compareJobs(p session.Process, jobs []session.OpenJob, awaitEnd bool) []dispatch.JobElsewhere {
 	var newer []dispatch.JobElsewhere
 	for started := time.Now(); ; {
 		states, err := g.askPeer(p.Addr, jobs)
--- a/gateway/openjobs_test.go
+++ b/gateway/openjobs_test.go
@@ -41,11 +41,11 @@
 	p := &peerWithJobs{endsAfter: 3}
 	addr, _ := servePeer(t, p)
 	gw := gatewayWithPeers(t)
-	g.Expect(gw.tellOfJobs(session.Process{Name: "entry-2", Addr: addr}, oneJob, true)).To(BeEmpty())
+	g.Expect(gw.compareJobs(session.Process{Name: "entry-2", Addr: addr}, oneJob, true)).To(BeEmpty())
 	g.Expect(p.endsAfter).To(BeZero())
 	p.endsAfter = 1000
 	started := time.Now()
-	gw.tellOfJobs(session.Process{Name: "entry-2", Addr: addr}, oneJob, true)
+	gw.compareJobs(session.Process{Name: "entry-2", Addr: addr}, oneJob, true)
 	g.Expect(p.endsAfter).To(BeNumerically(">", 0), "given up")
 	g.Expect(time.Since(started)).To(BeNumerically(">=", dispatch.PeerJobsTimeout-openJobsTimeout))
 }
--- a/session/messages.go
+++ b/session/messages.go
@@ -82,7 +82,7 @@
 	AgeMs int64  // time since the newest submission of it, in ms
 }
 
-// OpenJobsRequest tells an entry of jobs that are open at another one (Entry.OpenJobs). Of a job that both
+// OpenJobsRequest announces to an entry jobs that are open at another one (Entry.OpenJobs). Of a job that both
 // have, the one with the older submission stops its tasks. Entries of earlier builds lack the method.
 type OpenJobsRequest struct {
 	Entry string // name of the sender
