Soak: callers are cut off without a word, and submit their jobs elsewhere

An entry gets jobs of long tasks; at some moment most of its callers are cut off: their systems drop what the entry sends, while the connections stay open. The entry is suspended around that time, or runs on, and the callers submit their jobs to other entries after resubmitAfter. This overlaps with the other faults.

Two checks are new: an entry gives up no caller that is connected (its answer that it has no sign of the caller has arrived), and after the faults each entry completes a job of a long task. The faults are printed for every seed that fails, not only for broken rules.

--- a/test/platform/silent_test.go
+++ b/test/platform/silent_test.go
@@ -1,6 +1,7 @@
 package platform_test
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -12,18 +13,24 @@
 	"golang.org/x/sys/unix"
 )
 
-// silence cuts a connection off at its client's side without a word: the kernel drops all segments that
-// arrive for it, and the other side gets no acknowledgement, FIN or RST, as after a partition.
+// silence is dropIncoming for a test.
 func silence(g *WithT, conn *net.TCPConn) {
+	g.Expect(dropIncoming(conn)).To(Succeed())
+}
+
+// dropIncoming cuts a connection off at its client's side without a word: the kernel drops all segments
+// that arrive for it, and the other side gets no acknowledgement, FIN or RST, as after a partition.
+func dropIncoming(conn *net.TCPConn) error {
 	raw, err := conn.SyscallConn()
-	g.Expect(err).NotTo(HaveOccurred())
+	if err != nil {
+		return err
+	}
 	drop := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
 	var filterErr error
 	err = raw.Control(func(fd uintptr) {
 		filterErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(drop)), Filter: &drop[0]})
 	})
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(filterErr).NotTo(HaveOccurred())
+	return errors.Join(err, filterErr)
 }
 
 // Guards against a task that runs twice: an entry is suspended with jobs open, the ends of their callers'
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -73,6 +73,7 @@
 	disturbs *rand.Rand // draws what happens to the calls of servers
 	pairs    *rand.Rand // draws servers that are lost together with their agents
 	leaves   *rand.Rand // draws entries that are suspended and left by their callers
+	cuts     *rand.Rand // draws entries whose callers are cut off
 	faults   sync.WaitGroup
 	callers  sync.WaitGroup
 	mu       sync.Mutex
@@ -88,6 +89,7 @@
 		system: newSystem(t, entries, agents), rng: rand.New(rand.NewSource(seed)), zones: rand.New(rand.NewSource(seed + 1)),
 		sizes: rand.New(rand.NewSource(-seed)), disturbs: rand.New(rand.NewSource(seed + 2)),
 		pairs: rand.New(rand.NewSource(seed + 3)), leaves: rand.New(rand.NewSource(seed + 4)),
+		cuts:   rand.New(rand.NewSource(seed + 5)),
 		counts: make(map[string]int), calls: make(map[*openCall]struct{}),
 	}
 }
@@ -115,6 +117,7 @@
 			s.loseServerAndAgent()
 		}
 		s.suspendAndLeaveEntry(ctx)
+		s.cutOffCallers(ctx)
 		s.evacuateZone()
 	}
 	s.faults.Wait()
@@ -122,12 +125,16 @@
 	s.expectEvacuation(zoneOf(s.zones.Intn(2)))
 	s.changeConfigOverSlowLink()
 	s.expectRecovery()
+	s.expectLongJobs()
 	cancel()
 	s.callers.Wait()
 	s.checkLogs()
 	t.Logf("seed %d: %v", seed, s.counts)
 	if err := s.invariants.err(); err != nil {
-		t.Errorf("seed %d: %v; faults: %v", seed, err, s.faultLog)
+		t.Errorf("seed %d: %v", seed, err)
+	}
+	if t.Failed() {
+		t.Logf("seed %d: faults: %v", seed, s.faultLog)
 	}
 }
 
@@ -206,6 +213,7 @@
 	}
 	s.count(fmt.Sprintf("%d %s", a.code, a.state))
 	s.checkRefusal(j.id, a, answeredAt, j.unanswered)
+	s.checkGivenUp(entry, j.id, a)
 	switch {
 	case a.err != nil || a.code == 502 || a.code == 504:
 		if !errors.Is(a.err, syscall.ECONNREFUSED) {
--- a/test/platform/system_test.go
+++ b/test/platform/system_test.go
@@ -411,9 +411,10 @@
 
 // answer is the answer to a caller's request.
 type answer struct {
-	code  int
-	state string
-	err   error
+	code    int
+	state   string
+	givenUp bool // the entry had no sign of the caller
+	err     error
 }
 
 // post submits a job of tasks that each run for ms milliseconds, need cpu thousandths
@@ -456,9 +457,10 @@
 	}
 	var reply struct {
 		State string `json:"state"`
+		Error string `json:"error"`
 	}
 	json.Unmarshal(text, &reply)
-	return answer{code: resp.StatusCode, state: reply.State}
+	return answer{code: resp.StatusCode, state: reply.State, givenUp: strings.HasPrefix(reply.Error, silenceReason)}
 }
 
 // behaviorOf decodes a spec as written by post, "MS,CPU,OUTCOME".
