Test: callers that wait are given up after a suspension of their entry

An entry that resumes counts callers as disconnected by the clock alone (Dispatcher.watchCallers), before it has looked whether their systems have acknowledged the probes (Gateway.awaitAcks, a timer of its own).

--- a/test/platform/silent_test.go
+++ b/test/platform/silent_test.go
@@ -116,3 +116,38 @@
 		g.Expect(a.code).To(Equal(http.StatusOK))
 	}
 }
+
+// Guards against callers that are given up because the entry was suspended: their systems have acknowledged
+// the probes that it had sent before.
+func TestCallersThatWaitAreNotGivenUpAfterSuspensions(t *testing.T) {
+	const (
+		rounds    = 8
+		jobs      = 40
+		suspended = 600 * time.Millisecond
+	)
+	g := NewWithT(t)
+	s := newSystem(t, 1, 4)
+	entry := s.entries[0]
+	g.Expect(s.post(t.Context(), entry, "00e0", 1, 10, 300, "ok").code).To(Equal(http.StatusOK))
+	givenUp := 0
+	for round := range rounds {
+		answers := make(chan answer, jobs)
+		for i := range jobs {
+			go func() {
+				answers <- s.post(t.Context(), entry, fmt.Sprintf("%016x", 0x100*(round+1)+i), 2, 1500, 300, "ok")
+			}()
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(time.Duration(50+35*round) * time.Millisecond)
+		entry.signal(syscall.SIGSTOP)
+		time.Sleep(suspended)
+		entry.signal(syscall.SIGCONT)
+		for range jobs {
+			if a := <-answers; a.givenUp {
+				givenUp++
+			}
+		}
+	}
+	g.Expect(givenUp).To(BeZero())
+	g.Expect(s.invariants.err()).NotTo(HaveOccurred())
+}
