Entry: a cancel is not confirmed before the other entries were told

What callers saw: a job is said to be canceled, and a copy of it, submitted later, runs at an entry that was not told of the cancel.

Cause: a cancel whose deadline had passed was answered as done if this entry had the job, although nothing was known of the other entries (expireCancels). The dispatcher's clock counts the time in which the machine is suspended, the timers of its messages to other entries do not. The deadline therefore comes before their report if the machine is suspended between the two.

TestCancelOfOpenJobIsUnconfirmedUntilOtherEntriesWereTold fails without the change and passes with it.

Change: such a cancel is answered as unconfirmed; its caller sends it again.

--- a/dispatch/cancel.go
+++ b/dispatch/cancel.go
@@ -178,17 +178,14 @@
 	}
 }
 
-// expireCancels replies to the cancels whose wait is over.
+// expireCancels replies to the cancels whose wait is over. An entry that was suspended may not have heard of
+// its messages to the others by then, even if it has had the job itself.
 func (d *Dispatcher) expireCancels() {
 	if len(d.pendingCancels) == 0 {
 		return
 	}
 	for _, call := range d.sortedPendingCancels() {
-		switch p := d.pendingCancels[call]; {
-		case d.now.Before(p.deadline):
-		case p.known:
-			d.replyCancel(call, CancelDone)
-		default:
+		if !d.now.Before(d.pendingCancels[call].deadline) {
 			d.replyCancel(call, CancelUnconfirmed)
 		}
 	}
--- a/dispatch/cancel_test.go
+++ b/dispatch/cancel_test.go
@@ -176,6 +176,20 @@
 	h.Expect(h.d.NextWake()).To(BeZero())
 }
 
+// Guards against a cancel said to be done although another entry was not told, which runs a copy: the entry was
+// suspended before it has heard of that.
+func TestCancelOfOpenJobIsUnconfirmedUntilOtherEntriesWereTold(t *testing.T) {
+	h := newHarness(t)
+	h.agent(1, idle)
+	h.submit("a", 1, 1000, longEstimate)
+	call := h.cancel("a")
+	h.now = h.now.Add(time.Second)
+	h.step(dispatch.Ticked{})
+	h.Expect(h.cancelResults()).To(Equal([]dispatch.CancelResult{dispatch.CancelUnconfirmed}))
+	h.step(dispatch.PeersNotified{Call: call, Missed: 1})
+	h.Expect(h.cancelResults()).To(BeEmpty())
+}
+
 // Guards against tasks that an agent has stopped because of a cancel, and that the entry,
 // which was cut off from the others, places on the next agent.
 func TestCancelFromAnAgentComesBeforeItsReports(t *testing.T) {
