--- a/dispatch/elsewhere_test.go
+++ b/dispatch/elsewhere_test.go
@@ -118,3 +118,40 @@
 	h.wait(200*time.Millisecond, func() {})
 	h.Expect(h.d.LongOpenJobs(h.now)).To(Equal([]session.OpenJob{{Job: "old", AgeMs: 700}}))
 }
+
+// Guards against questions without end about the callers of a held job: a copy of it arrives while the other
+// entries are asked, so that nothing but their reply is missing.
+func TestCopyOfHeldJobArrivesWhileOtherEntriesAreAsked(t *testing.T) {
+	h := newHarness(t)
+	h.d = dispatch.New(dispatch.Options{Entry: "entry-1", Started: start, InDoubtTimeout: inDoubtTimeout, AnswerRetention: dispatch.DefaultAnswerRetention})
+	job := dispatch.Job{Name: "job", Queue: queue(), Tasks: 1, CPU: 1000, MemMB: 1, Estimate: longEstimate, Timeout: 10 * time.Second}
+	var asked []session.OpenJob
+	placed, questions := 0, 0
+	var step func(ev dispatch.Event)
+	step = func(ev dispatch.Event) {
+		for _, ef := range h.d.Step(h.now, ev) {
+			switch ef := ef.(type) {
+			case dispatch.AskPeers:
+				asked = append(asked, ef.Jobs...)
+			case dispatch.Order:
+				placed += len(ef.Start)
+			case dispatch.ProbeCallers:
+				step(dispatch.CallersAcknowledged{Calls: ef.Calls})
+			case dispatch.CheckCallers:
+				questions++
+				h.Expect(questions).To(BeNumerically("<", 20))
+				step(dispatch.CallersChecked{Connected: ef.Calls})
+			}
+		}
+	}
+	opened := dispatch.SessionOpened{ID: 1, Agent: "agent-1", Zone: "zone-a", State: h.state(idle)}
+	step(dispatch.SubmitCalled{Call: 1, Job: job})
+	h.now = h.now.Add(1200 * time.Millisecond)
+	step(opened)
+	h.Expect(asked).To(HaveLen(1))
+	h.Expect(placed).To(BeZero())
+	step(dispatch.SubmitCalled{Call: 2, Job: job})
+	step(dispatch.CallersAcknowledged{Calls: []dispatch.CallID{1}})
+	step(dispatch.PeersAsked{Jobs: asked})
+	h.Expect(placed).To(Equal(1))
+}
--- a/dispatch/liveness_test.go
+++ b/dispatch/liveness_test.go
@@ -311,6 +311,22 @@
 	}
 }
 
+// Guards against a submission that was read late being refused although its caller waits: the caller's system
+// delays its acknowledgement.
+func TestCallerOfSubmissionReadLateHasTimeToAcknowledge(t *testing.T) {
+	h := newHarness(t)
+	h.agent(1, idle)
+	h.call++
+	h.silent(h.call)
+	h.step(dispatch.SubmitCalled{Call: h.call, LastReceived: 2 * time.Second, Job: dispatch.Job{
+		Name: "job", Queue: queue(), Tasks: 1, CPU: 1000, MemMB: 1, Estimate: longEstimate, Timeout: 3 * time.Second,
+	}})
+	h.wait(230*time.Millisecond, func() { h.Expect(effects[dispatch.Refused](h)).To(BeEmpty()) })
+	h.step(dispatch.CallersAcknowledged{Calls: []dispatch.CallID{h.call}})
+	_, ids := h.placed()
+	h.Expect(ids).To(HaveLen(1))
+}
+
 // Guards against held jobs that wait behind one whose caller gives no sign.
 func TestSilentCallerDoesNotDelayHeldJobsOfOthers(t *testing.T) {
 	h := newHarness(t)
