--- a/dispatch/liveness.go
+++ b/dispatch/liveness.go
@@ -12,9 +12,9 @@
 // The end of a caller's attempt may never reach the entry: because of a partition, or because the
 // machine was suspended meanwhile. A caller whose attempt has ended may submit its job to another
 // entry ResubmissionDelay later. What the entry starts and keeps running for a caller therefore rests
-// on signs of it: bytes of the submission, or the acknowledgement of a probe, which the caller's
-// operating system sends only while the connection is open there. Tasks are started within
-// probeInterval of the last sign, and stopped silenceTimeout after it.
+// on signs of it: the acknowledgement of a probe, which the caller's operating system sends only while
+// the connection is open there, or bytes of the submission, which it may also send again after that.
+// Tasks are placed within probeInterval of the last sign, and stopped silenceTimeout after it.
 //
 //	start:        silenceTimeout + the lease of a start after the last order < ResubmissionDelay
 //	keep running: silenceTimeout + the time in which a stopped task is over < ResubmissionDelay
