Entry: stops count from an earlier silence only while it lasts, and silence is logged

What could be seen: after a caller was silent once, and gave a sign again, each later stop of a task of its job echoed a clock reading from before that silence, so that a server that confirmed the stop late lost its lease and all that ran there. Found in the read-through; TestCallerIsAskedAfterSuspensionBeforeItIsGivenUp fails without the change.

On-call could not see why tasks were stopped and placed again, or that a submission that waited was given up: events job_paused and job_abandoned.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -148,6 +148,7 @@
 	}
 	j.calls = append(j.calls, e.Call)
 	j.checked = d.steps
+	j.stopEchoBefore = time.Time{}
 	j.newest = d.now.Add(-max(e.LastReceived, 0))
 	d.assign(e.Call, j)
 }
--- a/dispatch/liveness.go
+++ b/dispatch/liveness.go
@@ -159,6 +159,9 @@
 			continue
 		}
 		c.lastSign, c.probed = c.probed, time.Time{}
+		if c.job != nil {
+			c.job.stopEchoBefore = time.Time{}
+		}
 		d.watch(c)
 	}
 	for _, call := range e.Silent {
@@ -206,10 +209,21 @@
 			newest = sign
 		}
 	}
-	if limit := newest.Add(silenceTimeout); !d.now.Before(limit) {
-		j.stopEchoBefore = limit
-		d.stopTasks(j)
+	limit := newest.Add(silenceTimeout)
+	if d.now.Before(limit) {
+		return
+	}
+	if j.stopEchoBefore.IsZero() {
+		d.emit(LogEvent{Event: "job_paused", Job: j.Name, Queue: j.Queue.Name,
+			Detail: fmt.Sprintf("reason=%q live=%d", d.silence(newest), j.livePlacements)})
 	}
+	j.stopEchoBefore = limit
+	d.stopTasks(j)
+}
+
+// silence is the reason for what follows from an old sign.
+func (d *Dispatcher) silence(lastSign time.Time) string {
+	return fmt.Sprintf("no sign of the caller for %d ms", d.now.Sub(lastSign).Milliseconds())
 }
 
 // callerSilent stops the tasks of a caller that has acknowledged no probe so far. It gives the caller up if
@@ -228,7 +242,12 @@
 		d.watch(c)
 		return
 	}
-	reason := fmt.Sprintf("no sign of the caller for %d ms", d.now.Sub(c.lastSign).Milliseconds())
+	reason := d.silence(c.lastSign)
+	if i := slices.IndexFunc(d.ready, func(s waitingSubmission) bool { return s.Call == c.id }); i >= 0 {
+		s := &d.ready[i]
+		d.emit(LogEvent{Event: "job_abandoned", Job: s.Job.Name, Queue: s.Job.Queue.Name,
+			Detail: fmt.Sprintf("reason=%q waited_ms=%d", reason, d.now.Sub(s.arrived).Milliseconds())})
+	}
 	d.emit(CallerMetrics{Silent: 1})
 	d.emit(Refused{Call: c.id, Error: structs.Errorf(structs.CodeUnavailable, structs.MayHaveRun, "%s", reason)})
 	d.callClosed(c.id, reason)
--- a/dispatch/liveness_test.go
+++ b/dispatch/liveness_test.go
@@ -172,6 +172,11 @@
 	h.step(dispatch.CallersAcknowledged{Calls: []dispatch.CallID{call}})
 	_, ids = h.placed()
 	h.Expect(ids).To(HaveLen(1), "placed again")
+	h.silent()
+	h.wait(300*time.Millisecond, func() {})
+	h.step(dispatch.CallClosed{Call: call})
+	h.Expect(effects[dispatch.Order](h)).To(ConsistOf(And(HaveField("Stop", ids), HaveField("EchoBefore", BeZero()))),
+		"the time of the earlier silence does not count any more")
 }
 
 // Guards against a caller that is given up because the acknowledgement of its probe was lost while the whole
@@ -293,12 +298,18 @@
 			call := arrive(h)
 			h.expectNoStart()
 			h.Expect(effects[dispatch.ProbeCallers](h)).To(ConsistOf(dispatch.ProbeCallers{Calls: []dispatch.CallID{call}}))
-			refused := 0
+			refused, logged := 0, 0
 			h.wait(time.Second, func() {
 				h.expectNoStart()
 				refused += len(effects[dispatch.Refused](h))
+				for _, line := range effects[dispatch.LogEvent](h) {
+					if line.Event == "job_abandoned" && line.Job == "job" {
+						logged++
+					}
+				}
 			})
 			h.Expect(refused).To(Equal(1))
+			h.Expect(logged).To(Equal(1))
 			h.Expect(h.d.OpenJobs()).To(BeZero())
 		})
 		t.Run(name+", the caller waits", func(t *testing.T) {
