--- a/review/standins-2/cases.go
+++ b/review/standins-2/cases.go
@@ -132,18 +132,10 @@
 		return false, err
 	}
 	defer s.close()
-	seeds := s.peers
-	if trouble {
-		seeds = []string{freeAddr(), freeAddr(), freeAddr()}
-	}
-	r.line("an entry is added; its seeds are stale: %t", trouble)
-	added, err := s.addEntry(freeAddr(), seeds)
+	added, err := s.addLater(trouble)
 	if err != nil {
 		return false, err
 	}
-	if err := s.awaitReady(); err != nil {
-		return false, err
-	}
 	time.Sleep(35 * time.Second) // so long has the entry to find the others
 	list, err := s.cancelJobs(s.entries[:3], 9)
 	if err != nil {
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -15,6 +15,7 @@
 	"held-up":             heldUp,
 	"cancel-then-restart": cancelThenRestart,
 	"stale-seeds":         staleSeeds,
+	"unseen-end":          unseenEnd,
 	"replaced-route":      replacedRoute,
 }
 
