--- a/review/standins-2/record.go
+++ b/review/standins-2/record.go
@@ -68,19 +68,6 @@
 	return list
 }
 
-// tasksDone returns how many tasks of a job have ended as done.
-func (r *record) tasksDone(id string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	done := make(map[string]bool)
-	for _, e := range r.ends {
-		if strings.HasPrefix(e.task, id+".") && e.outcome == "done" {
-			done[e.task] = true
-		}
-	}
-	return len(done)
-}
-
 // write writes the record to a file.
 func (r *record) write(path string) error {
 	r.mu.Lock()
--- a/review/standins-2/system.go
+++ b/review/standins-2/system.go
@@ -44,14 +44,14 @@
 
 // texts are the platform's names, which this program reads from a file.
 type texts struct {
-	DeadlineHeader string            `json:"deadlineHeader"`
-	BootVariable   string            `json:"bootVariable"`
-	ReadyPath      string            `json:"readyPath"`
-	StopPath       string            `json:"stopPath"`
-	ConfigTopic    string            `json:"configTopic"`
-	Job            string            `json:"job"`      // with the verbs spec, replicas, cpu, estimate
-	Config         string            `json:"config"`   // with the verbs version, and name and time-out of the second route
-	Settings       map[string]string `json:"settings"` // values of the templates in deploy/
+	DeadlineHeader string
+	BootVariable   string
+	ReadyPath      string
+	StopPath       string
+	ConfigTopic    string
+	Job            string            // with the verbs spec, replicas, cpu, estimate
+	Config         string            // with the verbs version, and name and time-out of the second route
+	Settings       map[string]string // values of the templates in deploy/
 }
 
 // system is a whole system: the project's programs as processes, and stand-ins of the platform.
