Bodies of requests share a bound on their memory

What callers saw: an entry ran out of memory and ended while clients sent many bodies of legal size and stopped short of their end.

Cause: each body was read into a buffer that doubles (io.ReadAll) before the request waits for its turn, and nothing bounded the buffers of all connections together. The runtime's memory limit cannot help, because they are in use.

Evidence: test/platform/crowd_test.go, new here, with two agents and one entry of 96 MiB and 900 descriptors; crowds and bounds were fixed before the change.

Change: package internal/intake. A body over 8 KiB takes its buffer from a budget that follows from the instance's memory. If it is used up, the bodies that arrive most slowly are given up for others, none within its first second; what is left without memory is refused at once with 429 and Retry-After, before it is read if its length is declared. Bodies up to 8 KiB take nothing of the budget, so that callers with ordinary requests are not refused for the others. Decoding takes its memory from a second budget. A submission of a job that this entry knows is not refused as not run. Errors that quote the body are cut in logs and answers.

Why it works: the sum of all claims never exceeds the budget (TestBudgetIsNeverExceeded draws sequences), and what is not counted is bounded by the number of connections.

make test runs the tests of crowds after all others, with nothing beside them.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN ?= bin
 
-.PHONY: build demo test check unit fuzz bench
+.PHONY: build demo test check unit crowd fuzz bench
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -10,7 +10,7 @@
 demo: build
 	$(BIN)/chestnuthollowd all-in-one --demo
 
-test: check unit
+test: check unit crowd
 
 # Static checks: formatting, vet, staticcheck and a build of all packages.
 check:
@@ -21,11 +21,20 @@
 
 # All tests under the race detector, except those listed in KNOWN-RED.txt, which
 # are printed and skipped. The test cache is disabled (-count=1) because test/e2e
-# builds the programs itself, and the cache does not detect changes to them.
+# builds the programs itself, and the cache does not detect changes to them. The
+# tests of crowds are left to the target crowd.
+KNOWN_RED = grep -v '^\#' KNOWN-RED.txt | cut -d'|' -f1 | tr -d ' ' | sed '/^$$/d; s/.*/^&$$/' | paste -sd'|'
 unit:
 	@echo "known failing tests (skipped):"; grep -v '^#' KNOWN-RED.txt || true
-	@skip=$$(grep -v '^#' KNOWN-RED.txt | cut -d'|' -f1 | tr -d ' ' | sed '/^$$/d; s/.*/^&$$/' | paste -sd'|'); \
-	$(GO) test -race -count=1 -timeout 10m $${skip:+-skip "$$skip"} ./...
+	@skip=$$($(KNOWN_RED)); \
+	$(GO) test -race -count=1 -timeout 10m -skip "^TestCrowd$${skip:+|$$skip}" ./...
+
+# Tests that measure the memory of processes under hundreds of connections: one at a
+# time, with no other test beside them.
+CROWD_PACKAGES = ./test/platform
+crowd:
+	@skip=$$($(KNOWN_RED)); \
+	$(GO) test -count=1 -p 1 -parallel 1 -timeout 20m -run '^TestCrowd' $${skip:+-skip "$$skip"} $(CROWD_PACKAGES)
 
 # Runs each fuzz target for FUZZTIME. `make test` runs their seeds only.
 FUZZTIME ?= 3s
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/chestnuthollow/chestnuthollow/evacuation"
 	"github.com/chestnuthollow/chestnuthollow/internal/boottime"
 	"github.com/chestnuthollow/chestnuthollow/internal/instance"
+	"github.com/chestnuthollow/chestnuthollow/internal/intake"
 	"github.com/chestnuthollow/chestnuthollow/internal/ops"
 	"github.com/chestnuthollow/chestnuthollow/internal/randid"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcserver"
@@ -82,7 +83,8 @@
 	peersMu sync.Mutex
 	peers   map[string]*peerLink // by address; those to which cancels were sent of late
 
-	turns *turnQueue // of new requests
+	turns  *turnQueue   // of new requests
+	bodies *intake.Pool // of new requests
 
 	configFetch sync.Mutex // held while another process is asked for the configuration
 
@@ -143,8 +145,13 @@
 	g.metrics = newMetrics(g)
 	g.background, g.stop = context.WithCancel(context.Background())
 	g.wakeTimer = time.AfterFunc(time.Hour, func() { g.step(dispatch.Ticked{}) })
-	var err error
-	if g.listeners, err = instance.Listen(opts.JobsAddr, opts.ReadyAddr, opts.OpsAddr, opts.PeerAddr); err != nil {
+	limits, err := opts.IntakeLimits()
+	if err != nil {
+		return nil, fmt.Errorf("entry: %w", err)
+	}
+	g.bodies = intake.NewPool(limits, logger)
+	g.listeners, err = instance.Listen(opts.JobsAddr, opts.ReadyAddr, opts.OpsAddr, opts.PeerAddr)
+	if err != nil {
 		return nil, fmt.Errorf("entry: %w", err)
 	}
 	g.rpc = rpcserver.New(rpcserver.DefaultOptions(), structs.EntryService, func(context.Context) any {
@@ -307,7 +314,23 @@
 
 func (g *Gateway) logRejected(job, queue string, verdict structs.Verdict, err error) {
 	g.metrics.rejected.Inc(1)
-	level.Info(g.logger).Log("event", "job_rejected", "job", job, "queue", queue, "verdict", verdict, "reason", err)
+	level.Info(g.logger).Log("event", "job_rejected", "job", fmt.Sprintf("%.80s", job), "queue", queue, "verdict", verdict, "reason", fmt.Sprintf("%.400v", err))
+}
+
+// ReadBody reads the body of a request of at most limit bytes, see intake.Pool.
+func (g *Gateway) ReadBody(w http.ResponseWriter, r *http.Request, limit int64) (*intake.Body, error) {
+	return g.bodies.Read(w, r, limit)
+}
+
+// BodyRefused returns the answer to a submission whose body was not read, because there is no memory for it.
+// Package intake logs such refusals.
+func (g *Gateway) BodyRefused(queue, name string, err *intake.ShortageError) *structs.Error {
+	g.metrics.rejected.Inc(1)
+	verdict := structs.NotRun
+	if g.knows(queue, name) {
+		verdict = structs.MayHaveRun // for a copy
+	}
+	return structs.Errorf(structs.CodeOverloaded, verdict, "%v", err).WithRetryAfter(intake.RetryAfter)
 }
 
 // Reload applies changed settings. Only new seeds take effect; all other settings
--- a/internal/instance/options.go
+++ b/internal/instance/options.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/chestnuthollow/chestnuthollow/internal/intake"
 	"github.com/chestnuthollow/chestnuthollow/internal/settings"
 )
 
@@ -25,9 +26,17 @@
 	// StopTimeout the one for the time in which a stopped task ends.
 	LeaseMax    settings.Duration `toml:"lease_max" validate:"longest=1m"`
 	StopTimeout settings.Duration `toml:"stop_timeout" validate:"longest=1m"`
-	// MemoryMB is the memory of the instance in MB.
-	MemoryMB int    `toml:"memory_mb" validate:"min=16"`
-	LogLevel string `toml:"log_level" validate:"oneof=debug info warn error"`
+	// MemoryMB is the memory of the instance in MiB.
+	MemoryMB int `toml:"memory_mb" validate:"min=16"`
+	// MaxDescriptors is how many files and sockets the process may have open; zero for the limit of the
+	// operating system. What clients may occupy follows from it and from MemoryMB.
+	MaxDescriptors int    `toml:"max_descriptors" validate:"omitempty,min=256"`
+	LogLevel       string `toml:"log_level" validate:"oneof=debug info warn error"`
+}
+
+// IntakeLimits returns the bounds on what clients occupy.
+func (o *Options) IntakeLimits() (intake.Limits, error) {
+	return intake.LimitsOf(o.MemoryMB, o.MaxDescriptors)
 }
 
 // DefaultOptions returns the default values of the settings that have one.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/chestnuthollow/chestnuthollow/internal/instance"
+	"github.com/chestnuthollow/chestnuthollow/internal/intake"
 	"github.com/chestnuthollow/chestnuthollow/internal/ops"
 	"github.com/chestnuthollow/chestnuthollow/internal/randid"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcserver"
@@ -64,6 +65,7 @@
 
 	compressor session.Compressor // of the configuration
 
+	bodies    *intake.Pool // of heartbeats
 	listeners instance.Listeners
 	servers   []*http.Server
 	rpc       *rpcserver.Server
@@ -113,8 +115,13 @@
 	s.metrics = newMetrics(s)
 	s.background, s.stop = context.WithCancel(context.Background())
 	s.wakeTimer = time.AfterFunc(time.Hour, func() { s.step(taskrunner.Ticked{}) })
-	var err error
-	if s.listeners, err = instance.Listen(opts.HeartbeatAddr, opts.OpsAddr, opts.PeerAddr); err != nil {
+	limits, err := opts.IntakeLimits()
+	if err != nil {
+		return nil, fmt.Errorf("agent: %w", err)
+	}
+	s.bodies = intake.NewPool(limits, logger)
+	s.listeners, err = instance.Listen(opts.HeartbeatAddr, opts.OpsAddr, opts.PeerAddr)
+	if err != nil {
 		return nil, fmt.Errorf("agent: %w", err)
 	}
 	s.rpc = rpcserver.New(rpcserver.DefaultOptions(), structs.AgentService, s.receiverFor)
@@ -304,7 +311,12 @@
 
 // HeartbeatUnreadable logs a heartbeat that could not be decoded.
 func (s *Sidecar) HeartbeatUnreadable(id string, err error) {
-	level.Warn(s.logger).Log("event", "heartbeat_unreadable", "server", id, "reason", err)
+	level.Warn(s.logger).Log("event", "heartbeat_unreadable", "server", fmt.Sprintf("%.80s", id), "reason", fmt.Sprintf("%.400v", err))
+}
+
+// ReadBody reads the body of a request of at most limit bytes, see intake.Pool.
+func (s *Sidecar) ReadBody(w http.ResponseWriter, r *http.Request, limit int64) (*intake.Body, error) {
+	return s.bodies.Read(w, r, limit)
 }
 
 // Reload applies changed settings. Only new seeds take effect; all other settings
--- a/test/platform/system_test.go
+++ b/test/platform/system_test.go
@@ -70,6 +70,13 @@
 	client     *http.Client
 	// callerDeadline is how long callers wait, as they say.
 	callerDeadline time.Duration
+	limits         processLimits
+}
+
+// processLimits bound each entry and agent. Zero values leave the defaults.
+type processLimits struct {
+	memoryMB    int
+	descriptors int
 }
 
 // process is an entry or an agent, which can be restarted with the same settings.
@@ -82,7 +89,10 @@
 	jobsAddr  string // of an entry
 	readyAddr string // of an entry
 	opsAddr   string
-	log       *os.File
+	peerAddr  string
+	// heartbeatAddr is the address of an agent for its server.
+	heartbeatAddr string
+	log           *os.File
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -100,11 +110,16 @@
 // newSystemWithPaths is like newSystem. The entries reach the store through storeProxy, and
 // the agents either through it too or by their own path.
 func newSystemWithPaths(t *testing.T, entries, agents int, ownPath bool) *system {
+	return newLimitedSystem(t, entries, agents, ownPath, processLimits{})
+}
+
+// newLimitedSystem is like newSystemWithPaths, with limits for the processes.
+func newLimitedSystem(t *testing.T, entries, agents int, ownPath bool, limits processLimits) *system {
 	program, err := buildOnce()
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &system{t: t, dir: t.TempDir(), program: program, store: keyedstore.New(), invariants: newInvariantChecker(), callerDeadline: 3 * time.Second, client: &http.Client{
+	s := &system{t: t, dir: t.TempDir(), program: program, store: keyedstore.New(), invariants: newInvariantChecker(), callerDeadline: 3 * time.Second, limits: limits, client: &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: 100},
 	}}
 	direct := s.serve(s.store.Handler())
@@ -203,14 +218,14 @@
 }
 
 func (s *system) addEntry(i int, peer string, seeds []string, storeAddr string) {
-	p := &process{sys: s, name: fmt.Sprintf("entry-%d", i), role: "entry", zone: zoneOf(i), jobsAddr: freeAddr(s.t), readyAddr: freeAddr(s.t)}
+	p := &process{sys: s, name: fmt.Sprintf("entry-%d", i), role: "entry", zone: zoneOf(i), jobsAddr: freeAddr(s.t), readyAddr: freeAddr(s.t), peerAddr: peer}
 	p.writeSettings(map[string]any{"jobs_addr": p.jobsAddr, "ready_addr": p.readyAddr, "peer_addr": peer}, seeds, storeAddr, "")
 	s.entries = append(s.entries, p)
 }
 
 func (s *system) addAgent(i int, seeds []string, storeAddr string) {
-	p := &process{sys: s, name: fmt.Sprintf("agent-%d", i), role: "agent", zone: zoneOf(i)}
 	heartbeatAddr, peer := freeAddr(s.t), freeAddr(s.t)
+	p := &process{sys: s, name: fmt.Sprintf("agent-%d", i), role: "agent", zone: zoneOf(i), peerAddr: peer, heartbeatAddr: heartbeatAddr}
 	id := fmt.Sprintf("server-%d", i)
 	server := leaseserver.NewHTTPServer(leaseserver.Options{
 		ID: id, Service: "booking", CPU: serverCPU, MemMB: 4096,
@@ -242,6 +257,9 @@
 	for k, v := range roleSettings {
 		fmt.Fprintf(&b, "%s = %q\n", k, v)
 	}
+	if mb := p.sys.limits.memoryMB; mb > 0 {
+		fmt.Fprintf(&b, "memory_mb = %d\n", mb)
+	}
 	seedsText, err := json.Marshal(seeds)
 	if err != nil {
 		p.sys.t.Fatal(err)
@@ -270,7 +288,7 @@
 			return
 		}
 	}
-	cmd := exec.Command(p.sys.program, "platform", p.role, "--config", p.settings)
+	cmd := p.sys.limits.command(p.sys.program, "platform", p.role, "--config", p.settings)
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	if err := cmd.Start(); err != nil {
 		p.sys.t.Errorf("%s: %v", p.name, err)
@@ -284,6 +302,15 @@
 	}()
 }
 
+// command returns a command that runs a program with the limits of the process.
+func (l processLimits) command(program string, args ...string) *exec.Cmd {
+	if l.descriptors == 0 {
+		return exec.Command(program, args...)
+	}
+	const script = `ulimit -n "$1" && shift && exec "$@"`
+	return exec.Command("sh", append([]string{"-c", script, "sh", strconv.Itoa(l.descriptors), program}, args...)...)
+}
+
 // readyAgents returns how many agents that accept tasks are in session with the entry.
 func (p *process) readyAgents() int {
 	resp, err := p.sys.client.Get("http://" + p.opsAddr + "/debug/dump")
