Connections of clients share a bound on their number and buffers

What callers saw: no connection to an entry, and no answer to probes and operators, while clients kept hundreds of connections open without a whole request; and memory that grew with what those had sent.

Cause: a listener took connections until the descriptors of the process were used up, those of its other listeners included. The kernel buffered up to megabytes for each that was not read. A response that did not need the body (404, 410, 429) was held back until net/http had read the rest, up to 256 KiB or 10 s.

Change: each HTTP listener keeps a number of connections that follows from memory and descriptors. At that number a new one replaces one whose request has not arrived within a second, else an idle one, else one whose request arrives; none while its request is served. Socket buffers are 16 KiB, a write may stall for 5 s. A response that is ready before the whole body has arrived is sent at once and the connection is closed when the client has had 2 s to read it: closed at once, it would be reset, and the refusal lost. Metrics connections.open and connections.closed_at_limit; setting max_descriptors, filled in by deploy/.

Why it works: a connection is counted from accept to close, so that sockets and unread bytes are bounded by the product of both limits, whatever is sent (TestConnectionsStayWithinLimit draws sequences).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -150,7 +150,11 @@
 		return nil, fmt.Errorf("entry: %w", err)
 	}
 	g.bodies = intake.NewPool(limits, logger)
-	g.listeners, err = instance.Listen(opts.JobsAddr, opts.ReadyAddr, opts.OpsAddr, opts.PeerAddr)
+	g.listeners, err = instance.Listen(logger,
+		instance.Binding{Addr: opts.JobsAddr, Conns: limits.Conns},
+		instance.Binding{Addr: opts.ReadyAddr, Conns: limits.OtherConns},
+		instance.Binding{Addr: opts.OpsAddr, Conns: limits.OtherConns},
+		instance.Binding{Addr: opts.PeerAddr})
 	if err != nil {
 		return nil, fmt.Errorf("entry: %w", err)
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -78,6 +78,8 @@
 	r.Register("overload.admitted_per_mille", metrics.NewFunctionalGauge(func() int64 { return int64(1000 * g.turns.state().share) }))
 	r.Register("overload.rejected", metrics.NewFunctionalGauge(func() int64 { return int64(g.turns.state().counts.Rejected) }))
 	r.Register("overload.expired", metrics.NewFunctionalGauge(func() int64 { return int64(g.turns.state().counts.Expired) }))
+	r.Register("connections.open", metrics.NewFunctionalGauge(func() int64 { open, _ := g.listeners.Counts(); return int64(open) }))
+	r.Register("connections.closed_at_limit", metrics.NewFunctionalGauge(func() int64 { _, closed := g.listeners.Counts(); return closed }))
 	r.Register("bodies.held_bytes", metrics.NewFunctionalGauge(func() int64 { held, _ := g.bodies.Held(); return held }))
 	r.Register("bodies.refused", metrics.NewFunctionalGauge(func() int64 { _, refused := g.bodies.Held(); return refused }))
 	r.Register("bytes.sent", metrics.NewFunctionalGauge(func() int64 { return rpcconn.TotalTraffic().BytesSent }))
--- a/internal/instance/serve_test.go
+++ b/internal/instance/serve_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"testing"
 
+	"github.com/go-kit/log"
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 
@@ -21,9 +22,9 @@
 	addr := free.Addr().String()
 	free.Close()
 
-	_, err = instance.Listen(addr, inUse.Addr().String())
+	_, err = instance.Listen(log.NewNopLogger(), instance.Binding{Addr: addr, Conns: 1}, instance.Binding{Addr: inUse.Addr().String()})
 	g.Expect(err).To(HaveOccurred())
-	again, err := instance.Listen(addr)
+	again, err := instance.Listen(log.NewNopLogger(), instance.Binding{Addr: addr})
 	g.Expect(err).NotTo(HaveOccurred())
 	again.Close()
 }
--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -14,8 +14,6 @@
 	return c
 }
 
-var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-
 // Guards against slow bodies that keep others from being read, and against bodies that are given up although
 // they arrive faster than others, have arrived, or have only begun.
 func TestBodiesThatAreGivenUp(t *testing.T) {
--- a/internal/intake/limits_test.go
+++ b/internal/intake/limits_test.go
@@ -24,7 +24,7 @@
 					return // for tests
 				}
 				// The kernel takes twice the buffer that is set.
-				received := int64(l.Conns) * 2 * (16 << 10)
+				received := int64(l.Conns) * 2 * socketBuffer
 				g.Expect(received + l.BodyBytes + l.DecodeBytes + int64(l.Conns)*SmallBody).To(BeNumerically("<=", memory*3/4))
 				g.Expect(l.Conns + 2*l.OtherConns).To(BeNumerically("<=", (descriptors-reservedDescriptors)*7/8))
 			})
--- a/internal/intake/pool.go
+++ b/internal/intake/pool.go
@@ -20,8 +20,6 @@
 	firstBuffer = 512
 	// DecodeFactor is the memory that decoding may take, for each byte of a body.
 	DecodeFactor = 8
-	// logInterval is the least time between two log lines of one kind.
-	logInterval = time.Second
 	// growthSlack is the part of a buffer up to which the next one is made larger to be the last.
 	growthSlack = 8
 	// memoryWait bounds the wait for memory that other bodies have to return.
@@ -110,6 +108,9 @@
 		b.Close()
 		return nil, err
 	}
+	if c := connOf(r); c != nil {
+		c.received()
+	}
 	return b, nil
 }
 
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -22,6 +22,8 @@
 func newMetrics(s *Sidecar) *sidecarMetrics {
 	r := metrics.NewRegistry()
 	r.Register("server.connections", metrics.NewFunctionalGauge(func() int64 { return s.platform.Server.Connections() }))
+	r.Register("connections.open", metrics.NewFunctionalGauge(func() int64 { open, _ := s.listeners.Counts(); return int64(open) }))
+	r.Register("connections.closed_at_limit", metrics.NewFunctionalGauge(func() int64 { _, closed := s.listeners.Counts(); return closed }))
 	r.Register("bodies.held_bytes", metrics.NewFunctionalGauge(func() int64 { held, _ := s.bodies.Held(); return held }))
 	r.Register("bodies.refused", metrics.NewFunctionalGauge(func() int64 { _, refused := s.bodies.Held(); return refused }))
 	r.Register("sessions", metrics.NewFunctionalGauge(func() int64 { return int64(s.connections()) }))
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -120,7 +120,10 @@
 		return nil, fmt.Errorf("agent: %w", err)
 	}
 	s.bodies = intake.NewPool(limits, logger)
-	s.listeners, err = instance.Listen(opts.HeartbeatAddr, opts.OpsAddr, opts.PeerAddr)
+	s.listeners, err = instance.Listen(logger,
+		instance.Binding{Addr: opts.HeartbeatAddr, Conns: limits.OtherConns},
+		instance.Binding{Addr: opts.OpsAddr, Conns: limits.OtherConns},
+		instance.Binding{Addr: opts.PeerAddr})
 	if err != nil {
 		return nil, fmt.Errorf("agent: %w", err)
 	}
