Messages of peers share a bound on their memory

Cause: package gob allocates what a message declares, up to 512 KiB, for each of 64 connections, and those that replace each other leave it to the collector. A new connection counted as just used, so that it replaced the oldest session.

Change: intake.MessageReader follows the lengths that messages declare and takes them from a budget before gob sees them. At the bound a message waits until a slower one of at least a second is given up, for two seconds at most. At the limit of connections those that have sent no request are replaced first.

A first try counted the bytes that had arrived: 121 to 197 MiB, because the connections that were closed meanwhile still waited, each with its buffer.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,8 +83,9 @@
 	peersMu sync.Mutex
 	peers   map[string]*peerLink // by address; those to which cancels were sent of late
 
-	turns  *turnQueue   // of new requests
-	bodies *intake.Pool // of new requests
+	turns    *turnQueue       // of new requests
+	bodies   *intake.Pool     // of new requests
+	messages *intake.Messages // of peers and agents
 
 	configFetch sync.Mutex // held while another process is asked for the configuration
 
@@ -149,7 +150,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("entry: %w", err)
 	}
-	g.bodies = intake.NewPool(limits, logger)
+	g.bodies, g.messages = intake.NewPool(limits, logger), intake.NewMessages(limits.MessageBytes, logger)
 	g.listeners, err = instance.Listen(logger,
 		instance.Binding{Addr: opts.JobsAddr, Conns: limits.Conns},
 		instance.Binding{Addr: opts.ReadyAddr, Conns: limits.OtherConns},
@@ -158,7 +159,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("entry: %w", err)
 	}
-	g.rpc = rpcserver.New(rpcserver.DefaultOptions(), structs.EntryService, func(context.Context) any {
+	rpcOptions := rpcserver.DefaultOptions()
+	rpcOptions.Messages = g.messages
+	g.rpc = rpcserver.New(rpcOptions, structs.EntryService, func(context.Context) any {
 		return &receiver{gateway: g}
 	})
 	return g, nil
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -81,6 +81,8 @@
 	r.Register("connections.open", metrics.NewFunctionalGauge(func() int64 { open, _ := g.listeners.Counts(); return int64(open) }))
 	r.Register("connections.closed_at_limit", metrics.NewFunctionalGauge(func() int64 { _, closed := g.listeners.Counts(); return closed }))
 	r.Register("bodies.held_bytes", metrics.NewFunctionalGauge(func() int64 { held, _ := g.bodies.Held(); return held }))
+	r.Register("messages.held_bytes", metrics.NewFunctionalGauge(func() int64 { held, _ := g.messages.Held(); return held }))
+	r.Register("messages.refused", metrics.NewFunctionalGauge(func() int64 { _, refused := g.messages.Held(); return refused }))
 	r.Register("bodies.refused", metrics.NewFunctionalGauge(func() int64 { _, refused := g.bodies.Held(); return refused }))
 	r.Register("bytes.sent", metrics.NewFunctionalGauge(func() int64 { return rpcconn.TotalTraffic().BytesSent }))
 	r.Register("run_times.queues", metrics.NewFunctionalGauge(func() int64 {
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -16,8 +16,8 @@
 	baseBytes = 32 << 20
 	// minUsableFraction is the part of an instance's memory that is left for clients if baseBytes leaves less.
 	minUsableFraction = 4
-	// bodyFraction is the part of the memory for clients that bodies share while they are read, and again
-	// while they are decoded.
+	// bodyFraction is the part of the memory for clients that bodies share while they are read, again while
+	// they are decoded, and the messages of peers.
 	bodyFraction = 8
 	// reservedDescriptors are not available for sockets.
 	reservedDescriptors = 200
@@ -40,6 +40,7 @@
 	Conns, OtherConns int
 	BodyBytes         int64 // of all bodies that are read, beyond SmallBody each
 	DecodeBytes       int64 // that decoding takes at the same time
+	MessageBytes      int64 // of all messages of peers that are read, beyond SmallBody each
 }
 
 // LimitsFor returns the limits of a process. A quarter of the descriptors for sockets is left for peers,
@@ -52,6 +53,8 @@
 		OtherConns:  max(min(maxOtherConns, sockets/otherConnsFraction), minConns),
 		BodyBytes:   usable / bodyFraction,
 		DecodeBytes: usable / bodyFraction,
+
+		MessageBytes: usable / bodyFraction,
 	}
 }
 
--- a/internal/intake/limits_test.go
+++ b/internal/intake/limits_test.go
@@ -25,7 +25,7 @@
 				}
 				// The kernel takes twice the buffer that is set.
 				received := int64(l.Conns) * 2 * socketBuffer
-				g.Expect(received + l.BodyBytes + l.DecodeBytes + int64(l.Conns)*SmallBody).To(BeNumerically("<=", memory*3/4))
+				g.Expect(received + l.BodyBytes + l.DecodeBytes + l.MessageBytes + int64(l.Conns)*SmallBody).To(BeNumerically("<=", memory*3/4))
 				g.Expect(l.Conns + 2*l.OtherConns).To(BeNumerically("<=", (descriptors-reservedDescriptors)*7/8))
 			})
 		}
--- a/internal/intake/pool.go
+++ b/internal/intake/pool.go
@@ -2,17 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"golang.org/x/sync/semaphore"
-	"golang.org/x/time/rate"
 )
 
 const (
@@ -22,11 +18,6 @@
 	DecodeFactor = 8
 	// growthSlack is the part of a buffer up to which the next one is made larger to be the last.
 	growthSlack = 8
-	// memoryWait bounds the wait for memory that other bodies have to return.
-	memoryWait = time.Second
-	// RetryAfter is when a refused client should come back: by then, a body that was refused a place could have
-	// taken that of a slow one.
-	RetryAfter = 2 * paceGrace
 )
 
 // TooLargeError means that a body exceeds the limit.
@@ -35,44 +26,20 @@
 // Error implements error.
 func (e *TooLargeError) Error() string { return fmt.Sprintf("body over %d bytes", e.Limit) }
 
-// ShortageError means that a body was not read to its end, because all bodies together would take too much
-// memory.
-type ShortageError struct {
-	Held, Capacity int64 // bytes
-}
-
-// Error implements error.
-func (e *ShortageError) Error() string {
-	return fmt.Sprintf("too many large requests: their bodies hold %d of %d bytes", e.Held, e.Capacity)
-}
-
 // Pool reads the bodies of requests within a bound on their memory. It is safe for concurrent use.
 type Pool struct {
 	limits   Limits
 	decoding *semaphore.Weighted
-	logger   log.Logger
-	logging  rate.Sometimes
-
-	mu      sync.Mutex
-	budget  budget
-	refused int64
+	*memory  // of the bodies
 }
 
 // NewPool returns a Pool with the given limits.
 func NewPool(l Limits, logger log.Logger) *Pool {
 	return &Pool{
-		limits: l, budget: newBudget(l.BodyBytes), decoding: semaphore.NewWeighted(l.DecodeBytes),
-		logger: logger, logging: rate.Sometimes{Interval: logInterval},
+		limits: l, memory: newMemory(l.BodyBytes, "bodies_refused", logger), decoding: semaphore.NewWeighted(l.DecodeBytes),
 	}
 }
 
-// Held returns the bytes that large bodies hold, and how many bodies were refused because of the bound.
-func (p *Pool) Held() (bytes, refused int64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.budget.used, p.refused
-}
-
 // Body is a body that was read. It holds memory of its pool until Close.
 type Body struct {
 	pool  *Pool
@@ -147,8 +114,8 @@
 // grow replaces the buffer by one of size bytes.
 func (b *Body) grow(ctx context.Context, size int64) error {
 	if size > SmallBody {
-		if err := b.pool.take(ctx, b.claim, size); err != nil {
-			return err
+		if !b.pool.take(ctx, b.claim, size) {
+			return b.pool.refuse()
 		}
 	}
 	earlier := int64(cap(b.bytes))
@@ -189,79 +156,3 @@
 	b.bytes = nil
 	b.pool.giveBack(b.claim, -1)
 }
-
-// take takes bytes of the budget for a claim. It may wait for those of abandoned claims.
-func (p *Pool) take(ctx context.Context, c *claim, n int64) error {
-	p.mu.Lock()
-	answer, abandoned := p.budget.ask(time.Now(), c, n)
-	var errs []error
-	for _, other := range abandoned {
-		close(other.revoked)
-		errs = append(errs, other.interrupt())
-	}
-	p.mu.Unlock()
-	if err := errors.Join(errs...); err != nil {
-		level.Error(p.logger).Log("event", "body_not_interrupted", "reason", err)
-	}
-	switch answer {
-	case granted:
-		return nil
-	case refused:
-		return p.refuse()
-	}
-	timer := time.NewTimer(memoryWait)
-	defer timer.Stop()
-	select {
-	case <-c.granted:
-		return nil
-	case <-c.revoked:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	p.mu.Lock()
-	late := !p.budget.withdraw(c) && !c.abandoned
-	p.mu.Unlock()
-	if late {
-		<-c.granted
-		return nil
-	}
-	return p.refuse()
-}
-
-// refuse counts and logs a body that is not read because of the bound.
-func (p *Pool) refuse() error {
-	p.mu.Lock()
-	p.refused++
-	err := &ShortageError{Held: p.budget.used, Capacity: p.budget.capacity}
-	total, bodies := p.refused, len(p.budget.claims)
-	p.mu.Unlock()
-	p.logging.Do(func() {
-		level.Warn(p.logger).Log("event", "bodies_refused", "held_bytes", err.Held, "limit_bytes", err.Capacity, "bodies", bodies, "refused", total)
-	})
-	return err
-}
-
-// giveBack returns n bytes of a claim, or all of them if n is negative.
-func (p *Pool) giveBack(c *claim, n int64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if n < 0 {
-		n = c.held
-	}
-	if n > 0 {
-		p.budget.giveBack(c, n)
-	}
-}
-
-// progressed records how many bytes of a body were received.
-func (p *Pool) progressed(c *claim, received int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c.received = int64(received)
-}
-
-func (p *Pool) isAbandoned(c *claim) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return c.abandoned
-}
--- a/internal/rpcserver/codec.go
+++ b/internal/rpcserver/codec.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/internal/intake"
 )
 
 // codec is a gob server codec for net/rpc that enforces the limits of Options.
@@ -18,18 +20,21 @@
 	conn   net.Conn
 	cancel context.CancelFunc // cancels the context of the connection's calls
 	limit  *io.LimitedReader
-	dec    *gob.Decoder
-	enc    *gob.Encoder
-	buf    *bufio.Writer
-	calls  chan struct{} // one element per pending call; reading stops while it is full
+	// messages reads from conn within the bound of Options.Messages; nil if there is none.
+	messages *intake.MessageReader
+	dec      *gob.Decoder
+	enc      *gob.Encoder
+	buf      *bufio.Writer
+	calls    chan struct{} // one element per pending call; reading stops while it is full
 
-	lastRequest atomic.Int64 // time of the last request, Unix time in nanoseconds
+	accepted    time.Time
+	lastRequest atomic.Int64 // time of the last request, Unix time in nanoseconds; zero if there was none
 
 	stopping  atomic.Bool
 	closeOnce sync.Once
 }
 
-func newCodec(s *Server, conn net.Conn, cancel context.CancelFunc) *codec {
+func newCodec(ctx context.Context, s *Server, conn net.Conn, cancel context.CancelFunc) *codec {
 	limit := &io.LimitedReader{R: conn}
 	buf := bufio.NewWriter(conn)
 	c := &codec{
@@ -41,13 +46,21 @@
 		enc:    gob.NewEncoder(buf),
 		buf:    buf,
 		calls:  make(chan struct{}, s.opts.MaxCallsPerConn),
+
+		accepted: time.Now(),
+	}
+	if s.opts.Messages != nil {
+		c.messages = s.opts.Messages.Reader(ctx, conn)
+		limit.R = c.messages
 	}
-	c.lastRequest.Store(time.Now().UnixNano())
 	return c
 }
 
 // ReadRequestHeader implements rpc.ServerCodec.
 func (c *codec) ReadRequestHeader(r *rpc.Request) error {
+	if c.messages != nil {
+		c.messages.Next()
+	}
 	c.calls <- struct{}{}
 	c.limit.N = int64(c.opts.MaxMessageBytes)
 	c.conn.SetReadDeadline(time.Now().Add(c.opts.IdleTimeout))
@@ -57,6 +70,9 @@
 	err := c.dec.Decode(r)
 	if err != nil {
 		c.readFailed()
+		if c.messages != nil {
+			c.messages.Close()
+		}
 		return io.EOF
 	}
 	c.lastRequest.Store(time.Now().UnixNano())
@@ -98,6 +114,16 @@
 	}
 }
 
+// isMoreIdle reports whether the connection is to be closed before another one. Those that have sent no
+// request come first, so that connections of clients that send none do not replace those of peers.
+func (c *codec) isMoreIdle(other *codec) bool {
+	last, otherLast := c.lastRequest.Load(), other.lastRequest.Load()
+	if last == otherLast {
+		return c.accepted.Before(other.accepted)
+	}
+	return last < otherLast
+}
+
 // stopReading makes ReadRequestHeader return io.EOF; pending calls continue.
 func (c *codec) stopReading() {
 	c.stopping.Store(true)
--- a/internal/rpcserver/server.go
+++ b/internal/rpcserver/server.go
@@ -10,6 +10,8 @@
 	"net/rpc"
 	"sync"
 	"time"
+
+	"github.com/chestnuthollow/chestnuthollow/internal/intake"
 )
 
 // Options are the limits of a Server.
@@ -19,6 +21,8 @@
 	MaxMessageBytes int           // limit of one request; a longer one fails
 	IdleTimeout     time.Duration // maximum wait for the next complete request
 	WriteTimeout    time.Duration // per reply
+	// Messages bounds the memory of all requests that are being read; nil for no bound.
+	Messages *intake.Messages
 }
 
 // DefaultOptions returns limits suitable for connections between the system's
@@ -92,7 +96,7 @@
 
 func (s *Server) accept(conn net.Conn) {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := newCodec(s, conn, cancel)
+	c := newCodec(ctx, s, conn, cancel)
 	ctx = context.WithValue(ctx, connKey{}, c)
 	if !s.add(c) {
 		c.Close()
@@ -118,12 +122,12 @@
 	return true
 }
 
-// closeMostIdle closes the connection whose last request is the oldest. The
-// caller must hold s.mu.
+// closeMostIdle closes the oldest connection that has sent no request, or else the
+// one whose last request is the oldest. The caller must hold s.mu.
 func (s *Server) closeMostIdle() {
 	var mostIdle *codec
 	for c := range s.conns {
-		if mostIdle == nil || c.lastRequest.Load() < mostIdle.lastRequest.Load() {
+		if mostIdle == nil || c.isMoreIdle(mostIdle) {
 			mostIdle = c
 		}
 	}
--- a/internal/rpcserver/server_test.go
+++ b/internal/rpcserver/server_test.go
@@ -13,6 +13,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/go-kit/log"
+
+	"github.com/chestnuthollow/chestnuthollow/internal/intake"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcserver"
 )
 
@@ -50,6 +53,7 @@
 func start(t testing.TB, change func(*rpcserver.Options)) *fixture {
 	t.Helper()
 	opts := rpcserver.DefaultOptions()
+	opts.Messages = intake.NewMessages(1<<20, log.NewNopLogger())
 	if change != nil {
 		change(&opts)
 	}
@@ -206,3 +210,22 @@
 	NewWithT(f).Expect(enc.Encode("hello")).To(Succeed())
 	return buf.Bytes()
 }
+
+// Guards against connections of peers that are replaced by those of clients that send no request.
+func TestConnectionLimitKeepsThoseWithRequests(t *testing.T) {
+	g := NewWithT(t)
+	f := start(t, func(o *rpcserver.Options) { o.MaxConns = 4 })
+	text := "x"
+	peers := []*rpc.Client{f.dial(t), f.dial(t)}
+	for _, c := range peers {
+		g.Expect(c.Call("Echo.Say", &text, new(string))).To(Succeed())
+	}
+	for range 20 {
+		conn, err := net.Dial("tcp", f.addr)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+	}
+	for _, c := range append(peers, f.dial(t)) {
+		g.Expect(c.Call("Echo.Say", &text, new(string))).To(Succeed())
+	}
+}
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -25,6 +25,8 @@
 	r.Register("connections.open", metrics.NewFunctionalGauge(func() int64 { open, _ := s.listeners.Counts(); return int64(open) }))
 	r.Register("connections.closed_at_limit", metrics.NewFunctionalGauge(func() int64 { _, closed := s.listeners.Counts(); return closed }))
 	r.Register("bodies.held_bytes", metrics.NewFunctionalGauge(func() int64 { held, _ := s.bodies.Held(); return held }))
+	r.Register("messages.held_bytes", metrics.NewFunctionalGauge(func() int64 { held, _ := s.messages.Held(); return held }))
+	r.Register("messages.refused", metrics.NewFunctionalGauge(func() int64 { _, refused := s.messages.Held(); return refused }))
 	r.Register("bodies.refused", metrics.NewFunctionalGauge(func() int64 { _, refused := s.bodies.Held(); return refused }))
 	r.Register("sessions", metrics.NewFunctionalGauge(func() int64 { return int64(s.connections()) }))
 	r.Register("run_times.tail_tasks", metrics.NewFunctionalGauge(func() int64 {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -65,7 +65,8 @@
 
 	compressor session.Compressor // of the configuration
 
-	bodies    *intake.Pool // of heartbeats
+	bodies    *intake.Pool     // of heartbeats
+	messages  *intake.Messages // of entries
 	listeners instance.Listeners
 	servers   []*http.Server
 	rpc       *rpcserver.Server
@@ -119,7 +120,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("agent: %w", err)
 	}
-	s.bodies = intake.NewPool(limits, logger)
+	s.bodies, s.messages = intake.NewPool(limits, logger), intake.NewMessages(limits.MessageBytes, logger)
 	s.listeners, err = instance.Listen(logger,
 		instance.Binding{Addr: opts.HeartbeatAddr, Conns: limits.OtherConns},
 		instance.Binding{Addr: opts.OpsAddr, Conns: limits.OtherConns},
@@ -127,7 +128,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("agent: %w", err)
 	}
-	s.rpc = rpcserver.New(rpcserver.DefaultOptions(), structs.AgentService, s.receiverFor)
+	rpcOptions := rpcserver.DefaultOptions()
+	rpcOptions.Messages = s.messages
+	s.rpc = rpcserver.New(rpcOptions, structs.AgentService, s.receiverFor)
 	return s, nil
 }
 
