Responses that are not read do not keep new connections out

What callers saw, by a test only: new connections were closed at once while as many clients as the limit did not read their responses, for up to 5 s each.

Cause: a connection counted as served until its response had left. The 5 s also bounded a whole write, so that a long response over a slow link was cut.

Change: from the first byte of its response on, a connection may be replaced like one whose request has not arrived; the time bounds 16 KiB. The case "deaf" of TestConnectionsAreReplaced failed before ("EOF" for the new connection).

--- a/internal/intake/conntable.go
+++ b/internal/intake/conntable.go
@@ -13,9 +13,9 @@
 type phase int
 
 const (
-	receiving phase = iota // its request has not arrived as a whole, or it has sent none
+	receiving phase = iota // its request has not arrived as a whole, or its response has not left, or it is new
 	idle                   // its last request was answered
-	serving                // its request has arrived and is not answered
+	serving                // its request has arrived and its response has not begun
 )
 
 // member is a connection in a connTable.
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -25,7 +25,9 @@
 	maxOtherConns = 128
 	// otherConnsFraction is the part of the descriptors for sockets that such a listener takes at most.
 	otherConnsFraction = 16
-	minConns           = 16
+	// peerConnsFraction is the part of the descriptors for sockets that connections of peers take at most.
+	peerConnsFraction = 8
+	minConns          = 16
 )
 
 // Resources are what an instance has for a process.
@@ -36,11 +38,13 @@
 
 // Limits bound what clients occupy.
 type Limits struct {
-	// Conns bounds the connections of the listener for callers, OtherConns those of each other one.
-	Conns, OtherConns int
-	BodyBytes         int64 // of all bodies that are read, beyond SmallBody each
-	DecodeBytes       int64 // that decoding takes at the same time
-	MessageBytes      int64 // of all messages of peers that are read, beyond SmallBody each
+	// Conns bounds the connections of the listener for callers, OtherConns those of each other one, PeerConns
+	// those of all peers together.
+	Conns, OtherConns, PeerConns int
+
+	BodyBytes    int64 // of all bodies that are read, beyond SmallBody each
+	DecodeBytes  int64 // that decoding takes at the same time
+	MessageBytes int64 // of all messages of peers that are read, beyond SmallBody each
 }
 
 // LimitsFor returns the limits of a process. A quarter of the descriptors for sockets is left for peers,
@@ -51,6 +55,7 @@
 	return Limits{
 		Conns:       max(min(int(usable/connBytes), sockets-sockets/4), minConns),
 		OtherConns:  max(min(maxOtherConns, sockets/otherConnsFraction), minConns),
+		PeerConns:   max(sockets/peerConnsFraction, minConns),
 		BodyBytes:   usable / bodyFraction,
 		DecodeBytes: usable / bodyFraction,
 
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -18,7 +19,7 @@
 	// socketBuffer is the size in bytes of the buffers of a connection in each direction. The kernel takes
 	// twice as much. It bounds what is received and not read, and what is sent and not acknowledged.
 	socketBuffer = 16 << 10
-	// writeTimeout bounds one write to a connection whose client does not read.
+	// writeTimeout bounds the time in which a client reads nothing of a response.
 	writeTimeout = 5 * time.Second
 	// logInterval is the least time between two log lines of one kind.
 	logInterval = time.Second
@@ -159,12 +160,21 @@
 	c.listener.move(c, serving)
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. A connection whose client does not read the response may be closed for a new one.
 func (c *conn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
+	c.listener.move(c, receiving)
+	written := 0
+	for part := range slices.Chunk(p, socketBuffer) {
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.TCPConn.Write(part)
+		written += n
+		if err != nil {
+			return written, err
+		}
 	}
-	return c.TCPConn.Write(p)
+	return written, nil
 }
 
 // Close implements net.Conn.
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -45,9 +45,13 @@
 }
 
 func (s *server) handle(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/unread" {
+	switch r.URL.Path {
+	case "/unread":
 		w.WriteHeader(http.StatusNotFound)
 		return
+	case "/large":
+		w.Write(make([]byte, 16<<20)) // fails if the connection is closed
+		return
 	}
 	body, err := s.pool.Read(w, r, bodyLimit)
 	if shortage := (*intake.ShortageError)(nil); errors.As(err, &shortage) {
@@ -197,6 +201,7 @@
 		"in a body":   post("/", length(10), "x"),
 		"lingering":   post("/unread", length(10), "x"),
 		"idle":        post("/", length(1), "x"),
+		"deaf":        post("/large", length(0), ""),
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -205,6 +210,7 @@
 			s := startServer(t, limits)
 			for range 3 * limits.Conns {
 				s.dial(t, text)
+				time.Sleep(10 * time.Millisecond) // so that none is replaced in its round trip
 			}
 			g.Eventually(func() int64 { _, closed := s.listener.Counts(); return closed }, patience).Should(BeNumerically(">=", 2*limits.Conns))
 			open, _ := s.listener.Counts()
