Stand-alone entries and agents share the bounds on what clients occupy

What callers saw: an entry took gigabytes while a few clients sent jobs of the largest size and stopped short of their end, or one of millions of empty tasks.

Cause: as on the users' platform, nothing bounded the bodies that are decoded as they arrive, the tasks of a list, the messages of peers (16 MiB each) or the connections.

Change: both use package intake; settings memory_mb (256) and max_descriptors of an entry. Tasks over the limit of a job are counted, not kept. A body that is refused for want of memory is not_run if it names no id, may_have_run otherwise.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 
 # Tests that measure the memory of processes under hundreds of connections: one at a
 # time, with no other test beside them.
-CROWD_PACKAGES = ./test/platform
+CROWD_PACKAGES = ./test/platform ./test/e2e
 crowd:
 	@skip=$$($(KNOWN_RED)); \
 	$(GO) test -count=1 -p 1 -parallel 1 -timeout 20m -run '^TestCrowd' $${skip:+-skip "$$skip"} $(CROWD_PACKAGES)
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -13,6 +14,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/chestnuthollow/chestnuthollow/executor"
+	"github.com/chestnuthollow/chestnuthollow/internal/intake"
 	"github.com/chestnuthollow/chestnuthollow/internal/logging"
 	"github.com/chestnuthollow/chestnuthollow/internal/ops"
 	"github.com/chestnuthollow/chestnuthollow/internal/randid"
@@ -35,7 +37,7 @@
 	announcer *announcer
 
 	rpcListener  net.Listener
-	httpListener net.Listener
+	httpListener *intake.Listener
 	rpc          *rpcserver.Server
 
 	drained chan struct{} // closed when a graceful shutdown is complete
@@ -54,7 +56,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("agent: %w", err)
 	}
-	httpListener, err := net.Listen("tcp", opts.HTTPAddr)
+	limits, err := intake.LimitsOf(cmp.Or(opts.MemoryLimit, DefaultOptions().MemoryLimit), 0)
+	if err != nil {
+		rpcListener.Close()
+		return nil, fmt.Errorf("agent: %w", err)
+	}
+	httpListener, err := intake.Listen(opts.HTTPAddr, limits.OtherConns, logger)
 	if err != nil {
 		rpcListener.Close()
 		return nil, fmt.Errorf("agent: %w", err)
@@ -82,7 +89,7 @@
 	a.executor = executor.New(executorOptions(opts, incarnation))
 	a.metrics = newMetrics(a)
 	a.announcer = newAnnouncer(a)
-	a.rpc = rpcserver.New(rpcOptions(), structs.AgentService, func(connCtx context.Context) any {
+	a.rpc = rpcserver.New(rpcOptions(logger), structs.AgentService, func(connCtx context.Context) any {
 		context.AfterFunc(connCtx, a.announcer.connectionLost)
 		return &receiver{agent: a, connCtx: connCtx}
 	})
@@ -102,9 +109,14 @@
 // heartbeats more often than that.
 const entryIdleTimeout = time.Minute
 
-func rpcOptions() rpcserver.Options {
+// maxTaskMessages bounds the memory of all messages that are being read, in bytes. A message has at most one
+// payload.
+const maxTaskMessages = 16 << 20
+
+func rpcOptions(logger log.Logger) rpcserver.Options {
 	opts := rpcserver.DefaultOptions()
 	opts.IdleTimeout = entryIdleTimeout
+	opts.Messages = intake.NewMessages(maxTaskMessages, logger)
 	return opts
 }
 
@@ -143,6 +155,7 @@
 	ops.Register(e, a, a.metrics.registry)
 	httpServer := newHTTPServer(e)
 	httpServer.ErrorLog = logging.Stdlib(a.logger, "http_server")
+	a.httpListener.Attach(httpServer)
 	go httpServer.Serve(a.httpListener)
 	return httpServer
 }
--- a/command/daemon/entry.go
+++ b/command/daemon/entry.go
@@ -25,7 +25,10 @@
 				settings: &opts,
 				name:     func() string { return opts.Name },
 				logLevel: func() string { return opts.LogLevel },
-				start:    func(l log.Logger) (process, error) { return entry.New(opts, l) },
+				start: func(l log.Logger) (process, error) {
+					limitMemory(opts.MemoryMB)
+					return entry.New(opts, l)
+				},
 			}
 			return r.run(ctx, c)
 		},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 
 	"github.com/chestnuthollow/chestnuthollow/coordinator"
 	"github.com/chestnuthollow/chestnuthollow/idempotency"
+	"github.com/chestnuthollow/chestnuthollow/internal/intake"
 	"github.com/chestnuthollow/chestnuthollow/internal/logging"
 	"github.com/chestnuthollow/chestnuthollow/internal/randid"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcserver"
@@ -48,6 +49,7 @@
 	rpc          *rpcserver.Server
 	rpcListener  net.Listener
 	httpListener net.Listener
+	bodies       *intake.Pool // of callers' requests
 	http         *http.Server
 	drained      chan struct{}
 	closedReport structs.ClosedReport // set before drained is closed
@@ -105,17 +107,22 @@
 }
 
 func (e *Entry) listen() error {
+	limits, err := intake.LimitsOf(e.opts.MemoryMB, e.opts.MaxDescriptors)
+	if err != nil {
+		return fmt.Errorf("entry: %w", err)
+	}
 	rpcListener, err := net.Listen("tcp", e.opts.RPCAddr)
 	if err != nil {
 		return fmt.Errorf("entry: rpc_addr: %w", err)
 	}
-	httpListener, err := net.Listen("tcp", e.opts.HTTPAddr)
+	httpListener, err := intake.Listen(e.opts.HTTPAddr, limits.Conns, e.logger)
 	if err != nil {
 		rpcListener.Close()
 		return fmt.Errorf("entry: http_addr: %w", err)
 	}
 	e.rpcListener, e.httpListener = rpcListener, httpListener
-	e.rpc = rpcserver.New(rpcOptions(), structs.EntryService, func(connCtx context.Context) any {
+	e.bodies = intake.NewPool(limits, e.logger)
+	e.rpc = rpcserver.New(rpcOptions(limits, e.logger), structs.EntryService, func(connCtx context.Context) any {
 		return &receiver{entry: e, connCtx: connCtx}
 	})
 	e.http = &http.Server{
@@ -126,6 +133,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          logging.Stdlib(e.logger, "http_server"),
 	}
+	httpListener.Attach(e.http)
 	return nil
 }
 
@@ -135,10 +143,11 @@
 	maxRPCMessage = 2 * structs.MaxJobBytes // a forwarded job and its encoding overhead
 )
 
-func rpcOptions() rpcserver.Options {
+func rpcOptions(l intake.Limits, logger log.Logger) rpcserver.Options {
 	opts := rpcserver.DefaultOptions()
-	opts.MaxConns = maxRPCConns
+	opts.MaxConns = min(maxRPCConns, l.PeerConns)
 	opts.MaxMessageBytes = maxRPCMessage
+	opts.Messages = intake.NewMessages(l.MessageBytes, logger)
 	return opts
 }
 
--- a/entry/http.go
+++ b/entry/http.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net/http"
@@ -11,6 +13,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/chestnuthollow/chestnuthollow/internal/intake"
 	"github.com/chestnuthollow/chestnuthollow/internal/ops"
 	"github.com/chestnuthollow/chestnuthollow/structs"
 )
@@ -43,7 +46,7 @@
 	var body struct {
 		Count int `json:"count"`
 	}
-	if err := readJSON(c, maxSmallBody, &body); err != nil {
+	if err := e.readJSON(c, maxSmallBody, &body); err != nil {
 		return writeError(c, err)
 	}
 	ids, err := e.reserve(c.Request().Context(), body.Count)
@@ -78,13 +81,73 @@
 	if err != nil {
 		return writeError(c, err)
 	}
-	spec := new(structs.JobSpec)
-	if err := readJSON(c, maxJobBody, spec); err != nil {
+	var body jobBody
+	if err := e.readJSON(c, maxJobBody, &body); err != nil {
+		if err.Code == structs.CodeOverloaded {
+			err = overloadedError(id == structs.JobID{}, err.Message)
+		}
 		return writeError(c, err)
 	}
+	spec, refused := body.spec()
+	if refused != nil {
+		return writeError(c, refused)
+	}
 	return e.answerJob(c, &jobRequest{op: structs.OpSubmit, id: id, spec: spec, wait: wait})
 }
 
+// jobBody is the body of a submission.
+type jobBody struct {
+	structs.JobSpec
+	Tasks taskList `json:"tasks"`
+}
+
+// spec returns the job, or why it is rejected.
+func (b *jobBody) spec() (*structs.JobSpec, *structs.Error) {
+	if n := b.Tasks.count; n > structs.MaxTasksPerJob {
+		return nil, structs.Errorf(structs.CodeTooLarge, structs.NotRun, "job has %d tasks: the limit is %d", n, structs.MaxTasksPerJob)
+	}
+	b.JobSpec.Tasks = b.Tasks.tasks
+	return &b.JobSpec, nil
+}
+
+// taskList is decoded task by task, because a list of short tasks takes many times more memory than its text.
+// Tasks over the limit are counted and not kept.
+type taskList struct {
+	tasks []structs.TaskSpec
+	count int
+	seen  bool
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *taskList) UnmarshalJSON(text []byte) error {
+	if l.seen {
+		return errors.New("tasks: the list is repeated")
+	}
+	l.seen = true
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	switch open, err := dec.Token(); {
+	case err != nil:
+		return err
+	case open == nil:
+		return nil
+	case open != json.Delim('['):
+		return fmt.Errorf("tasks: expected a list, got %.20s", text)
+	}
+	var over structs.TaskSpec
+	for ; dec.More(); l.count++ {
+		task := &over
+		if l.count < structs.MaxTasksPerJob {
+			l.tasks = append(l.tasks, structs.TaskSpec{})
+			task = &l.tasks[l.count]
+		}
+		if err := dec.Decode(task); err != nil {
+			return fmt.Errorf("tasks[%d]: %w", l.count, err)
+		}
+	}
+	return nil
+}
+
 func (e *Entry) getJob(c echo.Context) error {
 	id, err := pathID(c)
 	if err != nil {
@@ -142,23 +205,38 @@
 	return min(d, time.Duration(e.opts.MaxWait)), nil
 }
 
-// readJSON decodes a request body of at most limit bytes into dst.
-func readJSON(c echo.Context, limit int64, dst any) *structs.Error {
-	body := http.MaxBytesReader(c.Response(), c.Request().Body, limit)
-	dec := json.NewDecoder(body)
-	dec.DisallowUnknownFields()
-	err := dec.Decode(dst)
+// maxErrorText bounds what an answer quotes of an error, in bytes: some errors quote the body.
+const maxErrorText = 400
+
+// readJSON decodes a request body of at most limit bytes into dst. The code of the error is
+// structs.CodeOverloaded if there is no memory for the body.
+func (e *Entry) readJSON(c echo.Context, limit int64, dst any) *structs.Error {
+	body, err := e.bodies.Read(c.Response(), c.Request(), limit)
 	if err == nil {
-		if _, extra := dec.Token(); extra != io.EOF {
-			err = errors.New("more than one JSON value")
-		}
+		defer body.Close()
+		err = body.Decode(c.Request().Context(), func(text []byte) error { return decodeJSON(text, dst) })
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return structs.Errorf(structs.CodeTooLarge, structs.NotRun, "request body is larger than %d bytes", limit)
+	var tooLarge *intake.TooLargeError
+	var shortage *intake.ShortageError
+	switch {
+	case errors.As(err, &tooLarge):
+		return structs.Errorf(structs.CodeTooLarge, structs.NotRun, "request body is larger than %d bytes", tooLarge.Limit)
+	case errors.As(err, &shortage):
+		return overloadedError(true, shortage.Error())
+	case err != nil:
+		return structs.Errorf(structs.CodeInvalid, structs.NotRun, "invalid request body: %.*v", maxErrorText, err)
 	}
-	if err != nil {
-		return structs.Errorf(structs.CodeInvalid, structs.NotRun, "invalid request body: %v", err)
+	return nil
+}
+
+func decodeJSON(text []byte, dst any) error {
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(dst); err != nil {
+		return err
+	}
+	if _, extra := dec.Token(); extra != io.EOF {
+		return errors.New("more than one JSON value")
 	}
 	return nil
 }
--- a/entry/jobrequest.go
+++ b/entry/jobrequest.go
@@ -45,15 +45,18 @@
 // retryAfterQueueFull is the RetryAfter of a request that the event queue has no space for.
 const retryAfterQueueFull = time.Second
 
-// queueFullError is the reply to a request that the event queue has no space for. The
-// request has no effect, but the id that it names stays open, for a copy of it.
+// queueFullError is the reply to a request that the event queue has no space for.
 func queueFullError(startsNew bool) *structs.Error {
+	return overloadedError(startsNew, "too many requests wait at this entry")
+}
+
+// overloadedError is the reply to a request that the entry has no resources for. The
+// request has no effect, but the id that it names stays open, for a copy of it.
+func overloadedError(startsNew bool, message string) *structs.Error {
 	if startsNew {
-		return structs.Errorf(structs.CodeOverloaded, structs.NotRun, "too many requests wait at this entry").
-			WithRetryAfter(retryAfterQueueFull)
+		return structs.Errorf(structs.CodeOverloaded, structs.NotRun, "%s", message).WithRetryAfter(retryAfterQueueFull)
 	}
-	return structs.Errorf(structs.CodeUnavailable, structs.MayHaveRun, "too many requests wait at this entry").
-		WithRetryAfter(retryAfterQueueFull)
+	return structs.Errorf(structs.CodeUnavailable, structs.MayHaveRun, "%s", message).WithRetryAfter(retryAfterQueueFull)
 }
 
 // callCoordinator passes a job request to the coordinator and returns its reply, a
--- a/entry/options.go
+++ b/entry/options.go
@@ -40,6 +40,10 @@
 	StopLinger   settings.Duration `toml:"stop_linger" validate:"min=0"`
 	MaxOpenJobs  int               `toml:"max_open_jobs" validate:"min=1,max=1000000"`
 	MaxOpenTasks int               `toml:"max_open_tasks" validate:"min=1,max=10000000"`
+	// MemoryMB is the memory of the instance in MiB. MaxDescriptors is how many files and sockets the process
+	// may have open; zero for the limit of the operating system. What clients may occupy follows from both.
+	MemoryMB       int `toml:"memory_mb" validate:"min=256,max=1048576"`
+	MaxDescriptors int `toml:"max_descriptors" validate:"omitempty,min=256"`
 	// Seed is the seed for random choices of placement; 0 selects a random seed.
 	Seed uint64 `toml:"seed"`
 
@@ -59,5 +63,6 @@
 		StopLinger:     settings.Duration(5 * time.Second),
 		MaxOpenJobs:    10_000,
 		MaxOpenTasks:   50_000,
+		MemoryMB:       256,
 	}
 }
--- a/entry/services.go
+++ b/entry/services.go
@@ -47,7 +47,7 @@
 // putService publishes an edit of a document.
 func (e *Entry) putService(c echo.Context) error {
 	var body structs.Edit
-	if err := readJSON(c, maxEditBody, &body); err != nil {
+	if err := e.readJSON(c, maxEditBody, &body); err != nil {
 		return writeError(c, err)
 	}
 	edit := logstate.Edit{
--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -37,7 +37,8 @@
 	agents     []*daemon
 	backends   []*daemon
 	relays     []*relay
-	recordPath string // path of the file in which backend servers record starts
+	recordPath string   // path of the file in which backend servers record starts
+	program    []string // command of the daemon; nil for the built one
 }
 
 // entry returns one of the entries. Any index is valid, and consecutive ones go round
@@ -146,7 +147,11 @@
 	}
 	path := filepath.Join(c.dir, d.name+".toml")
 	c.g.Expect(os.WriteFile(path, []byte(text.String()), 0o600)).To(Succeed())
-	return start(c.t, d.name, nil, filepath.Join(binDir, "chestnuthollowd"), role, "--config", path)
+	program := c.program
+	if program == nil {
+		program = []string{filepath.Join(binDir, "chestnuthollowd")}
+	}
+	return start(c.t, d.name, nil, program[0], append(program[1:len(program):len(program)], role, "--config", path)...)
 }
 
 var (
