--- a/test/platform/crowd_test.go
+++ b/test/platform/crowd_test.go
@@ -20,12 +20,8 @@
 )
 
 const (
-	// crowdMemoryMB is the memory of each process under a crowd, in MiB. Its resident memory and what its
-	// sockets have received and it has not read must stay below that together.
-	crowdMemoryMB = 96
-	// crowdDescriptors is the limit of open descriptors of each process, of which reservedDescriptors are not
-	// for sockets.
-	crowdDescriptors, reservedDescriptors = 900, 200
+	// reservedDescriptors of each process are not for sockets.
+	reservedDescriptors = 200
 	// legalBodyBytes is the largest body that the configuration allows.
 	legalBodyBytes = 262144
 	// crowdHold is how long a crowd stays after all of its connections have sent what they send.
@@ -165,7 +161,7 @@
 func TestCrowdOfCallers(t *testing.T) {
 	for name, c := range callerCrowds() {
 		t.Run(name, func(t *testing.T) {
-			s := newLimitedSystem(t, 1, 2, false, processLimits{crowdMemoryMB, crowdDescriptors})
+			s := newLimitedSystem(t, 1, 2, false, processLimits{*crowdMemory, *crowdDescriptors})
 			s.withstand(t, s.entries[0], s.entries[0].jobsAddr, c, 1)
 		})
 	}
@@ -233,7 +229,7 @@
 	} {
 		for name, c := range l.crowds {
 			t.Run(l.name+", "+name, func(t *testing.T) {
-				s := newLimitedSystem(t, 1, 2, false, processLimits{crowdMemoryMB, crowdDescriptors})
+				s := newLimitedSystem(t, 1, 2, false, processLimits{*crowdMemory, *crowdDescriptors})
 				p := l.process(s)
 				s.withstand(t, p, l.addr(p), c, 1)
 			})
@@ -242,6 +238,12 @@
 }
 
 var (
+	// A process's resident memory and what its sockets have received and it has not read must stay below its
+	// memory together.
+	crowdMemory      = flag.Int("crowd.memory", 96, "memory of each process under a crowd, in `MiB`")
+	crowdDescriptors = flag.Int("crowd.descriptors", 900, "limit of open descriptors of each process under a crowd")
+	crowdFactor      = flag.Int("crowd.factor", 1, "factor of the connections of each crowd")
+
 	crowdSeed = flag.Uint64("crowd.seed", 1, "first `seed` of TestCrowdOfAllKinds")
 	crowdRuns = flag.Uint64("crowd.runs", 2, "number of seeds of TestCrowdOfAllKinds")
 )
@@ -273,7 +275,7 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			const waves, wave = 4, 400
 			g := NewWithT(t)
-			s := newLimitedSystem(t, 1, 2, false, processLimits{crowdMemoryMB, crowdDescriptors})
+			s := newLimitedSystem(t, 1, 2, false, processLimits{*crowdMemory, *crowdDescriptors})
 			random := rand.New(rand.NewPCG(seed, 1))
 			p := s.entries[0]
 			ordinary := &ordinaryCaller{sys: s, name: fmt.Sprintf("%x", seed&0xfff)}
@@ -329,6 +331,7 @@
 	if len(s.entries) > 0 && addr == s.entries[0].jobsAddr {
 		g.Expect(s.send(t.Context(), s.entries[0], "/holds/00ca1", paddedJob(legalBodyBytes)).code).To(Equal(http.StatusOK), "the largest legal body in calm")
 	}
+	c.Connections *= *crowdFactor
 	usage := crowd.WatchUsage(p.cmd.Process.Pid)
 	clients := crowd.Start(addr, c, seed, s.recordRefusal)
 	if n := clients.AwaitSent(2 * crowdHold); n > 0 {
@@ -351,8 +354,8 @@
 func checkUsage(t *testing.T, peak crowd.Usage) {
 	t.Log(peak)
 	g := NewWithT(t)
-	g.Expect(peak.Memory>>10).To(BeNumerically("<", crowdMemoryMB<<10), "KiB of memory: %v", peak)
-	g.Expect(peak.Sockets).To(BeNumerically("<=", crowdDescriptors-reservedDescriptors), "sockets: %v", peak)
+	g.Expect(peak.Memory>>10).To(BeNumerically("<", *crowdMemory<<10), "KiB of memory: %v", peak)
+	g.Expect(peak.Sockets).To(BeNumerically("<=", *crowdDescriptors-reservedDescriptors), "sockets: %v", peak)
 }
 
 // answersProbes reports whether the process answers the balancer's and the operators' probes on new
