--- a/test/crowd/crowd.go
+++ b/test/crowd/crowd.go
@@ -64,6 +64,8 @@
 	Client      Client
 	// Deaf clients never read.
 	Deaf bool
+	// Persistent clients open another connection when theirs is closed, until the crowd leaves.
+	Persistent bool
 }
 
 // Of returns a crowd whose clients read the answer.
@@ -74,6 +76,11 @@
 	return Case{Connections: connections, Client: c, Deaf: true}
 }
 
+// Persistent returns a crowd whose clients connect again when they are answered or their connections closed.
+func Persistent(connections int, c Client) Case {
+	return Case{Connections: connections, Client: c, Persistent: true}
+}
+
 // Crowd is a set of connections that stay open until Leave.
 type Crowd struct {
 	onAnswer func(job string, status int)
@@ -85,6 +92,7 @@
 	mu      sync.Mutex
 	answers map[string]int // by status, or how the connection ended
 	conns   []net.Conn
+	hasLeft bool
 }
 
 // Start opens the connections of a crowd to addr. onAnswer is called with each final response, by any
@@ -100,26 +108,58 @@
 					close(cr.sent)
 				}
 			}()
-			dialing <- struct{}{}
-			conn, err := net.DialTimeout("tcp", addr, dialTimeout)
-			<-dialing
-			if err != nil {
-				cr.count("no connection")
+			again := cr.connect(addr, c, dialing, fmt.Sprintf("c%03x%012x", seed&0xfff, i))
+			if again == nil {
 				return
 			}
-			cr.mu.Lock()
-			cr.conns = append(cr.conns, conn)
-			cr.mu.Unlock()
-			job := fmt.Sprintf("c%03x%012x", seed&0xfff, i)
-			if !c.Deaf {
-				cr.clients.Go(func() { cr.readAnswer(conn, job) })
-			}
-			c.Client(&Conn{Conn: conn, Job: job, Left: cr.left})
+			cr.clients.Go(func() {
+				for n := 1; again != nil; n++ {
+					select {
+					case <-cr.left:
+						return
+					case <-again:
+						again = cr.connect(addr, c, dialing, fmt.Sprintf("c%03x%04x%08x", seed&0xfff, n&0xffff, i))
+					}
+				}
+			})
 		})
 	}
 	return cr
 }
 
+// connect opens a connection and sends what its client sends. For a persistent client, it returns a channel
+// that is closed when the connection is closed.
+func (cr *Crowd) connect(addr string, c Case, dialing chan struct{}, job string) (closed chan struct{}) {
+	dialing <- struct{}{}
+	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+	<-dialing
+	if err != nil {
+		cr.count("no connection")
+		return nil
+	}
+	cr.mu.Lock()
+	cr.conns = append(cr.conns, conn)
+	if cr.hasLeft {
+		conn.Close()
+	}
+	cr.mu.Unlock()
+	done := make(chan struct{})
+	if c.Persistent {
+		closed = done
+	}
+	if !c.Deaf {
+		cr.clients.Go(func() {
+			cr.readAnswer(conn, job)
+			if c.Persistent {
+				conn.Close()
+			}
+			close(done)
+		})
+	}
+	c.Client(&Conn{Conn: conn, Job: job, Left: cr.left})
+	return closed
+}
+
 func (cr *Crowd) readAnswer(conn net.Conn, job string) {
 	r := bufio.NewReader(conn)
 	for {
@@ -163,6 +203,7 @@
 func (cr *Crowd) Leave() {
 	close(cr.left)
 	cr.mu.Lock()
+	cr.hasLeft = true
 	for _, conn := range cr.conns {
 		conn.Close()
 	}
--- a/test/platform/crowd_test.go
+++ b/test/platform/crowd_test.go
@@ -142,10 +142,12 @@
 		"headers": crowd.Of(1200, func(c *crowd.Conn) {
 			c.Send([]byte("POST /holds/" + c.Job + " HTTP/1.1\r\nHost: a.example\r\nX-Padding: " + strings.Repeat("x", 15<<10)))
 		}),
-		"silent":            crowd.Of(1200, func(*crowd.Conn) {}),
-		"pipelined":         crowd.Deaf(300, pipelined),
-		"pipelined by many": crowd.Deaf(1200, pipelined),
-		"large jobs":        crowd.Of(600, complete([]byte(`{"spec":"100,20,ok","bestEffort":true,"steps":[{"replicas":890,"cpu":20,"memMb":1,"estimateMs":100}]}`))),
+		"silent":             crowd.Of(1200, func(*crowd.Conn) {}),
+		"pipelined":          crowd.Deaf(300, pipelined),
+		"bodies, persistent": crowd.Persistent(600, short("POST", "/holds/JOB", "HTTP/1.1", whole, "")),
+		"silent, persistent": crowd.Persistent(1200, func(*crowd.Conn) {}),
+		"pipelined by many":  crowd.Deaf(1200, pipelined),
+		"large jobs":         crowd.Of(600, complete([]byte(`{"spec":"100,20,ok","bestEffort":true,"steps":[{"replicas":890,"cpu":20,"memMb":1,"estimateMs":100}]}`))),
 	}
 	cases["patient jobs"] = crowd.Of(600, func(c *crowd.Conn) {
 		const body = `{"spec":"1000,4000,ok","bestEffort":true,"steps":[{"replicas":890,"cpu":4000,"memMb":1,"estimateMs":1000}]}`
