--- a/entry/entry.go
+++ b/entry/entry.go
@@ -48,7 +48,7 @@
 	keys         *idempotency.Binder // nil if idempotency keys are not enabled
 	rpc          *rpcserver.Server
 	rpcListener  net.Listener
-	httpListener net.Listener
+	httpListener *intake.Listener
 	bodies       *intake.Pool // of callers' requests
 	http         *http.Server
 	drained      chan struct{}
@@ -92,6 +92,7 @@
 		LogTasks:     opts.LogLevel == "debug",
 	})
 	e.registerGauges()
+	e.registerIntakeGauges()
 	e.peers = newPeerTable(e.self)
 	docs, err := newDocuments(e)
 	if err != nil {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -6,6 +6,18 @@
 	"github.com/chestnuthollow/chestnuthollow/coordinator"
 )
 
+// registerIntakeGauges registers gauges for what callers occupy.
+func (e *Entry) registerIntakeGauges() {
+	for name, value := range map[string]func() int64{
+		"connections_open":            func() int64 { open, _ := e.httpListener.Counts(); return int64(open) },
+		"connections_closed_at_limit": func() int64 { _, closed := e.httpListener.Counts(); return closed },
+		"body_bytes_held":             func() int64 { held, _ := e.bodies.Held(); return held },
+		"bodies_refused":              func() int64 { _, refused := e.bodies.Held(); return refused },
+	} {
+		_ = e.metrics.Register(name, metrics.NewFunctionalGauge(value)) // the names are unique
+	}
+}
+
 // registerGauges registers gauges for the coordinator's current state.
 func (e *Entry) registerGauges() {
 	for name, value := range map[string]func(*coordinator.Dump) int{
--- a/internal/intake/memory.go
+++ b/internal/intake/memory.go
@@ -57,7 +57,7 @@
 // there are not enough.
 func (m *memory) take(ctx context.Context, c *claim, n int64) bool {
 	m.mu.Lock()
-	answer, abandoned := m.budget.ask(time.Now(), c, n)
+	a, abandoned := m.budget.ask(time.Now(), c, n)
 	var errs []error
 	for _, other := range abandoned {
 		close(other.revoked)
@@ -67,7 +67,7 @@
 	if err := errors.Join(errs...); err != nil {
 		level.Error(m.logger).Log("event", "read_not_interrupted", "reason", err)
 	}
-	switch answer {
+	switch a {
 	case granted:
 		return true
 	case refused:
@@ -104,16 +104,18 @@
 	return err
 }
 
-// giveBack returns n bytes of a claim, or all of them if n is negative.
+// giveBack returns n bytes of a claim.
 func (m *memory) giveBack(c *claim, n int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if n < 0 {
-		n = c.held
-	}
-	if n > 0 {
-		m.budget.giveBack(c, n)
-	}
+	m.budget.giveBack(c, n)
+}
+
+// giveBackAll returns all bytes of a claim.
+func (m *memory) giveBackAll(c *claim) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.budget.giveBack(c, c.held)
 }
 
 // progressed records how many bytes of a body were received.
--- a/internal/intake/messages.go
+++ b/internal/intake/messages.go
@@ -128,6 +128,9 @@
 		if r.memory.take(r.ctx, r.claim, n) {
 			return true
 		}
+		if r.memory.isAbandoned(r.claim) {
+			return false
+		}
 		select {
 		case <-time.After(retryInterval):
 			r.memory.restart(r.claim) // what waits does not arrive
@@ -140,4 +143,4 @@
 }
 
 // Close returns the memory of the messages that have arrived.
-func (r *MessageReader) Close() { r.memory.giveBack(r.claim, -1) }
+func (r *MessageReader) Close() { r.memory.giveBackAll(r.claim) }
--- a/internal/intake/pool.go
+++ b/internal/intake/pool.go
@@ -154,5 +154,5 @@
 // Close returns the memory of the body. Further calls have no effect.
 func (b *Body) Close() {
 	b.bytes = nil
-	b.pool.giveBack(b.claim, -1)
+	b.pool.giveBackAll(b.claim)
 }
