Limits of bodies and messages are seen in logs and metrics everywhere

An entry logs body_limit_lowered if the configuration allows larger bodies than the instance's memory; stand-alone entries and agents have the metrics of messages and connections, too.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -38,6 +38,7 @@
 
 	rpcListener  net.Listener
 	httpListener *intake.Listener
+	messages     *intake.Messages // of entries
 	rpc          *rpcserver.Server
 
 	drained chan struct{} // closed when a graceful shutdown is complete
@@ -72,6 +73,7 @@
 		backend:      newBackend(opts.BackendURL, opts.Slots),
 		rpcListener:  rpcListener,
 		httpListener: httpListener,
+		messages:     intake.NewMessages(maxTaskMessages, logger),
 		drained:      make(chan struct{}),
 		calls:        make(map[executor.CallID]chan any),
 		cancels:      make(map[structs.TaskID]context.CancelCauseFunc),
@@ -89,7 +91,7 @@
 	a.executor = executor.New(executorOptions(opts, incarnation))
 	a.metrics = newMetrics(a)
 	a.announcer = newAnnouncer(a)
-	a.rpc = rpcserver.New(rpcOptions(logger), structs.AgentService, func(connCtx context.Context) any {
+	a.rpc = rpcserver.New(rpcOptions(a.messages), structs.AgentService, func(connCtx context.Context) any {
 		context.AfterFunc(connCtx, a.announcer.connectionLost)
 		return &receiver{agent: a, connCtx: connCtx}
 	})
@@ -113,10 +115,10 @@
 // payload.
 const maxTaskMessages = 16 << 20
 
-func rpcOptions(logger log.Logger) rpcserver.Options {
+func rpcOptions(m *intake.Messages) rpcserver.Options {
 	opts := rpcserver.DefaultOptions()
 	opts.IdleTimeout = entryIdleTimeout
-	opts.Messages = intake.NewMessages(maxTaskMessages, logger)
+	opts.Messages = m
 	return opts
 }
 
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -40,6 +40,10 @@
 	m.gauge("tasks_running", func() int { return a.state().Running })
 	m.gauge("tasks_queued", func() int { return a.state().Queued })
 	m.gauge("rpc_connections", func() int { return a.rpc.Conns() })
+	m.gauge("connections_open", func() int { open, _ := a.httpListener.Counts(); return open })
+	m.gauge("connections_closed_at_limit", func() int { _, closed := a.httpListener.Counts(); return int(closed) })
+	m.gauge("message_bytes_held", func() int { held, _ := a.messages.Held(); return int(held) })
+	m.gauge("messages_refused", func() int { _, refused := a.messages.Held(); return int(refused) })
 	m.gauge("entries_known", func() int { return len(a.announcer.dir.list()) })
 	return m
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,7 +49,8 @@
 	rpc          *rpcserver.Server
 	rpcListener  net.Listener
 	httpListener *intake.Listener
-	bodies       *intake.Pool // of callers' requests
+	bodies       *intake.Pool     // of callers' requests
+	messages     *intake.Messages // of agents and peers
 	http         *http.Server
 	drained      chan struct{}
 	closedReport structs.ClosedReport // set before drained is closed
@@ -122,8 +123,8 @@
 		return fmt.Errorf("entry: http_addr: %w", err)
 	}
 	e.rpcListener, e.httpListener = rpcListener, httpListener
-	e.bodies = intake.NewPool(limits, e.logger)
-	e.rpc = rpcserver.New(rpcOptions(limits, e.logger), structs.EntryService, func(connCtx context.Context) any {
+	e.bodies, e.messages = intake.NewPool(limits, e.logger), intake.NewMessages(limits.MessageBytes, e.logger)
+	e.rpc = rpcserver.New(rpcOptions(limits, e.messages), structs.EntryService, func(connCtx context.Context) any {
 		return &receiver{entry: e, connCtx: connCtx}
 	})
 	e.http = &http.Server{
@@ -144,11 +145,11 @@
 	maxRPCMessage = 2 * structs.MaxJobBytes // a forwarded job and its encoding overhead
 )
 
-func rpcOptions(l intake.Limits, logger log.Logger) rpcserver.Options {
+func rpcOptions(l intake.Limits, m *intake.Messages) rpcserver.Options {
 	opts := rpcserver.DefaultOptions()
 	opts.MaxConns = min(maxRPCConns, l.PeerConns)
 	opts.MaxMessageBytes = maxRPCMessage
-	opts.Messages = intake.NewMessages(l.MessageBytes, logger)
+	opts.Messages = m
 	return opts
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -12,6 +12,8 @@
 		"connections_open":            func() int64 { open, _ := e.httpListener.Counts(); return int64(open) },
 		"connections_closed_at_limit": func() int64 { _, closed := e.httpListener.Counts(); return closed },
 		"body_bytes_held":             func() int64 { held, _ := e.bodies.Held(); return held },
+		"message_bytes_held":          func() int64 { held, _ := e.messages.Held(); return held },
+		"messages_refused":            func() int64 { _, refused := e.messages.Held(); return refused },
 		"bodies_refused":              func() int64 { _, refused := e.bodies.Held(); return refused },
 	} {
 		_ = e.metrics.Register(name, metrics.NewFunctionalGauge(value)) // the names are unique
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -97,6 +97,9 @@
 		g.metrics.configErrors.Inc(1)
 		level.Warn(g.logger).Log("event", "config_incomplete", "version", t.Version, "left_out", n, "first", t.Unreadable[0])
 	}
+	if largest := g.bodies.LargestBody(); t.MaxBody > largest {
+		level.Warn(g.logger).Log("event", "body_limit_lowered", "version", t.Version, "configured_bytes", t.MaxBody, "limit_bytes", largest)
+	}
 	g.config.current = session.Config{Version: t.Version, Text: cfg.Text}
 	if g.config.table.Swap(t) == nil {
 		close(g.config.loaded)
--- a/gateway/odd_test.go
+++ b/gateway/odd_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/chestnuthollow/chestnuthollow/dispatch"
+	"github.com/chestnuthollow/chestnuthollow/internal/intake"
 	"github.com/chestnuthollow/chestnuthollow/keyedlog"
 	"github.com/chestnuthollow/chestnuthollow/membership"
 	"github.com/chestnuthollow/chestnuthollow/session"
@@ -21,7 +22,7 @@
 func newIdleGateway(out *strings.Builder) *Gateway {
 	g := &Gateway{
 		logger: log.NewLogfmtLogger(out), members: membership.New("10.0.0.1:1"), config: newConfiguration(), startedAt: time.Now(), widening: 1,
-		connectors: make(map[string]*agentConnector), dispatcher: dispatch.New(dispatch.Options{}), turns: newTurnQueue(), wakeTimer: time.NewTimer(time.Hour), calls: make(map[dispatch.CallID]*pendingCall),
+		connectors: make(map[string]*agentConnector), dispatcher: dispatch.New(dispatch.Options{}), turns: newTurnQueue(), bodies: intake.NewPool(intake.Limits{}, log.NewNopLogger()), wakeTimer: time.NewTimer(time.Hour), calls: make(map[dispatch.CallID]*pendingCall),
 	}
 	g.metrics = newMetrics(g)
 	var stop context.CancelFunc
--- a/internal/intake/pool.go
+++ b/internal/intake/pool.go
@@ -40,6 +40,9 @@
 	}
 }
 
+// LargestBody returns the size in bytes of the largest body that the pool can hold.
+func (p *Pool) LargestBody() int64 { return p.limits.LargestBody() }
+
 // Body is a body that was read. It holds memory of its pool until Close.
 type Body struct {
 	pool  *Pool
