Connections that wait to be accepted are bounded like open ones

What callers saw: nothing so far; by reading. While a process is suspended or slow, the kernel completes connections up to the system's backlog (4,096 here) and buffers what they send, which counts as the memory of an instance of 144 MiB.

Change: the backlog of a listener is its number of connections. TestConnectionsThatWaitToBeAcceptedAreBounded: 40 of 40 waited before, 5 after, with a limit of 4.

--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -50,6 +51,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := limitBacklog(l.(*net.TCPListener), conns); err != nil {
+		l.Close()
+		return nil, err
+	}
 	return &Listener{
 		Listener: l, logger: logger, logging: rate.Sometimes{Interval: logInterval}, table: connTable{limit: conns},
 	}, nil
@@ -66,6 +71,20 @@
 	return nil
 }
 
+// limitBacklog bounds the connections that wait to be accepted, as long as the process is late. Their buffers
+// count as its memory, too. The system's own limit, which net.Listen sets, holds if it is lower.
+func limitBacklog(l *net.TCPListener, conns int) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	controlErr := raw.Control(func(fd uintptr) { err = unix.Listen(int(fd), conns) })
+	if controlErr != nil {
+		return controlErr
+	}
+	return os.NewSyscallError("listen", err)
+}
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -221,6 +223,50 @@
 	}
 }
 
+// Guards against connections that take memory before they are accepted, while the process is late.
+func TestConnectionsThatWaitToBeAcceptedAreBounded(t *testing.T) {
+	const conns, dials = 4, 40
+	g := NewWithT(t)
+	l, err := intake.Listen("127.0.0.1:0", conns, log.NewNopLogger())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	done := make(chan struct{}, dials)
+	for range dials {
+		go func() {
+			conn, err := net.DialTimeout("tcp", l.Addr().String(), 200*time.Millisecond)
+			if err == nil {
+				t.Cleanup(func() { conn.Close() })
+			}
+			done <- struct{}{}
+		}()
+	}
+	for range dials {
+		<-done
+	}
+	n := acceptQueue(g, l.Addr())
+	g.Expect(n).To(BeNumerically("<=", conns+1), "the kernel takes one more than the backlog")
+	g.Expect(n).To(BeNumerically(">", 0))
+}
+
+// acceptQueue returns how many connections wait to be accepted at addr.
+func acceptQueue(g *WithT, addr net.Addr) int64 {
+	const stateColumn, listening = 3, "0A"
+	port := fmt.Sprintf(":%04X", addr.(*net.TCPAddr).Port)
+	text, err := os.ReadFile("/proc/self/net/tcp")
+	g.Expect(err).NotTo(HaveOccurred())
+	for line := range strings.Lines(string(text)) {
+		f := strings.Fields(line)
+		if len(f) > stateColumn+1 && strings.HasSuffix(f[1], port) && f[stateColumn] == listening {
+			_, waiting, _ := strings.Cut(f[stateColumn+1], ":")
+			n, err := strconv.ParseInt(waiting, 16, 64)
+			g.Expect(err).NotTo(HaveOccurred())
+			return n
+		}
+	}
+	g.Expect(string(text)).To(ContainSubstring(port))
+	return 0
+}
+
 // Guards against requests that are decoded at once and take more memory together than there is.
 func TestBodiesAreDecodedWithinTheirMemory(t *testing.T) {
 	g := NewWithT(t)
