Stops that an agent sends at once are bounded

What callers saw: 503, "no agent of service booking can run the job now", for 20 to 60 s after an entry was stopped and started while clients sent jobs of 890 tasks.

Cause: the tasks of the entry's session end with it. The agent sends a stop for each, and again after 30 ms without a reply. Each is a goroutine that applies its reply to the runner; with thousands of tasks these wait for the runner longer than 30 ms, so that each step sends all stops anew.

The test now checks the memory of agents, too.

Change: at most 256 stops are open; the runner sends those left out again 30 ms later, as it does with a lost reply. No server of the deployments runs as many tasks.

--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -10,10 +10,12 @@
 
 // sidecarMetrics contains the metrics of an agent. Times are in microseconds.
 type sidecarMetrics struct {
-	registry  metrics.Registry
-	starts    metrics.Counter
-	stops     metrics.Counter
-	startTime metrics.Histogram
+	registry metrics.Registry
+	starts   metrics.Counter
+	stops    metrics.Counter
+	// stopsDeferred counts stops that were not sent because of maxOpenStops.
+	stopsDeferred metrics.Counter
+	startTime     metrics.Histogram
 	// topicReads counts the replies to reads of the operators' topic, storeLost the times
 	// that they began to fail.
 	topicReads, storeLost metrics.Counter
@@ -48,10 +50,12 @@
 		return 0
 	}))
 	return &sidecarMetrics{
-		registry:  r,
-		starts:    metrics.NewRegisteredCounter("tasks.start_orders", r),
-		stops:     metrics.NewRegisteredCounter("tasks.stop_orders", r),
-		startTime: instance.Histogram("tasks.start_order.time", r),
+		registry: r,
+		starts:   metrics.NewRegisteredCounter("tasks.start_orders", r),
+		stops:    metrics.NewRegisteredCounter("tasks.stop_orders", r),
+
+		stopsDeferred: metrics.NewRegisteredCounter("tasks.stop_orders_deferred", r),
+		startTime:     instance.Histogram("tasks.start_order.time", r),
 
 		topicReads: metrics.NewRegisteredCounter("evacuations.topic_reads", r),
 		storeLost:  metrics.NewRegisteredCounter("store.lost", r),
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -73,6 +74,7 @@
 
 	background context.Context // canceled when the process stops
 	stop       context.CancelFunc
+	openStops  atomic.Int64
 	drained    chan struct{}
 	// serverChanged signals announce that the record has to be updated.
 	serverChanged chan struct{}
--- a/sidecar/step.go
+++ b/sidecar/step.go
@@ -15,6 +15,11 @@
 // sum is its timeout.
 const renewalTimeoutMargin = 250 * time.Millisecond
 
+// maxOpenStops bounds the stops that are sent to the backend server and whose replies are not handled. The
+// runner sends a stop again that has no reply, so that further ones need not wait here. Without a bound,
+// thousands of tasks that end with a session are stopped faster than the replies are handled.
+const maxOpenStops = 256
+
 // step applies an event to the runner and carries out the resulting effects in order.
 // Log lines are written after s.mu has been released. No effect blocks. The runner's clock
 // counts the time in which the machine is suspended: entries and the backend server do not
@@ -42,8 +47,16 @@
 		s.metrics.starts.Inc(1)
 		go s.callServer(s.rto.timeout(), func(ctx context.Context) taskrunner.Event { return s.platform.Server.Start(ctx, ef) })
 	case taskrunner.StopTask:
+		if s.openStops.Load() >= maxOpenStops {
+			s.metrics.stopsDeferred.Inc(1)
+			return
+		}
 		s.metrics.stops.Inc(1)
-		go s.callServer(maxRTO, func(ctx context.Context) taskrunner.Event { return s.platform.Server.Stop(ctx, ef) })
+		s.openStops.Add(1)
+		go func() {
+			defer s.openStops.Add(-1)
+			s.callServer(maxRTO, func(ctx context.Context) taskrunner.Event { return s.platform.Server.Stop(ctx, ef) })
+		}()
 	case taskrunner.RenewLease:
 		go s.callServer(ef.Wait+renewalTimeoutMargin, func(ctx context.Context) taskrunner.Event { return s.platform.Server.RenewLease(ctx, ef) })
 	case taskrunner.ReplyHello:
--- a/test/crowd/crowd.go
+++ b/test/crowd/crowd.go
@@ -260,6 +260,9 @@
 	return <-w.done
 }
 
+// UsageOf returns what a process occupies now, and the kernel's own peak of its resident memory.
+func UsageOf(pid int) Usage { return usageOf(pid) }
+
 // usageOf returns what a process occupies. The parts are zero once it has ended.
 func usageOf(pid int) Usage {
 	var u Usage
--- a/test/platform/crowd_test.go
+++ b/test/platform/crowd_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"flag"
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -306,13 +307,14 @@
 				p.start()
 				usage = crowd.WatchUsage(p.cmd.Process.Pid)
 			}
-			g.Eventually(ordinary.isAnswered, crowdPatience, ordinaryPeriod).Should(BeTrue(), "an ordinary caller beside the crowds: %v", crowds)
+			g.Eventually(ordinary.isAnswered, crowdPatience, ordinaryPeriod).Should(BeTrue(), "an ordinary caller beside the crowds: %v, %v; %s", crowds, ordinary, p.logTail())
 			for _, c := range crowds {
 				c.Leave()
 			}
 			g.Eventually(ordinary.isAnswered, crowdPatience, ordinaryPeriod).Should(BeTrue(), "an ordinary caller after the crowds")
 			g.Eventually(func() bool { return s.answersProbes(p) }, crowdPatience, ordinaryPeriod).Should(BeTrue(), "probes after the crowds")
-			t.Logf("answers %v", crowds)
+			t.Logf("answers %v, ordinary caller %v", crowds, ordinary)
+			s.checkAgents(t)
 			checkUsage(t, usage.Stop())
 			g.Expect(p.wait(0)).To(BeFalse(), "the process has ended: %s", p.logTail())
 			starts := 1
@@ -350,6 +352,17 @@
 	checkUsage(t, usage.Stop())
 	g.Expect(p.wait(0)).To(BeFalse(), "the process has ended: %s", p.logTail())
 	g.Expect(p.starts).To(HaveLen(1))
+	s.checkAgents(t)
+}
+
+// checkAgents checks the memory of the agents that run: what an entry takes from a crowd reaches them as
+// orders.
+func (s *system) checkAgents(t *testing.T) {
+	for _, p := range s.agents {
+		peak := crowd.UsageOf(p.cmd.Process.Pid)
+		t.Logf("%s: %v", p.name, peak)
+		NewWithT(t).Expect(peak.Resident>>10).To(BeNumerically("<", *crowdMemory<<10), "KiB of memory of %s: %v", p.name, peak)
+	}
 }
 
 // checkUsage checks what a process has occupied.
@@ -386,6 +399,18 @@
 	sys  *system
 	name string
 	jobs int
+	// answers counts the answers so far, by status and reason.
+	answers map[string]int
+}
+
+// String returns the answers so far.
+func (o *ordinaryCaller) String() string { return fmt.Sprint(o.answers) }
+
+func (o *ordinaryCaller) count(answer string) {
+	if o.answers == nil {
+		o.answers = make(map[string]int)
+	}
+	o.answers[answer]++
 }
 
 // isAnswered submits a job and reports whether it was completed.
@@ -401,9 +426,12 @@
 	client := &http.Client{Timeout: dialTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
+		o.count(err.Error())
 		return false
 	}
+	text, err := io.ReadAll(resp.Body)
 	resp.Body.Close()
+	o.count(fmt.Sprintf("%d %.60s %v", resp.StatusCode, text, err))
 	o.sys.recordRefusal(job, resp.StatusCode)
 	return resp.StatusCode == http.StatusOK
 }
