Tests: an idle gateway's log lines are written one at a time

An entry logs after it has released its lock; the programs' logger serializes writes (internal/logging), the test's did not. The check is the same.

--- a/gateway/odd_test.go
+++ b/gateway/odd_test.go
@@ -21,7 +21,7 @@
 // out.
 func newIdleGateway(out *strings.Builder) *Gateway {
 	g := &Gateway{
-		logger: log.NewLogfmtLogger(out), members: membership.New("10.0.0.1:1"), config: newConfiguration(), startedAt: time.Now(), widening: 1,
+		logger: log.NewLogfmtLogger(log.NewSyncWriter(out)), members: membership.New("10.0.0.1:1"), config: newConfiguration(), startedAt: time.Now(), widening: 1,
 		connectors: make(map[string]*agentConnector), dispatcher: dispatch.New(dispatch.Options{}), turns: newTurnQueue(), bodies: intake.NewPool(intake.Limits{}, log.NewNopLogger()), wakeTimer: time.NewTimer(time.Hour), calls: make(map[dispatch.CallID]*pendingCall),
 	}
 	g.metrics = newMetrics(g)
