--- a/test/platform/soak_silence_test.go
+++ b/test/platform/soak_silence_test.go
@@ -101,7 +101,8 @@
 }
 
 // expectLongJobs checks that each entry completes a job of long tasks whose caller waits, after the
-// faults.
+// faults and after the last job that crashes servers was submitted: a crash ends the long tasks on that
+// server, and their job's deadline leaves no time to run them again.
 func (s *soak) expectLongJobs() {
 	const bound = 12 * time.Second
 	var jobs sync.WaitGroup
