Log lines of jobs and tasks have the time of their event

The check by what the servers saw found no start after a refusal.

Cause: a line got its time when it was written, after the step of the state machine whose event it reports. The agent was suspended for 2.07 s between the two.

Change: entries and agents on the users' platform take the time before the step and write it as ts of its lines (logging.At). Lines that are written by themselves keep the current time.

--- a/gateway/step.go
+++ b/gateway/step.go
@@ -8,11 +8,12 @@
 	"github.com/chestnuthollow/chestnuthollow/dispatch"
 	"github.com/chestnuthollow/chestnuthollow/internal/boottime"
 	"github.com/chestnuthollow/chestnuthollow/internal/instance"
+	"github.com/chestnuthollow/chestnuthollow/internal/logging"
 )
 
 // step applies an event to the dispatcher and carries out the resulting effects in
-// order. Log lines and metrics are written after g.mu has been released. No effect
-// blocks.
+// order. Log lines and metrics are written after g.mu has been released, the lines with
+// the time of the event. No effect blocks.
 func (g *Gateway) step(ev dispatch.Event) []dispatch.Effect {
 	g.mu.Lock()
 	return g.stepAndUnlock(ev)
@@ -20,6 +21,7 @@
 
 // stepAndUnlock is step for a caller that holds g.mu, which it releases.
 func (g *Gateway) stepAndUnlock(ev dispatch.Event) []dispatch.Effect {
+	at := time.Now()
 	effects := g.apply(ev)
 	if wake := g.dispatcher.NextWake(); !wake.IsZero() {
 		g.wakeTimer.Reset(max(wake.Sub(boottime.Now()), time.Millisecond))
@@ -28,7 +30,7 @@
 	for _, ef := range effects {
 		switch ef := ef.(type) {
 		case dispatch.LogEvent:
-			g.log(&ef)
+			g.log(at, &ef)
 		case dispatch.JobMetrics:
 			g.metrics.recordJob(&ef)
 		case dispatch.PlanMetrics:
@@ -121,7 +123,7 @@
 	}
 }
 
-func (g *Gateway) log(line *dispatch.LogEvent) {
+func (g *Gateway) log(at time.Time, line *dispatch.LogEvent) {
 	kv := []any{"event", line.Event}
 	if line.Job != "" {
 		kv = append(kv, "job", line.Job)
@@ -138,5 +140,5 @@
 	if line.Detail != "" {
 		kv = append(kv, "detail", line.Detail)
 	}
-	level.Info(g.logger).Log(kv...)
+	level.Info(logging.At(g.logger, at)).Log(kv...)
 }
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -239,7 +239,7 @@
 	err := structs.Errorf(structs.CodeOverloaded, structs.NotRun, "the entry is overloaded: %d requests wait for its processor, for %d ms",
 		s.waiting, s.expectedWait.Milliseconds()).WithRetryAfter(max(s.retryAfter, time.Second))
 	verdict := structs.NotRun
-	g.log(&dispatch.LogEvent{Event: "job_refused", Job: name, Queue: queue, Verdict: &verdict,
+	g.log(time.Now(), &dispatch.LogEvent{Event: "job_refused", Job: name, Queue: queue, Verdict: &verdict,
 		Detail: fmt.Sprintf("code=%s reason=%q retry_after_ms=%d waited_ms=%d", err.Code, err.Message, err.RetryAfter.Milliseconds(), waited.Milliseconds())})
 	g.metrics.recordJob(&dispatch.JobMetrics{Queue: queue, Took: waited})
 	if g.turns.logDue(now) {
--- a/sidecar/step.go
+++ b/sidecar/step.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/chestnuthollow/chestnuthollow/internal/boottime"
+	"github.com/chestnuthollow/chestnuthollow/internal/logging"
 	"github.com/chestnuthollow/chestnuthollow/internal/rpcserver"
 	"github.com/chestnuthollow/chestnuthollow/taskrunner"
 )
@@ -21,12 +22,12 @@
 const maxOpenStops = 256
 
 // step applies an event to the runner and carries out the resulting effects in order.
-// Log lines are written after s.mu has been released. No effect blocks. The runner's clock
-// counts the time in which the machine is suspended: entries and the backend server do not
-// wait for the agent meanwhile.
+// Log lines are written after s.mu has been released, with the time of the event. No effect
+// blocks. The runner's clock counts the time in which the machine is suspended: entries and
+// the backend server do not wait for the agent meanwhile.
 func (s *Sidecar) step(ev taskrunner.Event) {
 	s.mu.Lock()
-	now := boottime.Now()
+	at, now := time.Now(), boottime.Now()
 	effects := s.runner.Step(now, ev)
 	for _, ef := range effects {
 		s.carryOut(ef)
@@ -35,7 +36,7 @@
 	s.mu.Unlock()
 	for _, ef := range effects {
 		if line, ok := ef.(taskrunner.LogEvent); ok {
-			s.log(&line)
+			s.log(at, &line)
 		}
 	}
 }
@@ -123,7 +124,7 @@
 	}
 }
 
-func (s *Sidecar) log(line *taskrunner.LogEvent) {
+func (s *Sidecar) log(at time.Time, line *taskrunner.LogEvent) {
 	kv := []any{"event", line.Event}
 	if line.Task != "" {
 		kv = append(kv, "task", line.Task)
@@ -134,5 +135,5 @@
 	if line.Detail != "" {
 		kv = append(kv, "detail", line.Detail)
 	}
-	level.Info(s.logger).Log(kv...)
+	level.Info(logging.At(s.logger, at)).Log(kv...)
 }
