--- a/internal/instance/serve.go
+++ b/internal/instance/serve.go
@@ -76,8 +76,8 @@
 }
 
 // Serve starts an HTTP server that limits the duration and the header size of
-// requests, and uses the bounds of package intake if l is one of its listeners. It has no write timeout, because the answer to a job is sent when the
-// job has ended.
+// requests, and uses the bounds of package intake if l is one of its listeners. It
+// has no write timeout, because the answer to a job is sent when the job has ended.
 func Serve(l net.Listener, h http.Handler, logger log.Logger) *http.Server {
 	s := &http.Server{
 		Handler:           h,
