A submission whose caller left before it was decoded is logged as such

Here an entry that had been suspended handled the submission of a caller that had left beside the copy of it, which it served.

Change: such a submission is rejected by Gateway.CallerLeft, as one whose caller leaves in Submit: that reason, and "may have run" if the entry knows the job.

Evidence: TestSubmissionOfCallerThatLeftBeforeDecodingIsLoggedAsSuch fails without the change (reason "context canceled") and passes with it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -258,14 +258,9 @@
 	c := &pendingCall{request: ctx, probe: instance.NewClientProbe(ctx), outcome: make(chan Outcome, 1)}
 	g.mu.Lock()
 	if instance.Disconnected(ctx) {
-		verdict := structs.NotRun
-		if g.dispatcher.Knows(j.Queue.Name, j.Name) {
-			verdict = structs.MayHaveRun // for a copy
-		}
 		g.mu.Unlock()
 		t.End()
-		g.logRejected(j.Name, j.Queue.Name, verdict, errCallerLeft)
-		return Outcome{Refused: structs.Errorf(structs.CodeUnavailable, verdict, "%v", errCallerLeft)}
+		return Outcome{Refused: g.CallerLeft(j.Queue.Name, j.Name)}
 	}
 	g.lastCall++
 	call := g.lastCall
@@ -324,6 +319,17 @@
 	level.Info(g.logger).Log("event", "job_rejected", "job", fmt.Sprintf("%.80s", job), "queue", queue, "verdict", verdict, "reason", fmt.Sprintf("%.400v", err))
 }
 
+// CallerLeft logs and returns the rejection of a submission whose caller has disconnected before it was
+// submitted. Nobody receives it.
+func (g *Gateway) CallerLeft(queue, name string) *structs.Error {
+	verdict := structs.NotRun
+	if g.knows(queue, name) {
+		verdict = structs.MayHaveRun // for a copy
+	}
+	g.logRejected(name, queue, verdict, errCallerLeft)
+	return structs.Errorf(structs.CodeUnavailable, verdict, "%v", errCallerLeft)
+}
+
 // ReadBody reads the body of a request of at most limit bytes, see intake.Pool.
 func (g *Gateway) ReadBody(w http.ResponseWriter, r *http.Request, limit int64) (*intake.Body, error) {
 	return g.bodies.Read(w, r, limit)
