--- a/review/standins-3/cases.go
+++ b/review/standins-3/cases.go
@@ -16,6 +16,7 @@
 	// cutTime is the length of the partition of one machine, regionCutTime that of two regions.
 	cutTime       = 5500 * time.Millisecond
 	regionCutTime = 64 * time.Second
+	freezeTime    = 3500 * time.Millisecond
 )
 
 // addAgents adds one agent a zone.
@@ -280,3 +281,57 @@
 	<-answered
 	return s.brokenCancel(id, waited), nil
 }
+
+// frozenEntry plays callers whose channels break while the end does not reach their entry, which is
+// frozen as they submit again at another one.
+func frozenEntry(s *system) ([]string, error) {
+	const jobs, run, deadline = 20, 3 * time.Second, 4500 * time.Millisecond
+	first, second := s.addEntry("a", "r1"), s.addEntry("b", "r1")
+	seeds := []string{first.peerAddr, second.peerAddr}
+	if err := s.addAgents(seeds, "a", "b", "c", "d"); err != nil {
+		return nil, err
+	}
+	for _, p := range s.entries {
+		if err := p.configure(seeds); err != nil {
+			return nil, err
+		}
+	}
+	if err := s.startAll(); err != nil {
+		return nil, err
+	}
+	path, err := newLink(s.freeAddr(), first.jobsAddr)
+	if err != nil {
+		return nil, err
+	}
+	channels, leave := context.WithCancel(s.ctx)
+	defer leave()
+	id := func(i int) string { return fmt.Sprintf("5c0e7a21d9b%05x", i) }
+	for i := range jobs {
+		go first.submitOver(channels, path.addr, id(i), 1, run, deadline)
+	}
+	time.Sleep(300 * time.Millisecond)
+	s.logf("the path between the callers and what forwards their channels is cut; their channels break within a second")
+	path.setCut(true)
+	defer path.setCut(false)
+	leave()
+	answers := make(chan answer, jobs)
+	for i := range jobs {
+		noticed := time.Second * time.Duration(i) / jobs
+		time.AfterFunc(noticed+resubmitDelay, func() { answers <- second.submit(id(i), 1, run, deadline) })
+	}
+	if s.trouble {
+		time.Sleep(resubmitDelay + 500*time.Millisecond)
+		if err := first.freeze(freezeTime); err != nil {
+			return nil, err
+		}
+	}
+	for range jobs {
+		<-answers
+	}
+	time.Sleep(time.Second)
+	var broken []string
+	for i := range jobs {
+		broken = append(broken, s.ranTwice(id(i))...)
+	}
+	return broken, nil
+}
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -24,6 +24,7 @@
 // cases are the plays by name. Each returns what breaks the rule.
 var cases = map[string]func(*system) ([]string, error){
 	"cut-entry":     cutEntry,
+	"frozen-entry":  frozenEntry,
 	"many-entries":  manyEntries,
 	"regions":       regions,
 	"removed-route": removedRoute,
--- a/review/standins-3/system.go
+++ b/review/standins-3/system.go
@@ -233,6 +233,19 @@
 	p.sys.logf("%s killed", p.name)
 }
 
+// freeze stops the process for a time.
+func (p *process) freeze(d time.Duration) error {
+	p.sys.logf("%s is frozen for %v", p.name, d)
+	if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	time.AfterFunc(d, func() {
+		p.sys.logf("%s wakes", p.name)
+		_ = p.cmd.Process.Signal(syscall.SIGCONT) // it may have been ended meanwhile
+	})
+	return nil
+}
+
 func (p *process) isReady() bool {
 	resp, err := http.Get("http://" + p.readyAddr + texts.ReadyPath)
 	if err != nil {
